Add the request pipe's filters and the wire layer

Cause: the path from a caller to a server needs its filters (authorize, classify, answer locally, admit, open floor, execute) and its encodings (MySQL both ways, JSON-RPC between proxies). Decisions stay free of sockets: the pipe asks the tasks around it through RequestServices.

Nothing runs end to end yet.

--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -11,7 +11,7 @@
 export type ExecutionMode =
   | { readonly kind: 'read', readonly floor: Position, readonly maxAgeMs: number | undefined }
   | { readonly kind: 'write', readonly requestId: string | undefined }
-  | { readonly kind: 'begin' }
+  | { readonly kind: 'begin', readonly requestId: string | undefined }
   | { readonly kind: 'inTransaction', readonly transaction: string }
   | { readonly kind: 'commit', readonly transaction: string }
   | { readonly kind: 'rollback', readonly transaction: string }
@@ -34,6 +34,8 @@
   /** Set where `begin` opened a transaction. */
   readonly transaction: string | undefined
   readonly primary: PrimaryView
+  /** Applied position of the server, as its home knew it. */
+  readonly applied: Position | undefined
 }
 
 /** What a member says of itself in a heartbeat and its answer. */
--- a/src/model/statement.ts
+++ b/src/model/statement.ts
@@ -19,6 +19,8 @@
   | { readonly kind: 'rollback' }
   | { readonly kind: 'readToken' }
   | { readonly kind: 'setToken', readonly token: string }
+  /** Sets what holds anyway, as drivers do when they connect. */
+  | { readonly kind: 'setDefault' }
   | { readonly kind: 'unsupported', readonly what: string }
 
 /** What the leading comment of a statement asks for. */
--- /dev/null
+++ b/src/request/execute.ts
@@ -0,0 +1,176 @@
+// Last filter: runs the statement at the home of a server, again and again
+// where that is safe, until there is an answer or the deadline passes.
+
+import { notRun, unknownOutcome, type ExecuteReply, type ExecutionMode, type NotRunReason, type Outcome, type ServerName } from '../model/index.js'
+import { end, type Filter } from '../pipe/index.js'
+import { anonymousAccount } from './admit.js'
+import type { Floored, Served } from './message.js'
+import { judgeAttempt, outOfTime, type Attempt, type Repeatable } from './retry.js'
+import { chooseRoute, type Route } from './route.js'
+import { raiseFloor, type OpenTransaction, type SessionState } from './session.js'
+import type { RequestBounds, RequestServices } from './services.js'
+
+/** Delay before the second attempt; doubles with each further one. */
+const firstRetryDelayMs = 10
+const maxRetryDelayMs = 160
+/** Weight of callers without a key in the fair queue. */
+const anonymousWeight = 1
+
+type Services = Pick<RequestServices, 'nowMs' | 'sleep' | 'routing' | 'execute' | 'sawApplied' | 'random'>
+
+/** What the attempts for one statement have shown so far. */
+type Progress = {
+  readonly attempts: number
+  readonly avoid: ReadonlySet<ServerName>
+  readonly mayHaveRun: boolean
+  readonly reason: NotRunReason
+}
+
+/**
+ * Makes the filter.
+ * @param services - routes and executes
+ * @param bounds - where this host stands
+ * @returns the filter, which always ends the pipe
+ */
+export function execute (services: Services, bounds: RequestBounds): Filter<Floored, never, Served> {
+  return async message => {
+    const { transaction } = message.session
+    if (transaction !== undefined) return end(await runInTransaction(services, message, transaction))
+    return end(await runAlone(services, bounds, message))
+  }
+}
+
+async function runAlone (services: Services, bounds: RequestBounds, message: Floored): Promise<Served> {
+  const repeatable: Repeatable = message.statement.statementClass.kind === 'read' && !message.statement.hints.once ? 'yes' : 'no'
+  let progress: Progress = { attempts: 0, avoid: new Set(), mayHaveRun: false, reason: 'deadlinePassed' }
+  for (;;) {
+    if (services.nowMs() >= message.statement.deadlineAtMs) return giveUp(message, progress)
+    const route = chooseRoute(routeRequest(services, bounds, message, progress), services.routing(message.database.name))
+    const attempt = await attemptOn(services, message, route)
+    const verdict = judgeAttempt(attempt, repeatable)
+    if (verdict.kind === 'answer') return finish(message, verdict.outcome, route, attempt)
+    progress = {
+      attempts: progress.attempts + 1,
+      avoid: verdict.avoidServer && route.kind === 'send' ? new Set([...progress.avoid, route.server]) : progress.avoid,
+      mayHaveRun: progress.mayHaveRun || verdict.mayHaveRun,
+      reason: verdict.reason
+    }
+    if (needsDelay(verdict.reason, progress)) await services.sleep(retryDelayMs(progress.attempts, services.random()))
+  }
+}
+
+function giveUp (message: Floored, progress: Progress): Served {
+  return { outcome: outOfTime(progress.reason, progress.mayHaveRun), session: message.session }
+}
+
+function routeRequest (services: Services, bounds: RequestBounds, message: Floored, progress: Progress): Parameters<typeof chooseRoute>[0] {
+  const { statement, database, floor } = message
+  // Once every server was tried, all may be tried again.
+  const avoid = progress.avoid.size >= database.servers.length ? new Set<ServerName>() : progress.avoid
+  return {
+    database,
+    statementClass: statement.statementClass,
+    floor,
+    requestId: statement.hints.requestId,
+    ownFailureDomain: bounds.ownFailureDomain,
+    avoid,
+    spread: Math.floor(services.random() * database.servers.length * 1000),
+    nowMs: services.nowMs()
+  }
+}
+
+async function attemptOn (services: Services, message: Floored, route: Route): Promise<Attempt> {
+  if (route.kind === 'none') return { kind: 'noRoute', missing: route.missing }
+  const attempt = await services.execute(route.home, {
+    database: message.database.name,
+    server: route.server,
+    account: message.account?.name ?? anonymousAccount,
+    weight: message.account?.weight ?? anonymousWeight,
+    sql: message.statement.sql,
+    mode: route.mode,
+    remainingMs: message.statement.deadlineAtMs - services.nowMs()
+  })
+  if (attempt.kind === 'replied' && attempt.reply.applied !== undefined) services.sawApplied(route.server, attempt.reply.applied)
+  return attempt
+}
+
+/** A replica that is behind is left at once; anything else needs time to mend. */
+function needsDelay (reason: NotRunReason, progress: Progress): boolean {
+  return reason !== 'behind' || progress.attempts > 2
+}
+
+/**
+ * Retry delay: exponential with full jitter.
+ * @param attempts - attempts so far, from 1
+ * @param random - from 0 up to, not including, 1
+ * @returns the delay in milliseconds
+ */
+export function retryDelayMs (attempts: number, random: number): number {
+  const bound = Math.min(maxRetryDelayMs, firstRetryDelayMs * 2 ** (attempts - 1))
+  return random * bound
+}
+
+function finish (message: Floored, outcome: Outcome, route: Route, attempt: Attempt): Served {
+  const raised = withPosition(message.session, message.database.name, message.statement.statementClass.kind === 'read' ? undefined : outcome)
+  if (outcome.kind !== 'answered' || route.kind !== 'send' || attempt.kind !== 'replied') return { outcome, session: raised }
+  const { transaction } = attempt.reply
+  if (transaction === undefined) return { outcome, session: raised }
+  const open: OpenTransaction = { id: transaction, database: message.database.name, server: route.server, home: route.home, lost: false }
+  return { outcome, session: { ...raised, transaction: open } }
+}
+
+function withPosition (session: SessionState, database: string, outcome: Outcome | undefined): SessionState {
+  if (outcome?.kind !== 'answered' || outcome.position === undefined) return session
+  return raiseFloor(session, database, outcome.position)
+}
+
+async function runInTransaction (services: Services, message: Floored, transaction: OpenTransaction): Promise<Served> {
+  const { statementClass } = message.statement
+  if (transaction.lost) return afterLostTransaction(message, statementClass.kind)
+  if (statementClass.kind === 'begin') return { outcome: notRun('unsupported', 'a transaction is open already'), session: message.session }
+  const mode = transactionMode(statementClass.kind, transaction)
+  const route: Route = { kind: 'send', server: transaction.server, home: transaction.home, mode }
+  const attempt = await attemptOn(services, message, route)
+  return settleInTransaction(message, transaction, mode, attempt)
+}
+
+function afterLostTransaction (message: Floored, kind: string): Served {
+  if (kind !== 'rollback' && kind !== 'commit') return { outcome: notRun('transactionLost', 'the transaction was lost and rolled back'), session: message.session }
+  const session = { ...message.session, transaction: undefined }
+  if (kind === 'commit') return { outcome: notRun('transactionLost', 'the transaction was lost and rolled back'), session }
+  return { outcome: { kind: 'answered', answer: { kind: 'done', affectedRows: 0, insertId: 0 }, position: undefined, servedBy: 'proxy' }, session }
+}
+
+function transactionMode (kind: string, transaction: OpenTransaction): ExecutionMode {
+  switch (kind) {
+    case 'commit': return { kind: 'commit', transaction: transaction.id }
+    case 'rollback': return { kind: 'rollback', transaction: transaction.id }
+    default: return { kind: 'inTransaction', transaction: transaction.id }
+  }
+}
+
+function settleInTransaction (message: Floored, transaction: OpenTransaction, mode: ExecutionMode, attempt: Attempt): Served {
+  const ended = { ...message.session, transaction: undefined }
+  const lost = { ...message.session, transaction: { ...transaction, lost: true } }
+  switch (attempt.kind) {
+    case 'replied': return settleReply(message, transaction, mode, attempt.reply)
+    case 'unsent':
+    case 'noRoute': return { outcome: notRun('transactionLost', 'the transaction was lost and is rolled back'), session: mode.kind === 'inTransaction' ? lost : ended }
+    case 'lost': {
+      // A lost COMMIT may have taken effect; any other statement dies with its transaction.
+      if (mode.kind === 'commit') return { outcome: unknownOutcome('connectionLost', 'the connection was lost while the transaction committed'), session: ended }
+      return { outcome: notRun('transactionLost', 'the transaction was lost and is rolled back'), session: mode.kind === 'inTransaction' ? lost : ended }
+    }
+  }
+}
+
+function settleReply (message: Floored, transaction: OpenTransaction, mode: ExecutionMode, reply: ExecuteReply): Served {
+  const { outcome } = reply
+  const isEnd = mode.kind === 'commit' || mode.kind === 'rollback'
+  const raised = withPosition(message.session, transaction.database, outcome)
+  if (isEnd) return { outcome, session: { ...raised, transaction: undefined } }
+  const isLost = outcome.kind === 'unknown' || (outcome.kind === 'notRun' && outcome.reason === 'transactionLost')
+  if (!isLost) return { outcome, session: message.session }
+  return { outcome: notRun('transactionLost', 'the transaction was lost and is rolled back'), session: { ...message.session, transaction: { ...transaction, lost: true } } }
+}
+
--- /dev/null
+++ b/src/request/local.ts
@@ -0,0 +1,56 @@
+// Filter: answers what the proxy knows by itself: the session token and
+// settings that hold anyway. Nothing of it reaches a database or costs a token
+// of the account's rate.
+
+import { notRun, type Answer, type Outcome } from '../model/index.js'
+import { end, next, type Filter } from '../pipe/index.js'
+import { served, type Classified, type Served } from './message.js'
+import type { RequestServices } from './services.js'
+import { takeToken } from './session.js'
+
+/** MySQL's type number of a text column. */
+const textColumnType = 253
+const utf8CharacterSet = 45
+const maxTokenColumnLength = 65535
+
+/**
+ * Makes the filter.
+ * @param services - the token codec
+ * @returns the filter
+ */
+export function answerLocally (services: Pick<RequestServices, 'encodeToken' | 'decodeToken'>): Filter<Classified, Classified, Served> {
+  return message => {
+    const { statementClass } = message.statement
+    switch (statementClass.kind) {
+      case 'setDefault': return end(served(message, byProxy(done)))
+      case 'readToken': return end(served(message, byProxy(tokenAnswer(services.encodeToken(message.session.floors)))))
+      case 'setToken': {
+        const floors = services.decodeToken(statementClass.token)
+        if (floors === undefined) return end(served(message, notRun('hintMalformed', 'the session token is malformed')))
+        return end({ outcome: byProxy(done), session: takeToken(message.session, floors) })
+      }
+      case 'commit':
+      case 'rollback': return message.session.transaction === undefined ? end(served(message, byProxy(done))) : next(message)
+      case 'read':
+      case 'write':
+      case 'begin':
+      case 'unsupported': return next(message)
+    }
+  }
+}
+
+const done: Answer = { kind: 'done', affectedRows: 0, insertId: 0 }
+
+/**
+ * An answer that the proxy gives by itself.
+ * @param answer - the answer
+ * @returns the outcome
+ */
+export function byProxy (answer: Answer): Outcome {
+  return { kind: 'answered', answer, position: undefined, servedBy: 'proxy' }
+}
+
+function tokenAnswer (token: string): Answer {
+  const column = { name: '@@limpetmoor_session', type: textColumnType, flags: 0, length: maxTokenColumnLength, decimals: 0, characterSet: utf8CharacterSet }
+  return { kind: 'rows', columns: [column], rows: [[token]] }
+}
--- /dev/null
+++ b/src/request/route.ts
@@ -0,0 +1,108 @@
+// Chooses the server that runs a statement. Writes go to the primary. Reads go
+// to a replica that is thought to cover the floor, those in the caller's own
+// failure domain first; where none is, to the primary. The home of the server
+// has the last word: it refuses a read that its server cannot serve.
+
+import { covers, type DatabaseDeclaration, type ExecutionMode, type FailureDomain, type HostName, type Position, type PrimaryView, type ServerDeclaration, type ServerName, type StatementClass } from '../model/index.js'
+
+/** What this host last heard of a server's applied position. */
+export type AppliedSighting = {
+  readonly applied: Position
+  readonly seenAtMs: number
+}
+
+/** What this host knows of a database when it routes. */
+export type RoutingView = {
+  readonly primary: PrimaryView
+  readonly homes: ReadonlyMap<ServerName, HostName>
+  readonly applied: ReadonlyMap<ServerName, AppliedSighting>
+}
+
+/** What routing needs to know of a statement. */
+export type RouteRequest = {
+  readonly database: DatabaseDeclaration
+  readonly statementClass: StatementClass
+  readonly floor: Position
+  readonly requestId: string | undefined
+  readonly ownFailureDomain: FailureDomain
+  /** Servers that failed for this statement already. */
+  readonly avoid: ReadonlySet<ServerName>
+  /** A number that spreads equal choices. */
+  readonly spread: number
+  readonly nowMs: number
+}
+
+/** Where a statement goes. */
+export type Route =
+  | { readonly kind: 'send', readonly server: ServerName, readonly home: HostName, readonly mode: ExecutionMode }
+  | { readonly kind: 'none', readonly missing: 'primary' | 'server' }
+
+/** A sighting older than this says nothing about a replica any more. */
+const sightingValidMs = 200
+
+/**
+ * Chooses where a statement goes.
+ * @param request - the statement
+ * @param view - what this host knows
+ * @returns the server with its home, or what is missing
+ */
+export function chooseRoute (request: RouteRequest, view: RoutingView): Route {
+  const { statementClass } = request
+  switch (statementClass.kind) {
+    case 'read': return routeRead(request, view, statementClass.level.kind === 'age' ? statementClass.level.maxAgeMs : undefined)
+    case 'begin': return toPrimary(view, request, { kind: 'begin', requestId: request.requestId })
+    case 'write':
+    case 'commit':
+    case 'rollback':
+    case 'readToken':
+    case 'setToken':
+    case 'setDefault':
+    case 'unsupported': return toPrimary(view, request, { kind: 'write', requestId: request.requestId })
+  }
+}
+
+function toPrimary (view: RoutingView, request: RouteRequest, mode: ExecutionMode): Route {
+  const server = view.primary.primary
+  const home = server === undefined ? undefined : view.homes.get(server)
+  if (server === undefined || home === undefined) return { kind: 'none', missing: 'primary' }
+  return { kind: 'send', server, home, mode }
+}
+
+function routeRead (request: RouteRequest, view: RoutingView, maxAgeMs: number | undefined): Route {
+  const mode: ExecutionMode = { kind: 'read', floor: request.floor, maxAgeMs }
+  const replica = chooseReplica(request, view, maxAgeMs)
+  if (replica !== undefined) return { kind: 'send', server: replica.server, home: replica.home, mode }
+  const primary = toPrimary(view, request, mode)
+  if (primary.kind === 'send') return primary
+  return anyServer(request, view, mode)
+}
+
+type Candidate = { readonly server: ServerName, readonly home: HostName, readonly near: boolean }
+
+function chooseReplica (request: RouteRequest, view: RoutingView, maxAgeMs: number | undefined): Candidate | undefined {
+  const candidates = request.database.servers
+    .filter(server => server.state === 'active' && server.name !== view.primary.primary && !request.avoid.has(server.name))
+    .filter(server => maxAgeMs !== undefined || mayCover(request, view.applied.get(server.name)))
+    .flatMap(server => candidate(request, view, server))
+  const near = candidates.filter(one => one.near)
+  const pool = near.length > 0 ? near : candidates
+  return pool[request.spread % Math.max(pool.length, 1)]
+}
+
+function candidate (request: RouteRequest, view: RoutingView, server: ServerDeclaration): readonly Candidate[] {
+  const home = view.homes.get(server.name)
+  if (home === undefined) return []
+  return [{ server: server.name, home, near: server.failureDomain === request.ownFailureDomain }]
+}
+
+function mayCover (request: RouteRequest, sighting: AppliedSighting | undefined): boolean {
+  if (sighting === undefined || request.nowMs - sighting.seenAtMs > sightingValidMs) return true
+  return covers(sighting.applied, request.floor)
+}
+
+function anyServer (request: RouteRequest, view: RoutingView, mode: ExecutionMode): Route {
+  const candidates = request.database.servers.flatMap(server => candidate(request, view, server))
+  const chosen = candidates[request.spread % Math.max(candidates.length, 1)]
+  if (chosen === undefined) return { kind: 'none', missing: 'server' }
+  return { kind: 'send', server: chosen.server, home: chosen.home, mode }
+}
--- /dev/null
+++ b/src/request/services.ts
@@ -0,0 +1,42 @@
+// What the request pipe asks of the tasks around it. The daemon gives the
+// real ones; tests and embedders give their own.
+
+import type { AccountName, DatabaseName, ExecuteRequest, Floors, HostName, Manifest, Outcome, Position, ServerName } from '../model/index.js'
+import type { Attempt } from './retry.js'
+import type { RoutingView } from './route.js'
+
+/** The configuration in force, as a statement finds it. */
+export type ConfigurationInForce = {
+  readonly manifest: Manifest | undefined
+  /** False where the generation was not confirmed lately. */
+  readonly confirmed: boolean
+}
+
+/** What the request pipe asks of the tasks around it. */
+export type RequestServices = {
+  /** Monotonic time in milliseconds. */
+  readonly nowMs: () => number
+  readonly sleep: (delayMs: number) => Promise<void>
+  readonly configuration: () => ConfigurationInForce
+  /** Takes one token of the account; gives the refusal where there is none. */
+  readonly admit: (account: AccountName, deadlineAtMs: number) => Promise<Outcome | undefined>
+  /** A floor that covers every write acknowledged before the call. */
+  readonly openFloor: (database: DatabaseName, deadlineAtMs: number) => Promise<Position | undefined>
+  readonly routing: (database: DatabaseName) => RoutingView
+  readonly execute: (home: HostName, request: ExecuteRequest) => Promise<Attempt>
+  /** Told what a reply says of a server's applied position. */
+  readonly sawApplied: (server: ServerName, applied: Position) => void
+  /** A random number from 0 up to, not including, 1. */
+  readonly random: () => number
+  readonly encodeToken: (floors: Floors) => string
+  readonly decodeToken: (token: string) => Floors | undefined
+  /** Tells a text that holds something shaped like a key. */
+  readonly holdsKey: (sql: string) => boolean
+}
+
+/** Bounds of the request pipe. */
+export type RequestBounds = {
+  readonly ownFailureDomain: string
+  readonly defaultDeadlineMs: number
+  readonly maxDeadlineMs: number
+}
--- /dev/null
+++ b/src/wire/database-client.ts
@@ -0,0 +1,232 @@
+// The client of database servers: the client side of mysql2, confined to this
+// module together with the ledger calls. A call that is overdue or fails on
+// the connection ends the session for good: its late answer can then reach
+// nobody. Errors say whether the statement may have reached the server.
+
+import mysql, { type Connection, type FieldPacket, type QueryError, type ResultSetHeader } from 'mysql2'
+import type { Address, Answer, Cell, Column, Position, ServerName, ServerStatus } from '../model/index.js'
+import { withTimeout, type TimerService } from '../pipe/index.js'
+import { asError, WireError } from './errors.js'
+
+/** How the proxy logs in to servers, with its own user and password. */
+export type DatabaseLogin = {
+  readonly user: string
+  readonly password: string
+}
+
+/** What became of a statement on a session. */
+export type QueryResult =
+  | { readonly kind: 'answered', readonly answer: Answer }
+  | { readonly kind: 'refused', readonly errorNumber: number, readonly sqlState: string, readonly message: string }
+  | { readonly kind: 'lost', readonly failure: 'overdue' | 'lost' }
+
+/** One session on a server. */
+export type ServerSession = {
+  /** Runs a statement; after `lost` the session is closed. */
+  readonly query: (sql: string, timeoutMs: number) => Promise<QueryResult>
+  readonly usable: () => boolean
+  readonly close: () => void
+}
+
+/** A fence, promotion or follow that a server answered. */
+export type LedgerAnswer = {
+  readonly accepted: boolean
+  readonly status: ServerStatus
+}
+
+/** First error number of the server's own errors; others come from the client. */
+const connectionRefusedCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ENETUNREACH', 'EHOSTUNREACH', 'ECONNRESET'])
+
+/**
+ * Opens a session.
+ * @param address - where the server listens
+ * @param login - the proxy's own user and password
+ * @param timers - the timer service
+ * @param timeoutMs - how long the login may take
+ * @returns the session; throws a `WireError`
+ */
+export async function openSession (address: Address, login: DatabaseLogin, timers: TimerService, timeoutMs: number): Promise<ServerSession> {
+  const connection = mysql.createConnection({
+    host: address.ip,
+    port: address.port,
+    user: login.user,
+    password: login.password,
+    connectTimeout: timeoutMs,
+    rowsAsArray: true,
+    charset: 'utf8mb4',
+    typeCast: field => field.buffer()?.toString('latin1') ?? null
+  })
+  const session = sessionOver(connection, timers)
+  const connected = new Promise<void>((resolve, reject) => {
+    connection.connect(error => { if (error === null) resolve(); else reject(error) })
+  })
+  const result = await withTimeout(timers, timeoutMs, connected).catch(error => {
+    session.close()
+    throw loginError(address, error as QueryError)
+  })
+  if (result.kind === 'done') return session
+  session.close()
+  throw new WireError('overdue', `${address.ip}:${address.port} took no login in ${timeoutMs} ms`)
+}
+
+function loginError (address: Address, error: QueryError): WireError {
+  const where = `${address.ip}:${address.port}`
+  if (connectionRefusedCodes.has(error.code)) return new WireError('refused', `${where} refused the connection`, error)
+  if (error.errno !== undefined) return new WireError('rejected', `${where} rejected the login`, error)
+  return new WireError('lost', `the connection to ${where} was lost at login`, error)
+}
+
+function sessionOver (connection: Connection, timers: TimerService): ServerSession {
+  const state = { usable: true }
+  const close = (): void => {
+    state.usable = false
+    connection.destroy()
+  }
+  connection.on('error', close)
+  return {
+    usable: () => state.usable,
+    close,
+    async query (sql, timeoutMs) {
+      if (!state.usable) return { kind: 'lost', failure: 'lost' }
+      const result = await withTimeout(timers, timeoutMs, runQuery(connection, sql))
+      if (result.kind === 'done') {
+        if (result.value.kind === 'lost') close()
+        return result.value
+      }
+      close()
+      return { kind: 'lost', failure: 'overdue' }
+    }
+  }
+}
+
+async function runQuery (connection: Connection, sql: string): Promise<QueryResult> {
+  return await new Promise(resolve => {
+    connection.query(sql, (error: QueryError | null, rows: unknown, fields: unknown) => {
+      if (error === null) resolve({ kind: 'answered', answer: answerOf(rows, fields) })
+      else resolve(failureOf(error))
+    })
+  })
+}
+
+function failureOf (error: QueryError): QueryResult {
+  if (error.fatal || error.errno === undefined || error.errno < 0) return { kind: 'lost', failure: 'lost' }
+  return {
+    kind: 'refused',
+    errorNumber: error.errno,
+    sqlState: error.sqlState ?? 'HY000',
+    message: error.message
+  }
+}
+
+function answerOf (rows: unknown, fields: unknown): Answer {
+  if (!Array.isArray(rows)) {
+    const header = rows as ResultSetHeader
+    return { kind: 'done', affectedRows: header.affectedRows, insertId: header.insertId }
+  }
+  return {
+    kind: 'rows',
+    columns: (fields as readonly FieldPacket[]).map(columnOf),
+    rows: rows as ReadonlyArray<readonly Cell[]>
+  }
+}
+
+function columnOf (field: FieldPacket): Column {
+  return {
+    name: field.name,
+    type: field.columnType ?? field.type ?? 0,
+    flags: typeof field.flags === 'number' ? field.flags : 0,
+    length: field.columnLength ?? field.length ?? 0,
+    decimals: field.decimals ?? 0,
+    characterSet: field.characterSet ?? 45
+  }
+}
+
+/** The ledger calls of one server, on a session of their own. */
+export type LedgerCalls = {
+  readonly status: (timeoutMs: number) => Promise<ServerStatus>
+  /** Answers when the status differs from `known`, or after `waitMs`. */
+  readonly wait: (known: ServerStatus, waitMs: number, timeoutMs: number) => Promise<ServerStatus>
+  readonly fence: (term: number, proposer: string, timeoutMs: number) => Promise<LedgerAnswer>
+  readonly promote: (term: number, proposer: string, timeoutMs: number) => Promise<LedgerAnswer>
+  readonly follow: (term: number, proposer: string, primary: Address, timeoutMs: number) => Promise<LedgerAnswer>
+  /** Position of the session's last commit, or of its last read's snapshot. */
+  readonly position: (timeoutMs: number) => Promise<Position>
+}
+
+/**
+ * Gives the ledger calls over a session; each throws a `WireError`.
+ * @param session - the session
+ * @returns the calls
+ */
+export function ledgerCalls (session: ServerSession): LedgerCalls {
+  const call = async (sql: string, timeoutMs: number): Promise<Row> => await firstRow(session, sql, timeoutMs)
+  return {
+    status: async timeoutMs => statusOf(await call('CALL ledger_status()', timeoutMs)),
+    wait: async (known, waitMs, timeoutMs) => {
+      const { received, applied } = known
+      const values = [received.term, received.index, applied.term, applied.index, known.fencedTerm, waitMs]
+      return statusOf(await call(`CALL ledger_wait(${values.join(', ')})`, timeoutMs))
+    },
+    fence: async (term, proposer, timeoutMs) => answerFrom(await call(`CALL ledger_fence(${term}, ${quote(proposer)})`, timeoutMs)),
+    promote: async (term, proposer, timeoutMs) => answerFrom(await call(`CALL ledger_promote(${term}, ${quote(proposer)})`, timeoutMs)),
+    follow: async (term, proposer, primary, timeoutMs) => answerFrom(await call(`CALL ledger_follow(${term}, ${quote(proposer)}, ${quote(primary.ip)}, ${primary.port})`, timeoutMs)),
+    position: async timeoutMs => {
+      const row = await call('CALL ledger_position()', timeoutMs)
+      return { term: Number(row.get('term')), index: Number(row.get('index_no')) }
+    }
+  }
+}
+
+type Row = ReadonlyMap<string, Cell>
+
+async function firstRow (session: ServerSession, sql: string, timeoutMs: number): Promise<Row> {
+  const result = await session.query(sql, timeoutMs)
+  switch (result.kind) {
+    case 'lost': throw new WireError(result.failure, 'a ledger call got no answer')
+    case 'refused': throw new WireError('rejected', `a ledger call was refused: ${result.message}`)
+    case 'answered': return rowOf(result.answer)
+  }
+}
+
+function rowOf (answer: Answer): Row {
+  const row = answer.kind === 'rows' ? answer.rows[0] : undefined
+  if (answer.kind !== 'rows' || row === undefined) throw new WireError('rejected', 'a ledger call gave no row')
+  return new Map(answer.columns.map((column, i) => [column.name, row[i] ?? null]))
+}
+
+function statusOf (row: Row): ServerStatus {
+  return {
+    server: text(row, 'server'),
+    role: text(row, 'role') === 'primary' ? 'primary' : 'replica',
+    fencedTerm: Number(row.get('fenced_term')),
+    proposer: text(row, 'proposer'),
+    received: { term: Number(row.get('received_term')), index: Number(row.get('received_index')) },
+    applied: { term: Number(row.get('applied_term')), index: Number(row.get('applied_index')) }
+  }
+}
+
+function text (row: Row, name: string): ServerName {
+  return Buffer.from(row.get(name) ?? '', 'latin1').toString('utf8')
+}
+
+function answerFrom (row: Row): LedgerAnswer {
+  return { accepted: Number(row.get('accepted')) === 1, status: statusOf(row) }
+}
+
+/**
+ * Quotes a text for SQL.
+ * @param value - the text
+ * @returns the literal
+ */
+export function quote (value: string): string {
+  return mysql.escape(value)
+}
+
+/**
+ * Turns whatever was thrown into a `WireError`.
+ * @param thrown - what was thrown
+ * @returns the error
+ */
+export function asWireError (thrown: unknown): WireError {
+  return thrown instanceof WireError ? thrown : new WireError('lost', 'unexpected failure', asError(thrown))
+}
