--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -94,7 +94,7 @@
   return attempt
 }
 
-/** A replica that is behind is left at once; anything else needs time to mend. */
+// A replica that is behind is left at once; anything else needs time to mend.
 function needsDelay (reason: NotRunReason, progress: Progress): boolean {
   return reason !== 'behind' || progress.attempts > 2
 }
@@ -173,4 +173,3 @@
   if (!isLost) return { outcome, session: message.session }
   return { outcome: notRun('transactionLost', 'the transaction was lost and is rolled back'), session: { ...message.session, transaction: { ...transaction, lost: true } } }
 }
-
