Add the pipe at the home of a server: check, queue, run, confirm

Cause: only homes open sessions on servers, so each way to run a statement (read, write, write with a request id, transaction) stands in one pipe there.

Nothing runs end to end yet.

--- /dev/null
+++ b/src/home/message.ts
@@ -0,0 +1,66 @@
+// Messages of the home's pipe, and what it asks of the tasks around it.
+
+import type { ExecuteReply, ExecuteRequest, NotRunReason, Outcome, Position, PrimaryView } from '../model/index.js'
+import type { ServerSession, SessionPool } from './server-session.js'
+
+/** A statement that came to the home of a server. */
+export type HomeRequest = {
+  readonly request: ExecuteRequest
+  readonly deadlineAtMs: number
+}
+
+/** Whether the server may run a statement now. */
+export type ServerCheck =
+  | { readonly kind: 'may', readonly role: 'primary' | 'replica' }
+  | { readonly kind: 'mayNot', readonly reason: NotRunReason, readonly detail: string }
+
+/** A statement that the server may run, as far as its home knows. */
+export type CheckedRequest = HomeRequest & {
+  readonly role: 'primary' | 'replica'
+}
+
+/** What ran, before a majority has confirmed it. */
+export type RanRequest = CheckedRequest & {
+  readonly outcome: Outcome
+  readonly transaction: string | undefined
+  /** Position that a majority must have received before the answer goes out. */
+  readonly confirm: Position | undefined
+}
+
+/** A turn in the fair queue: the statement may run until the turn is ended. */
+export type Turn =
+  | { readonly kind: 'turn', readonly end: () => void }
+  | { readonly kind: 'refused', readonly reason: NotRunReason }
+
+/** An open transaction at the home of its server. */
+export type HomeTransaction = {
+  readonly id: string
+  readonly account: string
+  readonly session: ServerSession
+}
+
+/** The open transactions of one server. */
+export type TransactionTable = {
+  /** Keeps a session for a transaction; undefined where too many are open. */
+  readonly open: (account: string, session: ServerSession) => string | undefined
+  /** Takes a transaction out while a statement of it runs; undefined where it is unknown or busy. */
+  readonly take: (id: string, account: string) => HomeTransaction | undefined
+  readonly putBack: (transaction: HomeTransaction) => void
+  readonly remove: (transaction: HomeTransaction) => void
+}
+
+/** What the home's pipe asks of the tasks around it. */
+export type HomeServices = {
+  readonly nowMs: () => number
+  readonly check: (request: HomeRequest) => Promise<ServerCheck>
+  readonly queue: (request: HomeRequest) => Promise<Turn>
+  readonly pool: SessionPool
+  readonly transactions: TransactionTable
+  /** True once a majority has received the position in its own term. */
+  readonly confirm: (position: Position, deadlineAtMs: number) => Promise<boolean>
+  readonly primary: () => Promise<PrimaryView>
+  readonly applied: () => Promise<Position | undefined>
+}
+
+/** What the home's pipe gives. */
+export type HomeReply = Omit<ExecuteReply, 'primary' | 'applied'>
--- /dev/null
+++ b/src/home/pipe.ts
@@ -0,0 +1,50 @@
+// The pipe at the home of a server: check > queue > run > confirm. It takes a
+// statement from any proxy and always gives a reply.
+
+import { notRun, unknownOutcome } from '../model/index.js'
+import { end, join, next, type Filter } from '../pipe/index.js'
+import type { CheckedRequest, HomeReply, HomeRequest, HomeServices, RanRequest } from './message.js'
+import { run } from './run.js'
+
+/**
+ * Joins the filters of a home.
+ * @param services - what the pipe asks of the tasks around it
+ * @returns the pipe, for `runPipe`
+ */
+export function homePipe (services: HomeServices): Filter<HomeRequest, never, HomeReply> {
+  return join(join(check(services), queueAndRun(services)), confirm(services))
+}
+
+function check (services: HomeServices): Filter<HomeRequest, CheckedRequest, HomeReply> {
+  return async message => {
+    const verdict = await services.check(message)
+    switch (verdict.kind) {
+      case 'may': return next({ ...message, role: verdict.role })
+      case 'mayNot': return end({ outcome: notRun(verdict.reason, verdict.detail), transaction: undefined })
+    }
+  }
+}
+
+// The turn covers the statement but not the wait for a majority: the server's
+// slot is free again as soon as the statement has run.
+function queueAndRun (services: HomeServices): Filter<CheckedRequest, RanRequest, HomeReply> {
+  return async message => {
+    const turn = await services.queue(message)
+    if (turn.kind === 'refused') return end({ outcome: notRun(turn.reason, 'the statement waited for the server and was not started'), transaction: undefined })
+    try {
+      return next(await run(services, message))
+    } finally {
+      turn.end()
+    }
+  }
+}
+
+function confirm (services: HomeServices): Filter<RanRequest, never, HomeReply> {
+  return async message => {
+    const { outcome, transaction } = message
+    if (message.confirm === undefined) return end({ outcome, transaction })
+    const confirmed = await services.confirm(message.confirm, message.deadlineAtMs)
+    if (confirmed) return end({ outcome, transaction })
+    return end({ outcome: unknownOutcome('notConfirmed', 'no majority of the servers confirmed the position'), transaction: undefined })
+  }
+}
--- /dev/null
+++ b/src/home/run.ts
@@ -0,0 +1,156 @@
+// Runs one statement on a session of the server. Each way to run is a case of
+// the execution mode. Everything that happens on the session happens in here,
+// so a session that goes back to the pool carries nothing of the statement.
+
+import { notRun, unknownOutcome, type ExecutionMode, type Outcome, type Position } from '../model/index.js'
+import type { CheckedRequest, HomeServices, RanRequest } from './message.js'
+import { recordRequest } from './request-id.js'
+import type { QueryResult, ServerSession } from './server-session.js'
+
+/** What a way to run gives: the outcome and what has to be confirmed. */
+export type RunResult = {
+  readonly outcome: Outcome
+  readonly confirm: Position | undefined
+  readonly transaction: string | undefined
+}
+
+/**
+ * Runs a statement.
+ * @param services - sessions, transactions and time
+ * @param message - the statement
+ * @returns what ran
+ */
+export async function run (services: HomeServices, message: CheckedRequest): Promise<RanRequest> {
+  const result = await runMode(services, message, message.request.mode)
+  return { ...message, ...result }
+}
+
+async function runMode (services: HomeServices, message: CheckedRequest, mode: ExecutionMode): Promise<RunResult> {
+  switch (mode.kind) {
+    case 'read': return await onPooledSession(services, message, async session => await runRead(services, message, session))
+    case 'write': return await onPooledSession(services, message, async session => await runWrite(services, message, session, mode.requestId))
+    case 'begin': return await runBegin(services, message, mode.requestId)
+    case 'inTransaction': return await runInTransaction(services, message, mode.transaction)
+    case 'commit': return await runEnd(services, message, mode.transaction, 'COMMIT')
+    case 'rollback': return await runEnd(services, message, mode.transaction, 'ROLLBACK')
+  }
+}
+
+async function onPooledSession (services: HomeServices, message: CheckedRequest, use: (session: ServerSession) => Promise<RunResult>): Promise<RunResult> {
+  const session = await services.pool.acquire(timeLeftMs(services, message))
+  if (session === undefined) return ended(notRun('noServer', 'the server takes no connection'))
+  const result = await use(session)
+  services.pool.release(session)
+  return result
+}
+
+async function runRead (services: HomeServices, message: CheckedRequest, session: ServerSession): Promise<RunResult> {
+  const result = await session.query(message.request.sql, timeLeftMs(services, message))
+  const outcome = outcomeOf(result, message.role)
+  if (message.role === 'replica' || outcome.kind !== 'answered') return ended(outcome)
+  return await withPosition(services, message, session, outcome)
+}
+
+async function runWrite (services: HomeServices, message: CheckedRequest, session: ServerSession, requestId: string | undefined): Promise<RunResult> {
+  if (requestId !== undefined) return await runRecordedWrite(services, message, session, requestId)
+  const result = await session.query(message.request.sql, timeLeftMs(services, message))
+  const outcome = outcomeOf(result, message.role)
+  if (outcome.kind !== 'answered') return ended(outcome)
+  return await withPosition(services, message, session, outcome)
+}
+
+async function runRecordedWrite (services: HomeServices, message: CheckedRequest, session: ServerSession, requestId: string): Promise<RunResult> {
+  const record = { account: message.request.account, requestId, sql: message.request.sql }
+  const result = await recordRequest(session, record, () => timeLeftMs(services, message))
+  switch (result.kind) {
+    case 'ran':
+    case 'ranBefore': return await withPosition(services, message, session, answered(result.answer, message.role))
+    case 'refused': return ended({ ...result, kind: 'refused' })
+    case 'lost': return ended(unknownOutcome('connectionLost', 'the connection was lost while the statement ran; a resend with the same request id runs at most once'))
+    case 'notRun': return ended(notRun('noServer', result.detail))
+  }
+}
+
+async function runBegin (services: HomeServices, message: CheckedRequest, requestId: string | undefined): Promise<RunResult> {
+  const session = await services.pool.acquire(timeLeftMs(services, message))
+  if (session === undefined) return ended(notRun('noServer', 'the server takes no connection'))
+  const begun = await beginOn(services, message, session, requestId)
+  const id = begun.kind === 'answered' ? services.transactions.open(message.request.account, session) : undefined
+  if (id !== undefined) return { outcome: begun, confirm: undefined, transaction: id }
+  services.pool.discard(session)
+  return ended(begun.kind === 'answered' ? notRun('queueFull', 'too many transactions are open on the server') : begun)
+}
+
+async function beginOn (services: HomeServices, message: CheckedRequest, session: ServerSession, requestId: string | undefined): Promise<Outcome> {
+  const result = await session.query('BEGIN', timeLeftMs(services, message))
+  if (result.kind === 'lost') return notRun('noServer', 'the connection was lost before the transaction began')
+  if (result.kind === 'refused' || requestId === undefined) return outcomeOf(result, message.role)
+  const record = { account: message.request.account, requestId, sql: '' }
+  const recorded = await recordRequest(session, record, () => timeLeftMs(services, message), 'openTransaction')
+  switch (recorded.kind) {
+    case 'ran': return answered(recorded.answer, message.role)
+    case 'ranBefore': return { kind: 'refused', errorNumber: duplicateErrorNumber, sqlState: '23000', message: `the request ${requestId} ran before` }
+    case 'refused': return { ...recorded, kind: 'refused' }
+    case 'lost':
+    case 'notRun': return notRun('noServer', 'the connection was lost before the transaction began')
+  }
+}
+
+/** MySQL's error number of a duplicate key. */
+const duplicateErrorNumber = 1062
+
+async function runInTransaction (services: HomeServices, message: CheckedRequest, id: string): Promise<RunResult> {
+  const transaction = services.transactions.take(id, message.request.account)
+  if (transaction === undefined) return ended(notRun('transactionLost', 'the transaction is gone'))
+  const result = await transaction.session.query(message.request.sql, timeLeftMs(services, message))
+  if (result.kind === 'lost') {
+    services.transactions.remove(transaction)
+    services.pool.discard(transaction.session)
+    return ended(notRun('transactionLost', 'the connection of the transaction was lost'))
+  }
+  services.transactions.putBack(transaction)
+  return ended(outcomeOf(result, message.role))
+}
+
+async function runEnd (services: HomeServices, message: CheckedRequest, id: string, sql: 'COMMIT' | 'ROLLBACK'): Promise<RunResult> {
+  const transaction = services.transactions.take(id, message.request.account)
+  if (transaction === undefined) return ended(notRun('transactionLost', 'the transaction is gone'))
+  services.transactions.remove(transaction)
+  const { session } = transaction
+  const result = await session.query(sql, timeLeftMs(services, message))
+  const outcome = outcomeOf(result, message.role)
+  if (outcome.kind !== 'answered') {
+    // A refused COMMIT leaves the session in a state that nobody knows.
+    services.pool.discard(session)
+    return ended(outcome)
+  }
+  const done = sql === 'COMMIT' ? await withPosition(services, message, session, outcome) : ended(outcome)
+  services.pool.release(session)
+  return done
+}
+
+async function withPosition (services: HomeServices, message: CheckedRequest, session: ServerSession, outcome: Outcome): Promise<RunResult> {
+  const position = await session.position(timeLeftMs(services, message))
+  if (position === undefined) return ended(unknownOutcome('notConfirmed', 'the server was lost before its position was known'))
+  return { outcome: outcome.kind === 'answered' ? { ...outcome, position } : outcome, confirm: position, transaction: undefined }
+}
+
+function answered (answer: Extract<Outcome, { readonly kind: 'answered' }>['answer'], role: 'primary' | 'replica'): Outcome {
+  return { kind: 'answered', answer, position: undefined, servedBy: role }
+}
+
+function outcomeOf (result: QueryResult, role: 'primary' | 'replica'): Outcome {
+  switch (result.kind) {
+    case 'answered': return answered(result.answer, role)
+    case 'refused': return { kind: 'refused', errorNumber: result.errorNumber, sqlState: result.sqlState, message: result.message }
+    case 'lost': return unknownOutcome(result.failure === 'overdue' ? 'answerOverdue' : 'connectionLost', 'the server was lost while the statement ran')
+  }
+}
+
+function ended (outcome: Outcome): RunResult {
+  return { outcome, confirm: undefined, transaction: undefined }
+}
+
+function timeLeftMs (services: HomeServices, message: CheckedRequest): number {
+  return Math.max(1, message.deadlineAtMs - services.nowMs())
+}
--- a/src/wire/database-client.ts
+++ b/src/wire/database-client.ts
@@ -5,6 +5,7 @@
 
 import mysql, { type Connection, type FieldPacket, type QueryError, type ResultSetHeader } from 'mysql2'
 import type { Address, Answer, Cell, Column, Position, ServerName, ServerStatus } from '../model/index.js'
+import type { QueryResult, ServerSession } from '../home/index.js'
 import { withTimeout, type TimerService } from '../pipe/index.js'
 import { asError, WireError } from './errors.js'
 
@@ -14,18 +15,9 @@
   readonly password: string
 }
 
-/** What became of a statement on a session. */
-export type QueryResult =
-  | { readonly kind: 'answered', readonly answer: Answer }
-  | { readonly kind: 'refused', readonly errorNumber: number, readonly sqlState: string, readonly message: string }
-  | { readonly kind: 'lost', readonly failure: 'overdue' | 'lost' }
-
-/** One session on a server. */
-export type ServerSession = {
-  /** Runs a statement; after `lost` the session is closed. */
-  readonly query: (sql: string, timeoutMs: number) => Promise<QueryResult>
-  readonly usable: () => boolean
-  readonly close: () => void
+/** A session with its ledger calls. */
+export type DatabaseSession = ServerSession & {
+  readonly ledger: LedgerCalls
 }
 
 /** A fence, promotion or follow that a server answered. */
@@ -45,7 +37,7 @@
  * @param timeoutMs - how long the login may take
  * @returns the session; throws a `WireError`
  */
-export async function openSession (address: Address, login: DatabaseLogin, timers: TimerService, timeoutMs: number): Promise<ServerSession> {
+export async function openSession (address: Address, login: DatabaseLogin, timers: TimerService, timeoutMs: number): Promise<DatabaseSession> {
   const connection = mysql.createConnection({
     host: address.ip,
     port: address.port,
@@ -76,27 +68,26 @@
   return new WireError('lost', `the connection to ${where} was lost at login`, error)
 }
 
-function sessionOver (connection: Connection, timers: TimerService): ServerSession {
+function sessionOver (connection: Connection, timers: TimerService): DatabaseSession {
   const state = { usable: true }
   const close = (): void => {
     state.usable = false
     connection.destroy()
   }
   connection.on('error', close)
-  return {
-    usable: () => state.usable,
-    close,
-    async query (sql, timeoutMs) {
-      if (!state.usable) return { kind: 'lost', failure: 'lost' }
-      const result = await withTimeout(timers, timeoutMs, runQuery(connection, sql))
-      if (result.kind === 'done') {
-        if (result.value.kind === 'lost') close()
-        return result.value
-      }
-      close()
-      return { kind: 'lost', failure: 'overdue' }
-    }
+  const query = async (sql: string, timeoutMs: number): Promise<QueryResult> => {
+    if (!state.usable) return { kind: 'lost', failure: 'lost' }
+    const result = await withTimeout(timers, timeoutMs, runQuery(connection, sql))
+    if (result.kind === 'done' && result.value.kind !== 'lost') return result.value
+    close()
+    return result.kind === 'done' ? result.value : { kind: 'lost', failure: 'overdue' }
   }
+  const ledger = ledgerCalls(query)
+  const position = async (timeoutMs: number): Promise<Position | undefined> => await ledger.position(timeoutMs).catch(() => {
+    close()
+    return undefined
+  })
+  return { usable: () => state.usable, close, query, position, ledger }
 }
 
 async function runQuery (connection: Connection, sql: string): Promise<QueryResult> {
@@ -141,7 +132,7 @@
   }
 }
 
-/** The ledger calls of one server, on a session of their own. */
+/** The ledger calls of one server; each throws a `WireError`. */
 export type LedgerCalls = {
   readonly status: (timeoutMs: number) => Promise<ServerStatus>
   /** Answers when the status differs from `known`, or after `waitMs`. */
@@ -153,13 +144,10 @@
   readonly position: (timeoutMs: number) => Promise<Position>
 }
 
-/**
- * Gives the ledger calls over a session; each throws a `WireError`.
- * @param session - the session
- * @returns the calls
- */
-export function ledgerCalls (session: ServerSession): LedgerCalls {
-  const call = async (sql: string, timeoutMs: number): Promise<Row> => await firstRow(session, sql, timeoutMs)
+type Query = ServerSession['query']
+
+function ledgerCalls (query: Query): LedgerCalls {
+  const call = async (sql: string, timeoutMs: number): Promise<Row> => await firstRow(query, sql, timeoutMs)
   return {
     status: async timeoutMs => statusOf(await call('CALL ledger_status()', timeoutMs)),
     wait: async (known, waitMs, timeoutMs) => {
@@ -179,8 +167,8 @@
 
 type Row = ReadonlyMap<string, Cell>
 
-async function firstRow (session: ServerSession, sql: string, timeoutMs: number): Promise<Row> {
-  const result = await session.query(sql, timeoutMs)
+async function firstRow (query: Query, sql: string, timeoutMs: number): Promise<Row> {
+  const result = await query(sql, timeoutMs)
   switch (result.kind) {
     case 'lost': throw new WireError(result.failure, 'a ledger call got no answer')
     case 'refused': throw new WireError('rejected', `a ledger call was refused: ${result.message}`)
