--- /dev/null
+++ b/standins/platform/http.ts
@@ -0,0 +1,95 @@
+// The platform's HTTP side: reads calls from requests and writes answers.
+
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { z } from 'zod'
+import type { AnswerPort, Json, PlatformAnswer, PlatformMessage } from './state.js'
+
+/** Largest value of an object, in bytes. */
+const maxValueBytes = 1024 * 1024
+/** Longest time that a watch may ask to wait. */
+const maxWatchMs = 120_000
+
+/** A request read, or the status that refuses it. */
+export type ReadCall =
+  | { readonly kind: 'call', readonly message: PlatformMessage }
+  | { readonly kind: 'refused', readonly status: number, readonly reason: string }
+
+const faultsSchema = z.object({
+  down: z.boolean().default(false),
+  delayMs: z.number().min(0).default(0),
+  dropAnswers: z.number().int().min(0).default(0),
+  silentWatches: z.boolean().default(false)
+})
+
+const hostsSchema = z.object({
+  hosts: z.array(z.object({
+    host: z.string(),
+    failureDomain: z.string(),
+    ip: z.string(),
+    port: z.number().int(),
+    state: z.enum(['live', 'leaving'])
+  })),
+  lagMs: z.number().min(0).default(0)
+})
+
+const wholeNumber = z.string().regex(/^\d{1,15}$/).transform(Number)
+
+export async function readBody (request: IncomingMessage): Promise<string | undefined> {
+  const chunks: Buffer[] = []
+  let length = 0
+  for await (const chunk of request) {
+    length += (chunk as Buffer).length
+    if (length > maxValueBytes) return undefined
+    chunks.push(chunk as Buffer)
+  }
+  return Buffer.concat(chunks).toString('utf8')
+}
+
+export function readCall (method: string, target: string, body: string, port: AnswerPort): ReadCall {
+  const url = new URL(target, 'http://platform')
+  const [, space, what, objectKind, name] = url.pathname.split('/').map(decodeURIComponent)
+  try {
+    if (space === 'control') return readControl(method, what, body, port)
+    if (space !== 'v1') return refused(404, 'unknown path')
+    if (what === 'hosts' && method === 'GET') return { kind: 'call', message: { kind: 'hosts', port } }
+    if (objectKind === undefined) return refused(404, 'unknown path')
+    if (what === 'watch' && method === 'GET') {
+      const timeoutMs = Math.min(wholeNumber.parse(url.searchParams.get('timeoutMs')), maxWatchMs)
+      return { kind: 'call', message: { kind: 'watch', objectKind, since: wholeNumber.parse(url.searchParams.get('since')), timeoutMs, port } }
+    }
+    if (what !== 'objects') return refused(404, 'unknown path')
+    if (method === 'GET') {
+      return { kind: 'call', message: name === undefined ? { kind: 'list', objectKind, port } : { kind: 'get', objectKind, name, port } }
+    }
+    if (method !== 'PUT' || name === undefined) return refused(405, 'unknown method')
+    const version = wholeNumber.parse(url.searchParams.get('version'))
+    return { kind: 'call', message: { kind: 'put', objectKind, name, version, value: JSON.parse(body) as Json, port } }
+  } catch (error) {
+    return refused(400, String(error))
+  }
+}
+
+function readControl (method: string, what: string | undefined, body: string, port: AnswerPort): ReadCall {
+  if (method === 'GET' && what === 'stats') return { kind: 'call', message: { kind: 'stats', port } }
+  if (method !== 'PUT') return refused(405, 'unknown method')
+  if (what === 'faults') return { kind: 'call', message: { kind: 'setFaults', faults: faultsSchema.parse(JSON.parse(body)), port } }
+  if (what === 'hosts') return { kind: 'call', message: { kind: 'setHosts', ...hostsSchema.parse(JSON.parse(body)), port } }
+  return refused(404, 'unknown path')
+}
+
+function refused (status: number, reason: string): ReadCall {
+  return { kind: 'refused', status, reason }
+}
+
+export function writeAnswer (response: ServerResponse, answer: PlatformAnswer): void {
+  switch (answer.kind) {
+    case 'lost':
+      response.destroy()
+      return
+    case 'body': {
+      const text = JSON.stringify(answer.body)
+      response.writeHead(answer.status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+      response.end(text)
+    }
+  }
+}
