Check settings and manifest whole, every error with its place

Settings of a host are TOML and the manifest is JSON; both are checked by strict shapes, so an unknown field is an error. Ruled out: the checker's own messages, which leave out the field's allowed values and repeat secrets.

--- /dev/null
+++ b/src/config/settings.ts
@@ -0,0 +1,263 @@
+// Settings of one host, written in TOML. A host keeps nothing on disk, so all
+// that it needs at its start stands here, certificates included. The text is
+// checked whole: the reader gets every error at once, each with its place.
+
+import { parse, TomlError } from 'smol-toml'
+import { z } from 'zod'
+import type { Address, FailureDomain, HostName } from '../model/index.js'
+import { camelFields } from './camel.js'
+import { placedErrors, type PlacedError } from './placed-error.js'
+import { addressText, choice, ipText, name, portNumber, text, wholeNumber } from './fields.js'
+
+/** The host itself and the ports that it listens on. */
+export type HostSettings = {
+  readonly name: HostName
+  readonly failureDomain: FailureDomain
+  readonly ip: string
+  readonly mysqlPort: number
+  readonly peerPort: number
+}
+
+/** Where the platform's object API is and how long its answers may take. */
+export type PlatformSettings = {
+  readonly url: string
+  readonly callTimeoutMs: number
+  /** Longest wait of one watch call. */
+  readonly watchMs: number
+  /** Mean time between two listings beside the watch. */
+  readonly relistMs: number
+}
+
+/** The proxy's own login to database servers. */
+export type DatabaseLogin = {
+  readonly user: string
+  readonly password: string
+}
+
+/** Transport between proxies. */
+export type PeerTransport =
+  | { readonly kind: 'plain' }
+  | { readonly kind: 'mutualTls', readonly certPem: string, readonly keyPem: string, readonly caPem: string }
+
+/** Bounds of the request pipe. */
+export type RequestLimits = {
+  readonly maxStatementBytes: number
+  readonly maxConnections: number
+  /** Statements that may wait for one server. */
+  readonly queueLength: number
+  readonly defaultDeadlineMs: number
+  /** Longest wait for a majority to receive a write. */
+  readonly confirmTimeoutMs: number
+  readonly connectTimeoutMs: number
+}
+
+/** Where metrics go. */
+export type MetricsSettings =
+  | { readonly kind: 'off' }
+  | { readonly kind: 'statsd', readonly address: Address }
+
+/** Periods and bounds of the control pipes. */
+export type ControlSettings = {
+  readonly heartbeatMs: number
+  readonly probeMs: number
+  readonly probeTimeoutMs: number
+  /** Delay before each further home in rank order starts a promotion. */
+  readonly promotionDelayMs: number
+  /** Age of the last confirmation beyond which keyed work is refused. */
+  readonly confirmWithinMs: number
+  readonly pullMs: number
+  readonly reportMs: number
+  /** Hosts in each failure domain that watch the store. */
+  readonly watchersPerDomain: number
+}
+
+/** How the process logs. */
+export type LogSettings = {
+  readonly level: 'debug' | 'info' | 'warn' | 'error'
+  readonly format: 'json' | 'text'
+}
+
+/** Settings of one host. */
+export type Settings = {
+  readonly host: HostSettings
+  readonly platform: PlatformSettings
+  readonly databaseLogin: DatabaseLogin
+  readonly peers: PeerTransport
+  readonly limits: RequestLimits
+  readonly control: ControlSettings
+  readonly metrics: MetricsSettings
+  readonly stop: { readonly graceMs: number }
+  readonly log: LogSettings
+  /** Redirected outgoing connections: `ip:port` to `ip:port`. */
+  readonly links: Readonly<Record<string, string>>
+}
+
+/** What became of a settings text. */
+export type SettingsResult =
+  | { readonly kind: 'valid', readonly settings: Settings }
+  | { readonly kind: 'invalid', readonly errors: readonly string[] }
+
+const dayMs = 86_400_000
+const maxStatementBytes = 16_000_000
+
+const tlsFields = {
+  cert_pem: text('a certificate in PEM').optional(),
+  key_pem: text('a private key in PEM').optional(),
+  ca_pem: text('a certificate in PEM').optional()
+}
+
+const statsdFields = {
+  statsd_ip: ipText().optional(),
+  statsd_port: portNumber().optional()
+}
+
+/** Sections and fields of the TOML text, as `docs/CONFIGURATION.md` lists them. */
+export const settingsSections = {
+  host: z.strictObject({
+    name: name(),
+    failure_domain: name(),
+    ip: ipText(),
+    mysql_port: portNumber(),
+    peer_port: portNumber()
+  }),
+  platform: z.strictObject({
+    url: z.url({ protocol: /^https?$/, error: 'an http or https URL' }),
+    call_timeout_ms: wholeNumber(10, dayMs).default(2_000),
+    watch_ms: wholeNumber(100, dayMs).default(20_000),
+    relist_ms: wholeNumber(100, dayMs).default(5_000)
+  }),
+  database_login: z.strictObject({
+    user: text('a user name'),
+    password: z.string({ error: 'text' })
+  }),
+  peers: z.strictObject(tlsFields).superRefine(allOrNone(tlsFields)),
+  limits: z.strictObject({
+    max_statement_bytes: wholeNumber(1, maxStatementBytes).default(1_000_000),
+    max_connections: wholeNumber(1, 1_000_000).default(10_000),
+    queue_length: wholeNumber(1, 1_000_000).default(1_000),
+    default_deadline_ms: wholeNumber(1, dayMs).default(10_000),
+    confirm_timeout_ms: wholeNumber(1, dayMs).default(5_000),
+    connect_timeout_ms: wholeNumber(1, dayMs).default(1_000)
+  }),
+  control: z.strictObject({
+    heartbeat_ms: wholeNumber(10, dayMs).default(500),
+    probe_ms: wholeNumber(10, dayMs).default(500),
+    probe_timeout_ms: wholeNumber(10, dayMs).default(1_000),
+    promotion_delay_ms: wholeNumber(10, dayMs).default(1_000),
+    confirm_within_ms: wholeNumber(10, dayMs).default(4_000),
+    pull_ms: wholeNumber(10, dayMs).default(1_000),
+    report_ms: wholeNumber(10, dayMs).default(5_000),
+    watchers_per_domain: wholeNumber(1, 100).default(2)
+  }),
+  metrics: z.strictObject(statsdFields).superRefine(allOrNone(statsdFields)),
+  stop: z.strictObject({
+    grace_ms: wholeNumber(0, dayMs).default(30_000)
+  }),
+  log: z.strictObject({
+    level: choice(['debug', 'info', 'warn', 'error']).default('info'),
+    format: choice(['json', 'text']).default('json')
+  }),
+  links: z.record(addressText(), addressText())
+}
+
+const settingsSchema = z.strictObject(settingsSections)
+
+/** Fields whose value an error message must not repeat. */
+const secretFields = ['password', 'key_pem']
+
+/**
+ * Reads and checks the settings of one host.
+ * @param toml - the TOML text
+ * @param fileName - the name that errors give for its place
+ * @returns the settings, or every error with file, field, what was found and what is allowed
+ */
+export function parseSettings (toml: string, fileName: string): SettingsResult {
+  const read = readToml(toml)
+  if (read.kind === 'malformed') return { kind: 'invalid', errors: [`${fileName}: ${read.error}`] }
+  const filled = { ...emptySections(), ...read.value }
+  const checked = settingsSchema.safeParse(filled, { reportInput: true })
+  if (!checked.success) {
+    const errors = placedErrors(checked.error, filled, secretFields)
+    return { kind: 'invalid', errors: errors.map(error => errorLine(fileName, error)) }
+  }
+  return { kind: 'valid', settings: settingsOf(checked.data) }
+}
+
+/**
+ * Finds where a connection really goes: the address itself or its redirection.
+ * @param links - the redirections of the settings
+ * @param address - the address that is meant
+ * @returns the address to connect to
+ */
+export function redirected (links: Settings['links'], address: Address): Address {
+  const target = links[`${address.ip}:${address.port}`]
+  return target === undefined ? address : parseAddress(target)
+}
+
+type TomlResult =
+  | { readonly kind: 'read', readonly value: Readonly<Record<string, unknown>> }
+  | { readonly kind: 'malformed', readonly error: string }
+
+function readToml (toml: string): TomlResult {
+  try {
+    return { kind: 'read', value: parse(toml) }
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error
+    // The library's message repeats the line, which may hold a secret.
+    const reason = error.message.split('\n')[0] ?? 'not TOML'
+    return { kind: 'malformed', error: `line ${error.line}, column ${error.column}: ${reason}` }
+  }
+}
+
+function emptySections (): Readonly<Record<string, object>> {
+  return Object.fromEntries(Object.keys(settingsSections).map(section => [section, {}]))
+}
+
+function settingsOf (sections: z.infer<typeof settingsSchema>): Settings {
+  return {
+    host: camelFields(sections.host),
+    platform: camelFields(sections.platform),
+    databaseLogin: sections.database_login,
+    peers: transportOf(sections.peers),
+    limits: camelFields(sections.limits),
+    control: camelFields(sections.control),
+    metrics: metricsOf(sections.metrics),
+    stop: camelFields(sections.stop),
+    log: sections.log,
+    links: sections.links
+  }
+}
+
+function transportOf (peers: z.infer<typeof settingsSections.peers>): PeerTransport {
+  const { cert_pem: certPem, key_pem: keyPem, ca_pem: caPem } = peers
+  if (certPem === undefined || keyPem === undefined || caPem === undefined) return { kind: 'plain' }
+  return { kind: 'mutualTls', certPem, keyPem, caPem }
+}
+
+function metricsOf (metrics: z.infer<typeof settingsSections.metrics>): MetricsSettings {
+  const { statsd_ip: ip, statsd_port: port } = metrics
+  if (ip === undefined || port === undefined) return { kind: 'off' }
+  return { kind: 'statsd', address: { ip, port } }
+}
+
+type SectionCheck = (section: Readonly<Record<string, unknown>>, context: z.core.$RefinementCtx) => void
+
+function allOrNone (fields: object): SectionCheck {
+  const names = Object.keys(fields)
+  return (section, context) => {
+    const missing = names.filter(field => section[field] === undefined)
+    if (missing.length === names.length) return
+    for (const field of missing) {
+      context.addIssue({ code: 'custom', path: [field], message: `a value, or none for all of ${names.join(', ')}` })
+    }
+  }
+}
+
+function parseAddress (address: string): Address {
+  const colon = address.lastIndexOf(':')
+  return { ip: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
+}
+
+function errorLine (fileName: string, error: PlacedError): string {
+  return `${fileName}: ${error.place}: found ${error.found}, allowed: ${error.allowed}`
+}
