--- a/src/config/manifest.ts
+++ b/src/config/manifest.ts
@@ -5,7 +5,8 @@
 import { z } from 'zod'
 import type { DatabaseDeclaration, Manifest, RouteDeclaration } from '../model/index.js'
 import { choice, ipText, name, portNumber, positiveNumber, wholeNumber } from './fields.js'
-import { placedErrors, type PlacedError } from './placed-error.js'
+import { holdsKey } from './keys.js'
+import { placeText, placedErrors, type PlacedError } from './placed-error.js'
 
 /** What became of a manifest. */
 export type ManifestResult =
@@ -82,7 +83,7 @@
 export function checkManifest (value: unknown): ManifestResult {
   const checked = manifestSchema.safeParse(value)
   const shapeErrors = checked.success ? [] : placedErrors(checked.error, value, secretFields)
-  const errors = [...shapeErrors, ...crossErrors(partsOf(value))]
+  const errors = [...shapeErrors, ...crossErrors(partsOf(value)), ...keysWithin(value, [])]
   if (checked.success && errors.length === 0) return { kind: 'valid', manifest: checked.data }
   return { kind: 'invalid', errors: errors.map(errorLine) }
 }
@@ -191,6 +192,17 @@
   })
 }
 
+// A key in any field would be stored and shown; only digests may stand in a manifest.
+function keysWithin (value: unknown, path: readonly PropertyKey[]): readonly PlacedError[] {
+  if (typeof value === 'string') {
+    return holdsKey(value) ? [{ place: placeText(path), found: 'text that holds a key', allowed: 'no key in any field' }] : []
+  }
+  if (typeof value !== 'object' || value === null) return []
+  return Object.entries(value).flatMap(([field, inner]) => {
+    return keysWithin(inner, [...path, Array.isArray(value) ? Number(field) : field])
+  })
+}
+
 function unknownName (place: string, found: string, what: string): PlacedError {
   return { place, found: JSON.stringify(found), allowed: `the name of a declared ${what}` }
 }
--- /dev/null
+++ b/src/wire/platform-update.ts
@@ -0,0 +1,111 @@
+// Conditional updates of objects in the platform's store. An answer can be
+// lost after the write took effect, so every attempt carries an id of its own
+// inside the value, and a later read tells which attempt took effect.
+
+import { z } from 'zod'
+import { sleep, type TimerService } from '../pipe/index.js'
+import { PlatformError, type PlatformClient, type StoredObject } from './platform-client.js'
+
+/** What an update is made of. */
+export type UpdateSpec<V extends object> = {
+  readonly kind: string
+  readonly name: string
+  /** Decodes a stored value; throws where it is not of the agreed form. */
+  readonly decode: (value: unknown) => V
+  /** Gives the next value, or undefined to leave the object as it is. Must be pure: it may run again. */
+  readonly change: (current: V | undefined) => V | undefined
+  readonly deadlineMs: number
+}
+
+/** Sources that an update takes from outside. */
+export type UpdateSources = {
+  readonly timers: TimerService
+  /** A number from 0 up to 1. */
+  readonly random: () => number
+  /** An id that no other attempt has. */
+  readonly newWriteId: () => string
+}
+
+/** What became of an update. */
+export type UpdateResult<V> =
+  | { readonly kind: 'written', readonly value: V, readonly supersededBy: V | undefined }
+  | { readonly kind: 'unchanged', readonly value: V | undefined }
+
+/** Ids of earlier writes that an object keeps, so that an overwritten attempt is still known. */
+const keptWriteIds = 16
+const firstDelayMs = 50
+const maxDelayMs = 1_000
+
+const envelopeSchema = z.object({ writeId: z.string(), earlierWriteIds: z.array(z.string()) })
+
+/**
+ * Reads an object, changes it and writes it back where nobody else did in
+ * between; otherwise begins anew until the deadline.
+ * @param client - the platform
+ * @param sources - time, random numbers and ids
+ * @param spec - the object and its change
+ * @returns what took effect; rejects with a `PlatformError` where the deadline passed, which leaves open whether the last attempt takes effect
+ */
+export async function updateObject<V extends object> (client: PlatformClient, sources: UpdateSources, spec: UpdateSpec<V>): Promise<UpdateResult<V>> {
+  const deadlineAtMs = sources.timers.nowMs() + spec.deadlineMs
+  let attempts: Attempts<V> = new Map()
+  for (let failures = 0; ; failures += 1) {
+    const tried = await attempt(client, sources, spec, attempts)
+    if (tried.kind === 'settled') return tried.result
+    attempts = tried.attempts
+    const delayMs = sources.random() * Math.min(maxDelayMs, firstDelayMs * 2 ** failures)
+    if (sources.timers.nowMs() + delayMs >= deadlineAtMs) throw tried.error
+    await sleep(sources.timers, delayMs)
+  }
+}
+
+// Values by the write id of the attempt that carried them.
+type Attempts<V> = ReadonlyMap<string, V>
+
+type AttemptResult<V> =
+  | { readonly kind: 'settled', readonly result: UpdateResult<V> }
+  | { readonly kind: 'failed', readonly error: PlatformError, readonly attempts: Attempts<V> }
+
+async function attempt<V extends object> (
+  client: PlatformClient,
+  sources: UpdateSources,
+  spec: UpdateSpec<V>,
+  earlier: Attempts<V>
+): Promise<AttemptResult<V>> {
+  const read = await reach(client.getObject(spec.kind, spec.name))
+  if (read.kind === 'failed') return { kind: 'failed', error: read.error, attempts: earlier }
+  const stored = read.value
+  const current = stored === undefined ? undefined : spec.decode(stored.value)
+  const ids = writeIds(stored)
+  const own = ids.find(id => earlier.has(id))
+  if (own !== undefined) return settled(earlier.get(own) as V, own === ids[0] ? undefined : current)
+  const value = spec.change(current)
+  if (value === undefined) return { kind: 'settled', result: { kind: 'unchanged', value: current } }
+  const writeId = sources.newWriteId()
+  const envelope = { ...value, writeId, earlierWriteIds: ids.slice(0, keptWriteIds) }
+  const written = await reach(client.putObject(spec.kind, spec.name, stored?.version ?? 0, envelope))
+  if (written.kind === 'reached') return settled(value, undefined)
+  return { kind: 'failed', error: written.error, attempts: new Map([...earlier, [writeId, value]]) }
+}
+
+type Reached<T> =
+  | { readonly kind: 'reached', readonly value: T }
+  | { readonly kind: 'failed', readonly error: PlatformError }
+
+async function reach<T> (call: Promise<T>): Promise<Reached<T>> {
+  try {
+    return { kind: 'reached', value: await call }
+  } catch (error) {
+    if (error instanceof PlatformError) return { kind: 'failed', error }
+    throw error
+  }
+}
+
+function settled<V> (value: V, supersededBy: V | undefined): AttemptResult<V> {
+  return { kind: 'settled', result: { kind: 'written', value, supersededBy } }
+}
+
+function writeIds (stored: StoredObject | undefined): readonly string[] {
+  const envelope = envelopeSchema.safeParse(stored?.value)
+  return envelope.success ? [envelope.data.writeId, ...envelope.data.earlierWriteIds] : []
+}
