Give up idle platform connections in one way only

Two ways stood side by side, a new agent and closing the idle connections, so neither could be seen failing. Closing stays: the test fails without it.

--- a/src/wire/platform-client.ts
+++ b/src/wire/platform-client.ts
@@ -170,25 +170,24 @@
 class Transport {
   readonly #spec: PlatformClientSpec
   readonly #url: URL
-  #agent: http.Agent
+  readonly #agent: http.Agent
 
   constructor (spec: PlatformClientSpec) {
     this.#spec = spec
     this.#url = new URL(spec.url)
-    this.#agent = this.#newAgent()
+    this.#agent = this.#url.protocol === 'https:' ? new https.Agent({ keepAlive: true }) : new http.Agent({ keepAlive: true })
   }
 
   async call (call: Call): Promise<CallAnswer> {
     const timeoutMs = this.#spec.callTimeoutMs + (call.waitMs ?? 0)
     // One signal covers connecting, waiting and reading the whole body.
     const signal = AbortSignal.timeout(timeoutMs)
-    const agent = this.#agent
     try {
-      return await this.#exchange(call, agent, signal)
+      return await this.#exchange(call, signal)
     } catch (error) {
       const cause = error as Error
       const fault: PlatformFault = signal.aborted ? { kind: 'overdue', timeoutMs } : { kind: 'unreachable' }
-      this.#giveUp(agent)
+      this.#giveUpIdle()
       throw new PlatformError(fault, cause, callText(call))
     }
   }
@@ -197,11 +196,11 @@
     this.#agent.destroy()
   }
 
-  async #exchange (call: Call, agent: http.Agent, signal: AbortSignal): Promise<CallAnswer> {
+  async #exchange (call: Call, signal: AbortSignal): Promise<CallAnswer> {
     const { address, secure } = this.#target()
     const body = call.value === undefined ? undefined : JSON.stringify(call.value)
     const options: http.RequestOptions = {
-      agent,
+      agent: this.#agent,
       host: address.ip,
       port: address.port,
       method: call.method,
@@ -226,17 +225,12 @@
     return { address: this.#spec.redirect?.(meant) ?? meant, secure }
   }
 
-  // New calls get fresh connections; calls under way on the old ones go on.
-  #giveUp (agent: http.Agent): void {
-    if (agent === this.#agent) this.#agent = this.#newAgent()
-    for (const sockets of Object.values(agent.freeSockets)) {
+  // New calls get fresh connections; calls under way go on.
+  #giveUpIdle (): void {
+    for (const sockets of Object.values(this.#agent.freeSockets)) {
       for (const socket of sockets ?? []) socket.destroy()
     }
   }
-
-  #newAgent (): http.Agent {
-    return this.#url.protocol === 'https:' ? new https.Agent({ keepAlive: true }) : new http.Agent({ keepAlive: true })
-  }
 }
 
 async function readBody (response: http.IncomingMessage): Promise<string> {
