--- /dev/null
+++ b/src/members/index.ts
@@ -0,0 +1,3 @@
+// Who is in the fleet, and who carries which duty.
+
+export * from './rendezvous.js'
