Judge membership from the platform's list and heartbeats

The list lags and stops during a store outage, so it only says who may be there. Small fleets exchange heartbeats in a full mesh, one exchange a pair and period; larger ones with peers 1, 2, 4 ... places away on a ring, with rumours of silent hosts passed on at once. Ruled out: watchers that hear their whole failure domain, whose traffic grows with the fleet. MemberState gains an optional list of rumours. Each guard seen failing first: grace after an own pause, an answer (not a received heartbeat) clears a failed link, two observers, leaving hosts, quorum over listed hosts, one exchange a pair.

--- a/src/members/rendezvous.ts
+++ b/src/members/rendezvous.ts
@@ -146,3 +146,22 @@
     .flatMap(([domain, names]) => ordered(`watcher/${domain}`, names).slice(0, perDomain))
     .sort()
 }
+
+/**
+ * Picks the peers that a member of a large fleet observes: those 1, 2, 4, 8
+ * ... places away, either way, on a ring in the order of hashed names. The
+ * relation is mutual, and any two members are few steps apart.
+ * @param self - the member
+ * @param others - the names of the other members
+ * @returns the peers
+ */
+export function ringNeighbours (self: HostName, others: readonly HostName[]): readonly HostName[] {
+  const ring = [self, ...others].map(hashed).sort((a, b) => a.hash - b.hash || (a.name < b.name ? -1 : 1))
+  const at = ring.findIndex(({ name }) => name === self)
+  const neighbours = new Set<HostName>()
+  for (let distance = 1; distance < ring.length; distance *= 2) {
+    neighbours.add((ring[(at + distance) % ring.length] as HashedName).name)
+    neighbours.add((ring[(at + ring.length - distance) % ring.length] as HashedName).name)
+  }
+  return [...neighbours].filter(name => name !== self)
+}
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -46,6 +46,16 @@
   readonly generation: Generation
   /** How long ago the store confirmed that generation; undefined: never. */
   readonly storeConfirmedAgoMs: number | undefined
+  /** What observers in a large fleet saw of others; small fleets send none. */
+  readonly rumours?: readonly MemberRumour[]
+}
+
+/** What one member saw of another; passed on in heartbeats. */
+export type MemberRumour = {
+  readonly host: HostName
+  readonly observer: HostName
+  readonly silent: boolean
+  readonly agoMs: number
 }
 
 /** Tokens of an account that one member entrusts to another, or lends on. */
--- /dev/null
+++ b/test/members/membership.test.ts
@@ -0,0 +1,143 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { MemberRumour, MemberState } from '../../src/model/index.js'
+import {
+  defaultMembershipSettings, initialMembership, membershipStep, quorumHosts, ringNeighbours, rumoursOf,
+  type ListedHost, type MembershipEvent, type MembershipState
+} from '../../src/members/index.js'
+
+const settings = defaultMembershipSettings
+
+function hosts (count: number): readonly ListedHost[] {
+  return Array.from({ length: count }, (_, at) => ({ host: `h${at}`, failureDomain: `d${at % 3}`, ip: '127.0.0.1', port: 7000 + at, state: 'live' }))
+}
+
+function says (host: string, state: 'serving' | 'stopping' = 'serving', rumours: readonly MemberRumour[] = []): MemberState {
+  return { host, failureDomain: 'd0', incarnation: 'a', state, generation: 1, storeConfirmedAgoMs: 0, rumours }
+}
+
+function memberOf (list: readonly ListedHost[], at = 0): MembershipState {
+  const start = initialMembership(list[at] as ListedHost, settings, 0)
+  return membershipStep(start, { kind: 'hostsListed', hosts: list, nowMs: 0 }).state
+}
+
+function after (state: MembershipState, events: readonly MembershipEvent[]): MembershipState {
+  return events.reduce((now, event) => membershipStep(now, event).state, state)
+}
+
+function liveHosts (state: MembershipState): readonly string[] {
+  return state.live.map(member => member.host)
+}
+
+function answers (list: readonly string[], nowMs: number): readonly MembershipEvent[] {
+  return list.map(host => ({ kind: 'heartbeatAnswered', state: says(host), nowMs }))
+}
+
+/** Ticks and answers of the given hosts every 500 ms. */
+function quietTime (answering: readonly string[], fromMs: number, toMs: number): readonly MembershipEvent[] {
+  const times = Array.from({ length: (toMs - fromMs) / 500 }, (_, at) => fromMs + (at + 1) * 500)
+  return times.flatMap(nowMs => [...answers(answering, nowMs), { kind: 'tick' as const, nowMs }])
+}
+
+test('a listed host is live until it stays silent, and again when it answers', () => {
+  const start = memberOf(hosts(3))
+  assert.deepEqual(liveHosts(start), ['h0', 'h1', 'h2'])
+  const later = after(start, quietTime(['h1'], 0, 4000))
+  assert.deepEqual(liveHosts(later), ['h0', 'h1'])
+  assert.deepEqual(liveHosts(after(later, answers(['h2'], 4100))), ['h0', 'h1', 'h2'])
+})
+
+test('a store outage, in which no list comes, changes nothing', () => {
+  const later = after(memberOf(hosts(3)), quietTime(['h1', 'h2'], 0, 600_000))
+  assert.deepEqual(liveHosts(later), ['h0', 'h1', 'h2'])
+})
+
+test('after a pause of its own a member suspects nobody at once', () => {
+  const paused = after(memberOf(hosts(3)), [...quietTime(['h1', 'h2'], 0, 2000), { kind: 'tick', nowMs: 30_000 }])
+  assert.deepEqual(liveHosts(paused), ['h0', 'h1', 'h2'])
+})
+
+test('a failed link is checked at once and takes the host out unless it answers', () => {
+  const failed = membershipStep(memberOf(hosts(3)), { kind: 'linkFailed', host: 'h1', nowMs: 10 })
+  assert.deepEqual(failed.effects.map(effect => effect.kind), ['heartbeat'])
+  const received: MembershipEvent = { kind: 'heartbeatReceived', state: says('h1'), nowMs: 100 }
+  const tick: MembershipEvent = { kind: 'tick', nowMs: 10 + settings.linkGraceMs }
+  assert.deepEqual(liveHosts(after(failed.state, [received, tick])), ['h0', 'h2'])
+  assert.deepEqual(liveHosts(after(failed.state, [...answers(['h1'], 100), tick])), ['h0', 'h1', 'h2'])
+})
+
+test('a stopping member and a leaving host get no duty', () => {
+  const list = hosts(4).map(host => host.host === 'h3' ? { ...host, state: 'leaving' as const } : host)
+  const state = after(memberOf(list), [{ kind: 'heartbeatReceived', state: says('h1', 'stopping'), nowMs: 1 }])
+  assert.deepEqual(liveHosts(state), ['h0', 'h2'])
+  assert.deepEqual(liveHosts(after(state, [{ kind: 'stopping', nowMs: 2 }])), ['h2'])
+})
+
+test('a host that is not listed is no member, whatever it says', () => {
+  const state = after(memberOf(hosts(3)), [{ kind: 'heartbeatReceived', state: says('stranger'), nowMs: 1 }])
+  assert.deepEqual(liveHosts(state), ['h0', 'h1', 'h2'])
+})
+
+test('one end of each pair exchanges heartbeats once in a period', () => {
+  const list = hosts(18)
+  const sent = [0, 9].map(at => {
+    const warm = after(memberOf(list, at), [{ kind: 'tick', nowMs: 0 }, ...answers(list.map(host => host.host), 0)])
+    const { effects } = membershipStep(warm, { kind: 'tick', nowMs: settings.periodMs })
+    return effects.flatMap(effect => effect.kind === 'heartbeat' ? effect.to : []).length
+  })
+  assert.deepEqual(sent, [17, 0])
+})
+
+test('the quorum counts listed hosts, silent or not', () => {
+  const start = memberOf(hosts(9))
+  const later = after(start, quietTime([], 0, 5000))
+  assert.deepEqual(liveHosts(later), ['h0'])
+  assert.deepEqual(quorumHosts(later), quorumHosts(start))
+  assert.equal(quorumHosts(start).length, 3 * settings.watchersPerDomain)
+})
+
+test('in a large fleet the peers are few and observe each other mutually', () => {
+  const names = hosts(2000).map(host => host.host)
+  const neighbours = ringNeighbours('h0', names.slice(1))
+  assert.ok(neighbours.length <= 22, `${neighbours.length}`)
+  const [peer] = neighbours
+  assert.ok(ringNeighbours(peer as string, names.filter(name => name !== peer)).includes('h0'))
+})
+
+test('two observers take a host out that a member does not observe; one does not', () => {
+  const list = hosts(100)
+  const state = memberOf(list)
+  const far = list.map(({ host }) => host).find(host => host !== 'h0' && !state.observed.has(host)) as string
+  const rumour = (observer: string): MemberRumour => ({ host: far, observer, silent: true, agoMs: 5 })
+  const one = after(state, [{ kind: 'heartbeatReceived', state: says('h1', 'serving', [rumour('h1')]), nowMs: 10 }])
+  assert.ok(liveHosts(one).includes(far))
+  const two = membershipStep(one, { kind: 'heartbeatReceived', state: says('h2', 'serving', [rumour('h2'), rumour('h1')]), nowMs: 20 })
+  assert.ok(!liveHosts(two.state).includes(far))
+  assert.deepEqual(rumoursOf(two.state, 25).map(({ observer }) => observer).sort(), ['h1', 'h2'])
+  const back = { ...rumour('h2'), silent: false, agoMs: 1 }
+  const answered = after(two.state, [{ kind: 'heartbeatReceived', state: says('h2', 'serving', [back]), nowMs: 40 }])
+  assert.ok(liveHosts(answered).includes(far))
+})
+
+test('news of a silent host crosses a large fleet', () => {
+  const list = hosts(64)
+  const views = new Map(list.map(({ host }, at) => [host, memberOf(list, at)]))
+  const deliver = (from: string, event: MembershipEvent): void => {
+    const { state, effects } = membershipStep(views.get(from) as MembershipState, event)
+    views.set(from, state)
+    for (const effect of effects) {
+      if (effect.kind !== 'heartbeat') continue
+      for (const { host } of effect.to.filter(to => to.host !== 'h7')) {
+        deliver(host, { kind: 'heartbeatReceived', state: says(from, 'serving', effect.rumours), nowMs: event.nowMs })
+        const rumours = rumoursOf(views.get(host) as MembershipState, event.nowMs)
+        deliver(from, { kind: 'heartbeatAnswered', state: says(host, 'serving', rumours), nowMs: event.nowMs })
+      }
+    }
+  }
+  for (let nowMs = 0; nowMs <= 20_000; nowMs += 500) {
+    for (const { host } of list.filter(listed => listed.host !== 'h7')) deliver(host, { kind: 'tick', nowMs })
+  }
+  for (const [host, view] of views) {
+    if (host !== 'h7') assert.deepEqual(liveHosts(view), list.map(listed => listed.host).filter(name => name !== 'h7'), host)
+  }
+})
