--- /dev/null
+++ b/src/daemon/caller-task.ts
@@ -0,0 +1,84 @@
+// One caller's connection: a task that owns the session state. It takes one
+// command after the other, runs statements through the request pipe and writes
+// each outcome before it takes the next command.
+
+import { notRun, type Caller, type Outcome } from '../model/index.js'
+import { runPipe, type Filter } from '../pipe/index.js'
+import { byProxy, permissionOf, type ConfigurationInForce, type Incoming, type OpenTransaction, type Served, type SessionState } from '../request/index.js'
+import type { CallerCommand, CallerLink } from '../wire/index.js'
+
+/** What a caller's task needs. */
+export type CallerSpec = {
+  readonly link: CallerLink
+  readonly session: SessionState
+  readonly pipe: Filter<Incoming, never, Served>
+  readonly nowMs: () => number
+  readonly configuration: () => ConfigurationInForce
+  /** True once the process takes no new work. */
+  readonly stopping: () => boolean
+  /** Rolls back at the home; a lost message is made up for by the home's idle timeout. */
+  readonly rollBack: (transaction: OpenTransaction) => Promise<void>
+  /** Told of each statement that was answered. */
+  readonly onServed: (caller: Caller, outcome: Outcome, tookMs: number) => void
+}
+
+/**
+ * Serves a caller until its connection ends.
+ * @param spec - what the task needs
+ */
+export async function serveCaller (spec: CallerSpec): Promise<void> {
+  let { session } = spec
+  for (;;) {
+    const received = await spec.link.inbox.receive()
+    if (received.kind === 'closed') break
+    if (received.message.kind === 'leave' && session.transaction !== undefined) continue
+    const result = await serveCommand(spec, session, received.message)
+    session = result.session
+    spec.link.write(result.outcome)
+    if (received.message.kind === 'leave' || (spec.stopping() && session.transaction === undefined)) {
+      spec.link.close()
+      break
+    }
+  }
+  await letGo(spec, session)
+}
+
+async function serveCommand (spec: CallerSpec, session: SessionState, command: CallerCommand): Promise<Served> {
+  switch (command.kind) {
+    case 'query': return await serveStatement(spec, session, command.sql)
+    case 'useRoute': return useRoute(spec, session, command.route)
+    case 'leave': return { outcome: notRun('stopping', 'this host is stopping'), session }
+    case 'ping': return { outcome: byProxy(done), session }
+    case 'reset': return await reset(spec, session)
+    case 'tooLong': return { outcome: notRun('statementTooLong', `a statement may have ${command.maxBytes} bytes`), session }
+    case 'unsupported': return { outcome: notRun('unsupported', `${command.what} is not supported`), session }
+  }
+}
+
+const done = { kind: 'done', affectedRows: 0, insertId: 0 } as const
+
+async function serveStatement (spec: CallerSpec, session: SessionState, sql: string): Promise<Served> {
+  const receivedAtMs = spec.nowMs()
+  const statement = { caller: session.caller, route: session.route, sql, receivedAtMs }
+  const result = await runPipe(spec.pipe, { statement, session })
+  spec.onServed(session.caller, result.outcome, spec.nowMs() - receivedAtMs)
+  return result
+}
+
+function useRoute (spec: CallerSpec, session: SessionState, route: string): Served {
+  if (session.transaction !== undefined) return { outcome: notRun('unsupported', 'a change of route in a transaction is not supported'), session }
+  const { manifest } = spec.configuration()
+  if (manifest === undefined) return { outcome: notRun('unconfirmedConfiguration', 'no configuration is in force yet'), session }
+  const permission = permissionOf(manifest, session.caller, route)
+  if (permission.kind === 'denied') return { outcome: permission.outcome, session }
+  return { outcome: byProxy(done), session: { ...session, route } }
+}
+
+async function reset (spec: CallerSpec, session: SessionState): Promise<Served> {
+  await letGo(spec, session)
+  return { outcome: byProxy(done), session: { ...session, transaction: undefined, floors: {}, hasToken: false } }
+}
+
+async function letGo (spec: CallerSpec, session: SessionState): Promise<void> {
+  if (session.transaction !== undefined) await spec.rollBack(session.transaction)
+}
--- /dev/null
+++ b/src/daemon/database-task.ts
@@ -0,0 +1,347 @@
+// The task of one database at one of its homes: owns what is known of the
+// servers, the failover, the writes that wait for a majority and the floors
+// that sessions wait for. It watches the servers and carries out the ledger
+// calls; the decisions are the pure parts of src/failover and src/request.
+
+import { redirected } from '../config/index.js'
+import { defaultFailoverSettings, failoverStep, initialFailover, primaryView, proposerName, type FailoverEffect, type FailoverEvent, type FailoverState } from '../failover/index.js'
+import type { DatabaseDeclaration, Position, PrimaryView, ServerDeclaration, ServerName, ServerStatus } from '../model/index.js'
+import { ask, Latest, startTask, tickPort, type Port, type Reply, type Snapshot, type Transition } from '../pipe/index.js'
+import { confirmStep, emptyAgeRecord, floorStep, initialConfirm, initialFloor, noteAnswer, withAgeServers, type AgeRecord, type ConfirmEffect, type ConfirmEvent, type ConfirmState, type FloorEffect, type FloorEvent, type FloorState } from '../request/index.js'
+import type { DaemonContext } from './context.js'
+import { ServerWatch, type LedgerCommand } from './server-watch.js'
+
+/** What others see of a database. */
+export type DatabaseView = {
+  readonly primary: PrimaryView
+  readonly statuses: ReadonlyMap<ServerName, ServerStatus>
+  readonly age: AgeRecord
+}
+
+/** What the task needs. */
+export type DatabaseSpec = {
+  readonly context: DaemonContext
+  readonly database: DatabaseDeclaration
+  readonly onPrimary: (view: PrimaryView) => void
+  /** Writes the view to the store; may fail. */
+  readonly publish: (view: PrimaryView) => void
+}
+
+/** A running database task. */
+export type DatabaseTask = {
+  readonly view: Snapshot<DatabaseView>
+  /** True once a majority has received the position in its own term. */
+  readonly confirm: (position: Position, deadlineAtMs: number) => Promise<boolean>
+  /** A floor that covers every write acknowledged before the call. */
+  readonly openFloor: () => Promise<Position | undefined>
+  readonly changeManifest: (database: DatabaseDeclaration) => void
+  readonly changeRank: (rank: number | undefined) => void
+  readonly stop: () => Promise<void>
+}
+
+type Message =
+  | { readonly kind: 'status', readonly status: ServerStatus, readonly askedAtMs: number, readonly nowMs: number }
+  | { readonly kind: 'failover', readonly event: FailoverEvent }
+  | { readonly kind: 'confirm', readonly position: Position, readonly deadlineAtMs: number, readonly reply: Reply<boolean> }
+  | { readonly kind: 'openFloor', readonly nowMs: number, readonly reply: Reply<Position | undefined> }
+  | { readonly kind: 'floor', readonly event: FloorEvent }
+  | { readonly kind: 'manifest', readonly database: DatabaseDeclaration, readonly nowMs: number }
+  | { readonly kind: 'tick', readonly nowMs: number, readonly random: number }
+
+type Effect =
+  | FailoverEffect
+  | { readonly kind: 'startRound', readonly round: number }
+  | { readonly kind: 'answerConfirm', readonly reply: Reply<boolean>, readonly confirmed: boolean }
+  | { readonly kind: 'answerFloor', readonly reply: Reply<Position | undefined>, readonly floor: Position | undefined }
+  | { readonly kind: 'changeServers', readonly servers: readonly ServerDeclaration[] }
+
+type State = {
+  readonly failover: FailoverState
+  readonly confirm: ConfirmState
+  readonly floor: FloorState
+  readonly age: AgeRecord
+  readonly confirmReplies: ReadonlyMap<string, Reply<boolean>>
+  readonly floorReplies: ReadonlyMap<string, Reply<Position | undefined>>
+  readonly nextId: number
+}
+
+type Next = Transition<State, Effect>
+
+const mailboxCapacity = 16384
+const tickMs = 20
+const floorRoundTimeoutMs = 300
+const maxWaitingFloors = 4096
+
+/**
+ * Starts the task of a database.
+ * @param spec - what the task needs
+ * @returns the running task
+ */
+export function startDatabase (spec: DatabaseSpec): DatabaseTask {
+  const { context, database } = spec
+  const { timers } = context
+  const initial = initialState(context, database)
+  const published = new Latest<DatabaseView>(viewOf(initial))
+  const watches = new Watches(context)
+  const task = startTask<State, Message, Effect>({
+    name: `database ${database.name}`,
+    initial,
+    capacity: mailboxCapacity,
+    onError: context.onTaskError(`database ${database.name}`),
+    step: (state, message) => {
+      const transition = step(state, message)
+      published.publish(viewOf(transition.state))
+      return transition
+    },
+    perform: (effect, port) => { perform(spec, watches, effect, port) }
+  })
+  const cancel = timers.every(tickMs, tickPort<Message>(task.port, nowMs => ({ kind: 'tick', nowMs, random: context.random() })))
+  watches.change(database.servers, task.port)
+  return {
+    view: published,
+    confirm: async (position, deadlineAtMs) => await ask<Message, boolean>(task.port, reply => ({ kind: 'confirm', position, deadlineAtMs, reply }), false),
+    openFloor: async () => await ask<Message, Position | undefined>(task.port, reply => ({ kind: 'openFloor', nowMs: timers.nowMs(), reply }), undefined),
+    changeManifest: changed => { task.port.send({ kind: 'manifest', database: changed, nowMs: timers.nowMs() }) },
+    changeRank: rank => { task.port.send({ kind: 'failover', event: { kind: 'ranksChanged', rank, nowMs: timers.nowMs() } }) },
+    stop: async () => {
+      cancel()
+      watches.stop()
+      await task.stop()
+    }
+  }
+}
+
+function initialState (context: DaemonContext, database: DatabaseDeclaration): State {
+  const names = database.servers.map(server => server.name)
+  const { control, host } = context.settings
+  const failoverSettings = { ...defaultFailoverSettings, probeEveryMs: control.probeMs, probeTimeoutMs: control.probeTimeoutMs, rankDelayMs: control.promotionDelayMs }
+  return {
+    failover: initialFailover(database, proposerName(host.name, context.incarnation), failoverSettings),
+    confirm: initialConfirm(names),
+    floor: initialFloor(names, { roundTimeoutMs: floorRoundTimeoutMs, maxWaiting: maxWaitingFloors }),
+    age: emptyAgeRecord(names),
+    confirmReplies: new Map(),
+    floorReplies: new Map(),
+    nextId: 1
+  }
+}
+
+function viewOf (state: State): DatabaseView {
+  const known = Object.entries(state.failover.group.known)
+  return {
+    primary: primaryView(state.failover.group),
+    statuses: new Map(known.map(([server, { status }]) => [server, status])),
+    age: state.age
+  }
+}
+
+function step (state: State, message: Message): Next {
+  switch (message.kind) {
+    case 'status': return takeStatus(state, message)
+    case 'failover': return withFailover(state, message.event)
+    case 'confirm': return waitForConfirm(state, message)
+    case 'openFloor': return waitForFloor(state, message)
+    case 'floor': return withFloor(state, message.event)
+    case 'manifest': return takeManifest(state, message.database, message.nowMs)
+    case 'tick': return chain(state, [
+      next => withFailover(next, { kind: 'tick', nowMs: message.nowMs, random: message.random }),
+      next => withConfirm(next, { kind: 'tick', nowMs: message.nowMs }),
+      next => withFloor(next, { kind: 'tick', nowMs: message.nowMs })
+    ])
+  }
+}
+
+function chain (state: State, stages: ReadonlyArray<(state: State) => Next>): Next {
+  return stages.reduce<Next>((done, stage) => {
+    const transition = stage(done.state)
+    return { state: transition.state, effects: [...done.effects, ...transition.effects] }
+  }, { state, effects: [] })
+}
+
+function takeStatus (state: State, message: Extract<Message, { readonly kind: 'status' }>): Next {
+  const { status, askedAtMs, nowMs } = message
+  const noted = { ...state, age: noteAnswer(state.age, status.server, { received: status.received, askedAtMs }) }
+  return chain(noted, [
+    next => withConfirm(next, { kind: 'statusReceived', status }),
+    next => withFailover(next, { kind: 'statusReceived', status, nowMs })
+  ])
+}
+
+function takeManifest (state: State, database: DatabaseDeclaration, nowMs: number): Next {
+  const servers = database.servers.map(server => server.name)
+  const changed = chain({ ...state, age: withAgeServers(state.age, servers) }, [
+    next => withFailover(next, { kind: 'manifestChanged', database, nowMs }),
+    next => withConfirm(next, { kind: 'serversChanged', servers }),
+    next => withFloor(next, { kind: 'serversChanged', servers, nowMs })
+  ])
+  return { ...changed, effects: [...changed.effects, { kind: 'changeServers', servers: database.servers }] }
+}
+
+function withFailover (state: State, event: FailoverEvent): Next {
+  const { state: failover, effects } = failoverStep(state.failover, event)
+  return { state: { ...state, failover }, effects }
+}
+
+function waitForConfirm (state: State, message: Extract<Message, { readonly kind: 'confirm' }>): Next {
+  const id = String(state.nextId)
+  const waiting = { ...state, nextId: state.nextId + 1, confirmReplies: new Map(state.confirmReplies).set(id, message.reply) }
+  return withConfirm(waiting, { kind: 'waiting', id, position: message.position, deadlineAtMs: message.deadlineAtMs })
+}
+
+function withConfirm (state: State, event: ConfirmEvent): Next {
+  const { state: confirm, effects } = confirmStep(state.confirm, event)
+  if (effects.length === 0) return { state: { ...state, confirm }, effects: [] }
+  const replies = new Map(state.confirmReplies)
+  const answers = effects.flatMap(effect => answerConfirm(replies, effect))
+  return { state: { ...state, confirm, confirmReplies: replies }, effects: answers }
+}
+
+function answerConfirm (replies: Map<string, Reply<boolean>>, effect: ConfirmEffect): readonly Effect[] {
+  const reply = replies.get(effect.id)
+  replies.delete(effect.id)
+  return reply === undefined ? [] : [{ kind: 'answerConfirm', reply, confirmed: effect.kind === 'confirmed' }]
+}
+
+function waitForFloor (state: State, message: Extract<Message, { readonly kind: 'openFloor' }>): Next {
+  const id = String(state.nextId)
+  const waiting = { ...state, nextId: state.nextId + 1, floorReplies: new Map(state.floorReplies).set(id, message.reply) }
+  return withFloor(waiting, { kind: 'asked', id, nowMs: message.nowMs })
+}
+
+function withFloor (state: State, event: FloorEvent): Next {
+  const { state: floor, effects } = floorStep(state.floor, event)
+  if (effects.length === 0) return { state: { ...state, floor }, effects: [] }
+  const replies = new Map(state.floorReplies)
+  const told = effects.flatMap(effect => answerFloor(replies, effect))
+  return { state: { ...state, floor, floorReplies: replies }, effects: told }
+}
+
+function answerFloor (replies: Map<string, Reply<Position | undefined>>, effect: FloorEffect): readonly Effect[] {
+  if (effect.kind === 'startRound') return [effect]
+  const reply = replies.get(effect.id)
+  replies.delete(effect.id)
+  return reply === undefined ? [] : [{ kind: 'answerFloor', reply, floor: effect.kind === 'floor' ? effect.position : undefined }]
+}
+
+function perform (spec: DatabaseSpec, watches: Watches, effect: Effect, port: Port<Message>): void {
+  switch (effect.kind) {
+    case 'probe': return void probe(spec.context, watches, effect.server, port)
+    case 'fence': return void command(spec.context, watches, effect.server, { kind: 'fence', term: effect.term, proposer: effect.proposer }, port)
+    case 'promote': return void command(spec.context, watches, effect.server, { kind: 'promote', term: effect.term, proposer: effect.proposer }, port)
+    case 'follow': return follow(spec.context, watches, effect, port)
+    case 'publish': return spec.publish(effect.view)
+    case 'primaryChanged': return spec.onPrimary(effect.view)
+    case 'startRound': return startRound(spec.context, watches, effect.round, port)
+    case 'answerConfirm': return effect.reply(effect.confirmed)
+    case 'answerFloor': return effect.reply(effect.floor)
+    case 'changeServers': return watches.change(effect.servers, port)
+  }
+}
+
+async function probe (context: DaemonContext, watches: Watches, server: ServerName, port: Port<Message>): Promise<void> {
+  const watch = watches.get(server)
+  if (watch === undefined) return
+  const askedAtMs = context.timers.nowMs()
+  const result = await watch.probe(context.settings.control.probeTimeoutMs)
+  const nowMs = context.timers.nowMs()
+  switch (result.kind) {
+    case 'answered': {
+      port.send({ kind: 'failover', event: { kind: 'probeAnswered', server, nowMs } })
+      port.send({ kind: 'status', status: result.status, askedAtMs, nowMs })
+      break
+    }
+    case 'failed': {
+      port.send({ kind: 'failover', event: { kind: 'probeFailed', server, how: result.how, nowMs } })
+      break
+    }
+  }
+}
+
+async function command (context: DaemonContext, watches: Watches, server: ServerName, call: LedgerCommand, port: Port<Message>): Promise<void> {
+  const watch = watches.get(server)
+  if (watch === undefined) return
+  const { term } = call
+  try {
+    const { accepted, status } = await watch.command(call)
+    port.send({ kind: 'failover', event: { kind: `${call.kind}Answered`, server, term, accepted, status, nowMs: context.timers.nowMs() } })
+  } catch {
+    port.send({ kind: 'failover', event: { kind: 'callFailed', call: call.kind, server, term, nowMs: context.timers.nowMs() } })
+  }
+}
+
+function follow (context: DaemonContext, watches: Watches, effect: Extract<Effect, { readonly kind: 'follow' }>, port: Port<Message>): void {
+  const primary = watches.declaredAddress(effect.primary)
+  if (primary === undefined) return
+  void command(context, watches, effect.server, { kind: 'follow', term: effect.term, proposer: effect.proposer, primary }, port)
+}
+
+function startRound (context: DaemonContext, watches: Watches, round: number, port: Port<Message>): void {
+  for (const watch of watches.all()) {
+    const { server } = watch
+    watch.received().then(
+      received => { port.send({ kind: 'floor', event: { kind: 'roundAnswered', round, server, received, nowMs: context.timers.nowMs() } }) },
+      () => { port.send({ kind: 'floor', event: { kind: 'roundFailed', round, server, nowMs: context.timers.nowMs() } }) }
+    )
+  }
+}
+
+/** The watches of one database's servers. */
+class Watches {
+  readonly #context: DaemonContext
+  readonly #watches = new Map<ServerName, ServerWatch>()
+  #declared: readonly ServerDeclaration[] = []
+
+  constructor (context: DaemonContext) {
+    this.#context = context
+  }
+
+  get (server: ServerName): ServerWatch | undefined {
+    return this.#watches.get(server)
+  }
+
+  all (): readonly ServerWatch[] {
+    return [...this.#watches.values()]
+  }
+
+  declaredAddress (server: ServerName): ServerDeclaration | undefined {
+    return this.#declared.find(one => one.name === server)
+  }
+
+  change (servers: readonly ServerDeclaration[], port: Port<Message>): void {
+    this.#declared = servers
+    for (const [name, watch] of this.#watches) {
+      const declared = servers.find(server => server.name === name)
+      if (declared !== undefined && sameAddress(watch, redirected(this.#context.settings.links, declared))) continue
+      watch.stop()
+      this.#watches.delete(name)
+    }
+    for (const server of servers) {
+      if (!this.#watches.has(server.name)) this.#watches.set(server.name, this.#start(server, port))
+    }
+  }
+
+  stop (): void {
+    for (const watch of this.#watches.values()) watch.stop()
+  }
+
+  #start (server: ServerDeclaration, port: Port<Message>): ServerWatch {
+    const { timers, settings } = this.#context
+    return new ServerWatch(this.#context, server.name, redirected(settings.links, server), report => {
+      const nowMs = timers.nowMs()
+      switch (report.kind) {
+        case 'status': {
+          port.send({ kind: 'status', status: report.status, askedAtMs: report.askedAtMs, nowMs })
+          break
+        }
+        case 'connectionLost': {
+          port.send({ kind: 'failover', event: { kind: 'connectionLost', server: server.name, nowMs } })
+          break
+        }
+      }
+    })
+  }
+}
+
+function sameAddress (watch: ServerWatch, address: { readonly ip: string, readonly port: number }): boolean {
+  return watch.address.ip === address.ip && watch.address.port === address.port
+}
--- /dev/null
+++ b/src/daemon/server-watch.ts
@@ -0,0 +1,145 @@
+// Watches one server: a task that owns one session for waiting on the status
+// and one for ledger calls. It reports what it learns and keeps trying; the
+// judgement is made elsewhere.
+
+import type { Address, Position, ServerName, ServerStatus } from '../model/index.js'
+import { sleep } from '../pipe/index.js'
+import { asWireError, openSession, type DatabaseSession, type LedgerAnswer } from '../wire/index.js'
+import type { DaemonContext } from './context.js'
+
+/** What a watch reports. */
+export type WatchReport =
+  /** `askedAtMs` is the time before the question was sent. */
+  | { readonly kind: 'status', readonly status: ServerStatus, readonly askedAtMs: number }
+  | { readonly kind: 'connectionLost' }
+
+/** A ledger call that changes a server's role. */
+export type LedgerCommand =
+  | { readonly kind: 'fence', readonly term: number, readonly proposer: string }
+  | { readonly kind: 'promote', readonly term: number, readonly proposer: string }
+  | { readonly kind: 'follow', readonly term: number, readonly proposer: string, readonly primary: Address }
+
+/** What became of a fresh connection. */
+export type ProbeResult =
+  | { readonly kind: 'answered', readonly status: ServerStatus }
+  | { readonly kind: 'failed', readonly how: 'refused' | 'overdue' }
+
+/** A quiet server still answers this often. */
+const waitMs = 100
+/** An answer that is this late means that the connection is silent. */
+const answerTimeoutMs = 400
+const reconnectDelayMs = 100
+const callTimeoutMs = 500
+
+/** Watches one server. */
+export class ServerWatch {
+  readonly #context: DaemonContext
+  readonly #report: (report: WatchReport) => void
+  #commands: Promise<DatabaseSession> | undefined
+  #waiting: DatabaseSession | undefined
+  #stopped = false
+
+  /**
+   * Starts the watch.
+   * @param context - settings and time
+   * @param server - name of the server
+   * @param address - where it listens
+   * @param report - told of what is learned
+   */
+  constructor (context: DaemonContext, readonly server: ServerName, readonly address: Address, report: (report: WatchReport) => void) {
+    this.#context = context
+    this.#report = report
+    void this.#watch()
+  }
+
+  /**
+   * Asks for the received position over a session that works.
+   * @returns the position; throws a `WireError`
+   */
+  async received (): Promise<Position> {
+    return (await this.#call(async session => await session.ledger.status(callTimeoutMs))).received
+  }
+
+  /**
+   * Sends a ledger call.
+   * @param command - the call
+   * @returns the server's answer; throws a `WireError`
+   */
+  async command (command: LedgerCommand): Promise<LedgerAnswer> {
+    return await this.#call(async ({ ledger }) => {
+      switch (command.kind) {
+        case 'fence': return await ledger.fence(command.term, command.proposer, callTimeoutMs)
+        case 'promote': return await ledger.promote(command.term, command.proposer, callTimeoutMs)
+        case 'follow': return await ledger.follow(command.term, command.proposer, command.primary, callTimeoutMs)
+      }
+    })
+  }
+
+  /**
+   * Opens a fresh connection and asks for the status.
+   * @param timeoutMs - how long login and answer may take
+   * @returns what became of it
+   */
+  async probe (timeoutMs: number): Promise<ProbeResult> {
+    const startedAtMs = this.#context.timers.nowMs()
+    let session: DatabaseSession | undefined
+    try {
+      session = await this.#open(timeoutMs)
+      const leftMs = Math.max(1, timeoutMs - (this.#context.timers.nowMs() - startedAtMs))
+      return { kind: 'answered', status: await session.ledger.status(leftMs) }
+    } catch (error) {
+      return { kind: 'failed', how: asWireError(error).failure === 'refused' ? 'refused' : 'overdue' }
+    } finally {
+      session?.close()
+    }
+  }
+
+  /** Ends the watch and its sessions. */
+  stop (): void {
+    this.#stopped = true
+    this.#waiting?.close()
+    void this.#commands?.then(session => { session.close() }, () => {})
+  }
+
+  async #watch (): Promise<void> {
+    const { timers, random } = this.#context
+    while (!this.#stopped) {
+      await this.#watchSession().catch(() => {})
+      this.#waiting?.close()
+      if (this.#stopped) return
+      this.#report({ kind: 'connectionLost' })
+      await sleep(timers, reconnectDelayMs * (0.5 + random()))
+    }
+  }
+
+  async #watchSession (): Promise<void> {
+    const session = await this.#open(this.#context.settings.limits.connectTimeoutMs)
+    this.#waiting = session
+    const { nowMs } = this.#context.timers
+    let askedAtMs = nowMs()
+    let status = await session.ledger.status(answerTimeoutMs)
+    while (!this.#stopped) {
+      this.#report({ kind: 'status', status, askedAtMs })
+      askedAtMs = nowMs()
+      status = await session.ledger.wait(status, waitMs, waitMs + answerTimeoutMs)
+    }
+  }
+
+  async #call<T> (use: (session: DatabaseSession) => Promise<T>): Promise<T> {
+    this.#commands ??= this.#open(callTimeoutMs)
+    const opened = this.#commands
+    try {
+      const session = await opened
+      return await use(session)
+    } catch (error) {
+      if (this.#commands === opened) this.#commands = undefined
+      void opened.then(session => { session.close() }, () => {})
+      throw error
+    }
+  }
+
+  async #open (timeoutMs: number): Promise<DatabaseSession> {
+    const { settings, timers } = this.#context
+    return await openSession(this.address, settings.databaseLogin, timers, timeoutMs)
+  }
+}
--- a/src/wire/mysql-front.ts
+++ b/src/wire/mysql-front.ts
@@ -16,6 +16,8 @@
   | { readonly kind: 'useRoute', readonly route: RouteName }
   | { readonly kind: 'ping' }
   | { readonly kind: 'reset' }
+  /** Sent by the host itself: answer, then close. */
+  | { readonly kind: 'leave' }
   | { readonly kind: 'tooLong', readonly maxBytes: number }
   | { readonly kind: 'unsupported', readonly what: string }
 
@@ -186,7 +188,7 @@
         login,
         inbox,
         write: outcome => { writeOutcome(connection, outcome) },
-        close: () => { connection.close() }
+        close: () => { connection.stream.end() }
       })
     }
   })
