Add the database server's stand-in: MySQL in front, SQL behind, a ledger log

One pure step decides sessions, the write lock, slots and the ledger's rules, so a commit and a fence always come one after the other. SQLite holds the data in a temporary folder; replicas pull the log over MySQL and apply it after their lag.

--- /dev/null
+++ b/standins/database-main.ts
@@ -0,0 +1,67 @@
+// Runs a database server's stand-in as a process.
+
+import { parseArgs } from 'node:util'
+import type { Address } from '../src/model/index.js'
+import { startDatabase } from './database.js'
+import type { FirstRole } from './database/server.js'
+import { serveUntilSignal } from './process.js'
+
+const { values } = parseArgs({
+  options: {
+    ip: { type: 'string', default: '127.0.0.1' },
+    port: { type: 'string', default: '0' },
+    server: { type: 'string', default: 'server' },
+    // The group's servers as NAME=IP:PORT, comma-separated.
+    servers: { type: 'string', default: '' },
+    // Without one the server starts unfenced and follows nobody.
+    'initial-primary': { type: 'string', default: '' },
+    // Detours to other servers as IP:PORT=IP:PORT, comma-separated.
+    via: { type: 'string', default: '' },
+    user: { type: 'string', default: 'service' },
+    password: { type: 'string', default: 'service-password' },
+    slots: { type: 'string', default: '5' },
+    'max-connections': { type: 'string', default: '75' },
+    'connect-delay-ms': { type: 'string', default: '10' },
+    'service-ms': { type: 'string', default: '1' },
+    'lag-ms': { type: 'string', default: '0' },
+    'lock-wait-ms': { type: 'string', default: '5000' },
+    'idle-transaction-ms': { type: 'string', default: '30000' }
+  }
+})
+
+function readAddress (text: string): Address {
+  const [ip, port] = text.split(':')
+  if (ip === undefined || port === undefined) throw new Error(`not an address: ${text}`)
+  return { ip, port: Number(port) }
+}
+
+function readAddresses (text: string): ReadonlyMap<string, Address> {
+  const pairs = text.split(',').filter(pair => pair !== '').map(pair => pair.split('='))
+  return new Map(pairs.map(([name, address]) => [name ?? '', readAddress(address ?? '')]))
+}
+
+function firstRole (): FirstRole {
+  const primary = values['initial-primary']
+  if (primary === values.server) return { kind: 'primary' }
+  const source = readAddresses(values.servers).get(primary)
+  return source === undefined ? { kind: 'alone' } : { kind: 'replica', source }
+}
+
+serveUntilSignal(await startDatabase({
+  listen: { ip: values.ip, port: Number(values.port) },
+  credentials: { user: values.user, password: values.password },
+  server: {
+    server: values.server,
+    slots: Number(values.slots),
+    maxConnections: Number(values['max-connections']),
+    lockWaitMs: Number(values['lock-wait-ms']),
+    idleTransactionMs: Number(values['idle-transaction-ms'])
+  },
+  tuning: {
+    lagMs: Number(values['lag-ms']),
+    serviceMs: Number(values['service-ms']),
+    connectDelayMs: Number(values['connect-delay-ms'])
+  },
+  first: firstRole(),
+  via: readAddresses(values.via)
+}))
--- /dev/null
+++ b/standins/database.ts
@@ -0,0 +1,133 @@
+// A database server's stand-in: MySQL in front, real SQL behind, a ledger log
+// that replicas pull. One task owns sessions, ledger and data.
+
+import type { Address } from '../src/model/index.js'
+import { startTask, systemTimers, type Port, type TimerService } from '../src/pipe/index.js'
+import { startFront, type MysqlFront } from './database/mysql-front.js'
+import { startPull, type Credentials, type PullSettings } from './database/replication.js'
+import { newServer, replicationOf, stepServer, type FirstRole } from './database/server.js'
+import type { ServerEffect, ServerMessage, ServerSettings, ServerState, Tuning } from './database/server-state.js'
+import { SqlStorage } from './database/storage.js'
+import type { RunningStandin } from './platform.js'
+
+/** Messages that may wait for the server's task. */
+const mailboxCapacity = 100_000
+/** Timers may fire a little early; what is due is asked for after that. */
+const timerMarginMs = 1
+
+export type DatabaseSettings = {
+  readonly listen: Address
+  readonly credentials: Credentials
+  readonly server: ServerSettings
+  readonly tuning: Tuning
+  readonly first: FirstRole
+  /** Where to reach an address of another server, where that is not the address itself. */
+  readonly via: ReadonlyMap<string, Address>
+}
+
+type Pull = {
+  readonly term: number
+  readonly source: Address
+  readonly stop: () => void
+}
+
+/**
+ * Starts a database server's stand-in.
+ * @param settings - where it listens and how it behaves
+ * @returns the running stand-in
+ */
+export async function startDatabase (settings: DatabaseSettings): Promise<RunningStandin> {
+  const timers = systemTimers()
+  const storage = new SqlStorage(settings.server.server)
+  const initial = newServer(settings.server, settings.tuning, settings.first)
+  let tuning = settings.tuning
+  let pull: Pull | undefined
+  const repull = (effect: ServerEffect & { readonly kind: 'follow' }, self: Port<ServerMessage>): void => {
+    const same = pull?.term === effect.term && addressKey(pull.source) === addressKey(effect.source)
+    if (same) return
+    pull?.stop()
+    pull = { term: effect.term, source: effect.source, stop: startPull(pullSettings(settings, effect.term, effect.source), timers, self) }
+  }
+  const perform = (effect: ServerEffect, self: Port<ServerMessage>): void => {
+    switch (effect.kind) {
+      case 'follow': return repull(effect, self)
+      case 'unfollow':
+        pull?.stop()
+        pull = undefined
+        return
+      case 'disconnect': return front.disconnect(effect.session)
+      case 'reply': return effect.reply(effect.answer)
+      case 'verdict': return effect.reply(effect.verdict)
+      case 'resume': return effect.reply(effect.after)
+      case 'later':
+      case 'applyLater': return performLater(effect, self, timers)
+      case 'execute':
+      case 'commit':
+      case 'rollback':
+      case 'forget':
+      case 'apply':
+      case 'rebuild': return performSql(effect, self, storage)
+    }
+  }
+  const task = startTask<ServerState, ServerMessage, ServerEffect>({
+    name: settings.server.server,
+    initial,
+    step: (state, message) => {
+      const next = stepServer(state, message)
+      tuning = next.state.tuning
+      return next
+    },
+    perform,
+    capacity: mailboxCapacity,
+    onError: error => { console.error(error) }
+  })
+  for (const effect of replicationOf(initial.ledger)) perform(effect, task.port)
+  const front: MysqlFront = await startFront({ listen: settings.listen, credentials: settings.credentials, connectDelayMs: () => tuning.connectDelayMs }, timers, task.port)
+  return {
+    address: front.address,
+    stop: async () => {
+      pull?.stop()
+      await front.stop()
+      timers.stop()
+      await task.stop()
+      storage.dispose()
+    }
+  }
+}
+
+type SqlEffect = ServerEffect & { readonly kind: 'execute' | 'commit' | 'rollback' | 'forget' | 'apply' | 'rebuild' }
+
+function performSql (effect: SqlEffect, self: Port<ServerMessage>, storage: SqlStorage): void {
+  switch (effect.kind) {
+    case 'commit': return storage.commit(effect.session)
+    case 'rollback': return storage.rollback(effect.session)
+    case 'forget': return storage.forget(effect.session)
+    case 'apply': return storage.apply(effect.entries)
+    case 'rebuild': return storage.rebuild(effect.entries)
+    case 'execute': {
+      const result = storage.execute(effect.session, effect.text, effect.begin, effect.own)
+      self.send({ kind: 'executed', session: effect.session, work: effect.work, result, inTransaction: storage.inTransaction(effect.session) })
+    }
+  }
+}
+
+function performLater (effect: ServerEffect & { readonly kind: 'later' | 'applyLater' }, self: Port<ServerMessage>, timers: TimerService): void {
+  switch (effect.kind) {
+    case 'later': {
+      const message = effect.message
+      timers.after(effect.delayMs, { send: () => self.send(message) })
+      return
+    }
+    case 'applyLater':
+      timers.after(effect.delayMs + timerMarginMs, { send: tick => self.send({ kind: 'applyDue', nowMs: tick.nowMs }) })
+  }
+}
+
+function pullSettings (settings: DatabaseSettings, term: number, source: Address): PullSettings {
+  const reached = settings.via.get(addressKey(source)) ?? source
+  return { server: settings.server.server, term, source: reached, credentials: settings.credentials }
+}
+
+export function addressKey (address: Address): string {
+  return `${address.ip}:${address.port}`
+}
--- /dev/null
+++ b/standins/database/dialect.ts
@@ -0,0 +1,87 @@
+// Turns the MySQL text that ordinary tests use into SQLite's: string literals
+// with backslashes and a few words that differ. Also says what kind of
+// statement a text is.
+
+/** What a text asks for. */
+export type StatementKind =
+  | { readonly kind: 'begin', readonly readOnly: boolean }
+  | { readonly kind: 'commit' }
+  | { readonly kind: 'rollback' }
+  | { readonly kind: 'set' }
+  | { readonly kind: 'refused', readonly word: string }
+  | { readonly kind: 'call', readonly name: string, readonly args: ReadonlyArray<string | number> }
+  | { readonly kind: 'read' }
+  | { readonly kind: 'write' }
+
+/** Literals, quoted names and comments: what the words' translation leaves alone. */
+const opaque = /'(?:[^'\\]|\\[\s\S]|'')*'|"(?:[^"\\]|\\[\s\S]|"")*"|`[^`]*`|\/\*[\s\S]*?\*\/|--[ \t][^\n]*|#[^\n]*/g
+
+const escapes: ReadonlyMap<string, string> = new Map([['0', '\0'], ['b', '\b'], ['n', '\n'], ['r', '\r'], ['t', '\t'], ['Z', '\x1a']])
+
+/** Words that SQLite says otherwise, with what they become. */
+const words: ReadonlyArray<readonly [RegExp, string]> = [
+  [/\b(?:BIGINT|INT|INTEGER)(?:\s*\(\d+\))?(?:\s+UNSIGNED)?(?:\s+NOT\s+NULL)?\s+PRIMARY\s+KEY\s+AUTO_INCREMENT\b/gi, 'INTEGER PRIMARY KEY AUTOINCREMENT'],
+  [/\b(?:BIGINT|INT|INTEGER)(?:\s*\(\d+\))?(?:\s+UNSIGNED)?(?:\s+NOT\s+NULL)?\s+AUTO_INCREMENT\s+PRIMARY\s+KEY\b/gi, 'INTEGER PRIMARY KEY AUTOINCREMENT'],
+  [/\bUNSIGNED\b/gi, ''],
+  [/\bENGINE\s*=\s*\w+/gi, ''],
+  [/\b(?:DEFAULT\s+)?(?:CHARSET|CHARACTER\s+SET)\s*=?\s*\w+/gi, ''],
+  [/\bCOLLATE\s*=?\s*\w+/gi, ''],
+  [/\bINSERT\s+IGNORE\b/gi, 'INSERT OR IGNORE'],
+  [/\bON\s+DUPLICATE\s+KEY\s+UPDATE\b/gi, 'ON CONFLICT DO UPDATE SET'],
+  [/\bFOR\s+(?:UPDATE|SHARE)\b/gi, '']
+]
+
+const refusedWords: readonly string[] = ['PRAGMA', 'ATTACH', 'DETACH', 'VACUUM', 'SAVEPOINT', 'RELEASE', 'PREPARE', 'EXECUTE', 'DEALLOCATE']
+
+export function toSqlite (text: string): string {
+  let translated = ''
+  let end = 0
+  for (const match of text.matchAll(opaque)) {
+    translated += translateWords(text.slice(end, match.index)) + translateOpaque(match[0])
+    end = match.index + match[0].length
+  }
+  return translated + translateWords(text.slice(end))
+}
+
+function translateWords (text: string): string {
+  return words.reduce((done, [word, replacement]) => done.replace(word, replacement), text)
+}
+
+function translateOpaque (piece: string): string {
+  const quote = piece.charAt(0)
+  if (quote === '#') return `--${piece.slice(1)}`
+  if (quote !== "'" && quote !== '"') return piece
+  const value = piece.slice(1, -1)
+    .replaceAll(quote + quote, quote)
+    .replace(/\\([\s\S])/g, (_, letter: string) => escapes.get(letter) ?? letter)
+  return `'${value.replaceAll("'", "''")}'`
+}
+
+export function statementKind (text: string): StatementKind {
+  const bare = text.replace(opaque, piece => /^['"`]/.test(piece) ? piece : ' ').trim().replace(/;\s*$/, '')
+  const word = (/^\(*\s*([a-z_]+)/i.exec(bare)?.[1] ?? '').toUpperCase()
+  if (/^(BEGIN|START\s+TRANSACTION)\b/i.test(bare)) return { kind: 'begin', readOnly: /\bREAD\s+ONLY\b/i.test(bare) }
+  if (word === 'COMMIT') return { kind: 'commit' }
+  if (word === 'ROLLBACK') return /\bTO\b/i.test(bare) ? { kind: 'refused', word } : { kind: 'rollback' }
+  if (word === 'SET') return { kind: 'set' }
+  if (word === 'CALL') return callOf(bare)
+  if (refusedWords.includes(word)) return { kind: 'refused', word }
+  return { kind: word === 'SELECT' || word === 'EXPLAIN' ? 'read' : 'write' }
+}
+
+function callOf (bare: string): StatementKind {
+  const call = /^CALL\s+([a-z_]+)\s*\(([\s\S]*)\)$/i.exec(bare)
+  if (call === null) return { kind: 'refused', word: 'CALL' }
+  const args = [...(call[2] ?? '').matchAll(/'((?:[^'\\]|\\[\s\S]|'')*)'|(-?\d+(?:\.\d+)?)/g)]
+  return {
+    kind: 'call',
+    name: (call[1] ?? '').toLowerCase(),
+    args: args.map(arg => arg[2] === undefined ? (arg[1] ?? '').replaceAll("''", "'").replace(/\\([\s\S])/g, '$1') : Number(arg[2]))
+  }
+}
+
+/** Service time that a statement asks for in a comment, for tests of slow statements. */
+export function askedServiceMs (text: string): number | undefined {
+  const asked = /\/\*\s*service_ms=(\d+)\s*\*\//.exec(text)?.[1]
+  return asked === undefined ? undefined : Number(asked)
+}
--- /dev/null
+++ b/standins/database/ledger.ts
@@ -0,0 +1,160 @@
+// The rules of the ledger: who may commit, what a fence stops, how a replica
+// takes a primary's log. Pure functions over one read-only state.
+
+import { comparePositions, originPosition, type Address, type Position, type ServerStatus } from '../../src/model/index.js'
+import { appendEntry, emptyLog, entriesAfter, entryAt, holdsPosition, lastAtOrBelow, lastPosition, logLength, mergeEntries, type Log, type LogEntry } from './log.js'
+
+/** Entries that one answer to a replica holds at most. */
+const shippedEntries = 500
+
+/** What a server does in its group. */
+export type LedgerRole =
+  | { readonly kind: 'primary', readonly term: number }
+  | { readonly kind: 'replica', readonly term: number, readonly source: Address | undefined }
+
+/** An entry that is received and waits for its lag. */
+type PendingEntry = {
+  readonly entry: LogEntry
+  readonly dueMs: number
+}
+
+export type Ledger = {
+  readonly server: string
+  readonly role: LedgerRole
+  readonly fencedTerm: number
+  readonly proposer: string
+  readonly log: Log
+  readonly pending: readonly PendingEntry[]
+  readonly applied: Position
+}
+
+/** A ledger after a call, and whether the call was accepted. */
+export type Ruling = {
+  readonly accepted: boolean
+  readonly ledger: Ledger
+}
+
+export function newLedger (server: string): Ledger {
+  return {
+    server,
+    role: { kind: 'replica', term: 0, source: undefined },
+    fencedTerm: 0,
+    proposer: '',
+    log: emptyLog,
+    pending: [],
+    applied: originPosition
+  }
+}
+
+export function statusOf (ledger: Ledger): ServerStatus {
+  return {
+    server: ledger.server,
+    role: ledger.role.kind,
+    fencedTerm: ledger.fencedTerm,
+    proposer: ledger.proposer,
+    received: lastPosition(ledger.log),
+    applied: ledger.applied
+  }
+}
+
+/** A primary commits only while nobody has fenced its term. */
+export function mayCommit (ledger: Ledger): boolean {
+  return ledger.role.kind === 'primary' && ledger.role.term === ledger.fencedTerm
+}
+
+export function fence (ledger: Ledger, term: number, proposer: string): Ruling {
+  const again = term === ledger.fencedTerm && proposer === ledger.proposer
+  if (again) return { accepted: true, ledger }
+  if (term <= ledger.fencedTerm) return { accepted: false, ledger }
+  const role: LedgerRole = { kind: 'replica', term: ledger.role.term, source: undefined }
+  return { accepted: true, ledger: { ...ledger, role, fencedTerm: term, proposer } }
+}
+
+/** Makes a fenced server primary; what it received is applied at once and an entry of its own follows. */
+export function promote (ledger: Ledger, term: number, proposer: string): Ruling {
+  if (term !== ledger.fencedTerm || proposer !== ledger.proposer) return { accepted: false, ledger }
+  if (ledger.role.kind === 'primary' && ledger.role.term === term) return { accepted: true, ledger }
+  const promoted: Ledger = { ...ledger, role: { kind: 'primary', term }, pending: [] }
+  return { accepted: true, ledger: appendCommitted(promoted, []) }
+}
+
+export function follow (ledger: Ledger, term: number, proposer: string, source: Address): Ruling {
+  const leads = ledger.role.kind === 'primary' && ledger.role.term >= term
+  if (term < ledger.fencedTerm || leads) return { accepted: false, ledger }
+  const role: LedgerRole = { kind: 'replica', term, source }
+  return { accepted: true, ledger: { ...ledger, role, fencedTerm: term, proposer } }
+}
+
+/** Records what a primary's transaction wrote; the caller has asked `mayCommit`. */
+export function appendCommitted (ledger: Ledger, statements: readonly string[]): Ledger {
+  const position: Position = { term: ledger.role.term, index: logLength(ledger.log) + 1 }
+  return { ...ledger, log: appendEntry(ledger.log, { position, statements }), applied: position }
+}
+
+/** What a primary answers to a replica that holds its log up to a position. */
+export type Shipment =
+  | { readonly kind: 'entries', readonly entries: readonly LogEntry[] }
+  /** The logs differ before the position; they may agree up to this one. */
+  | { readonly kind: 'retry', readonly at: Position }
+  | { readonly kind: 'notPrimary' }
+
+export function ship (ledger: Ledger, term: number, after: Position): Shipment {
+  if (!mayCommit(ledger) || ledger.role.term !== term) return { kind: 'notPrimary' }
+  if (!holdsPosition(ledger.log, after)) return { kind: 'retry', at: lastAtOrBelow(ledger.log, after) }
+  return { kind: 'entries', entries: entriesAfter(ledger.log, after.index, shippedEntries) }
+}
+
+/** Where a replica asks to continue after a primary's hint. */
+export function resumeAt (ledger: Ledger, hint: Position): Position {
+  return lastAtOrBelow(ledger.log, hint)
+}
+
+/** A replica's ledger after a shipment. */
+export type Receipt = {
+  readonly ledger: Ledger
+  /** Applied entries were dropped: the data is to be built again from these. */
+  readonly rebuild: readonly LogEntry[] | undefined
+}
+
+export function receive (ledger: Ledger, term: number, entries: readonly LogEntry[], dueMs: number): Receipt {
+  const follows = ledger.role.kind === 'replica' && ledger.role.source !== undefined
+  if (!follows || ledger.role.term !== term || ledger.fencedTerm !== term) return { ledger, rebuild: undefined }
+  const merged = mergeEntries(ledger.log, entries)
+  if (merged.changedFrom === undefined) return { ledger, rebuild: undefined }
+  const changedFrom = merged.changedFrom
+  const kept = ledger.pending.filter(each => each.entry.position.index < changedFrom)
+  const fresh = entries.filter(entry => entry.position.index >= changedFrom)
+  const pending = [...kept, ...fresh.map(entry => ({ entry, dueMs }))]
+  const next = { ...ledger, log: merged.log, pending }
+  if (ledger.applied.index < changedFrom) return { ledger: next, rebuild: undefined }
+  const applied = entryAt(merged.log, changedFrom - 1)?.position ?? originPosition
+  return { ledger: { ...next, applied }, rebuild: entriesAfter(merged.log, 0, applied.index) }
+}
+
+/** What is to be applied by a time. */
+export type Due = {
+  readonly ledger: Ledger
+  readonly entries: readonly LogEntry[]
+}
+
+export function applyDue (ledger: Ledger, nowMs: number): Due {
+  const waiting = ledger.pending.findIndex(each => each.dueMs > nowMs)
+  const count = waiting === -1 ? ledger.pending.length : waiting
+  const entries = ledger.pending.slice(0, count).map(each => each.entry)
+  const applied = entries.at(-1)?.position ?? ledger.applied
+  return { ledger: { ...ledger, pending: ledger.pending.slice(count), applied }, entries }
+}
+
+/** What a caller of `ledger_wait` has seen. */
+export type SeenStatus = {
+  readonly received: Position
+  readonly applied: Position
+  readonly fencedTerm: number
+}
+
+export function differsFrom (ledger: Ledger, seen: SeenStatus): boolean {
+  const status = statusOf(ledger)
+  return status.fencedTerm !== seen.fencedTerm ||
+    comparePositions(status.received, seen.received) !== 0 ||
+    comparePositions(status.applied, seen.applied) !== 0
+}
--- /dev/null
+++ b/standins/database/log.ts
@@ -0,0 +1,93 @@
+// The ledger log: entries whose indexes run from 1 without a gap and whose
+// terms never fall. Kept as sealed chunks and a short tail, so that adding one
+// entry copies only the tail.
+
+import { originPosition, type Position } from '../../src/model/index.js'
+
+/** What one committed transaction wrote; a promoted primary's own entry has no statements. */
+export type LogEntry = {
+  readonly position: Position
+  readonly statements: readonly string[]
+}
+
+type Chunk = readonly LogEntry[]
+
+export type Log = {
+  /** Chunks of exactly `chunkEntries` entries. */
+  readonly sealed: readonly Chunk[]
+  readonly tail: Chunk
+}
+
+/** Entries of one sealed chunk. */
+const chunkEntries = 256
+
+export const emptyLog: Log = { sealed: [], tail: [] }
+
+export function logLength (log: Log): number {
+  return log.sealed.length * chunkEntries + log.tail.length
+}
+
+export function entryAt (log: Log, index: number): LogEntry | undefined {
+  if (index < 1) return undefined
+  const chunk = log.sealed[Math.floor((index - 1) / chunkEntries)] ?? log.tail
+  return index > logLength(log) ? undefined : chunk[(index - 1) % chunkEntries]
+}
+
+export function lastPosition (log: Log): Position {
+  return entryAt(log, logLength(log))?.position ?? originPosition
+}
+
+export function holdsPosition (log: Log, position: Position): boolean {
+  if (position.index === 0) return true
+  return entryAt(log, position.index)?.position.term === position.term
+}
+
+export function appendEntry (log: Log, entry: LogEntry): Log {
+  const tail = [...log.tail, entry]
+  if (tail.length < chunkEntries) return { sealed: log.sealed, tail }
+  return { sealed: [...log.sealed, tail], tail: [] }
+}
+
+/** The log up to and with an index. */
+export function truncateLog (log: Log, index: number): Log {
+  if (index >= logLength(log)) return log
+  const whole = Math.floor(index / chunkEntries)
+  const partial = log.sealed[whole] ?? log.tail
+  return { sealed: log.sealed.slice(0, whole), tail: partial.slice(0, index % chunkEntries) }
+}
+
+/** At most `limit` entries after an index. */
+export function entriesAfter (log: Log, index: number, limit: number): readonly LogEntry[] {
+  const count = Math.max(0, Math.min(limit, logLength(log) - index))
+  return Array.from({ length: count }, (_, offset) => entryAt(log, index + 1 + offset) as LogEntry)
+}
+
+/** The last entry at or below an index whose term is no later than a term; where another log may agree. */
+export function lastAtOrBelow (log: Log, bound: Position): Position {
+  let low = 0
+  let high = Math.min(bound.index, logLength(log))
+  while (low < high) {
+    const middle = Math.ceil((low + high) / 2)
+    const term = entryAt(log, middle)?.position.term ?? Infinity
+    if (term <= bound.term) low = middle
+    else high = middle - 1
+  }
+  return entryAt(log, low)?.position ?? originPosition
+}
+
+/** What a log becomes when it takes entries of another that agrees up to `after`. */
+export type MergedLog = {
+  readonly log: Log
+  /** The index from which entries were dropped or added. */
+  readonly changedFrom: number | undefined
+}
+
+export function mergeEntries (log: Log, entries: readonly LogEntry[]): MergedLog {
+  const fresh = entries.findIndex(entry => !holdsPosition(log, entry.position))
+  const first = entries[fresh]
+  const gap = first !== undefined && first.position.index > logLength(log) + 1
+  if (first === undefined || gap) return { log, changedFrom: undefined }
+  const changedFrom = first.position.index
+  const kept = truncateLog(log, changedFrom - 1)
+  return { log: entries.slice(fresh).reduce(appendEntry, kept), changedFrom }
+}
--- /dev/null
+++ b/standins/database/replication.ts
@@ -0,0 +1,101 @@
+// A replica's pull: asks the primary for the entries after its own last one,
+// over and over, and hands them to its server. Each answer has a deadline, so
+// a connection that has gone silent is replaced.
+
+import { createConnection, type Connection, type RowDataPacket } from 'mysql2/promise'
+import { z } from 'zod'
+import type { Address, Position } from '../../src/model/index.js'
+import { originPosition } from '../../src/model/index.js'
+import { ask, sleep, type Port, type TimerService } from '../../src/pipe/index.js'
+import type { Shipment } from './ledger.js'
+import { replicaAttribute } from './server.js'
+import type { ServerMessage } from './server-state.js'
+
+/** How long the primary holds a pull without news. */
+const pullWaitMs = 500
+/** How long an answer may take beyond that. */
+const answerMarginMs = 700
+const connectTimeoutMs = 1000
+const retryDelayMs = 50
+
+export type Credentials = {
+  readonly user: string
+  readonly password: string
+}
+
+export type PullSettings = {
+  readonly server: string
+  readonly term: number
+  readonly source: Address
+  readonly credentials: Credentials
+}
+
+const shippedRow = z.object({
+  kind: z.enum(['entry', 'retry']),
+  term: z.coerce.number(),
+  index_no: z.coerce.number(),
+  statements: z.string().transform(text => z.array(z.string()).parse(JSON.parse(text)))
+})
+
+/**
+ * Starts to pull a primary's log.
+ * @param settings - whose log, for which term
+ * @param timers - the timer service
+ * @param server - the replica's server
+ * @returns a function that ends the pull
+ */
+export function startPull (settings: PullSettings, timers: TimerService, server: Port<ServerMessage>): () => void {
+  const abort = new AbortController()
+  void pull(settings, timers, server, abort.signal)
+  return () => { abort.abort() }
+}
+
+async function pull (settings: PullSettings, timers: TimerService, server: Port<ServerMessage>, signal: AbortSignal): Promise<void> {
+  while (!signal.aborted) {
+    try {
+      await pullOnConnection(settings, timers, server, signal)
+    } catch {
+      // The source is away or answers nothing: the pull starts again below.
+    }
+    await sleep(timers, retryDelayMs)
+  }
+}
+
+async function pullOnConnection (settings: PullSettings, timers: TimerService, server: Port<ServerMessage>, signal: AbortSignal): Promise<void> {
+  const connection = await createConnection({
+    host: settings.source.ip,
+    port: settings.source.port,
+    ...settings.credentials,
+    connectTimeout: connectTimeoutMs,
+    connectAttributes: { [replicaAttribute]: settings.server }
+  })
+  connection.on('error', () => {})
+  const close = (): void => { connection.destroy() }
+  signal.addEventListener('abort', close)
+  try {
+    let after = await deliver(settings, timers, server, { kind: 'notPrimary' })
+    while (after !== undefined && !signal.aborted) {
+      after = await deliver(settings, timers, server, await askPrimary(connection, settings.term, after))
+    }
+  } finally {
+    signal.removeEventListener('abort', close)
+    connection.destroy()
+  }
+}
+
+async function askPrimary (connection: Connection, term: number, after: Position): Promise<Shipment> {
+  const [rows] = await connection.query<RowDataPacket[]>({
+    sql: `CALL ledger_log(${term}, ${after.term}, ${after.index}, ${pullWaitMs})`,
+    timeout: pullWaitMs + answerMarginMs
+  })
+  const read = rows.map(row => shippedRow.parse(row))
+  const retry = read.find(row => row.kind === 'retry')
+  if (retry !== undefined) return { kind: 'retry', at: { term: retry.term, index: retry.index_no } }
+  return { kind: 'entries', entries: read.map(row => ({ position: { term: row.term, index: row.index_no }, statements: row.statements })) }
+}
+
+async function deliver (settings: PullSettings, timers: TimerService, server: Port<ServerMessage>, shipment: Shipment): Promise<Position | undefined> {
+  const nowMs = timers.nowMs()
+  return await ask<ServerMessage, Position | undefined>(
+    server, reply => ({ kind: 'shipped', term: settings.term, shipment, nowMs, reply }), originPosition)
+}
--- /dev/null
+++ b/standins/database/server-state.ts
@@ -0,0 +1,145 @@
+// What a database server knows, hears and does. Its sessions, the one write
+// lock, the slots and the ledger are one state, so that a commit and a fence
+// are always decided one after the other.
+
+import type { Address, Position } from '../../src/model/index.js'
+import type { Reply, Transition } from '../../src/pipe/index.js'
+import type { Ledger, SeenStatus, Shipment } from './ledger.js'
+import type { LogEntry } from './log.js'
+
+export type SqlValue = string | number | bigint | Buffer | null
+
+/** What a statement is answered with. */
+export type SqlReply =
+  | { readonly kind: 'rows', readonly columns: readonly string[], readonly rows: ReadonlyArray<readonly SqlValue[]> }
+  | { readonly kind: 'done', readonly affectedRows: number, readonly insertId: number }
+  | { readonly kind: 'error', readonly code: number, readonly message: string }
+
+export type ServerSettings = {
+  readonly server: string
+  readonly slots: number
+  readonly maxConnections: number
+  readonly lockWaitMs: number
+  readonly idleTransactionMs: number
+}
+
+/** What tests change while the server runs. */
+export type Tuning = {
+  readonly lagMs: number
+  readonly serviceMs: number
+  readonly connectDelayMs: number
+}
+
+/** What a session said of itself when it opened. */
+export type Login = {
+  readonly session: number
+  readonly user: string
+  readonly schema: string
+  readonly attributes: Readonly<Record<string, string>>
+  readonly accepted: boolean
+}
+
+export type LoginVerdict = 'accepted' | 'denied' | 'tooMany'
+
+export type SessionTransaction =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'begun', readonly readOnly: boolean }
+  | { readonly kind: 'open', readonly mode: 'read' | 'write', readonly snapshot: Position, readonly writes: readonly string[] }
+  /** Rolled back by the server; the session has not heard of it yet. */
+  | { readonly kind: 'lost' }
+
+/** A statement that waits or runs. */
+export type Work = {
+  readonly id: number
+  readonly kind: 'read' | 'write' | 'commit'
+  readonly text: string
+  readonly reply: Reply<SqlReply>
+}
+
+export type Session = {
+  readonly id: number
+  /** Sessions of replicas stand outside the connection cap. */
+  readonly counted: boolean
+  readonly transaction: SessionTransaction
+  readonly position: Position
+  readonly work: Work | undefined
+  readonly lastWork: number
+}
+
+/** A ledger call that is answered later. */
+export type LedgerWait = { readonly id: number, readonly reply: Reply<SqlReply> } & (
+  | { readonly kind: 'status', readonly seen: SeenStatus }
+  | { readonly kind: 'log', readonly term: number, readonly after: Position }
+)
+
+export type ServerState = {
+  readonly settings: ServerSettings
+  readonly tuning: Tuning
+  readonly ledger: Ledger
+  readonly sessions: ReadonlyMap<number, Session>
+  /** The session that may write, and those that wait to. */
+  readonly lock: { readonly holder: number | undefined, readonly waiting: readonly number[] }
+  readonly slots: { readonly busy: number, readonly waiting: readonly number[] }
+  readonly waits: readonly LedgerWait[]
+  readonly logins: readonly Login[]
+  readonly statements: readonly string[]
+  readonly nextId: number
+}
+
+/** How a statement's transaction begins. */
+export type Beginning = 'none' | 'read' | 'write'
+
+export type ServerMessage =
+  | { readonly kind: 'open', readonly login: Login, readonly reply: Reply<LoginVerdict> }
+  | { readonly kind: 'close', readonly session: number }
+  | { readonly kind: 'reset', readonly session: number, readonly reply: Reply<SqlReply> }
+  | { readonly kind: 'run', readonly session: number, readonly text: string, readonly reply: Reply<SqlReply> }
+  | { readonly kind: 'lockOverdue', readonly session: number, readonly work: number }
+  | { readonly kind: 'served', readonly session: number, readonly work: number }
+  | { readonly kind: 'executed', readonly session: number, readonly work: number, readonly result: SqlReply, readonly inTransaction: boolean }
+  | { readonly kind: 'idle', readonly session: number, readonly lastWork: number }
+  | { readonly kind: 'waitOverdue', readonly id: number }
+  | { readonly kind: 'shipped', readonly term: number, readonly shipment: Shipment, readonly nowMs: number, readonly reply: Reply<Position | undefined> }
+  | { readonly kind: 'applyDue', readonly nowMs: number }
+
+export type ServerEffect =
+  | { readonly kind: 'reply', readonly reply: Reply<SqlReply>, readonly answer: SqlReply }
+  | { readonly kind: 'verdict', readonly reply: Reply<LoginVerdict>, readonly verdict: LoginVerdict }
+  | { readonly kind: 'resume', readonly reply: Reply<Position | undefined>, readonly after: Position | undefined }
+  | { readonly kind: 'later', readonly delayMs: number, readonly message: ServerMessage }
+  | { readonly kind: 'applyLater', readonly delayMs: number }
+  | { readonly kind: 'execute', readonly session: number, readonly work: number, readonly text: string, readonly begin: Beginning, readonly own: boolean }
+  | { readonly kind: 'commit', readonly session: number }
+  | { readonly kind: 'rollback', readonly session: number }
+  | { readonly kind: 'forget', readonly session: number }
+  | { readonly kind: 'disconnect', readonly session: number }
+  | { readonly kind: 'apply', readonly entries: readonly LogEntry[] }
+  | { readonly kind: 'rebuild', readonly entries: readonly LogEntry[] }
+  | { readonly kind: 'follow', readonly term: number, readonly source: Address }
+  | { readonly kind: 'unfollow' }
+
+export type Next = Transition<ServerState, ServerEffect>
+
+/** Carries a transition on with a further decision. */
+export function andThen (next: Next, decide: (state: ServerState) => Next): Next {
+  const further = decide(next.state)
+  return { state: further.state, effects: [...next.effects, ...further.effects] }
+}
+
+export function putSession (state: ServerState, session: Session): ServerState {
+  return { ...state, sessions: new Map(state.sessions).set(session.id, session) }
+}
+
+export const doneReply: SqlReply = { kind: 'done', affectedRows: 0, insertId: 0 }
+
+export function errorReply (code: number, message: string): SqlReply {
+  return { kind: 'error', code, message }
+}
+
+export function readOnlyReply (): SqlReply {
+  return errorReply(1290, 'The server is a replica or has been fenced and takes no writes')
+}
+
+export function answerWith (state: ServerState, reply: Reply<SqlReply>, answer: SqlReply): Next {
+  return { state, effects: [{ kind: 'reply', reply, answer }] }
+}
--- /dev/null
+++ b/standins/database/storage.ts
@@ -0,0 +1,139 @@
+// The data of one server: SQLite in a temporary folder that goes with the
+// process. A session that writes or opens a transaction has a connection of
+// its own; reads outside transactions share one. Nothing here waits: the
+// server's step lets only one session write at a time.
+
+import Database from 'better-sqlite3'
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { toSqlite } from './dialect.js'
+import type { LogEntry } from './log.js'
+import { errorReply, type Beginning, type SqlReply, type SqlValue } from './server-state.js'
+
+type SessionDatabase = {
+  readonly generation: number
+  readonly database: Database.Database
+}
+
+/** MySQL's error numbers for SQLite's codes. */
+const errorNumbers: ReadonlyMap<string, number> = new Map([
+  ['SQLITE_CONSTRAINT_UNIQUE', 1062],
+  ['SQLITE_CONSTRAINT_PRIMARYKEY', 1062],
+  ['SQLITE_CONSTRAINT_ROWID', 1062],
+  ['SQLITE_CONSTRAINT_NOTNULL', 1048],
+  ['SQLITE_CONSTRAINT_CHECK', 3819],
+  ['SQLITE_CONSTRAINT_FOREIGNKEY', 1452],
+  ['SQLITE_BUSY', 1205],
+  ['SQLITE_BUSY_SNAPSHOT', 1213]
+])
+
+const errorTexts: ReadonlyArray<readonly [RegExp, number]> = [
+  [/no such table/, 1146],
+  [/no such column/, 1054],
+  [/already exists/, 1050],
+  [/syntax error|incomplete input|unrecognized token/, 1064]
+]
+
+/** The data of one server. */
+export class SqlStorage {
+  readonly #folder: string
+  readonly #sessions = new Map<number, SessionDatabase>()
+  #generation = 0
+  #shared: Database.Database
+
+  constructor (server: string) {
+    this.#folder = mkdtempSync(join(tmpdir(), `limpetmoor-${server}-`))
+    this.#shared = this.#connect()
+  }
+
+  /** Runs one statement, on the session's own connection or on the shared one. */
+  execute (session: number, text: string, begin: Beginning, own: boolean): SqlReply {
+    const database = own ? this.#own(session) : this.#shared
+    try {
+      if (begin !== 'none') database.exec(begin === 'write' ? 'BEGIN IMMEDIATE' : 'BEGIN')
+      return runStatement(database, text)
+    } catch (error) {
+      return sqlError(error)
+    }
+  }
+
+  inTransaction (session: number): boolean {
+    return this.#sessions.get(session)?.database.inTransaction ?? false
+  }
+
+  commit (session: number): void {
+    this.#sessions.get(session)?.database.exec('COMMIT')
+  }
+
+  rollback (session: number): void {
+    if (this.inTransaction(session)) this.#sessions.get(session)?.database.exec('ROLLBACK')
+  }
+
+  /** Ends a session; its open transaction is rolled back. */
+  forget (session: number): void {
+    this.#sessions.get(session)?.database.close()
+    this.#sessions.delete(session)
+  }
+
+  /** Applies entries of the log in one transaction. */
+  apply (entries: readonly LogEntry[]): void {
+    replay(this.#shared, entries)
+  }
+
+  /** Builds the data again from the log; readers go over to it at once, open snapshots stay. */
+  rebuild (entries: readonly LogEntry[]): void {
+    const old = this.#shared
+    this.#generation += 1
+    this.#shared = this.#connect()
+    replay(this.#shared, entries)
+    old.close()
+  }
+
+  dispose (): void {
+    for (const { database } of this.#sessions.values()) database.close()
+    this.#shared.close()
+    rmSync(this.#folder, { recursive: true, force: true })
+  }
+
+  #own (session: number): Database.Database {
+    const present = this.#sessions.get(session)
+    if (present !== undefined && (present.generation === this.#generation || present.database.inTransaction)) return present.database
+    present?.database.close()
+    const database = this.#connect()
+    this.#sessions.set(session, { generation: this.#generation, database })
+    return database
+  }
+
+  #connect (): Database.Database {
+    const database = new Database(join(this.#folder, `data-${this.#generation}.db`), { timeout: 0 })
+    database.pragma('journal_mode = WAL')
+    database.pragma('synchronous = OFF')
+    return database
+  }
+}
+
+function replay (database: Database.Database, entries: readonly LogEntry[]): void {
+  database.exec('BEGIN IMMEDIATE')
+  for (const entry of entries) {
+    for (const text of entry.statements) runStatement(database, text)
+  }
+  database.exec('COMMIT')
+}
+
+function runStatement (database: Database.Database, text: string): SqlReply {
+  const statement = database.prepare(toSqlite(text)).safeIntegers(true)
+  if (statement.reader) {
+    const rows = statement.raw(true).all() as ReadonlyArray<readonly SqlValue[]>
+    return { kind: 'rows', columns: statement.columns().map(column => column.name), rows }
+  }
+  const result = statement.run()
+  return { kind: 'done', affectedRows: result.changes, insertId: Number(result.lastInsertRowid) }
+}
+
+function sqlError (error: unknown): SqlReply {
+  if (!(error instanceof Error)) return errorReply(1105, String(error))
+  const code = error instanceof Database.SqliteError ? errorNumbers.get(error.code) : undefined
+  const byText = errorTexts.find(([pattern]) => pattern.test(error.message))?.[1]
+  return errorReply(code ?? byText ?? 1105, error.message)
+}
