Decide failover of a database at its homes

Nobody else orders a promotion, so the homes of a database judge its primary and replace it. observe: group-view and health; judge: judge; decide: proposal and failover; act: follow; report: publish.

Ruled out: judging by open connections (a silent one is not a dead server), an agreement among homes (the servers' conditional fence already gives one primary a term), promoting before every log end is known.

--- /dev/null
+++ b/src/failover/failover.ts
@@ -0,0 +1,205 @@
+// The failover of one database at one of its homes: observe the servers, judge
+// the primary, decide on a new one, have it done and told. The terms of the
+// servers decide; the store only publishes, so all of this works without it.
+
+import { covers, type DatabaseDeclaration, type ServerName, type ServerStatus } from '../model/index.js'
+import { stay, type Transition } from '../pipe/index.js'
+import { bringIntoLine } from './follow.js'
+import { learnStatus, primaryView, withServers } from './group-view.js'
+import { dueProbes, forgetFailures, probeAnswered, probeFailed, probeSoon, probesSent, reachable, signOfLife } from './health.js'
+import { causeOf, mayPropose, publishes } from './judge.js'
+import { fenceAnswered, fencedEnough, idleProposal, nextPrimary, type Cause, type Draining, type Fencing, type Promoting } from './proposal.js'
+import { activeNames, serverNames, type CallAnswered, type CallFailed, type FailoverEffect, type FailoverEvent, type FailoverState } from './state.js'
+
+type Next = Transition<FailoverState, FailoverEffect>
+
+/** A leaving primary is replaced again no sooner than after this many drain timeouts. */
+const drainRetryTimeouts = 4
+
+/**
+ * The failover decision.
+ * @param state - what the home knows
+ * @param event - what happened
+ * @returns the next state and what to do
+ */
+export function failoverStep (state: FailoverState, event: FailoverEvent): Next {
+  return chain(handle(state, event), [
+    next => decide(next, event.nowMs),
+    next => bringIntoLine(next, event.nowMs),
+    announce
+  ])
+}
+
+function chain (first: Next, stages: ReadonlyArray<(state: FailoverState) => Next>): Next {
+  return stages.reduce((done, stage) => {
+    const { state, effects } = stage(done.state)
+    return { state, effects: [...done.effects, ...effects] }
+  }, first)
+}
+
+function handle (state: FailoverState, event: FailoverEvent): Next {
+  switch (event.kind) {
+    case 'statusReceived': return stay(observe(state, event.status, event.nowMs))
+    case 'connectionLost': return stay({ ...state, health: probeSoon(state.health, event.server) })
+    case 'probeAnswered': return stay({ ...state, health: probeAnswered(state.health, event.server, event.nowMs) })
+    case 'probeFailed': return stay({ ...state, health: probeFailed(state.health, event.server, event.how) })
+    case 'ranksChanged': return stay(changeRank(state, event.rank))
+    case 'manifestChanged': return stay(changeManifest(state, event.database))
+    case 'fenceAnswered': return stay(takeFence(observe(state, event.status, event.nowMs), event))
+    case 'promoteAnswered': return stay(takePromotion(observe(state, event.status, event.nowMs), event))
+    case 'followAnswered': return stay(observe(state, event.status, event.nowMs))
+    case 'callFailed': return stay(takeFailure(state, event))
+    case 'tick': return tick(state, event.nowMs, event.random)
+  }
+}
+
+function observe (state: FailoverState, status: ServerStatus, nowMs: number): FailoverState {
+  return {
+    ...state,
+    group: learnStatus(state.group, status, nowMs),
+    health: signOfLife(state.health, status.server, nowMs)
+  }
+}
+
+function changeRank (state: FailoverState, rank: number | undefined): FailoverState {
+  return { ...state, rank, proposal: rank === undefined ? idleProposal : state.proposal }
+}
+
+function changeManifest (state: FailoverState, database: DatabaseDeclaration): FailoverState {
+  return { ...state, group: withServers(state.group, serverNames(database)), active: activeNames(database) }
+}
+
+function takeFence (state: FailoverState, event: CallAnswered): FailoverState {
+  return { ...state, proposal: fenceAnswered(state.proposal, event, state.group.servers.length, event.nowMs) }
+}
+
+function takePromotion (state: FailoverState, event: CallAnswered): FailoverState {
+  const { proposal } = state
+  if (proposal.kind !== 'promoting' || proposal.term !== event.term || proposal.server !== event.server) return state
+  return { ...state, proposal: event.accepted ? idleProposal : { kind: 'failed' } }
+}
+
+// A fence or a follow without an answer is sent again; a promotion that broke
+// off is given up for a new term, whether it took effect or not.
+function takeFailure (state: FailoverState, event: CallFailed): FailoverState {
+  switch (event.call) {
+    case 'fence':
+    case 'follow': return state
+    case 'promote': {
+      const { proposal } = state
+      const mine = proposal.kind === 'promoting' && proposal.term === event.term && proposal.server === event.server
+      return mine ? { ...state, proposal: { kind: 'failed' } } : state
+    }
+  }
+}
+
+function tick (state: FailoverState, nowMs: number, random: number): Next {
+  const paused = state.lastTickMs !== undefined && nowMs - state.lastTickMs > state.settings.ownPauseMs
+  const health = paused ? forgetFailures(state.health) : state.health
+  const ticked = drawRetry({ ...state, health, lastTickMs: nowMs }, nowMs, random)
+  if (ticked.rank === undefined) return stay(ticked)
+  const servers = dueProbes(ticked.health, ticked.group.servers, ticked.settings, nowMs)
+  return {
+    state: { ...ticked, health: probesSent(ticked.health, servers, nowMs) },
+    effects: servers.map(server => ({ kind: 'probe', server }))
+  }
+}
+
+function drawRetry (state: FailoverState, nowMs: number, random: number): FailoverState {
+  if (state.proposal.kind !== 'failed') return state
+  return { ...state, proposal: idleProposal, retryAtMs: nowMs + random * state.settings.retrySpreadMs }
+}
+
+function decide (state: FailoverState, nowMs: number): Next {
+  const { proposal } = state
+  switch (proposal.kind) {
+    case 'failed': return stay(state)
+    case 'idle': return considerProposal(state, nowMs)
+    case 'draining': return goOnDraining(state, proposal, nowMs)
+    case 'fencing': return goOnFencing(state, proposal, nowMs)
+    case 'promoting': return goOnPromoting(state, proposal, nowMs)
+  }
+}
+
+function considerProposal (state: FailoverState, nowMs: number): Next {
+  const cause = causeOf(state, nowMs)
+  if (cause === undefined) return stay({ ...state, troubleSinceMs: undefined })
+  const troubled = { ...state, troubleSinceMs: state.troubleSinceMs ?? nowMs }
+  return mayPropose(troubled, nowMs) ? propose(troubled, cause, nowMs) : stay(troubled)
+}
+
+function propose (state: FailoverState, cause: Cause, nowMs: number): Next {
+  const term = Math.max(state.group.highestTerm, state.lastProposedTerm) + 1
+  const proposing = { ...state, lastProposedTerm: term, troubleSinceMs: undefined }
+  const { primary } = primaryView(state.group)
+  if (cause !== 'leaving' || primary === undefined) return startFencing(proposing, term, nowMs)
+  return {
+    state: {
+      ...proposing,
+      retryAtMs: nowMs + drainRetryTimeouts * state.settings.drainTimeoutMs,
+      proposal: { kind: 'draining', term, primary, end: undefined, startedAtMs: nowMs, sentAtMs: nowMs }
+    },
+    effects: fences(state, term, [primary])
+  }
+}
+
+function startFencing (state: FailoverState, term: number, nowMs: number): Next {
+  const proposal: Fencing = { kind: 'fencing', term, accepted: {}, refused: [], startedAtMs: nowMs, sentAtMs: nowMs, majorityAtMs: undefined }
+  return { state: { ...state, proposal }, effects: fences(state, term, state.group.servers) }
+}
+
+function fences (state: FailoverState, term: number, servers: readonly ServerName[]): readonly FailoverEffect[] {
+  return servers.map(server => ({ kind: 'fence', server, term, proposer: state.proposer }))
+}
+
+function goOnDraining (state: FailoverState, proposal: Draining, nowMs: number): Next {
+  const { end } = proposal
+  const drained = end !== undefined && state.active.some(server => {
+    const received = state.group.known[server]?.status.received
+    return received !== undefined && covers(received, end)
+  })
+  if (drained || nowMs - proposal.startedAtMs >= state.settings.drainTimeoutMs) return startFencing(state, proposal.term, nowMs)
+  if (end !== undefined || nowMs - proposal.sentAtMs < state.settings.resendEveryMs) return stay(state)
+  return { state: { ...state, proposal: { ...proposal, sentAtMs: nowMs } }, effects: fences(state, proposal.term, [proposal.primary]) }
+}
+
+function goOnFencing (state: FailoverState, proposal: Fencing, nowMs: number): Next {
+  const { settings, group } = state
+  const answering = reachable(state.health, group.servers, settings, nowMs)
+  if (fencedEnough(proposal, answering, settings, nowMs)) return promote(state, proposal, nowMs)
+  if (nowMs - proposal.startedAtMs >= settings.stepTimeoutMs) return stay({ ...state, proposal: { kind: 'failed' } })
+  if (nowMs - proposal.sentAtMs < settings.resendEveryMs) return stay(state)
+  const missing = group.servers.filter(server => !(server in proposal.accepted) && !proposal.refused.includes(server))
+  return { state: { ...state, proposal: { ...proposal, sentAtMs: nowMs } }, effects: fences(state, proposal.term, missing) }
+}
+
+function promote (state: FailoverState, proposal: Fencing, nowMs: number): Next {
+  const electorate = { servers: state.group.servers, active: state.active, currentPrimary: state.group.leadership?.server }
+  const server = nextPrimary(proposal.accepted, electorate)
+  if (server === undefined) return stay({ ...state, proposal: { kind: 'failed' } })
+  return {
+    state: { ...state, proposal: { kind: 'promoting', term: proposal.term, server, startedAtMs: nowMs, sentAtMs: nowMs } },
+    effects: [{ kind: 'promote', server, term: proposal.term, proposer: state.proposer }]
+  }
+}
+
+function goOnPromoting (state: FailoverState, proposal: Promoting, nowMs: number): Next {
+  const { term, server } = proposal
+  if (state.group.leadership?.term === term) return stay({ ...state, proposal: idleProposal })
+  if (state.group.highestTerm > term || nowMs - proposal.startedAtMs >= state.settings.stepTimeoutMs) {
+    return stay({ ...state, proposal: { kind: 'failed' } })
+  }
+  if (nowMs - proposal.sentAtMs < state.settings.resendEveryMs) return stay(state)
+  return {
+    state: { ...state, proposal: { ...proposal, sentAtMs: nowMs } },
+    effects: [{ kind: 'promote', server, term, proposer: state.proposer }]
+  }
+}
+
+function announce (state: FailoverState): Next {
+  const view = primaryView(state.group)
+  if (view.term === state.announced.term && view.primary === state.announced.primary) return stay(state)
+  const changed: FailoverEffect = { kind: 'primaryChanged', view }
+  const effects = publishes(state, view) ? [changed, { kind: 'publish', view } as const] : [changed]
+  return { state: { ...state, announced: view }, effects }
+}
--- /dev/null
+++ b/src/failover/follow.ts
@@ -0,0 +1,57 @@
+// Brings every server in line behind the primary: replicas after a change of
+// primary, an old primary that comes back late, a server that was restarted
+// and follows nobody. Following is idempotent, so that it is simply repeated
+// until the server's status shows entries of the primary's term.
+
+import { covers, type ServerName } from '../model/index.js'
+import type { Transition } from '../pipe/index.js'
+import { primaryView, type KnownStatus } from './group-view.js'
+import { deadBy } from './health.js'
+import type { FailoverEffect, FailoverState, OutOfLine } from './state.js'
+
+/** A replica that is behind and has not moved for this many follow periods is told again. */
+const stalledPeriods = 2
+
+/**
+ * Tells servers that are out of line to follow the primary.
+ * @param state - what the home knows
+ * @param nowMs - monotonic time
+ * @returns the next state and the `follow` effects
+ */
+export function bringIntoLine (state: FailoverState, nowMs: number): Transition<FailoverState, FailoverEffect> {
+  const { primary, term } = primaryView(state.group)
+  if (state.rank === undefined || primary === undefined || state.proposal.kind !== 'idle') return { state, effects: [] }
+  const strays = state.group.servers.filter(server => server !== primary && isStray(state, server, primary, term, nowMs))
+  const due = strays.filter(server => followDue(state, state.outOfLine[server], nowMs))
+  const outOfLine = Object.fromEntries(strays.map(server => [server, {
+    sinceMs: state.outOfLine[server]?.sinceMs ?? nowMs,
+    followSentAtMs: due.includes(server) ? nowMs : state.outOfLine[server]?.followSentAtMs
+  }] as const))
+  const proposer = state.group.leadership?.proposer ?? state.proposer
+  return {
+    state: { ...state, outOfLine },
+    effects: due.map(server => ({ kind: 'follow', server, term, proposer, primary }))
+  }
+}
+
+function isStray (state: FailoverState, server: ServerName, primary: ServerName, term: number, nowMs: number): boolean {
+  const known = state.group.known[server]
+  if (known === undefined || deadBy(state.health, server, state.settings) !== undefined) return false
+  const { fencedTerm, received, role } = known.status
+  if (fencedTerm > term) return false
+  if (fencedTerm < term || received.term < term || role === 'primary') return true
+  return stalled(state, known, state.group.known[primary], nowMs)
+}
+
+function stalled (state: FailoverState, known: KnownStatus, primary: KnownStatus | undefined, nowMs: number): boolean {
+  if (primary === undefined || covers(known.status.received, primary.status.received)) return false
+  return nowMs - known.movedAtMs >= stalledPeriods * state.settings.followEveryMs
+}
+
+// The home that promoted acts at once, the others after their turn.
+function followDue (state: FailoverState, before: OutOfLine | undefined, nowMs: number): boolean {
+  if (before?.followSentAtMs !== undefined) return nowMs - before.followSentAtMs >= state.settings.followEveryMs
+  const promotedHere = state.group.leadership?.proposer === state.proposer
+  const turnMs = promotedHere ? 0 : (state.rank ?? 0) * state.settings.rankDelayMs
+  return nowMs - (before?.sinceMs ?? nowMs) >= turnMs
+}
--- /dev/null
+++ b/src/failover/settings.ts
@@ -0,0 +1,55 @@
+// Settings of failover. The defaults aim at a gap in service well under a
+// second; every time is in milliseconds of the home's monotonic clock.
+
+/** Settings of failover. */
+export type FailoverSettings = {
+  /** A server that gave no sign of life for this time is probed. */
+  readonly probeEveryMs: number
+  /** A probe without an answer for this time is overdue. */
+  readonly probeTimeoutMs: number
+  /** Refused probes in a row after which a server counts as dead. */
+  readonly refusedUntilDead: number
+  /** Failed probes of any kind in a row after which a server counts as dead. */
+  readonly failedUntilDead: number
+  /** A server counts as reachable for this time after a sign of life. */
+  readonly reachableForMs: number
+  /** A silent primary is alive while its replicas received entries this recently. */
+  readonly progressHoldMs: number
+  /** Each home waits this long for the homes before it in rank. */
+  readonly rankDelayMs: number
+  /** Time given to a proposal of another home to end. */
+  readonly settleMs: number
+  /** A step without an answer is sent again after this time. */
+  readonly resendEveryMs: number
+  /** A proposal that is not through after this time is given up. */
+  readonly stepTimeoutMs: number
+  /** Time given to the slower servers once a majority accepted the fence. */
+  readonly fenceGraceMs: number
+  /** Time given to replicas to receive everything from a leaving primary. */
+  readonly drainTimeoutMs: number
+  /** A proposal that failed is followed by another within this random time. */
+  readonly retrySpreadMs: number
+  /** A server out of line is told to follow the primary this often. */
+  readonly followEveryMs: number
+  /** A longer time between two ticks means that this host was paused. */
+  readonly ownPauseMs: number
+}
+
+/** Settings that keep the gap in service under a second. */
+export const defaultFailoverSettings: FailoverSettings = {
+  probeEveryMs: 100,
+  probeTimeoutMs: 250,
+  refusedUntilDead: 2,
+  failedUntilDead: 2,
+  reachableForMs: 600,
+  progressHoldMs: 250,
+  rankDelayMs: 300,
+  settleMs: 300,
+  resendEveryMs: 150,
+  stepTimeoutMs: 900,
+  fenceGraceMs: 30,
+  drainTimeoutMs: 400,
+  retrySpreadMs: 300,
+  followEveryMs: 400,
+  ownPauseMs: 400
+}
