--- /dev/null
+++ b/src/daemon/callers.ts
@@ -0,0 +1,104 @@
+// The callers of this host: listens, decides logins and starts a task for each
+// connection.
+
+import { keyDecision } from '../config/index.js'
+import { notRun, type Caller, type Outcome } from '../model/index.js'
+import type { Filter } from '../pipe/index.js'
+import { openSessionState, type ConfigurationInForce, type Incoming, type OpenTransaction, type Served } from '../request/index.js'
+import { decodeToken, listenForCallers, type CallerLink, type CallerListener, type LoginRequest } from '../wire/index.js'
+import type { DaemonContext } from './context.js'
+import { serveCaller } from './caller-task.js'
+
+/** Connection attribute that carries a session token. */
+const tokenAttribute = 'limpetmoor_session'
+
+/** What the callers' side needs. */
+export type CallersSpec = {
+  readonly context: DaemonContext
+  readonly pipe: Filter<Incoming, never, Served>
+  readonly configuration: () => ConfigurationInForce
+  readonly rollBack: (transaction: OpenTransaction) => Promise<void>
+  readonly onServed: (caller: Caller, outcome: Outcome, tookMs: number) => void
+  readonly onLoginRefused: (user: string, outcome: Outcome) => void
+}
+
+/** The running callers' side. */
+export type Callers = {
+  readonly port: number
+  readonly count: () => number
+  /** Accepts nobody new and lets each caller go after its current work. */
+  readonly drain: () => Promise<void>
+  /** Closes what is still open. */
+  readonly close: () => void
+}
+
+/**
+ * Starts to serve callers.
+ * @param spec - what the callers' side needs
+ * @returns the running side; throws a `WireError` where the port is taken
+ */
+export async function startCallers (spec: CallersSpec): Promise<Callers> {
+  const { settings, timers } = spec.context
+  const open = new Map<CallerLink, Promise<void>>()
+  const state = { stopping: false }
+  const onCaller = (link: CallerLink, caller: Caller): void => {
+    const floors = decodeToken(link.login.attributes[tokenAttribute] ?? '')
+    const served = serveCaller({
+      link,
+      session: openSessionState(caller, link.login.route, floors),
+      pipe: spec.pipe,
+      nowMs: timers.nowMs,
+      configuration: spec.configuration,
+      stopping: () => state.stopping,
+      rollBack: spec.rollBack,
+      onServed: spec.onServed
+    })
+    open.set(link, served)
+    void served.catch(spec.context.onTaskError('caller')).finally(() => {
+      open.delete(link)
+      link.close()
+    })
+    if (state.stopping) link.inbox.send({ kind: 'leave' })
+  }
+  const listener: CallerListener = await listenForCallers({
+    address: { ip: settings.host.ip, port: settings.host.mysqlPort },
+    maxConnections: settings.limits.maxConnections,
+    maxStatementBytes: settings.limits.maxStatementBytes,
+    decideLogin: login => decideLogin(spec, login),
+    onCaller
+  })
+  return {
+    port: listener.port,
+    count: () => open.size,
+    async drain () {
+      state.stopping = true
+      listener.stopAccepting()
+      for (const link of open.keys()) link.inbox.send({ kind: 'leave' })
+      await Promise.allSettled([...open.values()])
+    },
+    close () {
+      for (const link of open.keys()) link.close()
+    }
+  }
+}
+
+type LoginVerdict =
+  | { readonly kind: 'granted', readonly caller: Caller }
+  | { readonly kind: 'refused', readonly outcome: Outcome }
+
+function decideLogin (spec: CallersSpec, login: LoginRequest): LoginVerdict {
+  const verdict = judgeLogin(spec.configuration(), login)
+  if (verdict.kind === 'refused') spec.onLoginRefused(login.user, verdict.outcome)
+  return verdict
+}
+
+function judgeLogin (configuration: ConfigurationInForce, login: LoginRequest): LoginVerdict {
+  if (configuration.manifest === undefined) return { kind: 'refused', outcome: notRun('unconfirmedConfiguration', 'no configuration is in force yet') }
+  const token = login.attributes[tokenAttribute]
+  if (token !== undefined && decodeToken(token) === undefined) return { kind: 'refused', outcome: notRun('hintMalformed', 'the session token is malformed') }
+  const decision = keyDecision(configuration.manifest, login)
+  switch (decision.kind) {
+    case 'granted': return decision
+    case 'refused': return { kind: 'refused', outcome: notRun(decision.reason, `the login of ${login.user} is refused`) }
+  }
+}
--- /dev/null
+++ b/src/daemon/configuration-task.ts
@@ -0,0 +1,186 @@
+// The configuration task: owns which manifest is in force. Watchers ask the
+// store; everybody asks peers through heartbeats and takes what they push. The
+// decisions are those of src/config; here are the calls.
+
+import { confirmedGeneration, configurationStep, generationInForce, initialConfiguration, mayServeKeyed, storeConfirmedAgoMs, type ConfigurationEffect, type ConfigurationEvent, type ConfigurationState } from '../config/index.js'
+import type { AcceptedManifest, Generation, HostName, MemberState } from '../model/index.js'
+import { Latest, sleep, startTask, tickPort, type Port, type Snapshot } from '../pipe/index.js'
+import type { PlatformClient } from '../wire/index.js'
+import type { DaemonContext } from './context.js'
+import type { PeerLinks } from './peers.js'
+
+/** Kind and name of the accepted manifest in the store. */
+export const manifestObject = { kind: 'manifest', name: 'current' } as const
+
+/** What the task needs. */
+export type ConfigurationTaskSpec = {
+  readonly context: DaemonContext
+  readonly platform: PlatformClient
+  readonly links: PeerLinks
+  /** Members to push to. */
+  readonly peers: () => readonly HostName[]
+  /** True where this host is one of those that watch the store. */
+  readonly watches: () => boolean
+  readonly onApply: (accepted: AcceptedManifest) => void
+  readonly onRejected: (generation: Generation, errors: readonly string[]) => void
+  readonly decode: (value: unknown) => AcceptedManifest | undefined
+}
+
+/** A running configuration task. */
+export type ConfigurationTask = {
+  readonly state: Snapshot<ConfigurationState>
+  readonly mayServeKeyed: () => boolean
+  readonly inForce: () => AcceptedManifest | undefined
+  /** What this host tells in heartbeats. */
+  readonly told: () => { readonly generation: Generation, readonly storeConfirmedAgoMs: number | undefined }
+  readonly offered: (accepted: AcceptedManifest) => void
+  readonly heard: (state: MemberState, askedAtMs: number) => void
+  readonly quorumChanged: (hosts: readonly HostName[]) => void
+  readonly stop: () => Promise<void>
+}
+
+const mailboxCapacity = 4096
+const tickMs = 100
+/** A host that does not watch asks the store this many times less often. */
+const unwatchedFactor = 6
+
+/**
+ * Starts the configuration task.
+ * @param spec - what the task needs
+ * @returns the running task
+ */
+export function startConfiguration (spec: ConfigurationTaskSpec): ConfigurationTask {
+  const { context } = spec
+  const { timers, settings } = context
+  const initial = initialConfiguration({
+    host: settings.host.name,
+    startedAtMs: timers.nowMs(),
+    confirmWithinMs: settings.control.confirmWithinMs,
+    pullMs: settings.control.pullMs
+  })
+  const published = new Latest(initial)
+  const task = startTask<ConfigurationState, ConfigurationEvent, ConfigurationEffect>({
+    name: 'configuration',
+    initial,
+    capacity: mailboxCapacity,
+    onError: context.onTaskError('configuration'),
+    step: (state, event) => {
+      const transition = configurationStep(state, event)
+      published.publish(transition.state)
+      return transition
+    },
+    perform: (effect, port) => { perform(spec, effect, port) }
+  })
+  const stopping = { now: false }
+  timers.every(tickMs, tickPort<ConfigurationEvent>(task.port, nowMs => ({ kind: 'tick', nowMs })))
+  void watchStore(spec, task.port, published, stopping)
+  void relistLoop(spec, task.port, stopping)
+  return {
+    state: published,
+    mayServeKeyed: () => mayServeKeyed(published.get(), timers.nowMs()),
+    inForce: () => published.get().accepted,
+    told: () => ({ generation: confirmedGeneration(published.get()), storeConfirmedAgoMs: storeConfirmedAgoMs(published.get(), timers.nowMs()) }),
+    offered: accepted => { task.port.send({ kind: 'peerOffered', accepted }) },
+    heard: (state, askedAtMs) => {
+      task.port.send({ kind: 'peerConfirmed', host: state.host, generation: state.generation, storeConfirmedAgoMs: state.storeConfirmedAgoMs, askedAtMs, nowMs: timers.nowMs() })
+    },
+    quorumChanged: hosts => { task.port.send({ kind: 'quorumChanged', hosts }) },
+    stop: async () => {
+      stopping.now = true
+      await task.stop()
+    }
+  }
+}
+
+function perform (spec: ConfigurationTaskSpec, effect: ConfigurationEffect, port: Port<ConfigurationEvent>): void {
+  switch (effect.kind) {
+    case 'apply': return spec.onApply(effect.accepted)
+    case 'offer': return offer(spec, effect.accepted)
+    case 'pull': return void pull(spec, effect.host, effect.above, port)
+    case 'relist': return void askStore(spec, port)
+    case 'rejected': return spec.onRejected(effect.rejected.generation, effect.rejected.errors)
+  }
+}
+
+function offer (spec: ConfigurationTaskSpec, accepted: AcceptedManifest): void {
+  const { settings } = spec.context
+  for (const host of spec.peers()) {
+    if (host === settings.host.name) continue
+    spec.links.call(host, 'offerConfiguration', { accepted }, settings.platform.callTimeoutMs).catch(() => {})
+  }
+}
+
+async function pull (spec: ConfigurationTaskSpec, host: HostName, above: Generation, port: Port<ConfigurationEvent>): Promise<void> {
+  try {
+    const { accepted } = await spec.links.call(host, 'pullConfiguration', { above }, spec.context.settings.control.pullMs)
+    if (accepted !== undefined) port.send({ kind: 'peerOffered', accepted })
+  } catch {
+    // Asked again at a later tick, of whoever tells the highest generation then.
+  }
+}
+
+async function askStore (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>): Promise<void> {
+  const { timers } = spec.context
+  const askedAtMs = timers.nowMs()
+  try {
+    const object = await spec.platform.getObject(manifestObject.kind, manifestObject.name)
+    tellStore(spec, port, object?.value, askedAtMs)
+  } catch {
+    port.send({ kind: 'storeFailed', nowMs: timers.nowMs() })
+  }
+}
+
+function tellStore (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, value: unknown, askedAtMs: number): void {
+  const accepted = value === undefined ? undefined : spec.decode(value)
+  if (value !== undefined && accepted === undefined) {
+    spec.onRejected(0, ['the object in the store has no generation'])
+    return
+  }
+  port.send({ kind: 'storeAnswered', accepted, askedAtMs })
+}
+
+// Watches have a deadline of their own, and a silent one costs nothing but
+// delay: the listing below goes on beside it.
+async function watchStore (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, state: Snapshot<ConfigurationState>, stopping: { readonly now: boolean }): Promise<void> {
+  const { timers, settings, random } = spec.context
+  let revision = 0
+  while (!stopping.now) {
+    if (!spec.watches()) {
+      await sleep(timers, settings.control.pullMs)
+      continue
+    }
+    const askedAtMs = timers.nowMs()
+    try {
+      const list = await spec.platform.watch(manifestObject.kind, revision, settings.platform.watchMs)
+      revision = list.revision
+      const current = list.objects.find(object => object.name === manifestObject.name)
+      if (current !== undefined) tellStore(spec, port, current.value, askedAtMs)
+    } catch {
+      port.send({ kind: 'storeFailed', nowMs: timers.nowMs() })
+      await sleep(timers, settings.control.pullMs * random())
+    }
+  }
+}
+
+async function relistLoop (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, stopping: { readonly now: boolean }): Promise<void> {
+  const { timers, settings, random } = spec.context
+  while (!stopping.now) {
+    await askStore(spec, port)
+    const factor = spec.watches() ? 1 : unwatchedFactor
+    await sleep(timers, relistMs(settings) * factor * (0.5 + random()))
+  }
+}
+
+// Confirmations must come more often than they expire.
+function relistMs (settings: DaemonContext['settings']): number {
+  return Math.min(settings.platform.relistMs, settings.control.confirmWithinMs / 3)
+}
+
+/**
+ * Generation of a state, for reports.
+ * @param state - the state of the task
+ * @returns the generation in force, 0 for none
+ */
+export function inForceGeneration (state: Snapshot<ConfigurationState>): Generation {
+  return generationInForce(state.get())
+}
--- /dev/null
+++ b/src/daemon/databases.ts
@@ -0,0 +1,189 @@
+// The databases that this host has a duty for: a task for each database of
+// which it is the home of a server, and a home for each such server.
+
+import type { HomeReply } from '../home/index.js'
+import { homeRanks, homesOf, rendezvousOrder, type Member } from '../members/index.js'
+import { notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type Position, type PrimaryView, type ServerDeclaration, type ServerName } from '../model/index.js'
+import type { DaemonContext } from './context.js'
+import { startDatabase, type DatabaseTask } from './database-task.js'
+import { startHome, type HomeTask } from './home-task.js'
+
+/** What the registry needs. */
+export type DatabasesSpec = {
+  readonly context: DaemonContext
+  readonly onPrimary: (view: PrimaryView) => void
+  readonly publish: (view: PrimaryView) => void
+  readonly onFailure: (server: ServerName, failure: string) => void
+}
+
+type Unit = {
+  readonly declaration: DatabaseDeclaration
+  readonly task: DatabaseTask
+  readonly homes: ReadonlyMap<ServerName, HomeTask>
+}
+
+/** Candidates for the home of one server that may take its statements. */
+const homeCandidates = 2
+
+/** The databases that this host has a duty for. */
+export class Databases {
+  readonly #spec: DatabasesSpec
+  readonly #units = new Map<DatabaseName, Unit>()
+  #declared: ReadonlyMap<DatabaseName, DatabaseDeclaration> = new Map()
+  #live: readonly Member[] = []
+  #listed: readonly Member[] = []
+
+  /**
+   * Makes an empty registry.
+   * @param spec - what it needs
+   */
+  constructor (spec: DatabasesSpec) {
+    this.#spec = spec
+  }
+
+  /**
+   * Takes the databases of the manifest in force.
+   * @param databases - the databases
+   */
+  takeManifest (databases: readonly DatabaseDeclaration[]): void {
+    this.#declared = new Map(databases.map(database => [database.name, database]))
+    for (const [name, unit] of this.#units) {
+      const declared = this.#declared.get(name)
+      if (declared === undefined) void this.#close(name, unit)
+      else this.#change(name, unit, declared)
+    }
+    this.#takeDuties()
+  }
+
+  /**
+   * Takes the members.
+   * @param live - those that answer
+   * @param listed - those that there may be
+   */
+  takeMembers (live: readonly Member[], listed: readonly Member[]): void {
+    this.#live = live
+    this.#listed = listed
+    this.#takeDuties()
+  }
+
+  /**
+   * Runs a statement at a server's home.
+   * @param request - the statement
+   * @returns the reply
+   */
+  async execute (request: ExecuteRequest): Promise<ExecuteReply> {
+    const home = this.#homeFor(request)
+    const reply: HomeReply = home === undefined ? { outcome: notRun('wrongHome', 'this host is no home of the server'), transaction: undefined } : await home.execute(request)
+    const view = this.#units.get(request.database)?.task.view.get()
+    return {
+      ...reply,
+      primary: view?.primary ?? { database: request.database, term: 0, primary: undefined },
+      applied: view?.statuses.get(request.server)?.applied
+    }
+  }
+
+  /**
+   * Opens a floor.
+   * @param database - the database
+   * @returns the floor, where this host is a home and a majority answered, and who leads
+   */
+  async openFloor (database: DatabaseName): Promise<{ readonly floor: Position | undefined, readonly primary: PrimaryView }> {
+    const unit = this.#units.get(database)
+    if (unit === undefined) return { floor: undefined, primary: { database, term: 0, primary: undefined } }
+    const floor = await unit.task.openFloor()
+    return { floor, primary: unit.task.view.get().primary }
+  }
+
+  /**
+   * The tasks of all databases with a duty here, for reports.
+   * @returns database and task
+   */
+  all (): ReadonlyArray<{ readonly declaration: DatabaseDeclaration, readonly task: DatabaseTask }> {
+    return [...this.#units.values()]
+  }
+
+  /**
+   * Statements and transactions that are under way.
+   * @returns the count
+   */
+  load (): number {
+    return [...this.#units.values()].flatMap(unit => [...unit.homes.values()]).reduce((sum, home) => sum + home.load(), 0)
+  }
+
+  /** Ends all tasks. */
+  async stop (): Promise<void> {
+    await Promise.all([...this.#units].map(async ([name, unit]) => { await this.#close(name, unit) }))
+  }
+
+  #takeDuties (): void {
+    const { name: self } = this.#spec.context.settings.host
+    for (const [name, declared] of this.#declared) {
+      const isHome = [...homesOf(declared, this.#live).values()].includes(self)
+      if (isHome) this.#unitFor(declared)
+      const rank = homeRanks(declared, this.#live).indexOf(self)
+      this.#units.get(name)?.task.changeRank(rank < 0 ? undefined : rank)
+    }
+  }
+
+  #unitFor (declared: DatabaseDeclaration): Unit {
+    const known = this.#units.get(declared.name)
+    if (known !== undefined) return known
+    const { context, onPrimary, publish } = this.#spec
+    const unit: Unit = { declaration: declared, task: startDatabase({ context, database: declared, onPrimary, publish }), homes: new Map() }
+    this.#units.set(declared.name, unit)
+    return unit
+  }
+
+  #homeFor (request: ExecuteRequest): HomeTask | undefined {
+    const declared = this.#declared.get(request.database)
+    const server = declared?.servers.find(one => one.name === request.server)
+    if (declared === undefined || server === undefined) return undefined
+    const known = this.#units.get(declared.name)?.homes.get(server.name)
+    if (known !== undefined) return known
+    if (!this.#mayBeHome(declared, server)) return undefined
+    return this.#openHome(this.#unitFor(declared), server)
+  }
+
+  // Views of the members may differ, so the second candidate serves as well.
+  #mayBeHome (declared: DatabaseDeclaration, server: ServerDeclaration): boolean {
+    const { name: self } = this.#spec.context.settings.host
+    if (homesOf(declared, this.#live).get(server.name) === self) return true
+    const near = this.#listed.filter(member => member.failureDomain === server.failureDomain)
+    const names = (near.length > 0 ? near : this.#listed).map(member => member.host)
+    return rendezvousOrder(`home/${declared.name}/${server.name}`, names).slice(0, homeCandidates).includes(self)
+  }
+
+  #openHome (unit: Unit, server: ServerDeclaration): HomeTask {
+    const home = startHome({
+      context: this.#spec.context,
+      server,
+      database: unit.task,
+      onFailure: failure => { this.#spec.onFailure(server.name, failure) }
+    })
+    this.#units.set(unit.declaration.name, { ...unit, homes: new Map(unit.homes).set(server.name, home) })
+    return home
+  }
+
+  #change (name: DatabaseName, unit: Unit, declared: DatabaseDeclaration): void {
+    if (JSON.stringify(unit.declaration) === JSON.stringify(declared)) return
+    unit.task.changeManifest(declared)
+    const kept = [...unit.homes].filter(([server, home]) => {
+      const same = sameServer(unit.declaration, declared, server)
+      if (!same) void home.stop()
+      return same
+    })
+    this.#units.set(name, { ...unit, declaration: declared, homes: new Map(kept) })
+  }
+
+  async #close (name: DatabaseName, unit: Unit): Promise<void> {
+    this.#units.delete(name)
+    await Promise.all([...unit.homes.values()].map(async home => { await home.stop() }))
+    await unit.task.stop()
+  }
+}
+
+function sameServer (before: DatabaseDeclaration, after: DatabaseDeclaration, name: ServerName): boolean {
+  const find = (database: DatabaseDeclaration): ServerDeclaration | undefined => database.servers.find(server => server.name === name)
+  const [old, fresh] = [find(before), find(after)]
+  return old !== undefined && fresh !== undefined && old.ip === fresh.ip && old.port === fresh.port && old.slots === fresh.slots && old.maxConnections === fresh.maxConnections
+}
--- /dev/null
+++ b/src/daemon/home-task.ts
@@ -0,0 +1,244 @@
+// The home of one server: owns the sessions on it, the open transactions and
+// the fair queue in front of its slots, and runs statements through the home's
+// pipe.
+
+import { redirected } from '../config/index.js'
+import { homePipe, type HomeReply, type HomeRequest, type HomeServices, type HomeTransaction, type ServerCheck, type ServerSession, type TransactionTable, type Turn } from '../home/index.js'
+import { covers, type ExecuteRequest, type ServerDeclaration } from '../model/index.js'
+import { ask, runPipe, startTask, tickPort, type Reply, type Snapshot, type Transition } from '../pipe/index.js'
+import { fairQueueStep, initialFairQueue, replicaServesAge, type FairQueueEffect, type FairQueueEvent, type FairQueueState } from '../request/index.js'
+import type { DaemonContext } from './context.js'
+import type { DatabaseTask, DatabaseView } from './database-task.js'
+import { ServerPool } from './session-pool.js'
+
+/** What a home needs. */
+export type HomeSpec = {
+  readonly context: DaemonContext
+  readonly server: ServerDeclaration
+  readonly database: DatabaseTask
+  readonly onFailure: (failure: string) => void
+}
+
+/** The running home of a server. */
+export type HomeTask = {
+  readonly execute: (request: ExecuteRequest) => Promise<HomeReply>
+  /** Statements that run or wait, and open transactions. */
+  readonly load: () => number
+  readonly stop: () => Promise<void>
+}
+
+/** Sessions of each home that are kept free of the server's cap, for watches and probes. */
+const controlSessions = 12
+/** Homes that may share a server while two views of the members differ. */
+const sharingHomes = 2
+/** A transaction without a statement for this time is rolled back. */
+const idleTransactionMs = 10_000
+const sweepMs = 500
+const queueTickMs = 10
+const mailboxCapacity = 65536
+
+/**
+ * Starts the home of a server.
+ * @param spec - what it needs
+ * @returns the running home
+ */
+export function startHome (spec: HomeSpec): HomeTask {
+  const { context, server } = spec
+  const budget = Math.max(1, Math.floor((server.maxConnections - controlSessions) / sharingHomes))
+  const pool = new ServerPool(context, {
+    address: redirected(context.settings.links, server),
+    budget,
+    onFailure: spec.onFailure
+  })
+  const transactions = new Transactions(context, Math.max(1, budget - server.slots), session => { pool.discard(session) })
+  const queue = startQueue(context, server)
+  const { timers } = context
+  const services: HomeServices = {
+    nowMs: timers.nowMs,
+    pool,
+    transactions,
+    check: async message => checkServer(message, server, spec.database.view, timers.nowMs()),
+    queue: queue.enter,
+    confirm: async (position, deadlineAtMs) => {
+      const latestAtMs = timers.nowMs() + context.settings.limits.confirmTimeoutMs
+      return await spec.database.confirm(position, Math.min(deadlineAtMs, latestAtMs))
+    },
+    primary: async () => spec.database.view.get().primary,
+    applied: async () => spec.database.view.get().statuses.get(server.name)?.applied
+  }
+  const pipe = homePipe(services)
+  let running = 0
+  return {
+    load: () => running + transactions.size,
+    async execute (request) {
+      running += 1
+      try {
+        return await runPipe(pipe, { request, deadlineAtMs: timers.nowMs() + request.remainingMs })
+      } finally {
+        running -= 1
+      }
+    },
+    stop: async () => {
+      transactions.stop()
+      pool.close()
+      await queue.stop()
+    }
+  }
+}
+
+function checkServer (message: HomeRequest, server: ServerDeclaration, view: Snapshot<DatabaseView>, nowMs: number): ServerCheck {
+  const { mode } = message.request
+  const known = view.get()
+  const isPrimary = known.primary.primary === server.name
+  switch (mode.kind) {
+    case 'inTransaction':
+    case 'commit':
+    case 'rollback': return { kind: 'may', role: 'primary' }
+    case 'write':
+    case 'begin': return isPrimary ? { kind: 'may', role: 'primary' } : { kind: 'mayNot', reason: 'noPrimary', detail: `${server.name} is not the primary` }
+    case 'read': return checkRead(mode.floor, mode.maxAgeMs, server, known, isPrimary, nowMs)
+  }
+}
+
+function checkRead (floor: HomeRequestFloor, maxAgeMs: number | undefined, server: ServerDeclaration, known: DatabaseView, isPrimary: boolean, nowMs: number): ServerCheck {
+  const applied = known.statuses.get(server.name)?.applied
+  if (applied === undefined) return { kind: 'mayNot', reason: 'noServer', detail: `${server.name} has told no position yet` }
+  const role = isPrimary ? 'primary' : 'replica'
+  if (maxAgeMs !== undefined) {
+    const fresh = replicaServesAge(known.age, applied, maxAgeMs, nowMs)
+    return fresh ? { kind: 'may', role } : { kind: 'mayNot', reason: 'behind', detail: `${server.name} is older than ${maxAgeMs} ms` }
+  }
+  // A primary holds everything up to its own term, whatever it told last.
+  const serves = isPrimary ? floor.term <= known.primary.term : covers(applied, floor)
+  return serves ? { kind: 'may', role } : { kind: 'mayNot', reason: 'behind', detail: `${server.name} has not applied the session's floor` }
+}
+
+type HomeRequestFloor = Extract<ExecuteRequest['mode'], { readonly kind: 'read' }>['floor']
+
+type QueueMessage = FairQueueEvent | { readonly kind: 'enter', readonly request: HomeRequest, readonly nowMs: number, readonly reply: Reply<Turn> }
+
+type QueueEffect =
+  | { readonly kind: 'answer', readonly reply: Reply<Turn>, readonly effect: FairQueueEffect }
+
+type QueueState = {
+  readonly queue: FairQueueState
+  readonly replies: ReadonlyMap<string, Reply<Turn>>
+  readonly nextId: number
+}
+
+type QueueTask = {
+  readonly enter: (request: HomeRequest) => Promise<Turn>
+  readonly stop: () => Promise<void>
+}
+
+function startQueue (context: DaemonContext, server: ServerDeclaration): QueueTask {
+  const { timers, settings } = context
+  const task = startTask<QueueState, QueueMessage, QueueEffect>({
+    name: `queue ${server.name}`,
+    initial: { queue: initialFairQueue({ slots: server.slots, maxWaiting: settings.limits.queueLength }), replies: new Map(), nextId: 1 },
+    capacity: mailboxCapacity,
+    onError: context.onTaskError(`queue ${server.name}`),
+    step: queueStep,
+    perform: (effect, port) => {
+      effect.reply(turnFor(effect.effect, timers.nowMs(), (id, tookMs) => {
+        port.send({ kind: 'finished', id, tookMs, nowMs: timers.nowMs() })
+      }, timers.nowMs))
+    }
+  })
+  const cancel = timers.every(queueTickMs, tickPort<QueueMessage>(task.port, nowMs => ({ kind: 'tick', nowMs })))
+  return {
+    enter: async request => await ask<QueueMessage, Turn>(task.port, reply => ({ kind: 'enter', request, nowMs: timers.nowMs(), reply }), { kind: 'refused', reason: 'queueFull' }),
+    stop: async () => {
+      cancel()
+      await task.stop()
+    }
+  }
+}
+
+function queueStep (state: QueueState, message: QueueMessage): Transition<QueueState, QueueEffect> {
+  if (message.kind !== 'enter') return answerAll(state, fairQueueStep(state.queue, message))
+  const id = String(state.nextId)
+  const { request, deadlineAtMs } = message.request
+  const offered = fairQueueStep(state.queue, { kind: 'offered', id, account: request.account, weight: request.weight, deadlineAtMs, nowMs: message.nowMs })
+  const waiting = { ...state, nextId: state.nextId + 1, replies: new Map(state.replies).set(id, message.reply) }
+  return answerAll(waiting, offered)
+}
+
+function answerAll (state: QueueState, transition: Transition<FairQueueState, FairQueueEffect>): Transition<QueueState, QueueEffect> {
+  const { state: queue, effects } = transition
+  if (effects.length === 0) return { state: { ...state, queue }, effects: [] }
+  const replies = new Map(state.replies)
+  const answers = effects.flatMap((effect): readonly QueueEffect[] => {
+    const reply = replies.get(effect.id)
+    replies.delete(effect.id)
+    return reply === undefined ? [] : [{ kind: 'answer', reply, effect }]
+  })
+  return { state: { ...state, queue, replies }, effects: answers }
+}
+
+function turnFor (effect: FairQueueEffect, startedAtMs: number, finish: (id: string, tookMs: number) => void, nowMs: () => number): Turn {
+  switch (effect.kind) {
+    case 'start': return { kind: 'turn', end: () => { finish(effect.id, nowMs() - startedAtMs) } }
+    case 'refuse': return { kind: 'refused', reason: effect.reason }
+  }
+}
+
+type HeldTransaction = HomeTransaction & { readonly usedAtMs: number, readonly busy: boolean }
+
+/** The open transactions of one server. */
+class Transactions implements TransactionTable {
+  readonly #context: DaemonContext
+  readonly #capacity: number
+  readonly #discard: (session: ServerSession) => void
+  readonly #held = new Map<string, HeldTransaction>()
+  readonly #cancel: () => void
+  #nextId = 1
+
+  constructor (context: DaemonContext, capacity: number, discard: (session: ServerSession) => void) {
+    this.#context = context
+    this.#capacity = capacity
+    this.#discard = discard
+    this.#cancel = context.timers.every(sweepMs, { send: tick => { this.#sweep(tick.nowMs); return 'accepted' } })
+  }
+
+  get size (): number {
+    return this.#held.size
+  }
+
+  open (account: string, session: ServerSession): string | undefined {
+    if (this.#held.size >= this.#capacity) return undefined
+    const id = `${this.#context.incarnation}.${this.#nextId}`
+    this.#nextId += 1
+    this.#held.set(id, { id, account, session, usedAtMs: this.#context.timers.nowMs(), busy: false })
+    return id
+  }
+
+  take (id: string, account: string): HomeTransaction | undefined {
+    const held = this.#held.get(id)
+    if (held === undefined || held.busy || held.account !== account) return undefined
+    this.#held.set(id, { ...held, busy: true })
+    return held
+  }
+
+  putBack (transaction: HomeTransaction): void {
+    this.#held.set(transaction.id, { ...transaction, usedAtMs: this.#context.timers.nowMs(), busy: false })
+  }
+
+  remove (transaction: HomeTransaction): void {
+    this.#held.delete(transaction.id)
+  }
+
+  stop (): void {
+    this.#cancel()
+    for (const held of this.#held.values()) this.#discard(held.session)
+    this.#held.clear()
+  }
+
+  #sweep (nowMs: number): void {
+    for (const held of this.#held.values()) {
+      if (held.busy || nowMs - held.usedAtMs < idleTransactionMs) continue
+      this.#held.delete(held.id)
+      this.#discard(held.session)
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/limits-task.ts
@@ -0,0 +1,214 @@
+// The limits task: owns this host's part of every account's rate and burst.
+// The seats task beside it owns the seats that the part comes from and keeps
+// them in the platform's store. Times of events are taken when an event is
+// handled, because a host may be paused while one waits.
+
+import { initialLimits, initialSeats, limitsStep, limitsTickMs, seatsStep, type LimitsEffect, type LimitsEvent, type LimitsState, type SeatsEffect, type SeatsEvent, type SeatsState, type SeatTable } from '../limits/index.js'
+import type { ListedHost, Member } from '../members/index.js'
+import { notRun, type AccountName, type Manifest, type Outcome, type PeerParams, type PeerResult } from '../model/index.js'
+import { ask, startTask, tickPort, type Port, type Reply } from '../pipe/index.js'
+import { PlatformError, type PlatformClient } from '../wire/index.js'
+import type { DaemonContext } from './context.js'
+import type { PeerLinks } from './peers.js'
+
+/** What the tasks need. */
+export type LimitsTaskSpec = {
+  readonly context: DaemonContext
+  readonly platform: PlatformClient
+  readonly links: PeerLinks
+  /** Until when the configuration is confirmed, by the monotonic clock. */
+  readonly confirmedUntilMs: () => number
+  readonly decodeTable: (value: unknown) => SeatTable | undefined
+}
+
+/** The running limits. */
+export type LimitsTask = {
+  /** Takes one token; gives the refusal where there is none in time. */
+  readonly admit: (account: AccountName, deadlineAtMs: number) => Promise<Outcome | undefined>
+  /** Answers another member that wants to borrow. */
+  readonly lend: (params: PeerParams<'borrow'>) => Promise<PeerResult<'borrow'>>
+  readonly takeManifest: (manifest: Manifest) => void
+  readonly takeMembers: (live: readonly Member[], listed: readonly ListedHost[]) => void
+  /** Gives the seats back. */
+  readonly leave: () => void
+  readonly stop: () => Promise<void>
+}
+
+/** An event whose time is put in when it is handled. */
+type Untimed<E> = E extends { readonly nowMs: number } ? Omit<E, 'nowMs'> : never
+
+type Message =
+  | { readonly kind: 'event', readonly event: Untimed<LimitsEvent> }
+  | { readonly kind: 'admitFor', readonly account: AccountName, readonly deadlineAtMs: number, readonly reply: Reply<Outcome | undefined> }
+  | { readonly kind: 'lendTo', readonly params: PeerParams<'borrow'>, readonly reply: Reply<PeerResult<'borrow'>> }
+
+type Effect =
+  | Extract<LimitsEffect, { readonly kind: 'borrow' }>
+  | { readonly kind: 'answerAdmit', readonly reply: Reply<Outcome | undefined>, readonly outcome: Outcome | undefined }
+  | { readonly kind: 'answerLend', readonly reply: Reply<PeerResult<'borrow'>>, readonly result: PeerResult<'borrow'> }
+
+type State = {
+  readonly limits: LimitsState
+  readonly nextId: number
+}
+
+/** Replies that wait, by the id of their request; owned by the limits task alone. */
+type Replies = {
+  readonly admit: Map<string, { readonly account: AccountName, readonly reply: Reply<Outcome | undefined> }>
+  readonly lend: Map<string, Reply<PeerResult<'borrow'>>>
+}
+
+const mailboxCapacity = 65536
+const seatsMailboxCapacity = 1024
+const seatsTickMs = 200
+const borrowTimeoutMs = 150
+/** Kind of the seat tables in the store. */
+const seatsKind = 'seats'
+
+/**
+ * Starts the limits and the seats.
+ * @param spec - what they need
+ * @returns the running tasks
+ */
+export function startLimits (spec: LimitsTaskSpec): LimitsTask {
+  const { context } = spec
+  const { timers, settings } = context
+  const replies: Replies = { admit: new Map(), lend: new Map() }
+  const task = startTask<State, Message, Effect>({
+    name: 'limits',
+    initial: { limits: initialLimits(settings.host.name), nextId: 1 },
+    capacity: mailboxCapacity,
+    onError: context.onTaskError('limits'),
+    step: (state, message) => step(state, message, replies, timers.nowMs()),
+    perform: (effect, port) => { perform(spec, effect, port) }
+  })
+  const tell = (event: Untimed<LimitsEvent>): void => { task.port.send({ kind: 'event', event }) }
+  const seats = startSeats(spec, tell)
+  const cancelTicks = timers.every(limitsTickMs, {
+    send: () => {
+      tell({ kind: 'confirmationChanged', confirmedUntilMs: spec.confirmedUntilMs() })
+      return task.port.send({ kind: 'event', event: { kind: 'tick' } })
+    }
+  })
+  return {
+    admit: async (account, deadlineAtMs) => await ask<Message, Outcome | undefined>(task.port, reply => ({ kind: 'admitFor', account, deadlineAtMs, reply }), notRun('queueFull', 'too many requests wait for a token')),
+    lend: async params => await ask<Message, PeerResult<'borrow'>>(task.port, reply => ({ kind: 'lendTo', params, reply }), { grant: undefined }),
+    takeManifest (manifest) {
+      tell({ kind: 'manifestApplied', manifest })
+      seats.port.send({ kind: 'manifestApplied', seats: manifest.seats, nowMs: timers.nowMs() })
+    },
+    takeMembers (live, listed) {
+      tell({ kind: 'membersChanged', live })
+      seats.port.send({ kind: 'hostsListed', hosts: listed, nowMs: timers.nowMs() })
+    },
+    leave () {
+      seats.port.send({ kind: 'stopping', nowMs: timers.nowMs() })
+    },
+    async stop () {
+      cancelTicks()
+      await Promise.all([seats.stop(), task.stop()])
+    }
+  }
+}
+
+type Next = { readonly state: State, readonly effects: readonly Effect[] }
+
+function step (state: State, message: Message, replies: Replies, nowMs: number): Next {
+  const id = String(state.nextId)
+  const advanced = { ...state, nextId: state.nextId + 1 }
+  switch (message.kind) {
+    case 'event': return decide(state, { ...message.event, nowMs } as LimitsEvent, replies)
+    case 'admitFor': {
+      const { account, deadlineAtMs: deadlineMs, reply } = message
+      replies.admit.set(id, { account, reply })
+      return decide(advanced, { kind: 'admit', account, id, deadlineMs, nowMs }, replies)
+    }
+    case 'lendTo': {
+      replies.lend.set(id, message.reply)
+      return decide(advanced, { kind: 'borrowRequested', callId: id, ...message.params, nowMs }, replies)
+    }
+  }
+}
+
+function decide (state: State, event: LimitsEvent, replies: Replies): Next {
+  const { state: limits, effects } = limitsStep(state.limits, event)
+  return { state: { ...state, limits }, effects: effects.flatMap(effect => translate(effect, replies)) }
+}
+
+function translate (effect: LimitsEffect, replies: Replies): readonly Effect[] {
+  switch (effect.kind) {
+    case 'borrow': return [effect]
+    case 'admitted': return answerAdmit(replies, effect.id, () => undefined)
+    case 'refused': return answerAdmit(replies, effect.id, account => notRun('rateExceeded', `${account} is above its rate; retry after ${Math.ceil(effect.retryAfterMs)} ms`))
+    case 'lend': {
+      const reply = replies.lend.get(effect.callId)
+      replies.lend.delete(effect.callId)
+      return reply === undefined ? [] : [{ kind: 'answerLend', reply, result: { grant: effect.grant } }]
+    }
+  }
+}
+
+function answerAdmit (replies: Replies, id: string, outcome: (account: AccountName) => Outcome | undefined): readonly Effect[] {
+  const waiting = replies.admit.get(id)
+  replies.admit.delete(id)
+  return waiting === undefined ? [] : [{ kind: 'answerAdmit', reply: waiting.reply, outcome: outcome(waiting.account) }]
+}
+
+function perform (spec: LimitsTaskSpec, effect: Effect, port: Port<Message>): void {
+  switch (effect.kind) {
+    case 'borrow': return void borrow(spec, effect, port)
+    case 'answerAdmit': return effect.reply(effect.outcome)
+    case 'answerLend': return effect.reply(effect.result)
+  }
+}
+
+async function borrow (spec: LimitsTaskSpec, effect: Extract<Effect, { readonly kind: 'borrow' }>, port: Port<Message>): Promise<void> {
+  const { settings, incarnation } = spec.context
+  const { to, request } = effect
+  const answer = await spec.links.call(to, 'borrow', { from: settings.host.name, incarnation, request }, borrowTimeoutMs)
+    .catch(() => ({ grant: undefined }))
+  port.send({ kind: 'event', event: { kind: 'borrowAnswered', from: to, account: request.account, sequence: request.sequence, grant: answer.grant } })
+}
+
+function startSeats (spec: LimitsTaskSpec, tell: (event: Untimed<LimitsEvent>) => void): ReturnType<typeof startTask<SeatsState, SeatsEvent, SeatsEffect>> {
+  const { context } = spec
+  const task = startTask<SeatsState, SeatsEvent, SeatsEffect>({
+    name: 'seats',
+    initial: initialSeats({ host: context.settings.host.name, incarnation: context.incarnation }),
+    capacity: seatsMailboxCapacity,
+    onError: context.onTaskError('seats'),
+    step: seatsStep,
+    perform: (effect, port) => { performSeats(spec, tell, effect, port) }
+  })
+  context.timers.every(seatsTickMs, tickPort<SeatsEvent>(task.port, nowMs => ({ kind: 'tick', nowMs })))
+  return task
+}
+
+function performSeats (spec: LimitsTaskSpec, tell: (event: Untimed<LimitsEvent>) => void, effect: SeatsEffect, port: Port<SeatsEvent>): void {
+  switch (effect.kind) {
+    case 'seatsChanged': return tell({ kind: 'seatsChanged', held: effect.held, holders: effect.holders })
+    case 'readTable': return void readTable(spec, effect.table, port)
+    case 'writeTable': return void writeTable(spec, effect, port)
+  }
+}
+
+async function readTable (spec: LimitsTaskSpec, table: string, port: Port<SeatsEvent>): Promise<void> {
+  const { timers } = spec.context
+  try {
+    const object = await spec.platform.getObject(seatsKind, table)
+    port.send({ kind: 'tableRead', table: object === undefined ? undefined : spec.decodeTable(object.value), version: object?.version ?? 0, nowMs: timers.nowMs() })
+  } catch {
+    port.send({ kind: 'readFailed', nowMs: timers.nowMs() })
+  }
+}
+
+// Whatever became of the write, the table is read again.
+async function writeTable (spec: LimitsTaskSpec, effect: Extract<SeatsEffect, { readonly kind: 'writeTable' }>, port: Port<SeatsEvent>): Promise<void> {
+  const { timers, onTaskError } = spec.context
+  try {
+    await spec.platform.putObject(seatsKind, effect.table, effect.version, effect.value)
+  } catch (error) {
+    if (!(error instanceof PlatformError)) onTaskError('seats')(error as Error)
+  }
+  port.send({ kind: 'writeEnded', nowMs: timers.nowMs() })
+}
--- a/src/daemon/members-task.ts
+++ b/src/daemon/members-task.ts
@@ -31,7 +31,7 @@
   /** What this host says of itself, without rumours. */
   readonly ownState: () => MemberState
   readonly onMembers: (view: MembersView) => void
-  readonly onHeard: (state: MemberState) => void
+  readonly onHeard: (state: MemberState, askedAtMs: number) => void
 }
 
 type Message =
@@ -139,9 +139,10 @@
 
 async function sendHeartbeat (spec: MembersSpec, host: HostName, rumours: MemberState['rumours'], port: Port<Message>): Promise<void> {
   const { timers, settings } = spec.context
+  const askedAtMs = timers.nowMs()
   try {
     const state = await spec.links.call(host, 'heartbeat', { ...spec.ownState(), rumours: rumours ?? [] }, settings.control.heartbeatMs)
-    spec.onHeard(state)
+    spec.onHeard(state, askedAtMs)
     port.send({ kind: 'event', event: { kind: 'heartbeatAnswered', state, nowMs: timers.nowMs() } })
   } catch {
     // The link itself reports its failure to this task.
--- /dev/null
+++ b/src/daemon/proxy.ts
@@ -0,0 +1,281 @@
+// One proxy process: joins the tasks, serves until it is told to stop, and
+// stops without cutting off a request.
+
+import { randomUUID } from 'node:crypto'
+import { holdsKey, redirected, type Settings } from '../config/index.js'
+import type { ExecuteReply, ExecuteRequest, HostName, MemberState, PeerMethod, PeerParams, PeerResult, PrimaryView } from '../model/index.js'
+import { sleep, systemTimers, withTimeout } from '../pipe/index.js'
+import { requestPipe, type Attempt, type ConfigurationInForce, type OpenTransaction, type RequestServices } from '../request/index.js'
+import { asWireError, decodeToken, encodeToken, listenForPeers, platformClient, updateObject, type PeerHandlers, type PlatformClient } from '../wire/index.js'
+import { startCallers, type Callers } from './callers.js'
+import { startConfiguration, type ConfigurationTask } from './configuration-task.js'
+import type { DaemonContext } from './context.js'
+import { Databases } from './databases.js'
+import { decodeAcceptedManifest, decodeListedHost, decodePrimary, decodeSeatTable } from './decode.js'
+import { startLimits, type LimitsTask } from './limits-task.js'
+import { startMembers, type MembersTask, type MembersView } from './members-task.js'
+import { PeerLinks, tlsOf } from './peers.js'
+import { startReports, type Reports } from './reports.js'
+import { RoutingTable } from './routing.js'
+
+/** A running proxy. */
+export type Proxy = {
+  readonly mysqlPort: number
+  readonly peerPort: number
+  /** Lets running work finish within the grace time, then ends everything. */
+  readonly stop: () => Promise<void>
+}
+
+/** Time beyond a statement's deadline in which its home may still answer. */
+const answerMarginMs = 250
+const rollBackTimeoutMs = 1000
+const publishDeadlineMs = 5000
+/** Longest deadline that a caller may ask for. */
+const maxDeadlineMs = 600_000
+const openFloorTimeoutMs = 1000
+const drainPollMs = 20
+
+/** The parts of a proxy, joined. */
+type Parts = {
+  readonly context: DaemonContext
+  readonly reports: Reports
+  readonly platform: PlatformClient
+  readonly links: PeerLinks
+  readonly members: MembersTask
+  readonly configuration: ConfigurationTask
+  readonly databases: Databases
+  readonly routing: RoutingTable
+  readonly limits: LimitsTask
+  readonly stopping: () => boolean
+}
+
+/**
+ * Starts a proxy.
+ * @param settings - the settings of this host
+ * @returns the running proxy; throws a `WireError` where a port is taken
+ */
+export async function startProxy (settings: Settings): Promise<Proxy> {
+  const state = { stopping: false }
+  const parts = joinParts(settings, () => state.stopping)
+  const { context, reports } = parts
+  const peers = await listenForPeers({ ip: settings.host.ip, port: settings.host.peerPort }, peerHandlers(parts), tlsOf(settings.peers))
+  const configuration = (): ConfigurationInForce => ({ manifest: parts.configuration.inForce()?.manifest, confirmed: parts.configuration.mayServeKeyed() })
+  const pipe = requestPipe(requestServices(parts, configuration), {
+    ownFailureDomain: settings.host.failureDomain,
+    defaultDeadlineMs: settings.limits.defaultDeadlineMs,
+    maxDeadlineMs
+  })
+  const callers = await startCallers({
+    context,
+    pipe,
+    configuration,
+    rollBack: async transaction => { await rollBack(parts, transaction) },
+    onServed: reports.served,
+    onLoginRefused: (user, outcome) => { reports.event('loginRefused', { account: user, reason: outcome.kind === 'notRun' ? outcome.reason : outcome.kind }) }
+  }).catch(error => {
+    peers.close()
+    throw error
+  })
+  reports.event('started', { host: settings.host.name, mysqlPort: callers.port, peerPort: peers.port })
+  return {
+    mysqlPort: callers.port,
+    peerPort: peers.port,
+    stop: async () => {
+      state.stopping = true
+      await stop(parts, callers)
+      peers.close()
+    }
+  }
+}
+
+function joinParts (settings: Settings, stopping: () => boolean): Parts {
+  const timers = systemTimers()
+  const reports = startReports({ settings, timers })
+  const context: DaemonContext = {
+    settings,
+    timers,
+    random: Math.random,
+    incarnation: randomUUID(),
+    onTaskError: task => error => { reports.event('taskFailed', { task, error: error.message }) }
+  }
+  const platform = platformClient({ url: settings.platform.url, callTimeoutMs: settings.platform.callTimeoutMs, redirect: address => redirected(settings.links, address) })
+  const routing = new RoutingTable()
+  const links = new PeerLinks(context, host => { members.tell({ kind: 'linkFailed', host, nowMs: timers.nowMs() }) })
+  const databases = new Databases({
+    context,
+    onPrimary: view => {
+      routing.sawPrimary(view)
+      reports.event('primaryChanged', { database: view.database, term: view.term, primary: view.primary ?? 'none' })
+    },
+    publish: view => { void publishPrimary(context, platform, view).catch(() => { reports.event('storeUnreachable', { what: 'primary' }) }) },
+    onFailure: (server, failure) => { reports.event('serverConnectionFailed', { server, failure }) }
+  })
+  const configuration = startConfiguration({
+    context,
+    platform,
+    links,
+    peers: () => members.view.get().live.map(member => member.host),
+    watches: () => members.view.get().quorum.includes(settings.host.name),
+    decode: decodeAcceptedManifest,
+    onApply: accepted => {
+      routing.takeDatabases(accepted.manifest.databases)
+      databases.takeManifest(accepted.manifest.databases)
+      limits.takeManifest(accepted.manifest)
+      reports.event('manifestApplied', { generation: accepted.generation })
+    },
+    onRejected: (generation, errors) => { reports.event('manifestRejected', { generation, errors: errors.join('; ') }) }
+  })
+  const limits = startLimits({
+    context,
+    platform,
+    links,
+    confirmedUntilMs: () => configuration.mayServeKeyed() ? Infinity : -Infinity,
+    decodeTable: decodeSeatTable
+  })
+  const ownState = (): MemberState => ({
+    host: settings.host.name,
+    failureDomain: settings.host.failureDomain,
+    incarnation: context.incarnation,
+    state: stopping() ? 'stopping' : 'serving',
+    ...configuration.told()
+  })
+  const members: MembersTask = startMembers({
+    context,
+    links,
+    listHosts: async () => (await platform.hosts()).map(decodeListedHost),
+    ownState,
+    onMembers: view => { takeMembers(view, { configuration, databases, routing, limits }) },
+    onHeard: (from, askedAtMs) => { configuration.heard(from, askedAtMs) }
+  })
+  reports.attach({ platform, members, configuration, databases, routing, limits, links })
+  return { context, reports, platform, links, members, configuration, databases, routing, limits, stopping }
+}
+
+function takeMembers (view: MembersView, to: Pick<Parts, 'configuration' | 'databases' | 'routing' | 'limits'>): void {
+  to.configuration.quorumChanged(view.quorum)
+  to.routing.takeMembers(view.live)
+  to.databases.takeMembers(view.live, view.listed)
+  to.limits.takeMembers(view.live, view.listed)
+}
+
+async function publishPrimary (context: DaemonContext, platform: PlatformClient, view: PrimaryView): Promise<void> {
+  const sources = { timers: context.timers, random: context.random, newWriteId: randomUUID }
+  await updateObject<PrimaryView>(platform, sources, {
+    kind: 'primary',
+    name: view.database,
+    decode: decodePrimary,
+    change: current => current !== undefined && current.term >= view.term ? undefined : view,
+    deadlineMs: publishDeadlineMs
+  })
+}
+
+function peerHandlers (parts: Parts): PeerHandlers {
+  const { configuration, databases, members, limits, reports } = parts
+  return {
+    execute: async request => await databases.execute(request),
+    openFloor: async ({ database }) => await databases.openFloor(database),
+    heartbeat: async from => await members.answerHeartbeat(from),
+    pullConfiguration: async ({ above }) => {
+      const accepted = configuration.inForce()
+      return { accepted: accepted !== undefined && accepted.generation > above ? accepted : undefined }
+    },
+    offerConfiguration: async ({ accepted }) => {
+      configuration.offered(accepted)
+      return { generation: configuration.told().generation }
+    },
+    borrow: async params => await limits.lend(params),
+    report: async ({ report }) => ({ accepted: reports.gathered(report) })
+  }
+}
+
+function requestServices (parts: Parts, configuration: () => ConfigurationInForce): RequestServices {
+  const { context, routing, limits } = parts
+  const { timers } = context
+  return {
+    nowMs: timers.nowMs,
+    sleep: async delayMs => { await sleep(timers, delayMs) },
+    configuration,
+    admit: limits.admit,
+    openFloor: async (database, deadlineAtMs) => await openFloor(parts, database, deadlineAtMs),
+    routing: database => routing.view(database),
+    execute: async (home, request) => await executeAt(parts, home, request),
+    sawApplied: (server, applied) => { routing.sawApplied(server, applied, timers.nowMs()) },
+    random: context.random,
+    encodeToken,
+    decodeToken,
+    holdsKey
+  }
+}
+
+// Calls a member, or this host itself without a link.
+async function callHost<M extends PeerMethod> (parts: Parts, host: HostName, method: M, params: PeerParams<M>, timeoutMs: number): Promise<PeerResult<M>> {
+  if (host !== parts.context.settings.host.name) return await parts.links.call(host, method, params, timeoutMs)
+  return await peerHandlers(parts)[method](params)
+}
+
+async function executeAt (parts: Parts, home: HostName, request: ExecuteRequest): Promise<Attempt> {
+  try {
+    const reply: ExecuteReply = await callHost(parts, home, 'execute', request, request.remainingMs + answerMarginMs)
+    parts.routing.sawPrimary(reply.primary)
+    return { kind: 'replied', reply }
+  } catch (error) {
+    return asWireError(error).failure === 'refused' ? { kind: 'unsent' } : { kind: 'lost' }
+  }
+}
+
+// Any home of the database can open a floor; the next one is asked where one fails.
+async function openFloor (parts: Parts, database: string, deadlineAtMs: number): Promise<PeerResult<'openFloor'>['floor']> {
+  const { timers, random } = parts.context
+  while (timers.nowMs() < deadlineAtMs) {
+    for (const home of new Set(parts.routing.homes(database).values())) {
+      const timeoutMs = Math.max(1, Math.min(openFloorTimeoutMs, deadlineAtMs - timers.nowMs()))
+      const result = await callHost(parts, home, 'openFloor', { database }, timeoutMs).catch(() => undefined)
+      if (result === undefined) continue
+      parts.routing.sawPrimary(result.primary)
+      if (result.floor !== undefined) return result.floor
+    }
+    await sleep(timers, drainPollMs * (1 + random()))
+  }
+  return undefined
+}
+
+async function rollBack (parts: Parts, transaction: OpenTransaction): Promise<void> {
+  const request: ExecuteRequest = {
+    database: transaction.database,
+    server: transaction.server,
+    account: transaction.account,
+    weight: 1,
+    sql: 'ROLLBACK',
+    mode: { kind: 'rollback', transaction: transaction.id },
+    remainingMs: rollBackTimeoutMs
+  }
+  await executeAt(parts, transaction.home, request)
+}
+
+// Callers finish first, while this host still works for others; then its
+// duties have moved, because its heartbeats say that it is stopping.
+async function stop (parts: Parts, callers: Callers): Promise<void> {
+  const { context, members, limits, databases, configuration, links, platform, reports } = parts
+  const { timers, settings } = context
+  const startedAtMs = timers.nowMs()
+  const leftMs = (): number => Math.max(1, settings.stop.graceMs - (timers.nowMs() - startedAtMs))
+  reports.event('stopping', { host: settings.host.name, callers: callers.count() })
+  members.tell({ kind: 'stopping', nowMs: timers.nowMs() })
+  await withTimeout(timers, leftMs(), callers.drain())
+  await handOver(parts)
+  while (databases.load() > 0 && leftMs() > 1) await sleep(timers, drainPollMs)
+  limits.leave()
+  callers.close()
+  await reports.stop()
+  await Promise.all([databases.stop(), limits.stop(), members.stop(), configuration.stop()])
+  links.close()
+  platform.close()
+  reports.event('stopped', { host: settings.host.name })
+  timers.stop()
+}
+
+// Others learn within two heartbeats that this host takes no new duties.
+async function handOver (parts: Parts): Promise<void> {
+  const heartbeats = 2
+  await sleep(parts.context.timers, parts.context.settings.control.heartbeatMs * heartbeats)
+}
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -1,7 +1,7 @@
 // Last filter: runs the statement at the home of a server, again and again
 // where that is safe, until there is an answer or the deadline passes.
 
-import { notRun, unknownOutcome, type ExecuteReply, type ExecutionMode, type NotRunReason, type Outcome, type ServerName } from '../model/index.js'
+import { notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecutionMode, type NotRunReason, type Outcome, type ServerName } from '../model/index.js'
 import { end, type Filter } from '../pipe/index.js'
 import { anonymousAccount } from './admit.js'
 import type { Floored, Served } from './message.js'
@@ -84,7 +84,7 @@
   const attempt = await services.execute(route.home, {
     database: message.database.name,
     server: route.server,
-    account: message.account?.name ?? anonymousAccount,
+    account: accountName(message),
     weight: message.account?.weight ?? anonymousWeight,
     sql: message.statement.sql,
     mode: route.mode,
@@ -94,6 +94,10 @@
   return attempt
 }
 
+function accountName (message: Floored): AccountName {
+  return message.account?.name ?? anonymousAccount
+}
+
 // A replica that is behind is left at once; anything else needs time to mend.
 function needsDelay (reason: NotRunReason, progress: Progress): boolean {
   return reason !== 'behind' || progress.attempts > 2
@@ -115,7 +119,7 @@
   if (outcome.kind !== 'answered' || route.kind !== 'send' || attempt.kind !== 'replied') return { outcome, session: raised }
   const { transaction } = attempt.reply
   if (transaction === undefined) return { outcome, session: raised }
-  const open: OpenTransaction = { id: transaction, database: message.database.name, server: route.server, home: route.home, lost: false }
+  const open: OpenTransaction = { id: transaction, database: message.database.name, server: route.server, home: route.home, account: accountName(message), lost: false }
   return { outcome, session: { ...raised, transaction: open } }
 }
 
--- a/src/request/session.ts
+++ b/src/request/session.ts
@@ -2,7 +2,7 @@
 // next one. A session belongs to one connection; its floors can be carried to
 // another one by a token.
 
-import type { Caller, DatabaseName, Floors, HostName, Position, RouteName, ServerName } from '../model/index.js'
+import type { AccountName, Caller, DatabaseName, Floors, HostName, Position, RouteName, ServerName } from '../model/index.js'
 import { laterPosition } from '../model/index.js'
 
 /** An open transaction, at the home of the server that runs it. */
@@ -11,6 +11,7 @@
   readonly database: DatabaseName
   readonly server: ServerName
   readonly home: HostName
+  readonly account: AccountName
   /** Set once a statement was lost; only ROLLBACK helps then. */
   readonly lost: boolean
 }
--- a/src/wire/mysql-front.ts
+++ b/src/wire/mysql-front.ts
@@ -7,7 +7,7 @@
 import mysql from 'mysql2'
 import type net from 'node:net'
 import { Mailbox } from '../pipe/index.js'
-import type { Address, Answer, Column, NotRunReason, Outcome, RouteName } from '../model/index.js'
+import type { Address, Answer, Caller, Column, NotRunReason, Outcome, RouteName } from '../model/index.js'
 import { WireError } from './errors.js'
 
 /** What a caller sends after its login. */
@@ -40,8 +40,10 @@
   readonly close: () => void
 }
 
-/** Decides on a login: undefined accepts it, an outcome refuses it. */
-export type LoginDecision = (login: LoginRequest) => Outcome | undefined
+/** Decides on a login. */
+export type LoginDecision = (login: LoginRequest) =>
+  | { readonly kind: 'granted', readonly caller: Caller }
+  | { readonly kind: 'refused', readonly outcome: Outcome }
 
 /** A running listener for callers. */
 export type CallerListener = {
@@ -56,7 +58,7 @@
   readonly maxConnections: number
   readonly maxStatementBytes: number
   readonly decideLogin: LoginDecision
-  readonly onCaller: (link: CallerLink) => void
+  readonly onCaller: (link: CallerLink, caller: Caller) => void
 }
 
 /** Commands that may wait for one caller; a caller waits for each answer. */
@@ -177,9 +179,9 @@
     capabilityFlags: Object.values(capabilities).reduce((flags, flag) => flags | flag, 0),
     authCallback: (params: AuthParams, done: AuthResult) => {
       const login = loginOf(connection, params)
-      const refusal = spec.decideLogin(login)
-      if (refusal !== undefined) {
-        done(null, { code: errorNumberOf(refusal), message: messageOf(refusal) })
+      const verdict = spec.decideLogin(login)
+      if (verdict.kind === 'refused') {
+        done(null, { code: errorNumberOf(verdict.outcome), message: messageOf(verdict.outcome) })
         return
       }
       done(null)
@@ -189,7 +191,7 @@
         inbox,
         write: outcome => { writeOutcome(connection, outcome) },
         close: () => { connection.stream.end() }
-      })
+      }, verdict.caller)
     }
   })
 }
--- a/src/wire/peer-link.ts
+++ b/src/wire/peer-link.ts
@@ -1,6 +1,6 @@
 // Links between proxies: JSON-RPC 2.0, one text a line, over TCP or TLS. A
-// link is opened on the first call and closed as soon as a call on it is
-// overdue, since a silent connection may never answer again; the next call
+// link is opened on the first call. Where a call is overdue and nothing at all
+// came in since it was sent, the link is silent and given up; the next call
 // opens a new one. A call that was lost or overdue may have been carried out.
 
 import { JSONRPCClient, JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0'
@@ -41,6 +41,8 @@
   readonly rpc: JSONRPCClient
   /** False until something of a call may have left this host. */
   readonly connected: () => boolean
+  /** When something last came in; monotonic. */
+  readonly heardAtMs: () => number
 }
 
 /**
@@ -62,8 +64,12 @@
     const rpc = new JSONRPCClient(request => { writeLine(socket, request) })
     let connected = false
     socket.once(security === undefined ? 'connect' : 'secureConnect', () => { connected = true })
-    const link = { socket, rpc, connected: () => connected }
-    readLines(socket, line => { receive(line, value => { rpc.receive(value) }, () => { drop(link, new Error('not JSON')) }) })
+    let heardAtMs = -Infinity
+    const link = { socket, rpc, connected: () => connected, heardAtMs: () => heardAtMs }
+    readLines(socket, line => {
+      heardAtMs = timers.nowMs()
+      receive(line, value => { rpc.receive(value) }, () => { drop(link, new Error('not JSON')) })
+    })
     socket.on('error', error => { drop(link, error) })
     socket.on('close', () => { drop(link, new Error('link closed')) })
     return link
@@ -72,10 +78,11 @@
     async call (method, params, timeoutMs) {
       open ??= connect()
       const link = open
+      const sentAtMs = timers.nowMs()
       const answer = await withTimeout(timers, timeoutMs, Promise.resolve(link.rpc.request(method, params)))
         .catch(error => { throw new WireError(link.connected() ? 'lost' : 'refused', `the link to ${address.ip}:${address.port} was lost`, asError(error)) })
       if (answer.kind === 'done') return answer.value
-      drop(link, new Error('answer overdue'))
+      if (link.heardAtMs() < sentAtMs) drop(link, new Error('link silent'))
       throw new WireError(link.connected() ? 'overdue' : 'refused', `${address.ip}:${address.port} did not answer ${method} in ${timeoutMs} ms`)
     },
     close () {
