Add faulty links and the starter of a local set of real processes

A link is a task with a pure step: it passes, cuts, refuses, swallows, holds or delays bytes, for open and new connections apart. A set starts platform, groups of three servers and proxies, each connection through a link of its own where asked, and ends every process that it started by its id.

--- /dev/null
+++ b/standins/faulty-link.ts
@@ -0,0 +1,230 @@
+// A TCP proxy that injects faults. Each link is a task that owns its listener
+// and both sockets of each connection; tests steer it over HTTP.
+
+import { createServer as createHttpServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { z } from 'zod'
+import type { Address } from '../src/model/index.js'
+import { sleep, startTask, systemTimers, type Port, type Task, type TimerService } from '../src/pipe/index.js'
+import { newLink, passingControl, stepLink, type LinkControl, type LinkEffect, type LinkMessage, type LinkState, type Passage } from './link-state.js'
+import type { RunningStandin } from './platform.js'
+import { readBody } from './platform/http.js'
+
+/** Chunks that may wait for a link's task. */
+const mailboxCapacity = 100_000
+
+type Ends = {
+  readonly client: Socket
+  readonly server: Socket
+}
+
+/** A running link. */
+export type FaultyLink = {
+  readonly listen: Address
+  readonly to: Address
+  readonly control: (control: LinkControl) => void
+  readonly shown: () => { readonly control: LinkControl, readonly open: number, readonly opened: number }
+  readonly stop: () => Promise<void>
+}
+
+/** The mutable parts of one link, which only its task touches. */
+class LinkSockets {
+  readonly #ends = new Map<number, Ends>()
+  readonly #onTheWay = new Map<string, Promise<void>>()
+  readonly #to: Address
+  readonly #timers: TimerService
+  readonly #listener: Server
+  #next = 1
+  #port: Port<LinkMessage> | undefined
+
+  constructor (to: Address, timers: TimerService) {
+    this.#to = to
+    this.#timers = timers
+    this.#listener = createServer(socket => { this.#accept(socket) })
+  }
+
+  attach (port: Port<LinkMessage>): void {
+    this.#port = port
+  }
+
+  async listen (address: Address): Promise<Address> {
+    await new Promise<void>((resolve, reject) => {
+      this.#listener.once('error', reject)
+      this.#listener.listen(address.port, address.ip, resolve)
+    })
+    return { ip: address.ip, port: (this.#listener.address() as AddressInfo).port }
+  }
+
+  perform (effect: LinkEffect, listen: Address): void {
+    switch (effect.kind) {
+      case 'cut': return this.#cut(effect.id)
+      case 'forward': return this.#forward(effect.passage, effect.delayMs)
+      case 'listen': {
+        if (effect.open && !this.#listener.listening) this.#listener.listen(listen.port, listen.ip)
+        if (!effect.open) this.#listener.close()
+      }
+    }
+  }
+
+  async stop (): Promise<void> {
+    for (const id of this.#ends.keys()) this.#cut(id)
+    if (this.#listener.listening) await new Promise(resolve => { this.#listener.close(resolve) })
+  }
+
+  #accept (client: Socket): void {
+    const id = this.#next
+    this.#next += 1
+    const server = connect({ host: this.#to.ip, port: this.#to.port, noDelay: true, allowHalfOpen: true })
+    client.setNoDelay(true)
+    client.allowHalfOpen = true
+    this.#ends.set(id, { client, server })
+    this.#port?.send({ kind: 'opened', id })
+    this.#watch(id, client, 'toServer')
+    this.#watch(id, server, 'toClient')
+  }
+
+  #watch (id: number, socket: Socket, direction: Passage['direction']): void {
+    socket.on('data', bytes => { this.#port?.send({ kind: 'passage', passage: { id, direction, bytes } }) })
+    // An end and a lost connection go the same way as bytes, so that a silent link hides them.
+    socket.on('end', () => { this.#port?.send({ kind: 'passage', passage: { id, direction, bytes: undefined } }) })
+    socket.on('error', () => { this.#port?.send({ kind: 'passage', passage: { id, direction, bytes: undefined } }) })
+    socket.on('close', () => { this.#forgetClosed(id) })
+  }
+
+  #forgetClosed (id: number): void {
+    const ends = this.#ends.get(id)
+    if (ends === undefined || !ends.client.destroyed || !ends.server.destroyed) return
+    this.#ends.delete(id)
+    this.#port?.send({ kind: 'closed', id })
+  }
+
+  #cut (id: number): void {
+    const ends = this.#ends.get(id)
+    ends?.client.resetAndDestroy()
+    ends?.server.resetAndDestroy()
+  }
+
+  #forward (passage: Passage, delayMs: number): void {
+    const key = `${passage.id} ${passage.direction}`
+    const before = this.#onTheWay.get(key)
+    if (before === undefined && delayMs === 0) return this.#write(passage)
+    // What comes later never overtakes what is on the way.
+    const arrived = Promise.all([before, sleep(this.#timers, delayMs)]).then(() => {
+      if (this.#onTheWay.get(key) === arrived) this.#onTheWay.delete(key)
+      this.#write(passage)
+    })
+    this.#onTheWay.set(key, arrived)
+  }
+
+  #write (passage: Passage): void {
+    const ends = this.#ends.get(passage.id)
+    if (ends === undefined) return
+    const [from, into] = passage.direction === 'toServer' ? [ends.client, ends.server] : [ends.server, ends.client]
+    if (into.destroyed) {
+      from.destroy()
+      return
+    }
+    if (passage.bytes === undefined) {
+      if (from.errored === null) into.end()
+      else into.resetAndDestroy()
+      return
+    }
+    if (into.write(passage.bytes)) return
+    from.pause()
+    into.once('drain', () => { from.resume() })
+  }
+}
+
+export async function startLink (listen: Address, to: Address): Promise<FaultyLink> {
+  const timers = systemTimers()
+  const sockets = new LinkSockets(to, timers)
+  const address = await sockets.listen(listen)
+  let latest = newLink
+  const task: Task<LinkMessage> = startTask<LinkState, LinkMessage, LinkEffect>({
+    name: 'faulty link',
+    initial: newLink,
+    step: (state, message) => {
+      const next = stepLink(state, message)
+      latest = next.state
+      return next
+    },
+    perform: effect => { sockets.perform(effect, address) },
+    capacity: mailboxCapacity,
+    onError: error => { console.error(error) }
+  })
+  sockets.attach(task.port)
+  return {
+    listen: address,
+    to,
+    control: control => { task.port.send({ kind: 'control', control }) },
+    shown: () => ({ control: latest.control, open: latest.connections.size, opened: latest.opened }),
+    stop: async () => {
+      await sockets.stop()
+      timers.stop()
+      await task.stop()
+    }
+  }
+}
+
+const addressSchema = z.string().regex(/^[^:]+:\d+$/).transform((text): Address => {
+  const [ip = '', port = ''] = text.split(':')
+  return { ip, port: Number(port) }
+})
+
+const controlSchema = z.object({
+  /** Makes the link where it does not exist yet. */
+  to: addressSchema.optional(),
+  listen: addressSchema.default({ ip: '127.0.0.1', port: 0 }),
+  mode: z.enum(['pass', 'cut', 'refuse', 'silent', 'silentToServer', 'silentToClient', 'halfOpen', 'hold']).default(passingControl.mode),
+  delayMs: z.number().min(0).default(passingControl.delayMs),
+  dropNextAnswer: z.number().int().min(0).default(passingControl.dropNextAnswer)
+})
+
+/**
+ * Starts a set of links and the HTTP server that steers them.
+ * @param listen - where the control listens; port 0 takes a free one
+ * @returns the running set
+ */
+export async function startFaultyLinks (listen: Address): Promise<RunningStandin> {
+  const links = new Map<string, FaultyLink>()
+  const server = createHttpServer((request, response) => {
+    serveControl(links, request, response).catch(error => { answerJson(response, 400, { reason: String(error) }) })
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(listen.port, listen.ip, resolve)
+  })
+  return {
+    address: { ip: listen.ip, port: (server.address() as AddressInfo).port },
+    stop: async () => {
+      server.closeAllConnections()
+      await new Promise(resolve => { server.close(resolve) })
+      await Promise.all([...links.values()].map(async link => { await link.stop() }))
+    }
+  }
+}
+
+async function serveControl (links: Map<string, FaultyLink>, request: IncomingMessage, response: ServerResponse): Promise<void> { // eslint-disable-line no-restricted-syntax -- the set of links grows
+  const [, space, encoded] = (request.url ?? '').split('/')
+  if (space !== 'links') return answerJson(response, 404, { reason: 'unknown path' })
+  const body = await readBody(request) ?? ''
+  if (encoded === undefined) return answerJson(response, 200, Object.fromEntries([...links].map(([name, link]) => [name, shownLink(link)])))
+  const name = decodeURIComponent(encoded)
+  if (request.method === 'PUT') {
+    const wanted = controlSchema.parse(JSON.parse(body))
+    const link = links.get(name) ?? await startLink(wanted.listen, z.object({ ip: z.string(), port: z.number() }).parse(wanted.to))
+    links.set(name, link)
+    link.control({ mode: wanted.mode, delayMs: wanted.delayMs, dropNextAnswer: wanted.dropNextAnswer })
+  }
+  const link = links.get(name)
+  return link === undefined ? answerJson(response, 404, { reason: 'unknown link' }) : answerJson(response, 200, shownLink(link))
+}
+
+function shownLink (link: FaultyLink): object {
+  return { listen: link.listen, to: link.to, ...link.shown() }
+}
+
+function answerJson (response: ServerResponse, status: number, body: object): void {
+  response.writeHead(status, { 'content-type': 'application/json' })
+  response.end(JSON.stringify(body))
+}
--- /dev/null
+++ b/standins/link-state.ts
@@ -0,0 +1,136 @@
+// What a faulty link does with the bytes of its connections. A pure step: the
+// sockets stand in `faulty-link.ts`.
+
+import type { Transition } from '../src/pipe/index.js'
+
+export type LinkMode =
+  /** Bytes pass. */
+  | 'pass'
+  /** Open connections are cut; new ones are cut as soon as they open. */
+  | 'cut'
+  /** Open connections are cut; nothing listens. */
+  | 'refuse'
+  /** Bytes are swallowed both ways for good; connections stay open, new ones too. */
+  | 'silent'
+  | 'silentToServer'
+  | 'silentToClient'
+  /** Connections that are open now are silent for good; new ones work. */
+  | 'halfOpen'
+  /** Bytes wait and pass once the mode ends, as after a partition that heals. */
+  | 'hold'
+
+export type Direction = 'toServer' | 'toClient'
+
+export type LinkControl = {
+  readonly mode: LinkMode
+  readonly delayMs: number
+  /** So many chunks from the server are swallowed, each cuts its connection. */
+  readonly dropNextAnswer: number
+}
+
+export const passingControl: LinkControl = { mode: 'pass', delayMs: 0, dropNextAnswer: 0 }
+
+type LinkConnection = {
+  /** Directions that have lost bytes and stay silent. */
+  readonly silent: readonly Direction[]
+  readonly held: readonly Passage[]
+}
+
+/** Bytes, or the end of them, on the way through the link. */
+export type Passage = {
+  readonly id: number
+  readonly direction: Direction
+  /** Nothing where the sender has ended. */
+  readonly bytes: Buffer | undefined
+}
+
+export type LinkState = {
+  readonly control: LinkControl
+  readonly connections: ReadonlyMap<number, LinkConnection>
+  readonly opened: number
+}
+
+export const newLink: LinkState = { control: passingControl, connections: new Map(), opened: 0 }
+
+export type LinkMessage =
+  | { readonly kind: 'control', readonly control: LinkControl }
+  | { readonly kind: 'opened', readonly id: number }
+  | { readonly kind: 'passage', readonly passage: Passage }
+  | { readonly kind: 'closed', readonly id: number }
+
+export type LinkEffect =
+  | { readonly kind: 'forward', readonly passage: Passage, readonly delayMs: number }
+  | { readonly kind: 'cut', readonly id: number }
+  | { readonly kind: 'listen', readonly open: boolean }
+
+type Next = Transition<LinkState, LinkEffect>
+
+const bothDirections: readonly Direction[] = ['toServer', 'toClient']
+
+export function stepLink (state: LinkState, message: LinkMessage): Next {
+  switch (message.kind) {
+    case 'control': return control(state, message.control)
+    case 'opened': return opened(state, message.id)
+    case 'passage': return pass(state, message.passage)
+    case 'closed': {
+      const connections = new Map(state.connections)
+      connections.delete(message.id)
+      return { state: { ...state, connections }, effects: [] }
+    }
+  }
+}
+
+function control (state: LinkState, wanted: LinkControl): Next {
+  const ids = [...state.connections.keys()]
+  const listen: LinkEffect = { kind: 'listen', open: wanted.mode !== 'refuse' }
+  if (wanted.mode === 'cut' || wanted.mode === 'refuse') {
+    const cuts = ids.map(id => ({ kind: 'cut', id } as const))
+    return { state: { ...state, control: wanted, connections: new Map() }, effects: [listen, ...cuts] }
+  }
+  const silent = silentFromNow(wanted.mode)
+  const waiting = [...state.connections.values()].flatMap(connection => connection.held)
+  const connections = new Map([...state.connections].map(([id, connection]) =>
+    [id, { silent: [...connection.silent, ...silent], held: [] } satisfies LinkConnection]))
+  const start: Next = { state: { ...state, control: wanted, connections }, effects: [listen] }
+  return waiting.reduce((next, passage) => {
+    const passed = pass(next.state, passage)
+    return { state: passed.state, effects: [...next.effects, ...passed.effects] }
+  }, start)
+}
+
+/** Directions that fall silent on open connections when a mode begins. */
+function silentFromNow (mode: LinkMode): readonly Direction[] {
+  switch (mode) {
+    case 'pass':
+    case 'cut':
+    case 'refuse':
+    case 'hold': return []
+    case 'silent':
+    case 'halfOpen': return bothDirections
+    case 'silentToServer': return ['toServer']
+    case 'silentToClient': return ['toClient']
+  }
+}
+
+function opened (state: LinkState, id: number): Next {
+  const counted = { ...state, opened: state.opened + 1 }
+  const mode = state.control.mode
+  if (mode === 'cut' || mode === 'refuse') return { state: counted, effects: [{ kind: 'cut', id }] }
+  const silent = mode === 'halfOpen' ? [] : silentFromNow(mode)
+  return { state: { ...counted, connections: new Map(state.connections).set(id, { silent, held: [] }) }, effects: [] }
+}
+
+function pass (state: LinkState, passage: Passage): Next {
+  const connection = state.connections.get(passage.id)
+  if (connection === undefined || connection.silent.includes(passage.direction)) return { state, effects: [] }
+  if (state.control.mode === 'hold') {
+    const held = [...connection.held, passage]
+    return { state: { ...state, connections: new Map(state.connections).set(passage.id, { ...connection, held }) }, effects: [] }
+  }
+  const isAnswer = passage.direction === 'toClient' && passage.bytes !== undefined
+  if (isAnswer && state.control.dropNextAnswer > 0) {
+    const dropNextAnswer = state.control.dropNextAnswer - 1
+    return { state: { ...state, control: { ...state.control, dropNextAnswer } }, effects: [{ kind: 'cut', id: passage.id }] }
+  }
+  return { state, effects: [{ kind: 'forward', passage, delayMs: state.control.delayMs }] }
+}
--- /dev/null
+++ b/standins/set/controls.ts
@@ -0,0 +1,107 @@
+// What tests say to the stand-ins while they run: faults of the platform and
+// of links, its host list, calls to a database server.
+
+import { createConnection, type RowDataPacket } from 'mysql2/promise'
+import type { Address, Position } from '../../src/model/index.js'
+import type { LinkControl } from '../link-state.js'
+import type { Faults, Json, PlatformHost } from '../platform/state.js'
+
+/** Login of the proxies and of the stand-ins among themselves. */
+export const serviceLogin = { user: 'service', password: 'service-password' }
+
+/** The platform's control and objects. */
+export type PlatformControl = {
+  readonly faults: (faults: Partial<Faults>) => Promise<void>
+  readonly hosts: (hosts: readonly PlatformHost[], lagMs?: number) => Promise<void>
+  readonly calls: () => Promise<Readonly<Record<string, number>>>
+  readonly read: (kind: string, name: string) => Promise<{ readonly version: number, readonly value: Json } | undefined>
+  /** Puts a value over whatever version stands there. */
+  readonly write: (kind: string, name: string, value: Json) => Promise<number>
+}
+
+export function platformControl (address: Address): PlatformControl {
+  const base = `http://${address.ip}:${address.port}`
+  const read: PlatformControl['read'] = async (kind, name) => {
+    const response = await fetch(`${base}/v1/objects/${kind}/${name}`)
+    const body = await response.json() as { readonly version: number, readonly value: Json }
+    return response.ok ? body : undefined
+  }
+  return {
+    faults: async faults => { await putJson(`${base}/control/faults`, faults) },
+    hosts: async (hosts, lagMs = 0) => { await putJson(`${base}/control/hosts`, { hosts, lagMs }) },
+    calls: async () => {
+      const response = await fetch(`${base}/control/stats`)
+      return (await response.json() as { readonly calls: Readonly<Record<string, number>> }).calls
+    },
+    read,
+    write: async (kind, name, value) => {
+      const version = (await read(kind, name))?.version ?? 0
+      const written = await putJson(`${base}/v1/objects/${kind}/${name}?version=${version}`, value) as { readonly version: number }
+      return written.version
+    }
+  }
+}
+
+/** The links of a set. */
+export type LinksControl = {
+  /** Makes a link to an address and gives the address to use in its place. */
+  readonly add: (name: string, to: Address) => Promise<Address>
+  readonly set: (name: string, control: Partial<LinkControl>) => Promise<void>
+  readonly opened: (name: string) => Promise<number>
+}
+
+export function linksControl (address: Address): LinksControl {
+  const base = `http://${address.ip}:${address.port}/links`
+  return {
+    add: async (name, to) => {
+      const made = await putJson(`${base}/${encodeURIComponent(name)}`, { to: `${to.ip}:${to.port}` }) as { readonly listen: Address }
+      return made.listen
+    },
+    set: async (name, control) => { await putJson(`${base}/${encodeURIComponent(name)}`, control) },
+    opened: async name => {
+      const response = await fetch(`${base}/${encodeURIComponent(name)}`)
+      return (await response.json() as { readonly opened: number }).opened
+    }
+  }
+}
+
+async function putJson (url: string, body: unknown): Promise<unknown> {
+  const response = await fetch(url, { method: 'PUT', body: JSON.stringify(body) })
+  if (!response.ok) throw new Error(`PUT ${url}: ${response.status} ${await response.text()}`)
+  return await response.json()
+}
+
+export type ServerRow = Readonly<Record<string, unknown>>
+
+/**
+ * Runs one statement on a database server, past all proxies.
+ * @param address - the server
+ * @param text - the statement
+ * @returns its rows
+ */
+export async function onServer (address: Address, text: string): Promise<readonly ServerRow[]> {
+  const connection = await createConnection({ host: address.ip, port: address.port, ...serviceLogin })
+  try {
+    const [rows] = await connection.query<RowDataPacket[]>(text)
+    return Array.isArray(rows) ? rows : []
+  } finally {
+    connection.destroy()
+  }
+}
+
+export type SeenServer = {
+  readonly role: string
+  readonly fencedTerm: number
+  readonly received: Position
+  readonly applied: Position
+}
+
+export async function serverStatus (address: Address): Promise<SeenServer> {
+  const row = (await onServer(address, 'CALL ledger_status()'))[0] ?? {}
+  return {
+    role: String(row['role']),
+    fencedTerm: Number(row['fenced_term']),
+    received: { term: Number(row['received_term']), index: Number(row['received_index']) },
+    applied: { term: Number(row['applied_term']), index: Number(row['applied_index']) }
+  }
+}
--- /dev/null
+++ b/standins/set/local-set.ts
@@ -0,0 +1,281 @@
+// A local set of real processes: the platform, groups of three database servers
+// and proxies. Each connection between them can go through a faulty link of its
+// own, named `FROM>TO`.
+
+import { randomBytes } from 'node:crypto'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { stringify } from 'smol-toml'
+import { digestOf, keyRandomBytes, newKey } from '../../src/config/index.js'
+import type { Address, Manifest } from '../../src/model/index.js'
+import { linksControl, platformControl, serviceLogin, type LinksControl, type PlatformControl } from './controls.js'
+import { PortBlock } from './ports.js'
+import { startProcess, type StartedProcess } from './process.js'
+
+const ip = '127.0.0.1'
+const platformName = 'platform'
+
+export type LocalAccount = {
+  readonly name: string
+  readonly ratePerS: number
+  readonly burst: number
+  readonly weight: number
+}
+
+/** Fields of the settings by section, as in the TOML text. */
+export type ExtraSettings = Readonly<Record<string, Readonly<Record<string, string | number>>>>
+
+export type LocalSetOptions = {
+  readonly hosts: number
+  /** Hosts and servers are spread over these, one after the other. */
+  readonly failureDomains: readonly string[]
+  readonly databases: readonly string[]
+  readonly accounts: readonly LocalAccount[]
+  readonly seats: number
+  readonly slots: number
+  readonly maxConnections: number
+  readonly lagMs: number
+  readonly serviceMs: number
+  readonly connectDelayMs: number
+  readonly faultyLinks: boolean
+  readonly settings: ExtraSettings
+}
+
+export const defaultSet: LocalSetOptions = {
+  hosts: 3,
+  failureDomains: ['medina', 'plateau', 'hlm'],
+  databases: ['ledger'],
+  accounts: [
+    { name: 'atelier', ratePerS: 10_000, burst: 10_000, weight: 1 },
+    { name: 'mission', ratePerS: 10_000, burst: 10_000, weight: 1 }
+  ],
+  seats: 18,
+  slots: 5,
+  maxConnections: 75,
+  lagMs: 20,
+  serviceMs: 1,
+  connectDelayMs: 10,
+  faultyLinks: false,
+  settings: {}
+}
+
+/** One database server of a set. */
+export type LocalServer = {
+  readonly name: string
+  readonly database: string
+  readonly failureDomain: string
+  readonly address: Address
+  readonly process: StartedProcess
+}
+
+/** One proxy of a set, by its place; the process may be started again. */
+export type LocalProxy = {
+  readonly name: string
+  readonly failureDomain: string
+  readonly mysql: Address
+  readonly peer: Address
+  readonly settingsFile: string
+  readonly process: StartedProcess
+}
+
+/** A running set. */
+export type LocalSet = {
+  readonly options: LocalSetOptions
+  readonly platform: PlatformControl
+  readonly platformAddress: Address
+  readonly platformProcess: StartedProcess
+  readonly links: LinksControl | undefined
+  readonly servers: readonly LocalServer[]
+  readonly proxies: readonly LocalProxy[]
+  /** Keys by client account. */
+  readonly keys: ReadonlyMap<string, string>
+  readonly manifest: Manifest
+  /** Starts a proxy again, or one more, from the same settings. */
+  readonly startProxy: (proxy: ProxyPlace) => Promise<LocalProxy>
+  /** Ends every process and removes what the set wrote. */
+  readonly stop: () => Promise<void>
+}
+
+/** A proxy that is not started yet. */
+export type ProxyPlace = Omit<LocalProxy, 'process'>
+
+type Place = {
+  readonly name: string
+  readonly failureDomain: string
+  readonly address: Address
+}
+
+type ServerPlace = Place & { readonly database: string }
+type HostPlace = Place & { readonly mysql: Address }
+
+/** What a set holds until it stops. */
+type Holdings = {
+  readonly folder: string
+  readonly ports: PortBlock
+  readonly started: StartedProcess[] // eslint-disable-line no-restricted-syntax -- grows while the set starts
+}
+
+/**
+ * Starts a set. Everything that was started is ended where a part fails.
+ * @param changes - what differs from `defaultSet`
+ * @returns the running set
+ */
+export async function startLocalSet (changes: Partial<LocalSetOptions> = {}): Promise<LocalSet> {
+  const options = { ...defaultSet, ...changes }
+  const holdings: Holdings = { folder: mkdtempSync(join(tmpdir(), 'limpetmoor-set-')), ports: await PortBlock.claim(), started: [] }
+  try {
+    return await startParts(options, holdings)
+  } catch (error) {
+    await release(holdings)
+    throw error
+  }
+}
+
+async function startParts (options: LocalSetOptions, holdings: Holdings): Promise<LocalSet> {
+  const start = async (name: string, program: string, args: readonly string[]): Promise<StartedProcess> => {
+    const started = await startProcess(name, program, args)
+    holdings.started.push(started)
+    return started
+  }
+  const serverPlaces = await placeServers(options, holdings.ports)
+  const hostPlaces = await placeHosts(options, holdings.ports)
+  const platformProcess = await start(platformName, 'standins/platform-main.js', [])
+  const platform = platformControl(platformProcess.address)
+  const links = options.faultyLinks ? linksControl((await start('links', 'standins/faulty-link-main.js', [])).address) : undefined
+  const keys = new Map(options.accounts.map(account => [account.name, newKey(randomBytes(keyRandomBytes))]))
+  const manifest = manifestOf(options, serverPlaces, keys)
+  const servers = await Promise.all(serverPlaces.map(async (place): Promise<LocalServer> => {
+    const group = serverPlaces.filter(other => other.database === place.database)
+    const detours = await detoursFrom(place, group, links)
+    return { ...place, process: await start(place.name, 'standins/database-main.js', serverArgs(options, place, group, detours)) }
+  }))
+  await platform.hosts(hostPlaces.map(place => ({ host: place.name, failureDomain: place.failureDomain, ip, port: place.address.port, state: 'live' })))
+  const proxyPlaces = await Promise.all(hostPlaces.map(async place => {
+    const detours = await detoursFrom(place, [...serverPlaces, ...hostPlaces], links)
+    const direct = platformProcess.address
+    const platformAddress = await links?.add(linkName(place.name, platformName), direct) ?? direct
+    const settingsFile = join(holdings.folder, `${place.name}.toml`)
+    writeFileSync(settingsFile, settingsText(options, place, platformAddress, detours))
+    return { name: place.name, failureDomain: place.failureDomain, mysql: place.mysql, peer: place.address, settingsFile }
+  }))
+  const startProxy = async (place: ProxyPlace): Promise<LocalProxy> => {
+    const process = await start(place.name, 'src/cli/main.js', ['proxy', '--settings', place.settingsFile])
+    return { ...place, process }
+  }
+  await platform.write('manifest', 'current', manifest)
+  const proxies = await Promise.all(proxyPlaces.map(startProxy))
+  return {
+    options,
+    platform,
+    platformAddress: platformProcess.address,
+    platformProcess,
+    links,
+    servers,
+    proxies,
+    keys,
+    manifest,
+    startProxy,
+    stop: async () => { await release(holdings) }
+  }
+}
+
+async function release (holdings: Holdings): Promise<void> {
+  await Promise.all(holdings.started.map(async each => await each.stop()))
+  await holdings.ports.release()
+  rmSync(holdings.folder, { recursive: true, force: true })
+}
+
+/** Name of the link between two parts of a set. */
+export function linkName (from: string, to: string): string {
+  return `${from}>${to}`
+}
+
+async function detoursFrom (place: Place, others: readonly Place[], links: LinksControl | undefined): Promise<ReadonlyMap<string, string>> {
+  if (links === undefined) return new Map()
+  const reached = others.filter(other => other.name !== place.name)
+  const detours = await Promise.all(reached.map(async other => {
+    const link = await links.add(linkName(place.name, other.name), other.address)
+    return [addressText(other.address), addressText(link)] as const
+  }))
+  return new Map(detours)
+}
+
+async function placeServers (options: LocalSetOptions, ports: PortBlock): Promise<readonly ServerPlace[]> {
+  const places: ServerPlace[] = []
+  for (const database of options.databases) {
+    for (const [index, failureDomain] of options.failureDomains.entries()) {
+      places.push({ name: `${database}-${index + 1}`, database, failureDomain, address: { ip, port: await ports.take() } })
+    }
+  }
+  return places
+}
+
+async function placeHosts (options: LocalSetOptions, ports: PortBlock): Promise<readonly HostPlace[]> {
+  const places: HostPlace[] = []
+  for (let index = 0; index < options.hosts; index++) {
+    const failureDomain = options.failureDomains[index % options.failureDomains.length] ?? ''
+    const mysql = { ip, port: await ports.take() }
+    places.push({ name: `proxy-${index + 1}`, failureDomain, mysql, address: { ip, port: await ports.take() } })
+  }
+  return places
+}
+
+function manifestOf (options: LocalSetOptions, servers: readonly ServerPlace[], keys: ReadonlyMap<string, string>): Manifest {
+  return {
+    accounts: options.accounts.map(account => ({ ...account, keys: [{ id: `${account.name}-1`, digest: digestOf(keys.get(account.name) ?? '') }] })),
+    databases: options.databases.map(name => ({
+      name,
+      state: 'active',
+      servers: servers.filter(server => server.database === name).map(server => ({
+        name: server.name,
+        ip,
+        port: server.address.port,
+        failureDomain: server.failureDomain,
+        slots: options.slots,
+        maxConnections: options.maxConnections,
+        state: 'active'
+      }))
+    })),
+    // Each database has a route of its name for all accounts, and an open one.
+    routes: options.databases.flatMap(database => [
+      { name: database, database, access: { kind: 'accounts', accounts: options.accounts.map(account => account.name) } } as const,
+      { name: `${database}-open`, database, access: { kind: 'open' } } as const
+    ]),
+    anonymous: { ratePerS: 1000, burst: 1000 },
+    seats: options.seats
+  }
+}
+
+function serverArgs (options: LocalSetOptions, place: ServerPlace, group: readonly ServerPlace[], detours: ReadonlyMap<string, string>): readonly string[] {
+  const fields: ReadonlyArray<readonly [string, string | number]> = [
+    ['port', place.address.port],
+    ['server', place.name],
+    ['servers', group.map(each => `${each.name}=${addressText(each.address)}`).join(',')],
+    ['initial-primary', group[0]?.name ?? ''],
+    ['via', [...detours].map(pair => pair.join('=')).join(',')],
+    ['user', serviceLogin.user],
+    ['password', serviceLogin.password],
+    ['slots', options.slots],
+    ['max-connections', options.maxConnections],
+    ['connect-delay-ms', options.connectDelayMs],
+    ['service-ms', options.serviceMs],
+    ['lag-ms', options.lagMs]
+  ]
+  return fields.flatMap(([name, value]) => [`--${name}`, String(value)])
+}
+
+function settingsText (options: LocalSetOptions, place: HostPlace, platform: Address, detours: ReadonlyMap<string, string>): string {
+  const sections: ExtraSettings = {
+    host: { name: place.name, failure_domain: place.failureDomain, ip, mysql_port: place.mysql.port, peer_port: place.address.port },
+    platform: { url: `http://${addressText(platform)}` },
+    database_login: serviceLogin,
+    links: Object.fromEntries(detours)
+  }
+  const names = new Set([...Object.keys(sections), ...Object.keys(options.settings)])
+  return stringify(Object.fromEntries([...names].map(name => [name, { ...sections[name], ...options.settings[name] }])))
+}
+
+function addressText (address: Address): string {
+  return `${address.ip}:${address.port}`
+}
