Decide confirmation, opening floors and the age of reads

One round of questions gives floors to all sessions that waited when it started. The age of a replica's data counts from the time before a majority was asked: the primary's word alone was ruled out, because a replaced primary vouches for old data.

A write that no majority can receive any more is given up before its deadline, so a failover does not hold its caller until then.

--- /dev/null
+++ b/src/request/age.ts
@@ -0,0 +1,119 @@
+// Reads of a stated age. A replica may serve data of age A where it has applied
+// everything that was acknowledged up to a moment not longer ago than A.
+//
+// The home notes the time by its own monotonic clock, then asks the servers.
+// The highest received position among the answers of a majority is at or above
+// every write acknowledged before that time. A replica that has applied this
+// position therefore shows the data of that time or later. The primary's word
+// alone would not do: one that has been replaced without knowing would vouch
+// for old data. No clock of another host is read, and where no majority
+// answers, or the replica stands still, the age grows by itself until the
+// replica serves no more.
+
+import { covers, laterPosition, originPosition, type Position, type ServerName } from '../model/index.js'
+import { majorityOf } from '../failover/index.js'
+
+/** Everything acknowledged before a time is at or below a position. */
+export type AgeMark = {
+  readonly position: Position
+  /** Monotonic time of this home, read before the servers were asked. */
+  readonly askedAtMs: number
+}
+
+/** One server's answer. */
+export type TimedAnswer = {
+  readonly received: Position
+  readonly askedAtMs: number
+}
+
+/** What a home knows of the age of a database's data. */
+export type AgeRecord = {
+  readonly servers: readonly ServerName[]
+  readonly answers: Readonly<Record<ServerName, TimedAnswer>>
+  /** Newest first. */
+  readonly marks: readonly AgeMark[]
+}
+
+/** Marks closer together than this are not both kept. */
+const markSpacingMs = 5
+/** Marks that are kept at most. */
+const maxMarks = 256
+
+/**
+ * The record before any answer came in.
+ * @param servers - all servers of the database
+ * @returns the empty record
+ */
+export function emptyAgeRecord (servers: readonly ServerName[]): AgeRecord {
+  return { servers, answers: {}, marks: [] }
+}
+
+/**
+ * Takes in the answer of a server.
+ * @param record - what was known
+ * @param server - who answered
+ * @param answer - the received position and the time before it was asked for
+ * @returns what is known now
+ */
+export function noteAnswer (record: AgeRecord, server: ServerName, answer: TimedAnswer): AgeRecord {
+  const before = record.answers[server]
+  if (!record.servers.includes(server)) return record
+  if (before !== undefined && before.askedAtMs > answer.askedAtMs) return record
+  const answers = { ...record.answers, [server]: answer }
+  const mark = majorityMark(Object.values(answers), record.servers.length)
+  return { ...record, answers, marks: mark === undefined ? record.marks : withMark(record.marks, mark) }
+}
+
+// The majority that was asked last; the earliest time among it counts.
+function majorityMark (answers: readonly TimedAnswer[], serverCount: number): AgeMark | undefined {
+  const latest = [...answers].sort((a, b) => b.askedAtMs - a.askedAtMs).slice(0, majorityOf(serverCount))
+  const earliest = latest.at(-1)
+  if (earliest === undefined || latest.length < majorityOf(serverCount)) return undefined
+  const position = latest.map(answer => answer.received).reduce(laterPosition, originPosition)
+  return { position, askedAtMs: earliest.askedAtMs }
+}
+
+function withMark (marks: readonly AgeMark[], mark: AgeMark): readonly AgeMark[] {
+  const newest = marks[0]
+  const second = marks[1]
+  if (newest === undefined) return [mark]
+  if (mark.askedAtMs <= newest.askedAtMs) return marks
+  const crowded = second !== undefined && newest.askedAtMs - second.askedAtMs < markSpacingMs
+  return [mark, ...(crowded ? marks.slice(1) : marks)].slice(0, maxMarks)
+}
+
+/**
+ * Replaces the servers after a change of the manifest.
+ * @param record - what was known
+ * @param servers - all servers of the database
+ * @returns the record; earlier marks still hold
+ */
+export function withAgeServers (record: AgeRecord, servers: readonly ServerName[]): AgeRecord {
+  const kept = Object.entries(record.answers).filter(([server]) => servers.includes(server))
+  return { ...record, servers, answers: Object.fromEntries(kept) }
+}
+
+/**
+ * Tells how old the data of a replica may be.
+ * @param record - what is known
+ * @param applied - what the replica has applied
+ * @param nowMs - monotonic time
+ * @returns the age in milliseconds, undefined where nothing is known
+ */
+export function ageOf (record: AgeRecord, applied: Position, nowMs: number): number | undefined {
+  const mark = record.marks.find(({ position }) => covers(applied, position))
+  return mark === undefined ? undefined : nowMs - mark.askedAtMs
+}
+
+/**
+ * Tells whether a replica may serve a read of a stated age.
+ * @param record - what is known
+ * @param applied - what the replica has applied
+ * @param maxAgeMs - the age that the caller accepts
+ * @param nowMs - monotonic time
+ * @returns true where the replica's data is surely no older
+ */
+export function replicaServesAge (record: AgeRecord, applied: Position, maxAgeMs: number, nowMs: number): boolean {
+  const ageMs = ageOf(record, applied, nowMs)
+  return ageMs !== undefined && ageMs <= maxAgeMs
+}
--- /dev/null
+++ b/test/request/confirm.test.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { Position } from '../../src/model/index.js'
+import { confirmStep, initialConfirm, isConfirmed, type ConfirmEffect, type ConfirmEvent, type ConfirmState } from '../../src/request/confirm.js'
+import { statusOf } from '../failover/fixtures.js'
+
+const servers = ['a', 'b', 'c']
+
+function at (term: number, index: number): Position {
+  return { term, index }
+}
+
+function reported (server: string, received: Position, fencedTerm = received.term): ConfirmEvent {
+  return { kind: 'statusReceived', status: statusOf(server, { received, fencedTerm }) }
+}
+
+function waiting (id: string, position: Position, deadlineAtMs = 1000): ConfirmEvent {
+  return { kind: 'waiting', id, position, deadlineAtMs }
+}
+
+function run (...events: readonly ConfirmEvent[]): { readonly state: ConfirmState, readonly told: readonly string[] } {
+  let state = initialConfirm(servers)
+  const effects: ConfirmEffect[] = []
+  for (const event of events) {
+    const next = confirmStep(state, event)
+    state = next.state
+    effects.push(...next.effects)
+  }
+  return { state, told: effects.map(({ kind, id }) => `${kind} ${id}`) }
+}
+
+test('a write is confirmed once a majority received it', () => {
+  const one = [waiting('w', at(2, 5)), reported('a', at(2, 7)), reported('b', at(2, 4)), reported('c', at(2, 4))]
+  assert.deepEqual(run(...one).told, [])
+  assert.deepEqual(run(...one, reported('c', at(2, 5))).told, ['confirmed w'])
+})
+
+test('what was reported before the write waits counts too', () => {
+  assert.deepEqual(run(reported('a', at(2, 5)), reported('b', at(2, 6)), waiting('w', at(2, 5))).told, ['confirmed w'])
+})
+
+test('a position of a later term confirms nothing', () => {
+  const { told, state } = run(waiting('w', at(2, 5)), reported('a', at(2, 5)), reported('b', at(3, 9)))
+  assert.deepEqual(told, [])
+  assert.equal(isConfirmed(state, at(2, 5)), false)
+})
+
+test('a write that no majority can receive any more is given up before its deadline', () => {
+  const { told } = run(waiting('w', at(2, 5)), reported('a', at(2, 5)), reported('b', at(2, 4), 3), reported('c', at(2, 4), 3))
+  assert.deepEqual(told, ['notConfirmed w'])
+})
+
+test('a late status that shows the write still confirms it after a change of primary', () => {
+  const { told } = run(waiting('w', at(2, 5)), reported('a', at(2, 5), 3), reported('b', at(2, 5), 3))
+  assert.deepEqual(told, ['confirmed w'])
+})
+
+test('a write past its deadline is not confirmed', () => {
+  const { told } = run(waiting('w', at(2, 5), 100), { kind: 'tick', nowMs: 99 }, { kind: 'tick', nowMs: 100 }, reported('a', at(2, 5)), reported('b', at(2, 5)))
+  assert.deepEqual(told, ['notConfirmed w'])
+})
--- /dev/null
+++ b/test/request/floor.test.ts
@@ -0,0 +1,50 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { Position } from '../../src/model/index.js'
+import { defaultFloorSettings, floorStep, initialFloor, type FloorEffect, type FloorEvent } from '../../src/request/floor.js'
+
+function run (...events: readonly FloorEvent[]): readonly FloorEffect[] {
+  let state = initialFloor(['a', 'b', 'c'], { ...defaultFloorSettings, maxWaiting: 2 })
+  return events.flatMap(event => {
+    const next = floorStep(state, event)
+    state = next.state
+    return next.effects
+  })
+}
+
+function asked (id: string): FloorEvent {
+  return { kind: 'asked', id, nowMs: 0 }
+}
+
+function answered (round: number, server: string, received: Position): FloorEvent {
+  return { kind: 'roundAnswered', round, server, received, nowMs: 1 }
+}
+
+const low = { term: 1, index: 9 }
+const high = { term: 2, index: 3 }
+
+test('a floor is the highest position among a majority', () => {
+  const effects = run(asked('s'), answered(1, 'a', high), answered(1, 'a', low), answered(1, 'a', high), answered(1, 'b', low))
+  assert.deepEqual(effects, [{ kind: 'startRound', round: 1 }, { kind: 'floor', id: 's', position: high }])
+})
+
+test('a session that opens during a round waits for the next one', () => {
+  const effects = run(asked('s'), asked('late'), answered(1, 'a', low), answered(1, 'b', low), answered(1, 'c', low), answered(2, 'a', low), answered(2, 'b', high))
+  assert.deepEqual(effects, [
+    { kind: 'startRound', round: 1 },
+    { kind: 'floor', id: 's', position: low },
+    { kind: 'startRound', round: 2 },
+    { kind: 'floor', id: 'late', position: high }
+  ])
+})
+
+test('a round that no majority answers gives no floor', () => {
+  const failed = (server: string): FloorEvent => ({ kind: 'roundFailed', round: 1, server, nowMs: 2 })
+  assert.deepEqual(run(asked('s'), failed('a'), failed('a'), failed('b')).slice(1), [{ kind: 'noFloor', id: 's' }])
+  const overdue = [asked('s'), answered(1, 'a', low), { kind: 'tick', nowMs: 300 }] as const
+  assert.deepEqual(run(...overdue).slice(1), [{ kind: 'noFloor', id: 's' }])
+})
+
+test('no more sessions wait than the bound', () => {
+  assert.deepEqual(run(asked('s'), asked('x'), asked('y'), asked('z')).slice(1), [{ kind: 'noFloor', id: 'z' }])
+})
