--- /dev/null
+++ b/docs/examples/embed-request-pipe.ts
@@ -0,0 +1,74 @@
+// Embeds the request pipe without any socket: a front end of its own (here a
+// function) asks, and an executor of its own (here a map) answers.
+
+import { request, runPipe, type ExecuteRequest, type Manifest, type Outcome, type Position } from '../../src/index.js'
+
+/** A manifest with one client account and one database. */
+export const exampleManifest: Manifest = {
+  accounts: [{ name: 'bindery', keys: [{ id: 'k1', digest: '0'.repeat(40) }], ratePerS: 10, burst: 10, weight: 1 }],
+  databases: [{ name: 'orders', state: 'active', servers: [{ name: 's1', ip: '127.0.0.1', port: 3306, failureDomain: 'a', slots: 5, maxConnections: 75, state: 'active' }] }],
+  routes: [{ name: 'orders', database: 'orders', access: { kind: 'accounts', accounts: ['bindery'] } }],
+  anonymous: { ratePerS: 1, burst: 1 },
+  seats: 1
+}
+
+/** Runs statements against a map from statement to value, and keeps a log position. */
+export class MapExecutor {
+  readonly #values: ReadonlyMap<string, string>
+  #index = 0
+
+  /**
+   * Makes an executor.
+   * @param values - the value that each read gives
+   */
+  constructor (values: ReadonlyMap<string, string>) {
+    this.#values = values
+  }
+
+  /**
+   * Runs one statement.
+   * @param asked - the statement
+   * @returns what became of it
+   */
+  run (asked: ExecuteRequest): Outcome {
+    if (asked.mode.kind === 'read') return this.#answer([[this.#values.get(asked.sql) ?? null]])
+    this.#index += 1
+    const position: Position = { term: 1, index: this.#index }
+    return { kind: 'answered', answer: { kind: 'done', affectedRows: 1, insertId: 0 }, position, servedBy: 'primary' }
+  }
+
+  #answer (rows: ReadonlyArray<ReadonlyArray<string | null>>): Outcome {
+    return { kind: 'answered', answer: { kind: 'rows', columns: [], rows }, position: undefined, servedBy: 'replica' }
+  }
+}
+
+/**
+ * Serves one statement of one caller.
+ * @param session - the caller's session; the first one comes from `request.openSessionState`
+ * @param sql - the statement
+ * @param executor - runs it
+ * @param nowMs - the time
+ * @returns the answer and the session for the next statement
+ */
+export async function serveOne (session: request.SessionState, sql: string, executor: MapExecutor, nowMs: number): Promise<request.Served> {
+  const services: request.RequestServices = {
+    nowMs: () => nowMs,
+    sleep: async () => {},
+    configuration: () => ({ manifest: exampleManifest, confirmed: true }),
+    admit: async () => undefined,
+    openFloor: async () => ({ term: 1, index: 0 }),
+    routing: database => ({ primary: { database, term: 1, primary: 's1' }, homes: new Map([['s1', 'here']]), applied: new Map() }),
+    execute: async (_home, asked) => ({
+      kind: 'replied',
+      reply: { outcome: executor.run(asked), transaction: undefined, primary: { database: asked.database, term: 1, primary: 's1' }, applied: undefined }
+    }),
+    sawApplied: () => {},
+    random: () => 0,
+    encodeToken: floors => JSON.stringify(floors),
+    decodeToken: token => JSON.parse(token),
+    holdsKey: () => false
+  }
+  const bounds = { ownFailureDomain: 'a', defaultDeadlineMs: 1000, maxDeadlineMs: 1000 }
+  const pipe = request.requestPipe(services, bounds)
+  return await runPipe(pipe, { session, statement: { caller: session.caller, route: session.route, sql, receivedAtMs: nowMs } })
+}
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -11,8 +11,8 @@
   | { readonly kind: 'unsent' }
   /** The home may have taken the statement; no answer came. */
   | { readonly kind: 'lost' }
-  /** No server or no home is known. */
-  | { readonly kind: 'noRoute', readonly missing: 'primary' | 'server' }
+  /** No home of any server is known. */
+  | { readonly kind: 'noRoute', readonly missing: 'primary' }
 
 /** What follows an attempt. */
 export type Verdict =
@@ -30,7 +30,7 @@
  */
 export function judgeAttempt (attempt: Attempt, repeatable: Repeatable): Verdict {
   switch (attempt.kind) {
-    case 'noRoute': return { kind: 'again', avoidServer: false, mayHaveRun: false, reason: attempt.missing === 'primary' ? 'noPrimary' : 'noServer' }
+    case 'noRoute': return { kind: 'again', avoidServer: false, mayHaveRun: false, reason: 'noPrimary' }
     case 'unsent': return { kind: 'again', avoidServer: true, mayHaveRun: false, reason: 'noServer' }
     case 'lost': return afterLoss(unknownOutcome('connectionLost', 'the connection was lost while the statement ran'), repeatable)
     case 'replied': return judgeOutcome(attempt.reply.outcome, repeatable)
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -35,7 +35,7 @@
 /** Where a statement goes. */
 export type Route =
   | { readonly kind: 'send', readonly server: ServerName, readonly home: HostName, readonly mode: ExecutionMode }
-  | { readonly kind: 'none', readonly missing: 'primary' | 'server' }
+  | { readonly kind: 'none', readonly missing: 'primary' }
 
 /** A sighting older than this says nothing about a replica any more. */
 const sightingValidMs = 200
@@ -61,10 +61,11 @@
   }
 }
 
+// Where no primary is known any home will do: it refuses and tells who leads.
 function toPrimary (view: RoutingView, request: RouteRequest, mode: ExecutionMode): Route {
   const server = view.primary.primary
   const home = server === undefined ? undefined : view.homes.get(server)
-  if (server === undefined || home === undefined) return { kind: 'none', missing: 'primary' }
+  if (server === undefined || home === undefined) return anyServer(request, view, mode, 'primary')
   return { kind: 'send', server, home, mode }
 }
 
@@ -72,9 +73,7 @@
   const mode: ExecutionMode = { kind: 'read', floor: request.floor, maxAgeMs }
   const replica = chooseReplica(request, view, maxAgeMs)
   if (replica !== undefined) return { kind: 'send', server: replica.server, home: replica.home, mode }
-  const primary = toPrimary(view, request, mode)
-  if (primary.kind === 'send') return primary
-  return anyServer(request, view, mode)
+  return toPrimary(view, request, mode)
 }
 
 type Candidate = { readonly server: ServerName, readonly home: HostName, readonly near: boolean }
@@ -100,9 +99,9 @@
   return covers(sighting.applied, request.floor)
 }
 
-function anyServer (request: RouteRequest, view: RoutingView, mode: ExecutionMode): Route {
+function anyServer (request: RouteRequest, view: RoutingView, mode: ExecutionMode, missing: 'primary'): Route {
   const candidates = request.database.servers.flatMap(server => candidate(request, view, server))
   const chosen = candidates[request.spread % Math.max(candidates.length, 1)]
-  if (chosen === undefined) return { kind: 'none', missing: 'server' }
+  if (chosen === undefined) return { kind: 'none', missing }
   return { kind: 'send', server: chosen.server, home: chosen.home, mode }
 }
--- /dev/null
+++ b/test/request/route.test.ts
@@ -0,0 +1,104 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { notRun, unknownOutcome, type DatabaseDeclaration, type ExecuteReply, type Outcome, type Position, type PrimaryView, type ServerDeclaration } from '../../src/model/index.js'
+import { chooseRoute, judgeAttempt, outOfTime, type AppliedSighting, type Route, type RouteRequest, type RoutingView } from '../../src/request/index.js'
+
+function server (name: string, failureDomain: string, state: 'active' | 'leaving' = 'active'): ServerDeclaration {
+  return { name, ip: '127.0.0.1', port: 1, failureDomain, slots: 5, maxConnections: 75, state }
+}
+
+function database (...servers: readonly ServerDeclaration[]): DatabaseDeclaration {
+  return { name: 'orders', servers, state: 'active' }
+}
+
+const three = database(server('s1', 'a'), server('s2', 'b'), server('s3', 'c'))
+
+function viewOf (change: Partial<RoutingView> = {}): RoutingView {
+  return {
+    primary: { database: 'orders', term: 3, primary: 's1' },
+    homes: new Map([['s1', 'h1'], ['s2', 'h2'], ['s3', 'h3']]),
+    applied: new Map(),
+    ...change
+  }
+}
+
+function readFrom (change: Partial<RouteRequest> = {}): RouteRequest {
+  return {
+    database: three,
+    statementClass: { kind: 'read', level: { kind: 'session' } },
+    floor: { term: 3, index: 10 },
+    requestId: undefined,
+    ownFailureDomain: 'b',
+    avoid: new Set(),
+    spread: 0,
+    nowMs: 1000,
+    ...change
+  }
+}
+
+function sighting (index: number, seenAtMs: number): AppliedSighting {
+  return { applied: { term: 3, index }, seenAtMs }
+}
+
+function targetOf (route: Route): string {
+  return route.kind === 'send' ? `${route.server}@${route.home}` : `no ${route.missing}`
+}
+
+test('a read goes to the replica in the own failure domain', () => {
+  assert.equal(targetOf(chooseRoute(readFrom(), viewOf())), 's2@h2')
+})
+
+test('a replica seen behind the floor a moment ago is passed over', () => {
+  const applied = new Map([['s2', sighting(9, 990)]])
+  assert.equal(targetOf(chooseRoute(readFrom(), viewOf({ applied }))), 's3@h3')
+  const both = new Map([['s2', sighting(9, 990)], ['s3', sighting(9, 990)]])
+  assert.equal(targetOf(chooseRoute(readFrom(), viewOf({ applied: both }))), 's1@h1')
+})
+
+test('an old sighting says nothing', () => {
+  const applied = new Map([['s2', sighting(9, 100)]])
+  assert.equal(targetOf(chooseRoute(readFrom(), viewOf({ applied }))), 's2@h2')
+})
+
+test('a leaving replica gets no read', () => {
+  const leaving = database(server('s1', 'a'), server('s2', 'b', 'leaving'), server('s3', 'c'))
+  assert.equal(targetOf(chooseRoute(readFrom({ database: leaving }), viewOf())), 's3@h3')
+})
+
+test('a write goes to the primary, or to any home where none is known', () => {
+  const write = readFrom({ statementClass: { kind: 'write' }, requestId: 'r1' })
+  assert.deepEqual(chooseRoute(write, viewOf()), { kind: 'send', server: 's1', home: 'h1', mode: { kind: 'write', requestId: 'r1' } })
+  const unknown: PrimaryView = { database: 'orders', term: 0, primary: undefined }
+  assert.equal(targetOf(chooseRoute(write, viewOf({ primary: unknown }))), 's1@h1')
+  assert.equal(targetOf(chooseRoute(write, viewOf({ primary: unknown, homes: new Map() }))), 'no primary')
+})
+
+function replied (outcome: Outcome): { readonly kind: 'replied', readonly reply: ExecuteReply } {
+  return { kind: 'replied', reply: { outcome, transaction: undefined, primary: { database: 'orders', term: 3, primary: 's1' }, applied: undefined } }
+}
+
+const position: Position = { term: 3, index: 4 }
+const done: Outcome = { kind: 'answered', answer: { kind: 'done', affectedRows: 1, insertId: 0 }, position, servedBy: 'primary' }
+
+test('what may have run is sent again only where it may run twice', () => {
+  for (const attempt of [{ kind: 'lost' } as const, replied(unknownOutcome('connectionLost', ''))]) {
+    assert.equal(judgeAttempt(attempt, 'no').kind, 'answer')
+    assert.deepEqual(judgeAttempt(attempt, 'yes'), { kind: 'again', avoidServer: true, mayHaveRun: true, reason: 'noServer' })
+  }
+})
+
+test('what surely did not run is sent again even where it must not run twice', () => {
+  assert.equal(judgeAttempt({ kind: 'unsent' }, 'no').kind, 'again')
+  assert.equal(judgeAttempt(replied(notRun('wrongHome', '')), 'no').kind, 'again')
+  assert.equal(judgeAttempt(replied(notRun('behind', '')), 'no').kind, 'again')
+})
+
+test('an answer and a refusal end the attempts', () => {
+  assert.deepEqual(judgeAttempt(replied(done), 'no'), { kind: 'answer', outcome: done })
+  assert.equal(judgeAttempt(replied(notRun('queueFull', '')), 'yes').kind, 'answer')
+})
+
+test('after a lost attempt the deadline never ends in "not run"', () => {
+  assert.equal(outOfTime('noServer', true).kind, 'unknown')
+  assert.equal(outOfTime('noServer', false).kind, 'notRun')
+})
