--- a/src/daemon/caller-task.ts
+++ b/src/daemon/caller-task.ts
@@ -2,9 +2,10 @@
 // command after the other, runs statements through the request pipe and writes
 // each outcome before it takes the next command.
 
+import { mayUse } from '../config/index.js'
 import { notRun, type Caller, type Outcome } from '../model/index.js'
 import { runPipe, type Filter } from '../pipe/index.js'
-import { byProxy, permissionOf, type ConfigurationInForce, type Incoming, type OpenTransaction, type Served, type SessionState } from '../request/index.js'
+import { byProxy, refusal, type ConfigurationInForce, type Incoming, type OpenTransaction, type Served, type SessionState } from '../request/index.js'
 import type { CallerCommand, CallerLink } from '../wire/index.js'
 
 /** What a caller's task needs. */
@@ -69,8 +70,8 @@
   if (session.transaction !== undefined) return { outcome: notRun('unsupported', 'a change of route in a transaction is not supported'), session }
   const { manifest } = spec.configuration()
   if (manifest === undefined) return { outcome: notRun('unconfirmedConfiguration', 'no configuration is in force yet'), session }
-  const permission = permissionOf(manifest, session.caller, route)
-  if (permission.kind === 'denied') return { outcome: permission.outcome, session }
+  const use = mayUse(manifest, session.caller, route)
+  if (use.kind === 'refused') return { outcome: refusal(use), session }
   return { outcome: byProxy(done), session: { ...session, route } }
 }
 
--- a/src/daemon/configuration-task.ts
+++ b/src/daemon/configuration-task.ts
@@ -28,6 +28,8 @@
 
 /** A running configuration task. */
 export type ConfigurationTask = {
+  /** Begins to ask the store; called once all parts are joined. */
+  readonly begin: () => void
   readonly state: Snapshot<ConfigurationState>
   readonly mayServeKeyed: () => boolean
   readonly inForce: () => AcceptedManifest | undefined
@@ -73,9 +75,11 @@
   })
   const stopping = { now: false }
   timers.every(tickMs, tickPort<ConfigurationEvent>(task.port, nowMs => ({ kind: 'tick', nowMs })))
-  void watchStore(spec, task.port, published, stopping)
-  void relistLoop(spec, task.port, stopping)
   return {
+    begin () {
+      void watchStore(spec, task.port, stopping)
+      void relistLoop(spec, task.port, stopping)
+    },
     state: published,
     mayServeKeyed: () => mayServeKeyed(published.get(), timers.nowMs()),
     inForce: () => published.get().accepted,
@@ -141,7 +145,7 @@
 
 // Watches have a deadline of their own, and a silent one costs nothing but
 // delay: the listing below goes on beside it.
-async function watchStore (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, state: Snapshot<ConfigurationState>, stopping: { readonly now: boolean }): Promise<void> {
+async function watchStore (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, stopping: { readonly now: boolean }): Promise<void> {
   const { timers, settings, random } = spec.context
   let revision = 0
   while (!stopping.now) {
--- a/src/daemon/database-task.ts
+++ b/src/daemon/database-task.ts
@@ -6,7 +6,7 @@
 import { redirected } from '../config/index.js'
 import { defaultFailoverSettings, failoverStep, initialFailover, primaryView, proposerName, type FailoverEffect, type FailoverEvent, type FailoverState } from '../failover/index.js'
 import type { DatabaseDeclaration, Position, PrimaryView, ServerDeclaration, ServerName, ServerStatus } from '../model/index.js'
-import { ask, Latest, startTask, tickPort, type Port, type Reply, type Snapshot, type Transition } from '../pipe/index.js'
+import { ask, Latest, startTask, tickPort, type Port, type Reply, withoutReplies, type Snapshot, type Transition } from '../pipe/index.js'
 import { confirmStep, emptyAgeRecord, floorStep, initialConfirm, initialFloor, noteAnswer, withAgeServers, type AgeRecord, type ConfirmEffect, type ConfirmEvent, type ConfirmState, type FloorEffect, type FloorEvent, type FloorState } from '../request/index.js'
 import type { DaemonContext } from './context.js'
 import { ServerWatch, type LedgerCommand } from './server-watch.js'
@@ -191,14 +191,12 @@
 function withConfirm (state: State, event: ConfirmEvent): Next {
   const { state: confirm, effects } = confirmStep(state.confirm, event)
   if (effects.length === 0) return { state: { ...state, confirm }, effects: [] }
-  const replies = new Map(state.confirmReplies)
-  const answers = effects.flatMap(effect => answerConfirm(replies, effect))
-  return { state: { ...state, confirm, confirmReplies: replies }, effects: answers }
+  const confirmReplies = withoutReplies(state.confirmReplies, effects.map(effect => effect.id))
+  return { state: { ...state, confirm, confirmReplies }, effects: effects.flatMap(effect => answerConfirm(state, effect)) }
 }
 
-function answerConfirm (replies: Map<string, Reply<boolean>>, effect: ConfirmEffect): readonly Effect[] {
-  const reply = replies.get(effect.id)
-  replies.delete(effect.id)
+function answerConfirm (state: State, effect: ConfirmEffect): readonly Effect[] {
+  const reply = state.confirmReplies.get(effect.id)
   return reply === undefined ? [] : [{ kind: 'answerConfirm', reply, confirmed: effect.kind === 'confirmed' }]
 }
 
@@ -211,15 +209,14 @@
 function withFloor (state: State, event: FloorEvent): Next {
   const { state: floor, effects } = floorStep(state.floor, event)
   if (effects.length === 0) return { state: { ...state, floor }, effects: [] }
-  const replies = new Map(state.floorReplies)
-  const told = effects.flatMap(effect => answerFloor(replies, effect))
-  return { state: { ...state, floor, floorReplies: replies }, effects: told }
+  const answered = effects.flatMap(effect => effect.kind === 'startRound' ? [] : [effect.id])
+  const floorReplies = withoutReplies(state.floorReplies, answered)
+  return { state: { ...state, floor, floorReplies }, effects: effects.flatMap(effect => answerFloor(state, effect)) }
 }
 
-function answerFloor (replies: Map<string, Reply<Position | undefined>>, effect: FloorEffect): readonly Effect[] {
+function answerFloor (state: State, effect: FloorEffect): readonly Effect[] {
   if (effect.kind === 'startRound') return [effect]
-  const reply = replies.get(effect.id)
-  replies.delete(effect.id)
+  const reply = state.floorReplies.get(effect.id)
   return reply === undefined ? [] : [{ kind: 'answerFloor', reply, floor: effect.kind === 'floor' ? effect.position : undefined }]
 }
 
--- a/src/daemon/home-task.ts
+++ b/src/daemon/home-task.ts
@@ -5,7 +5,7 @@
 import { redirected } from '../config/index.js'
 import { homePipe, type HomeReply, type HomeRequest, type HomeServices, type HomeTransaction, type ServerCheck, type ServerSession, type TransactionTable, type Turn } from '../home/index.js'
 import { covers, type ExecuteRequest, type ServerDeclaration } from '../model/index.js'
-import { ask, runPipe, startTask, tickPort, type Reply, type Snapshot, type Transition } from '../pipe/index.js'
+import { ask, runPipe, startTask, tickPort, type Reply, type Snapshot, type Transition, withoutReplies } from '../pipe/index.js'
 import { fairQueueStep, initialFairQueue, replicaServesAge, type FairQueueEffect, type FairQueueEvent, type FairQueueState } from '../request/index.js'
 import type { DaemonContext } from './context.js'
 import type { DatabaseTask, DatabaseView } from './database-task.js'
@@ -33,6 +33,8 @@
 const sharingHomes = 2
 /** A transaction without a statement for this time is rolled back. */
 const idleTransactionMs = 10_000
+/** Part of all open transactions on a server that one account may hold. */
+const accountShareOfTransactions = 0.5
 const sweepMs = 500
 const queueTickMs = 10
 const mailboxCapacity = 65536
@@ -58,7 +60,7 @@
     pool,
     transactions,
     check: async message => checkServer(message, server, spec.database.view, timers.nowMs()),
-    queue: queue.enter,
+    queue: async message => ownsSession(message) ? freeTurn : await queue.enter(message),
     confirm: async (position, deadlineAtMs) => {
       const latestAtMs = timers.nowMs() + context.settings.limits.confirmTimeoutMs
       return await spec.database.confirm(position, Math.min(deadlineAtMs, latestAtMs))
@@ -86,6 +88,22 @@
   }
 }
 
+const freeTurn: Turn = { kind: 'turn', end: () => {} }
+
+// A statement of an open transaction never waits in the queue: others that wait
+// for its locks may hold all turns. BEGIN does wait, and the number of open
+// transactions is bounded for each account and as a whole.
+function ownsSession (message: HomeRequest): boolean {
+  switch (message.request.mode.kind) {
+    case 'inTransaction':
+    case 'commit':
+    case 'rollback': return true
+    case 'read':
+    case 'write':
+    case 'begin': return false
+  }
+}
+
 function checkServer (message: HomeRequest, server: ServerDeclaration, view: Snapshot<DatabaseView>, nowMs: number): ServerCheck {
   const { mode } = message.request
   const known = view.get()
@@ -167,10 +185,9 @@
 function answerAll (state: QueueState, transition: Transition<FairQueueState, FairQueueEffect>): Transition<QueueState, QueueEffect> {
   const { state: queue, effects } = transition
   if (effects.length === 0) return { state: { ...state, queue }, effects: [] }
-  const replies = new Map(state.replies)
+  const replies = withoutReplies(state.replies, effects.map(effect => effect.id))
   const answers = effects.flatMap((effect): readonly QueueEffect[] => {
-    const reply = replies.get(effect.id)
-    replies.delete(effect.id)
+    const reply = state.replies.get(effect.id)
     return reply === undefined ? [] : [{ kind: 'answer', reply, effect }]
   })
   return { state: { ...state, queue, replies }, effects: answers }
@@ -206,7 +223,7 @@
   }
 
   open (account: string, session: ServerSession): string | undefined {
-    if (this.#held.size >= this.#capacity) return undefined
+    if (this.#held.size >= this.#capacity || this.#heldBy(account) >= this.#capacity * accountShareOfTransactions) return undefined
     const id = `${this.#context.incarnation}.${this.#nextId}`
     this.#nextId += 1
     this.#held.set(id, { id, account, session, usedAtMs: this.#context.timers.nowMs(), busy: false })
@@ -234,6 +251,10 @@
     this.#held.clear()
   }
 
+  #heldBy (account: string): number {
+    return [...this.#held.values()].filter(held => held.account === account).length
+  }
+
   #sweep (nowMs: number): void {
     for (const held of this.#held.values()) {
       if (held.busy || nowMs - held.usedAtMs < idleTransactionMs) continue
--- a/src/daemon/limits-task.ts
+++ b/src/daemon/limits-task.ts
@@ -6,7 +6,7 @@
 import { initialLimits, initialSeats, limitsStep, limitsTickMs, seatsStep, type LimitsEffect, type LimitsEvent, type LimitsState, type SeatsEffect, type SeatsEvent, type SeatsState, type SeatTable } from '../limits/index.js'
 import type { ListedHost, Member } from '../members/index.js'
 import { notRun, type AccountName, type Manifest, type Outcome, type PeerParams, type PeerResult } from '../model/index.js'
-import { ask, startTask, tickPort, type Port, type Reply } from '../pipe/index.js'
+import { ask, startTask, tickPort, withoutReplies, type Port, type Reply } from '../pipe/index.js'
 import { PlatformError, type PlatformClient } from '../wire/index.js'
 import type { DaemonContext } from './context.js'
 import type { PeerLinks } from './peers.js'
@@ -47,17 +47,15 @@
   | { readonly kind: 'answerAdmit', readonly reply: Reply<Outcome | undefined>, readonly outcome: Outcome | undefined }
   | { readonly kind: 'answerLend', readonly reply: Reply<PeerResult<'borrow'>>, readonly result: PeerResult<'borrow'> }
 
+type WaitingAdmission = { readonly account: AccountName, readonly reply: Reply<Outcome | undefined> }
+
 type State = {
   readonly limits: LimitsState
+  readonly admissions: ReadonlyMap<string, WaitingAdmission>
+  readonly loans: ReadonlyMap<string, Reply<PeerResult<'borrow'>>>
   readonly nextId: number
 }
 
-/** Replies that wait, by the id of their request; owned by the limits task alone. */
-type Replies = {
-  readonly admit: Map<string, { readonly account: AccountName, readonly reply: Reply<Outcome | undefined> }>
-  readonly lend: Map<string, Reply<PeerResult<'borrow'>>>
-}
-
 const mailboxCapacity = 65536
 const seatsMailboxCapacity = 1024
 const seatsTickMs = 200
@@ -73,13 +71,12 @@
 export function startLimits (spec: LimitsTaskSpec): LimitsTask {
   const { context } = spec
   const { timers, settings } = context
-  const replies: Replies = { admit: new Map(), lend: new Map() }
   const task = startTask<State, Message, Effect>({
     name: 'limits',
-    initial: { limits: initialLimits(settings.host.name), nextId: 1 },
+    initial: { limits: initialLimits(settings.host.name), admissions: new Map(), loans: new Map(), nextId: 1 },
     capacity: mailboxCapacity,
     onError: context.onTaskError('limits'),
-    step: (state, message) => step(state, message, replies, timers.nowMs()),
+    step: (state, message) => step(state, message, timers.nowMs()),
     perform: (effect, port) => { perform(spec, effect, port) }
   })
   const tell = (event: Untimed<LimitsEvent>): void => { task.port.send({ kind: 'event', event }) }
@@ -113,44 +110,45 @@
 
 type Next = { readonly state: State, readonly effects: readonly Effect[] }
 
-function step (state: State, message: Message, replies: Replies, nowMs: number): Next {
+function step (state: State, message: Message, nowMs: number): Next {
   const id = String(state.nextId)
   const advanced = { ...state, nextId: state.nextId + 1 }
   switch (message.kind) {
-    case 'event': return decide(state, { ...message.event, nowMs } as LimitsEvent, replies)
+    case 'event': return decide(state, { ...message.event, nowMs } as LimitsEvent)
     case 'admitFor': {
       const { account, deadlineAtMs: deadlineMs, reply } = message
-      replies.admit.set(id, { account, reply })
-      return decide(advanced, { kind: 'admit', account, id, deadlineMs, nowMs }, replies)
+      const admissions = new Map(state.admissions).set(id, { account, reply })
+      return decide({ ...advanced, admissions }, { kind: 'admit', account, id, deadlineMs, nowMs })
     }
     case 'lendTo': {
-      replies.lend.set(id, message.reply)
-      return decide(advanced, { kind: 'borrowRequested', callId: id, ...message.params, nowMs }, replies)
+      const loans = new Map(state.loans).set(id, message.reply)
+      return decide({ ...advanced, loans }, { kind: 'borrowRequested', callId: id, ...message.params, nowMs })
     }
   }
 }
 
-function decide (state: State, event: LimitsEvent, replies: Replies): Next {
+function decide (state: State, event: LimitsEvent): Next {
   const { state: limits, effects } = limitsStep(state.limits, event)
-  return { state: { ...state, limits }, effects: effects.flatMap(effect => translate(effect, replies)) }
+  if (effects.length === 0) return { state: { ...state, limits }, effects: [] }
+  const admissions = withoutReplies(state.admissions, effects.flatMap(effect => effect.kind === 'admitted' || effect.kind === 'refused' ? [effect.id] : []))
+  const loans = withoutReplies(state.loans, effects.flatMap(effect => effect.kind === 'lend' ? [effect.callId] : []))
+  return { state: { ...state, limits, admissions, loans }, effects: effects.flatMap(effect => translate(state, effect)) }
 }
 
-function translate (effect: LimitsEffect, replies: Replies): readonly Effect[] {
+function translate (state: State, effect: LimitsEffect): readonly Effect[] {
   switch (effect.kind) {
     case 'borrow': return [effect]
-    case 'admitted': return answerAdmit(replies, effect.id, () => undefined)
-    case 'refused': return answerAdmit(replies, effect.id, account => notRun('rateExceeded', `${account} is above its rate; retry after ${Math.ceil(effect.retryAfterMs)} ms`))
+    case 'admitted': return answerAdmit(state, effect.id, () => undefined)
+    case 'refused': return answerAdmit(state, effect.id, account => notRun('rateExceeded', `${account} is above its rate; retry after ${Math.ceil(effect.retryAfterMs)} ms`))
     case 'lend': {
-      const reply = replies.lend.get(effect.callId)
-      replies.lend.delete(effect.callId)
+      const reply = state.loans.get(effect.callId)
       return reply === undefined ? [] : [{ kind: 'answerLend', reply, result: { grant: effect.grant } }]
     }
   }
 }
 
-function answerAdmit (replies: Replies, id: string, outcome: (account: AccountName) => Outcome | undefined): readonly Effect[] {
-  const waiting = replies.admit.get(id)
-  replies.admit.delete(id)
+function answerAdmit (state: State, id: string, outcome: (account: AccountName) => Outcome | undefined): readonly Effect[] {
+  const waiting = state.admissions.get(id)
   return waiting === undefined ? [] : [{ kind: 'answerAdmit', reply: waiting.reply, outcome: outcome(waiting.account) }]
 }
 
--- a/src/daemon/members-task.ts
+++ b/src/daemon/members-task.ts
@@ -16,6 +16,8 @@
 
 /** A running members task. */
 export type MembersTask = {
+  /** Begins to read the host list and to exchange heartbeats. */
+  readonly begin: () => void
   readonly view: Snapshot<MembersView>
   readonly tell: (event: MembershipEvent) => void
   /** Answers a heartbeat of another member. */
@@ -71,18 +73,17 @@
     links.list(hosts)
     tell({ kind: 'hostsListed', hosts, nowMs: timers.nowMs() })
   }
-  timers.every(tickMs, tickPort<Message>(task.port, nowMs => ({ kind: 'event', event: { kind: 'tick', nowMs } })))
   const listNow = (): void => { void list().catch(() => {}) }
-  const cancel = timers.every(listMs, { send: () => { listNow(); return 'accepted' } })
-  listNow()
   return {
+    begin () {
+      timers.every(tickMs, tickPort<Message>(task.port, nowMs => ({ kind: 'event', event: { kind: 'tick', nowMs } })))
+      timers.every(listMs, { send: () => { listNow(); return 'accepted' } })
+      listNow()
+    },
     view: published,
     tell,
     answerHeartbeat: async from => await ask<Message, MemberState>(task.port, reply => ({ kind: 'heartbeatOf', from, reply }), spec.ownState()),
-    stop: async () => {
-      cancel()
-      await task.stop()
-    }
+    stop: task.stop
   }
 }
 
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -76,6 +76,8 @@
     peers.close()
     throw error
   })
+  parts.members.begin()
+  parts.configuration.begin()
   reports.event('started', { host: settings.host.name, mysqlPort: callers.port, peerPort: peers.port })
   return {
     mysqlPort: callers.port,
--- a/src/pipe/reply.ts
+++ b/src/pipe/reply.ts
@@ -20,3 +20,15 @@
     if (result !== 'accepted') resolve(whenFull)
   })
 }
+
+/**
+ * Takes replies that were given out of those that wait.
+ * @param waiting - replies by the id of their question
+ * @param answered - ids of the questions that were answered
+ * @returns the replies that still wait
+ */
+export function withoutReplies<R> (waiting: ReadonlyMap<string, R>, answered: readonly string[]): ReadonlyMap<string, R> {
+  const left = new Map(waiting)
+  for (const id of answered) left.delete(id)
+  return left
+}
--- a/src/request/open-floor.ts
+++ b/src/request/open-floor.ts
@@ -1,7 +1,8 @@
-// Filter: finds the floor that a read has to cover. A session without a token
-// opens its floor at its first read of a database: a position that covers
-// every write acknowledged before. A read of the latest state asks anew; a
-// read of a stated age needs no floor but its age.
+// Filter: finds the floor that a read has to cover. A caller without a token may
+// have written through any other connection, a pooled one that was open all
+// the while included, so each of its session reads gets a floor that covers
+// every write acknowledged before. A caller that carries a token brings its
+// floors along. A read of a stated age needs no floor but its age.
 
 import { notRun, originPosition, type DatabaseName } from '../model/index.js'
 import { end, next, type Filter } from '../pipe/index.js'
@@ -26,12 +27,12 @@
 }
 
 function needsOpening (message: Classified): boolean {
-  const { statement, session, database } = message
+  const { statement, session } = message
   if (statement.statementClass.kind !== 'read' || session.transaction !== undefined) return false
   switch (statement.statementClass.level.kind) {
     case 'age': return false
     case 'latest': return true
-    case 'session': return !session.hasToken && session.floors[database.name] === undefined
+    case 'session': return !session.hasToken
   }
 }
 
