Lend shares of each account's limit where the demand is

Every host owns a part of each rate and burst by its seats and admits from it without a message. A host that is short borrows from the account's home, which collects what others do not need. A loan is a part of the rate and of the capacity with tokens on top, so a steady flow needs a message per loan and not per token, and small bursts do not limit the flow. Ruled out: entrusting bare tokens, where each token in flight blocks its capacity until it is reported spent. Peer method entrust goes; borrow carries both steps.

--- /dev/null
+++ b/src/limits/accounts.ts
@@ -0,0 +1,50 @@
+// All accounts on one host: a map that is never changed in place. It is kept
+// in small groups, so that a change copies one group and not thousands of
+// accounts.
+
+import type { AccountName } from '../model/index.js'
+import type { AccountLimit } from './account.js'
+
+const groupCount = 64
+
+/** The accounts, in groups by a hash of their names. */
+export type Accounts = ReadonlyArray<ReadonlyMap<AccountName, AccountLimit>>
+
+/** No account. */
+export const noAccounts: Accounts = Array.from({ length: groupCount }, () => new Map())
+
+function groupOf (account: AccountName): number {
+  let hash = 0
+  for (let at = 0; at < account.length; at += 1) hash = (Math.imul(hash, 31) + account.charCodeAt(at)) | 0
+  return (hash >>> 0) % groupCount
+}
+
+/**
+ * Finds an account.
+ * @param accounts - the accounts
+ * @param account - its name
+ * @returns the account; undefined where it is unknown
+ */
+export function accountOf (accounts: Accounts, account: AccountName): AccountLimit | undefined {
+  return accounts[groupOf(account)]?.get(account)
+}
+
+/**
+ * Puts an account in the place of its former state.
+ * @param accounts - the accounts
+ * @param state - the account
+ * @returns the accounts with it
+ */
+export function withAccount (accounts: Accounts, state: AccountLimit): Accounts {
+  const at = groupOf(state.account)
+  return accounts.with(at, new Map(accounts[at]).set(state.account, state))
+}
+
+/**
+ * Lists all accounts.
+ * @param accounts - the accounts
+ * @returns each account once
+ */
+export function allAccounts (accounts: Accounts): readonly AccountLimit[] {
+  return accounts.flatMap(group => [...group.values()])
+}
--- /dev/null
+++ b/src/limits/borrowing.ts
@@ -0,0 +1,145 @@
+// Borrowing. A host that is short asks the account's home; the home collects
+// from those who own shares, from when somebody was short until nobody has
+// been for a while. A request says what the borrower still holds and limits
+// it to that before the request leaves: decrease before increase.
+
+import type { BorrowRequest, HostName, Share, ShareGrant } from '../model/index.js'
+import { advanced, refreshed, type AccountLimit, type Lender } from './account.js'
+import { heldAt, limitTo, withLoan } from './loans.js'
+import { hasNoDemand, isShort, wantedShare } from './needs.js'
+import { lendsOn, sparedCapacity } from './lending.js'
+import { answerTimeoutMs, askPeriodMs, backoffMs, collectPeriodMs, renewBeforeMs, unmetMs } from './settings.js'
+import { minus, noShare, smaller } from './share.js'
+
+/** An account after a decision, and the requests to send. */
+export type Asking = {
+  readonly state: AccountLimit
+  readonly requests: ReadonlyArray<{ readonly to: HostName, readonly request: BorrowRequest }>
+}
+
+/** A grant of fewer tokens is as good as none. */
+const usefulTokens = 0.5
+
+const newLender: Lender = { loans: [], sequence: 0, sentMs: -Infinity, openUntilMs: undefined, nextAskMs: -Infinity, backoffMs: backoffMs.first }
+
+/**
+ * Asks the account's home for a loan where this host is short or a loan that
+ * it needs is about to run out.
+ * @param state - the account, advanced to now
+ * @param home - the account's home
+ * @param sequence - sequence for a new request
+ * @param nowMs - the time
+ * @returns the account and the request, if any
+ */
+export function askHome (state: AccountLimit, home: HostName, sequence: number, nowMs: number): Asking {
+  const lender = state.lenders.get(home) ?? newLender
+  if (!mayAsk(state, lender, nowMs)) return { state, requests: [] }
+  const held = heldAt(lender.loans, nowMs)
+  if (hasNoDemand(state, nowMs)) return giveBack(state, home, held, sequence, nowMs)
+  const wanted = wantedShare(state, nowMs)
+  const want = minus(wanted, minus(state.usable, held))
+  if (!isShort(state, nowMs) && !needsRenewal(lender, want, nowMs)) return { state, requests: [] }
+  return send(state, home, { purpose: 'use', sequence, want, wantTokens: wanted.tokens, returnedTokens: 0, isUrgent: state.waiting.length > 0 }, nowMs)
+}
+
+function giveBack (state: AccountLimit, home: HostName, held: Share, sequence: number, nowMs: number): Asking {
+  if (held.ratePerS === 0 || lendsOn(state)) return { state, requests: [] }
+  const returnedTokens = Math.min(state.level, held.capacity)
+  const without = { ...state, level: state.level - returnedTokens }
+  return send(without, home, { purpose: 'use', sequence, want: noShare, wantTokens: 0, returnedTokens, isUrgent: false }, nowMs)
+}
+
+/**
+ * Collects, as the account's home, from one who owns a share.
+ * @param state - the account, advanced to now
+ * @param owner - the owner
+ * @param sequence - sequence for a new request
+ * @param nowMs - the time
+ * @returns the account and the request, if one is due
+ */
+export function collect (state: AccountLimit, owner: HostName, sequence: number, nowMs: number): Asking {
+  const lender = state.lenders.get(owner) ?? newLender
+  const missing = missingTokens(state, nowMs)
+  const isUrgent = missing > 0
+  const isDue = nowMs - lender.sentMs >= (isUrgent ? lender.backoffMs : collectPeriodMs)
+  if (!isDue || isOpen(lender, nowMs)) return { state, requests: [] }
+  const wantTokens = isUrgent ? missing : state.limit.capacity
+  return send(state, owner, { purpose: 'collect', sequence, want: state.limit, wantTokens, returnedTokens: 0, isUrgent }, nowMs)
+}
+
+// What requests wait for here and at borrowers; those wait no longer than `maxWaitMs`.
+function missingTokens (state: AccountLimit, nowMs: number): number {
+  const unmet = nowMs - state.unmet.atMs < unmetMs ? state.unmet.tokens : 0
+  return Math.max(0, Math.ceil(state.waiting.length + unmet - state.level))
+}
+
+/**
+ * Takes in the answer to a request.
+ * @param state - the account
+ * @param from - the lender
+ * @param sequence - sequence of the request
+ * @param grant - what is lent; undefined where it refused or did not answer
+ * @param nowMs - the time
+ * @returns the account; unchanged where the answer is late
+ */
+export function takeAnswer (state: AccountLimit, from: HostName, sequence: number, grant: ShareGrant | undefined, nowMs: number): AccountLimit {
+  const current = advanced(state, nowMs)
+  const lender = current.lenders.get(from)
+  if (lender?.sequence !== sequence || lender.openUntilMs === undefined) return current
+  const closed: Lender = { ...lender, openUntilMs: undefined, ...nextAsk(current, lender, grant, nowMs) }
+  if (grant === undefined) return withLender(current, from, closed)
+  const expiresMs = lender.sentMs + grant.validMs
+  if (expiresMs <= nowMs) return withLender(current, from, closed)
+  const loan = { ratePerS: grant.ratePerS, capacity: grant.capacity, expiresMs }
+  const lent = withLender(current, from, { ...closed, loans: withLoan(lender.loans, loan, nowMs) })
+  return { ...lent, level: Math.min(lent.usable.capacity, lent.level + grant.tokens) }
+}
+
+function isOpen (lender: Lender, nowMs: number): boolean {
+  return lender.openUntilMs !== undefined && nowMs < lender.openUntilMs
+}
+
+function mayAsk (state: AccountLimit, lender: Lender, nowMs: number): boolean {
+  if (isOpen(lender, nowMs)) return false
+  return state.waiting.length > 0 ? nowMs >= lender.nextAskMs : nowMs - lender.sentMs >= askPeriodMs
+}
+
+function needsRenewal (lender: Lender, want: Share, nowMs: number): boolean {
+  if (want.ratePerS === 0 || heldAt(lender.loans, nowMs).ratePerS === 0) return false
+  return heldAt(lender.loans, nowMs + renewBeforeMs).ratePerS < want.ratePerS / 2
+}
+
+function send (state: AccountLimit, to: HostName, asks: Omit<BorrowRequest, 'account' | 'held'>, nowMs: number): Asking {
+  const lender = state.lenders.get(to) ?? newLender
+  const held = keptLoan(state, lender, asks, nowMs)
+  const asked: Lender = {
+    ...lender,
+    loans: limitTo(lender.loans, held),
+    sequence: asks.sequence,
+    sentMs: nowMs,
+    openUntilMs: nowMs + answerTimeoutMs
+  }
+  const request: BorrowRequest = { account: state.account, held, ...asks }
+  return { state: withLender(state, to, asked), requests: [{ to, request }] }
+}
+
+// Capacity that holds no token is given back, and so is a rate that is not wanted.
+function keptLoan (state: AccountLimit, lender: Lender, asks: Omit<BorrowRequest, 'account' | 'held'>, nowMs: number): Share {
+  const held = heldAt(lender.loans, nowMs)
+  if (asks.purpose === 'use' && asks.returnedTokens > 0) return noShare
+  const all = [...state.lenders.values()].reduce((sum, other) => sum + heldAt(other.loans, nowMs).capacity, 0)
+  const spared = all === 0 ? 0 : sparedCapacity(state, nowMs) * held.capacity / all
+  const kept = { ratePerS: held.ratePerS, capacity: Math.max(0, held.capacity - spared) }
+  return asks.purpose === 'collect' || lendsOn(state) ? kept : smaller(kept, { ratePerS: asks.want.ratePerS, capacity: Infinity })
+}
+
+// Who gets nothing for requests that wait asks again after a growing time.
+function nextAsk (state: AccountLimit, lender: Lender, grant: ShareGrant | undefined, nowMs: number): Pick<Lender, 'nextAskMs' | 'backoffMs'> {
+  if (missingTokens(state, nowMs) === 0) return { nextAskMs: nowMs, backoffMs: backoffMs.first }
+  if (grant !== undefined && grant.tokens >= usefulTokens) return { nextAskMs: nowMs, backoffMs: backoffMs.first }
+  return { nextAskMs: nowMs + lender.backoffMs, backoffMs: Math.min(lender.backoffMs * 2, backoffMs.longest) }
+}
+
+function withLender (state: AccountLimit, host: HostName, lender: Lender): AccountLimit {
+  return refreshed({ ...state, lenders: new Map(state.lenders).set(host, lender) })
+}
--- /dev/null
+++ b/src/limits/lending.ts
@@ -0,0 +1,147 @@
+// Lending. A host lends to an account's home what it owns and does not need,
+// and the home lends that on to where the demand is. A home lends only what
+// stays covered, until the loan is over, by its own share and by loans to it.
+// Where more is wanted than there is, everybody gets the same part of it.
+
+import type { BorrowRequest, Share, ShareGrant } from '../model/index.js'
+import { advanced, borrowedShare, lentShare, ownShare, refreshed, type AccountLimit, type Borrower } from './account.js'
+import { heldAt, limitTo, withLoan } from './loans.js'
+import { keptShare } from './needs.js'
+import { collectValidMs, lenderMarginMs, tokenValidMs, useValidMs } from './settings.js'
+import { minus, plus } from './share.js'
+
+/** An account after a request, and what is lent. */
+export type Lending = {
+  readonly state: AccountLimit
+  readonly grant: ShareGrant | undefined
+}
+
+/**
+ * Answers a request to borrow.
+ * @param state - the account
+ * @param key - the borrower: host and incarnation
+ * @param request - what it asks for
+ * @param nowMs - the time
+ * @returns the account and the grant; none for an outdated request
+ */
+export function lend (state: AccountLimit, key: string, request: BorrowRequest, nowMs: number): Lending {
+  const before = advanced(state, nowMs)
+  const known = before.borrowers.get(key)
+  if (known !== undefined && known.sequence >= request.sequence) return { state: before, grant: undefined }
+  const returned = Math.min(request.returnedTokens, freedCapacity(known, request.held, nowMs))
+  const borrower: Borrower = {
+    purpose: request.purpose,
+    loans: limitTo(known?.loans ?? [], request.held),
+    sequence: request.sequence,
+    want: request.want
+  }
+  const asked = withTokens(withBorrower(before, key, borrower), returned)
+  const offer = offeredShare(asked, key, request, nowMs)
+  return granted(asked, key, borrower, offer, request, nowMs)
+}
+
+/**
+ * What a host can lend on to others for the time of a loan.
+ * @param state - the account
+ * @param nowMs - the time
+ * @returns what stays covered, without what is lent
+ */
+export function coveredShare (state: AccountLimit, nowMs: number): Share {
+  return minus(coverUntil(state, nowMs), lentShare(state, nowMs, () => true))
+}
+
+function coverUntil (state: AccountLimit, nowMs: number): Share {
+  return plus(ownShare(state, nowMs), borrowedShare(state, nowMs + useValidMs + lenderMarginMs))
+}
+
+// Tokens on their way back are covered by what was lent for them; without that they are void.
+function freedCapacity (known: Borrower | undefined, held: Share, nowMs: number): number {
+  return known === undefined ? 0 : Math.max(0, heldAt(known.loans, nowMs).capacity - held.capacity)
+}
+
+function withTokens (state: AccountLimit, tokens: number): AccountLimit {
+  return { ...state, level: Math.min(state.usable.capacity, state.level + tokens) }
+}
+
+function withBorrower (state: AccountLimit, key: string, borrower: Borrower): AccountLimit {
+  return refreshed({ ...state, borrowers: new Map(state.borrowers).set(key, borrower) })
+}
+
+function offeredShare (state: AccountLimit, key: string, request: BorrowRequest, nowMs: number): Share {
+  switch (request.purpose) {
+    case 'collect': return offeredToHome(state, key, request, nowMs)
+    case 'use': return offeredForUse(state, key, request, nowMs)
+  }
+}
+
+function offeredToHome (state: AccountLimit, key: string, request: BorrowRequest, nowMs: number): Share {
+  const lent = lentShare(state, nowMs, (_, other) => other !== key)
+  return minus(minus(ownShare(state, nowMs), lent), keptShare(state, request.isUrgent, nowMs))
+}
+
+function offeredForUse (state: AccountLimit, key: string, request: BorrowRequest, nowMs: number): Share {
+  const cover = coverUntil(state, nowMs)
+  const kept = keptShare(state, request.isUrgent, nowMs)
+  const part = fairPart(state, key, request, cover, kept)
+  const lent = lentShare(state, nowMs, (_, other) => other !== key)
+  const free = minus(minus(cover, lent), { ratePerS: kept.ratePerS * part, capacity: kept.capacity * part })
+  const capacity = Math.max(request.want.capacity, request.held.capacity + request.wantTokens)
+  return {
+    ratePerS: Math.min(request.want.ratePerS * part, free.ratePerS),
+    capacity: Math.min(capacity, free.capacity)
+  }
+}
+
+function fairPart (state: AccountLimit, key: string, request: BorrowRequest, cover: Share, kept: Share): number {
+  let wantedPerS = kept.ratePerS + request.want.ratePerS
+  for (const [other, borrower] of state.borrowers) {
+    if (other !== key && borrower.purpose === 'use') wantedPerS += borrower.want.ratePerS
+  }
+  return wantedPerS <= cover.ratePerS ? 1 : cover.ratePerS / wantedPerS
+}
+
+function granted (state: AccountLimit, key: string, borrower: Borrower, offer: Share, request: BorrowRequest, nowMs: number): Lending {
+  const validMs = validityOf(request)
+  const loan = { ...offer, expiresMs: nowMs + validMs + lenderMarginMs }
+  const lent: Borrower = { ...borrower, loans: withLoan(borrower.loans, loan, nowMs) }
+  const after = refreshed({ ...state, borrowers: new Map(state.borrowers).set(key, lent) })
+  const tokens = tokensFor(state, after, offer, request, nowMs)
+  const level = Math.min(state.level - tokens, after.usable.capacity)
+  return { state: { ...after, level }, grant: { ...offer, tokens, validMs } }
+}
+
+function validityOf (request: BorrowRequest): number {
+  switch (request.purpose) {
+    case 'collect': return collectValidMs
+    case 'use': return request.want.ratePerS > 0 ? useValidMs : tokenValidMs
+  }
+}
+
+// Tokens go with the capacity that is lent above what the borrower holds, so
+// that they never lie on top of tokens that it has already.
+function tokensFor (before: AccountLimit, after: AccountLimit, offer: Share, request: BorrowRequest, nowMs: number): number {
+  const room = Math.max(0, offer.capacity - request.held.capacity)
+  const spare = Math.max(0, before.level - keptShare(before, request.isUrgent, nowMs).capacity)
+  const overflow = Math.max(0, before.level - after.usable.capacity)
+  return Math.min(room, Math.max(overflow, Math.min(request.wantTokens, spare)))
+}
+
+/**
+ * Tells whether loans to this host may be needed to cover what it lends.
+ * @param state - the account, advanced to now
+ * @returns true where it lends more than its own share
+ */
+export function lendsOn (state: AccountLimit): boolean {
+  return [...state.borrowers.values()].some(borrower => borrower.purpose === 'use')
+}
+
+/**
+ * What this host may give back of its loans without losing tokens or cover.
+ * @param state - the account, advanced to now
+ * @param nowMs - the time
+ * @returns capacity
+ */
+export function sparedCapacity (state: AccountLimit, nowMs: number): number {
+  const free = lendsOn(state) ? Math.min(coveredShare(state, nowMs).capacity, state.usable.capacity) : state.usable.capacity
+  return Math.max(0, free - state.level)
+}
--- /dev/null
+++ b/src/limits/limits.ts
@@ -0,0 +1,298 @@
+// Limits: one host's part in keeping every account within its rate and burst.
+//
+// Weighed in docs/DESIGN.md: shares that are lent, a leased keeper, an even
+// split. Each host owns a share of every limit by its seats. Requests are
+// admitted from what is here, without a message. A host that is short asks
+// the account's home for a loan; the home collects what other owners do not
+// need and lends it on. Loans end by themselves, the borrower's before the
+// lender's, so no host ever has to learn that another is gone. A request that
+// finds no token waits a little for a loan before it is refused.
+//
+// The time of an event has to be taken when the event is handled, not when it
+// was put into a mailbox: a host may have been paused in between.
+
+import type { AccountName, BorrowRequest, HostName, Manifest, Share, ShareGrant } from '../model/index.js'
+import type { Transition } from '../pipe/index.js'
+import { accountHome, type Member } from '../members/index.js'
+import { advanced, hasToken, newAccount, ownFraction, refreshed, withoutToken, type AccountLimit, type OwnPart, type WaitingRequest } from './account.js'
+import { accountOf, allAccounts, noAccounts, withAccount, type Accounts } from './accounts.js'
+import { askHome, collect, takeAnswer, type Asking } from './borrowing.js'
+import { demandRate, withRequest } from './demand.js'
+import { lend } from './lending.js'
+import { isShort } from './needs.js'
+import { sameDivision, seatFraction } from './seats.js'
+import { collectIdleMs, divisionSettleMs, maxWaiting, maxWaitMs, seatQuietMs } from './settings.js'
+
+/** The account that stands for all callers without a key. */
+export const anonymousAccount: AccountName = '(anonymous)'
+
+/** Owners are not known yet and the fleet is small: everybody is asked. */
+const smallFleet = 32
+/** An account with less demand than this needs no tick. */
+const idleDemandPerS = 0.1
+/** Bounds of the time after which a refused caller is told to come back. */
+const retryMs: { readonly least: number, readonly most: number } = { least: 10, most: 5000 }
+
+/** What a host knows of all limits. */
+export type LimitsState = {
+  readonly self: HostName
+  readonly accounts: Accounts
+  /** Accounts that need ticks. */
+  readonly active: ReadonlySet<AccountName>
+  /** Seats among which each limit is divided; 0: no manifest yet. */
+  readonly seats: number
+  /** Own seats, and from when on each may be used. */
+  readonly held: ReadonlyMap<number, number>
+  readonly holders: ReadonlyMap<number, HostName>
+  readonly members: readonly Member[]
+  /** Homes found so far for these members. */
+  readonly homes: ReadonlyMap<AccountName, HostName | undefined>
+  /** Nothing is admitted or lent from this time on unless it is put off. */
+  readonly confirmedUntilMs: number
+  readonly sequence: number
+}
+
+/** What happens to the limits. */
+export type LimitsEvent =
+  | { readonly kind: 'manifestApplied', readonly manifest: Manifest, readonly nowMs: number }
+  | { readonly kind: 'seatsChanged', readonly held: readonly number[], readonly holders: ReadonlyMap<number, HostName>, readonly nowMs: number }
+  | { readonly kind: 'membersChanged', readonly live: readonly Member[], readonly nowMs: number }
+  | { readonly kind: 'confirmationChanged', readonly confirmedUntilMs: number, readonly nowMs: number }
+  | { readonly kind: 'admit', readonly account: AccountName, readonly id: string, readonly deadlineMs: number, readonly nowMs: number }
+  | { readonly kind: 'borrowRequested', readonly callId: string, readonly from: HostName, readonly incarnation: string, readonly request: BorrowRequest, readonly nowMs: number }
+  /** The answer of a lender; no grant also where the call failed. */
+  | { readonly kind: 'borrowAnswered', readonly from: HostName, readonly account: AccountName, readonly sequence: number, readonly grant: ShareGrant | undefined, readonly nowMs: number }
+  | { readonly kind: 'tick', readonly nowMs: number }
+
+/** What the limits want done. */
+export type LimitsEffect =
+  | { readonly kind: 'admitted', readonly id: string }
+  | { readonly kind: 'refused', readonly id: string, readonly retryAfterMs: number }
+  | { readonly kind: 'borrow', readonly to: HostName, readonly request: BorrowRequest }
+  /** The answer to `borrowRequested`. */
+  | { readonly kind: 'lend', readonly callId: string, readonly grant: ShareGrant | undefined }
+
+type Next = Transition<LimitsState, LimitsEffect>
+
+/**
+ * The limits of a host that has just started: it admits nothing yet.
+ * @param self - the host
+ * @returns the state
+ */
+export function initialLimits (self: HostName): LimitsState {
+  return {
+    self,
+    accounts: noAccounts,
+    active: new Set(),
+    seats: 0,
+    held: new Map(),
+    holders: new Map(),
+    members: [],
+    homes: new Map(),
+    confirmedUntilMs: -Infinity,
+    sequence: 0
+  }
+}
+
+/**
+ * Takes in one event.
+ * @param state - what is known
+ * @param event - what happened
+ * @returns what is known then, and what to do
+ */
+export function limitsStep (state: LimitsState, event: LimitsEvent): Next {
+  switch (event.kind) {
+    case 'manifestApplied': return manifestApplied(state, event.manifest, event.nowMs)
+    case 'seatsChanged': return { state: seatsChanged(state, event.held, event.holders, event.nowMs), effects: [] }
+    case 'membersChanged': return { state: { ...state, members: event.live, homes: new Map() }, effects: [] }
+    case 'confirmationChanged': return { state: { ...state, confirmedUntilMs: event.confirmedUntilMs }, effects: [] }
+    case 'admit': return admit(state, event.account, { id: event.id, untilMs: Math.min(event.deadlineMs, event.nowMs + maxWaitMs) }, event.nowMs)
+    case 'borrowRequested': return borrowRequested(state, event)
+    case 'borrowAnswered': return borrowAnswered(state, event)
+    case 'tick': return tick(state, event.nowMs)
+  }
+}
+
+function limitsOf (manifest: Manifest): ReadonlyMap<AccountName, Share> {
+  const limits = new Map(manifest.accounts.map(({ name, ratePerS, burst }): readonly [AccountName, Share] => [name, { ratePerS, capacity: burst }]))
+  return limits.set(anonymousAccount, { ratePerS: manifest.anonymous.ratePerS, capacity: manifest.anonymous.burst })
+}
+
+function manifestApplied (state: LimitsState, manifest: Manifest, nowMs: number): Next {
+  const limits = limitsOf(manifest)
+  let accounts = noAccounts
+  for (const [account, limit] of limits) accounts = withAccount(accounts, changedAccount(state, account, limit, manifest.seats, nowMs))
+  const dropped = allAccounts(state.accounts).filter(({ account }) => !limits.has(account))
+  const effects = dropped.flatMap(account => account.waiting.map(({ id }) => refusal(account, id)))
+  const active = new Set([...state.active].filter(account => limits.has(account)))
+  return { state: { ...state, accounts, active, seats: manifest.seats }, effects }
+}
+
+// After a change of the division some hosts still divide the old way. Until
+// they are sure to know, nobody uses more than its part was in both.
+function changedAccount (state: LimitsState, account: AccountName, limit: Share, seats: number, nowMs: number): AccountLimit {
+  const known = accountOf(state.accounts, account)
+  const own = ownParts(state.held, account, limit.ratePerS, seats)
+  const before = known === undefined ? newAccount(account, limit, nowMs) : advanced(known, nowMs)
+  const isFirst = state.seats === 0
+  const isSame = known !== undefined && sameDivision({ ratePerS: known.limit.ratePerS, seats: state.seats }, { ratePerS: limit.ratePerS, seats })
+  const ceiling = isFirst || isSame ? before.ceiling : { fraction: ownFraction(before, nowMs), untilMs: nowMs + divisionSettleMs }
+  return refreshed({ ...before, limit, own, ceiling })
+}
+
+function ownParts (held: ReadonlyMap<number, number>, account: AccountName, ratePerS: number, seats: number): readonly OwnPart[] {
+  const byTime = new Map<number, number>()
+  for (const [seat, fromMs] of held) {
+    const fraction = seatFraction(account, ratePerS, seat, seats)
+    if (fraction > 0) byTime.set(fromMs, (byTime.get(fromMs) ?? 0) + fraction)
+  }
+  return [...byTime].map(([fromMs, fraction]) => ({ fromMs, fraction }))
+}
+
+function seatsChanged (state: LimitsState, seats: readonly number[], holders: ReadonlyMap<number, HostName>, nowMs: number): LimitsState {
+  const isSame = seats.length === state.held.size && seats.every(seat => state.held.has(seat))
+  if (isSame) return { ...state, holders }
+  const held = new Map(seats.map(seat => [seat, state.held.get(seat) ?? nowMs + seatQuietMs]))
+  let accounts = state.accounts
+  for (const account of allAccounts(state.accounts)) {
+    const own = ownParts(held, account.account, account.limit.ratePerS, state.seats)
+    accounts = withAccount(accounts, refreshed({ ...advanced(account, nowMs), own }))
+  }
+  return { ...state, held, holders, accounts }
+}
+
+function refusal (account: AccountLimit, id: string): LimitsEffect {
+  const ratePerS = Math.max(account.usable.ratePerS, account.limit.ratePerS / 2)
+  const missing = account.waiting.length + 1 - account.level
+  const retryAfterMs = Math.min(retryMs.most, Math.max(retryMs.least, Math.ceil(missing * 1000 / ratePerS)))
+  return { kind: 'refused', id, retryAfterMs }
+}
+
+function admit (state: LimitsState, name: AccountName, request: WaitingRequest, nowMs: number): Next {
+  const known = accountOf(state.accounts, name)
+  if (known === undefined || nowMs >= state.confirmedUntilMs) return { state, effects: [{ kind: 'refused', id: request.id, retryAfterMs: retryMs.most }] }
+  const current = advanced(known, nowMs)
+  const asked = { ...current, demand: withRequest(current.demand, nowMs) }
+  if (asked.waiting.length === 0 && hasToken(asked)) {
+    const next = { ...state, accounts: withAccount(state.accounts, withoutToken(asked)) }
+    return { state: activated(next, name), effects: [{ kind: 'admitted', id: request.id }] }
+  }
+  if (asked.waiting.length >= maxWaiting) {
+    return { state: { ...state, accounts: withAccount(state.accounts, asked) }, effects: [refusal(asked, request.id)] }
+  }
+  return serve(activated(state, name), { ...asked, waiting: [...asked.waiting, request] }, nowMs)
+}
+
+function activated (state: LimitsState, account: AccountName): LimitsState {
+  return state.active.has(account) ? state : { ...state, active: new Set(state.active).add(account) }
+}
+
+// Admits those that have waited while there are tokens, refuses those whose time is over, and asks for more where needed.
+function serve (state: LimitsState, account: AccountLimit, nowMs: number): Next {
+  const isConfirmed = nowMs < state.confirmedUntilMs
+  const effects: LimitsEffect[] = []
+  const waiting: WaitingRequest[] = []
+  let current = account
+  for (const request of account.waiting) {
+    if (request.untilMs <= nowMs || !isConfirmed) {
+      effects.push(refusal(current, request.id))
+    } else if (hasToken(current)) {
+      effects.push({ kind: 'admitted', id: request.id })
+      current = withoutToken(current)
+    } else {
+      waiting.push(request)
+    }
+  }
+  const served = account.waiting.length === 0 ? current : { ...current, waiting }
+  if (!isConfirmed) return { state: { ...state, accounts: withAccount(state.accounts, served) }, effects }
+  const asked = askForMore(state, served, nowMs)
+  return { state: asked.state, effects: [...effects, ...asked.effects] }
+}
+
+function askForMore (state: LimitsState, account: AccountLimit, nowMs: number): Next {
+  const known = state.homes.has(account.account)
+  const home = known ? state.homes.get(account.account) : accountHome(account.account, state.members)
+  const next = known ? state : { ...state, homes: new Map(state.homes).set(account.account, home) }
+  const shortHere = isShort(account, nowMs) ? { ...account, shortMs: nowMs } : account
+  if (home !== undefined && home !== state.self) return sendAll(next, [to => askHome(to.account, home, to.sequence, nowMs)], account)
+  return collectAll(next, shortHere, nowMs)
+}
+
+function collectAll (state: LimitsState, account: AccountLimit, nowMs: number): Next {
+  if (nowMs - account.shortMs >= collectIdleMs) return sendAll(state, [], account)
+  return sendAll(state, ownersOf(state, account).map(owner => to => collect(to.account, owner, to.sequence, nowMs)), account)
+}
+
+function ownersOf (state: LimitsState, account: AccountLimit): readonly HostName[] {
+  const live = state.members.map(member => member.host).filter(host => host !== state.self)
+  if (live.length < smallFleet) return live
+  const owners = new Set<HostName>()
+  for (const [seat, host] of state.holders) {
+    if (seatFraction(account.account, account.limit.ratePerS, seat, state.seats) > 0) owners.add(host)
+  }
+  return live.filter(host => owners.has(host))
+}
+
+type AskStep = (to: { readonly account: AccountLimit, readonly sequence: number }) => Asking
+
+function sendAll (state: LimitsState, steps: readonly AskStep[], account: AccountLimit): Next {
+  const effects: LimitsEffect[] = []
+  let current = account
+  let sequence = state.sequence
+  for (const step of steps) {
+    const asking = step({ account: current, sequence: sequence + 1 })
+    current = asking.state
+    sequence += asking.requests.length
+    for (const { to, request } of asking.requests) effects.push({ kind: 'borrow', to, request })
+  }
+  return { state: { ...state, sequence, accounts: withAccount(state.accounts, current) }, effects }
+}
+
+function borrowRequested (state: LimitsState, event: Extract<LimitsEvent, { readonly kind: 'borrowRequested' }>): Next {
+  const { callId, request, nowMs } = event
+  const account = accountOf(state.accounts, request.account)
+  if (account === undefined || nowMs >= state.confirmedUntilMs) return { state, effects: [{ kind: 'lend', callId, grant: undefined }] }
+  const lending = lend(account, `${event.from}/${event.incarnation}`, request, nowMs)
+  const answer: LimitsEffect = { kind: 'lend', callId, grant: lending.grant }
+  // Who is asked for a loan to use acts as the account's home, whatever its own view says.
+  if (request.purpose === 'collect') return { state: { ...state, accounts: withAccount(state.accounts, lending.state) }, effects: [answer] }
+  const missing = request.isUrgent ? request.wantTokens - (lending.grant?.tokens ?? 0) : 0
+  const unmet = missing > 0 ? { tokens: missing, atMs: nowMs } : lending.state.unmet
+  const collecting = collectAll(activated(state, request.account), { ...lending.state, shortMs: nowMs, unmet }, nowMs)
+  return { state: collecting.state, effects: [answer, ...collecting.effects] }
+}
+
+function borrowAnswered (state: LimitsState, event: Extract<LimitsEvent, { readonly kind: 'borrowAnswered' }>): Next {
+  const account = accountOf(state.accounts, event.account)
+  if (account === undefined) return { state, effects: [] }
+  return serve(state, takeAnswer(account, event.from, event.sequence, event.grant, event.nowMs), event.nowMs)
+}
+
+function tick (state: LimitsState, nowMs: number): Next {
+  const effects: LimitsEffect[] = []
+  let current = state
+  for (const name of state.active) {
+    const account = accountOf(current.accounts, name)
+    if (account === undefined) continue
+    const served = serve(current, advanced(account, nowMs), nowMs)
+    effects.push(...served.effects)
+    current = served.state
+  }
+  return { state: { ...current, active: stillActive(current, nowMs) }, effects }
+}
+
+function stillActive (state: LimitsState, nowMs: number): ReadonlySet<AccountName> {
+  const idle = [...state.active].filter(name => {
+    const account = accountOf(state.accounts, name)
+    return account === undefined || isIdle(account, nowMs)
+  })
+  if (idle.length === 0) return state.active
+  return new Set([...state.active].filter(name => !idle.includes(name)))
+}
+
+function isIdle (account: AccountLimit, nowMs: number): boolean {
+  return account.waiting.length === 0 &&
+    nowMs - account.shortMs >= collectIdleMs &&
+    demandRate(account.demand, nowMs) < idleDemandPerS &&
+    [...account.lenders.values()].every(({ loans }) => loans.length === 0)
+}
--- /dev/null
+++ b/src/limits/needs.ts
@@ -0,0 +1,90 @@
+// What a host needs of an account's limit for the requests that come in at
+// it: the rate of its demand, and enough saved tokens for short bursts.
+
+import type { Share } from '../model/index.js'
+import type { AccountLimit } from './account.js'
+import { demandRate } from './demand.js'
+
+/** Demand below this is not provided for. */
+const leastDemandPerS = 4
+/** Demand below this has ended. */
+const endedPerS = 0.5
+/** Room for saved tokens, as a multiple of them. */
+const capacityFactor = 1.5
+/** Saved tokens of a host with any demand. */
+const leastSaved = 1.5
+/** Saved tokens cover the demand of this time. */
+const savedMs = 100
+/** Part of the saved tokens that a lender keeps where others wait. */
+const urgentPart = 0.5
+/** A rate above the demand refills the saved tokens within this time. */
+const refillMs = 1000
+
+type Provision = { readonly ratePerS: number, readonly saved: number, readonly capacity: number }
+
+const noProvision: Provision = { ratePerS: 0, saved: 0, capacity: 0 }
+
+// A host saves up tokens only where its part of the burst, by its demand, is
+// enough for it. Otherwise the burst would lie about in pieces of no use, and
+// the host takes a token from the home for each request.
+function provision (state: AccountLimit, nowMs: number): Provision {
+  const ratePerS = Math.min(demandRate(state.demand, nowMs), state.limit.ratePerS)
+  const saved = leastSaved + ratePerS * savedMs / 1000
+  const part = state.limit.capacity * ratePerS / state.limit.ratePerS
+  if (ratePerS < leastDemandPerS || part < saved) return noProvision
+  return { ratePerS, saved, capacity: Math.min(part, saved * capacityFactor) }
+}
+
+/**
+ * What a host keeps for its own requests when others ask it for a loan.
+ * @param state - the account, advanced to now
+ * @param isUrgent - whether requests wait at the borrower
+ * @param nowMs - the time
+ * @returns the share
+ */
+export function keptShare (state: AccountLimit, isUrgent: boolean, nowMs: number): Share {
+  const saved = provision(state, nowMs).saved * (isUrgent ? urgentPart : 1)
+  return { ratePerS: wantedShare(state, nowMs).ratePerS, capacity: saved + state.waiting.length }
+}
+
+/** What a host wants to have in all. */
+export type Wanted = Share & { readonly tokens: number }
+
+/**
+ * What a host wants to have, its own share included. The rate follows the
+ * demand and what is missing in saved tokens, so a surplus shrinks by itself.
+ * @param state - the account, advanced to now
+ * @param nowMs - the time
+ * @returns rate, capacity and tokens that come at once
+ */
+export function wantedShare (state: AccountLimit, nowMs: number): Wanted {
+  const { ratePerS, saved, capacity } = provision(state, nowMs)
+  const missing = saved + state.waiting.length - state.level
+  const refilling = ratePerS === 0 ? 0 : ratePerS + missing * 1000 / refillMs
+  return {
+    ratePerS: Math.min(Math.max(0, refilling), state.limit.ratePerS),
+    capacity: Math.min(capacity + state.waiting.length, state.limit.capacity),
+    tokens: Math.min(Math.max(0, missing), state.limit.capacity)
+  }
+}
+
+/**
+ * Tells whether a host is short of tokens or about to be.
+ * @param state - the account, advanced to now
+ * @param nowMs - the time
+ * @returns true where it should ask for more
+ */
+export function isShort (state: AccountLimit, nowMs: number): boolean {
+  const { ratePerS, saved } = provision(state, nowMs)
+  return state.waiting.length > 0 || (ratePerS > state.usable.ratePerS && state.level < saved / 2)
+}
+
+/**
+ * Tells whether requests have stopped to come in.
+ * @param state - the account
+ * @param nowMs - the time
+ * @returns true where nothing is to be provided for
+ */
+export function hasNoDemand (state: AccountLimit, nowMs: number): boolean {
+  return state.waiting.length === 0 && demandRate(state.demand, nowMs) < endedPerS
+}
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -58,11 +58,36 @@
   readonly agoMs: number
 }
 
-/** Tokens of an account that one member entrusts to another, or lends on. */
-export type TokenGrant = {
+/** A part of an account's limit. It is moved between hosts, never copied. */
+export type Share = {
+  readonly ratePerS: number
+  /** Part of the burst: the most tokens that may be saved up. */
+  readonly capacity: number
+}
+
+/** A request to borrow a part of an account's limit. */
+export type BorrowRequest = {
   readonly account: AccountName
+  /** `use`: for requests here; `collect`: by the account's home, to lend on. */
+  readonly purpose: 'use' | 'collect'
+  /** Rises with each request of one incarnation; an older one is void. */
+  readonly sequence: number
+  /** What the borrower still holds of this lender and limits itself to until the answer. */
+  readonly held: Share
+  /** What it wants to hold in all. */
+  readonly want: Share
+  /** Tokens that it wants at once. */
+  readonly wantTokens: number
+  /** Unused tokens that come back with the part of the loan that is given up. */
+  readonly returnedTokens: number
+  /** Requests wait for them; the lender gives up half of what it saves for itself. */
+  readonly isUrgent: boolean
+}
+
+/** A share that is lent, with tokens that come at once. */
+export type ShareGrant = Share & {
   readonly tokens: number
-  /** Time that the grant holds, counted by the receiver from its own request or by the sender from its sending, whichever ends first. */
+  /** How long it holds, counted by the borrower from its request. */
   readonly validMs: number
 }
 
@@ -73,8 +98,7 @@
   readonly heartbeat: { readonly params: MemberState, readonly result: MemberState }
   readonly pullConfiguration: { readonly params: { readonly above: Generation }, readonly result: { readonly accepted: AcceptedManifest | undefined } }
   readonly offerConfiguration: { readonly params: { readonly accepted: AcceptedManifest }, readonly result: { readonly generation: Generation } }
-  readonly entrust: { readonly params: { readonly from: HostName, readonly grants: readonly TokenGrant[] }, readonly result: { readonly unusedTokens: Readonly<Record<AccountName, number>> } }
-  readonly borrow: { readonly params: { readonly from: HostName, readonly account: AccountName, readonly tokens: number }, readonly result: { readonly grant: TokenGrant | undefined } }
+  readonly borrow: { readonly params: { readonly from: HostName, readonly incarnation: string, readonly request: BorrowRequest }, readonly result: { readonly grant: ShareGrant | undefined } }
   readonly report: { readonly params: { readonly report: HostReport }, readonly result: { readonly accepted: boolean } }
 }
 
--- /dev/null
+++ b/test/support/limit-fleet.ts
@@ -0,0 +1,287 @@
+// Drives the limit decisions of several hosts in virtual time: a queue of
+// events, a network that can lose, delay and cut, and hosts that can be paused
+// and killed. Each host has a clock of its own.
+
+import { limitsStep, initialLimits, limitsTickMs, type LimitsEffect, type LimitsEvent, type LimitsState } from '../../src/limits/index.js'
+import type { Member } from '../../src/members/index.js'
+import type { HostName, Manifest } from '../../src/model/index.js'
+
+/** A repeatable source of numbers in [0, 1). */
+export type Random = () => number
+
+/** Mulberry32. */
+export function randomFrom (seed: number): Random {
+  let state = seed | 0
+  return () => {
+    state = (state + 0x6d2b79f5) | 0
+    let mixed = Math.imul(state ^ (state >>> 15), 1 | state)
+    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296
+  }
+}
+
+type QueuedEvent = { readonly atMs: number, readonly order: number, readonly run: () => void }
+
+type FleetNode = {
+  readonly state: LimitsState
+  readonly incarnation: number
+  readonly isUp: boolean
+  readonly isPaused: boolean
+  /** What came in while the host was paused. */
+  readonly backlog: ReadonlyArray<() => void>
+}
+
+/** Events by time; those of one time in the order in which they came. */
+export function eventQueue () {
+  const heap: QueuedEvent[] = []
+  let order = 0
+  let nowMs = 0
+  const before = (a: number, b: number): boolean => {
+    const first = heap[a] as QueuedEvent
+    const second = heap[b] as QueuedEvent
+    return first.atMs < second.atMs || (first.atMs === second.atMs && first.order < second.order)
+  }
+  const swap = (a: number, b: number): void => {
+    [heap[a], heap[b]] = [heap[b] as QueuedEvent, heap[a] as QueuedEvent]
+  }
+  const take = () => {
+    const first = heap[0]
+    const last = heap.pop()
+    if (first === undefined || last === undefined || heap.length === 0) return first
+    heap[0] = last
+    for (let at = 0; ;) {
+      const left = 2 * at + 1
+      const right = left + 1
+      let least = at
+      if (left < heap.length && before(left, least)) least = left
+      if (right < heap.length && before(right, least)) least = right
+      if (least === at) return first
+      swap(at, least)
+      at = least
+    }
+  }
+  return {
+    now: () => nowMs,
+    at (atMs: number, run: () => void): void {
+      order += 1
+      heap.push({ atMs: Math.max(atMs, nowMs), order, run })
+      for (let at = heap.length - 1; at > 0;) {
+        const parent = (at - 1) >> 1
+        if (!before(at, parent)) return
+        swap(at, parent)
+        at = parent
+      }
+    },
+    run (untilMs: number): void {
+      while (heap[0] !== undefined && heap[0].atMs <= untilMs) {
+        const event = take()
+        if (event === undefined) break
+        nowMs = event.atMs
+        event.run()
+      }
+      nowMs = Math.max(nowMs, untilMs)
+    }
+  }
+}
+
+/** Faults of the network between two hosts. */
+export type Link = { readonly isCut: boolean, readonly lossPart: number, readonly delayMs: number }
+
+/** What became of one request. */
+export type Verdict = { readonly account: string, readonly host: HostName, readonly askedMs: number, readonly atMs: number, readonly isAdmitted: boolean }
+
+export type FleetOptions = {
+  readonly hosts: number
+  readonly manifest: Manifest
+  readonly seed: number
+  readonly link?: (from: HostName, to: HostName) => Link
+  /** Relative error of each host's clock at most. */
+  readonly drift?: number
+  /** Even division of the seats from the start; else `setSeats` gives them. */
+  readonly givesSeats?: boolean
+}
+
+export type Fleet = ReturnType<typeof limitFleet>
+
+const goodLink: Link = { isCut: false, lossPart: 0, delayMs: 1 }
+
+/** Starts a fleet; nothing moves until `run`. */
+export function limitFleet ({ hosts, manifest, seed, link = () => goodLink, drift = 0, givesSeats = true }: FleetOptions) {
+  const random = randomFrom(seed)
+  const queue = eventQueue()
+  const names = Array.from({ length: hosts }, (_, at) => `h${at}`)
+  const verdicts: Verdict[] = []
+  const asked = new Map<string, { readonly account: string, readonly host: HostName, readonly askedMs: number }>()
+  const counts = { messages: 0, requests: 0 }
+  const clocks = new Map(names.map(name => [name, { offsetMs: random() * 1e6, speed: 1 + (2 * random() - 1) * drift }]))
+  const members: readonly Member[] = names.map((host, at) => ({ host, failureDomain: `d${at % 3}`, ip: '127.0.0.1', port: at }))
+  const nodes = new Map<HostName, FleetNode>()
+
+  function clock (host: HostName): number {
+    const { offsetMs, speed } = clocks.get(host) as { readonly offsetMs: number, readonly speed: number }
+    return offsetMs + queue.now() * speed
+  }
+
+  function node (host: HostName): FleetNode {
+    return nodes.get(host) as FleetNode
+  }
+
+  function change (host: HostName, changed: Partial<FleetNode>): void {
+    nodes.set(host, { ...node(host), ...changed })
+  }
+
+  // A paused host takes in everything when it goes on, at the time of then.
+  function whenRunning (host: HostName, run: () => void): void {
+    const to = node(host)
+    if (to.isPaused) change(host, { backlog: [...to.backlog, run] })
+    else if (to.isUp) run()
+  }
+
+  function step (host: HostName, event: LimitsEvent): void {
+    const { state, effects } = limitsStep(node(host).state, event)
+    change(host, { state })
+    for (const effect of effects) perform(host, effect)
+  }
+
+  function send (from: HostName, to: HostName, run: () => void): void {
+    counts.messages += 1
+    const { isCut, lossPart, delayMs } = link(from, to)
+    if (isCut || random() < lossPart) return
+    const incarnation = node(to).incarnation
+    queue.at(queue.now() + delayMs * (0.8 + 0.4 * random()), () => {
+      whenRunning(to, () => { if (node(to).incarnation === incarnation) run() })
+    })
+  }
+
+  const calls = new Map<string, { readonly from: HostName, readonly account: string, readonly sequence: number }>()
+  function perform (host: HostName, effect: LimitsEffect): void {
+    switch (effect.kind) {
+      case 'admitted': return settle(effect.id, true)
+      case 'refused': return settle(effect.id, false)
+      case 'borrow': {
+        const { to, request } = effect
+        const callId = `${host}/${node(host).incarnation}/${request.sequence}`
+        const incarnation = String(node(host).incarnation)
+        calls.set(callId, { from: host, account: request.account, sequence: request.sequence })
+        return send(host, to, () => step(to, { kind: 'borrowRequested', callId, from: host, incarnation, request, nowMs: clock(to) }))
+      }
+      case 'lend': {
+        const call = calls.get(effect.callId)
+        calls.delete(effect.callId)
+        if (call === undefined) return
+        const { from, account, sequence } = call
+        return send(host, from, () => step(from, { kind: 'borrowAnswered', from: host, account, sequence, grant: effect.grant, nowMs: clock(from) }))
+      }
+    }
+  }
+
+  function settle (id: string, isAdmitted: boolean): void {
+    const request = asked.get(id)
+    if (request === undefined) return
+    asked.delete(id)
+    verdicts.push({ ...request, atMs: queue.now(), isAdmitted })
+  }
+
+  function start (host: HostName, incarnation: number): void {
+    nodes.set(host, { state: initialLimits(host), incarnation, isUp: true, isPaused: false, backlog: [] })
+    step(host, { kind: 'confirmationChanged', confirmedUntilMs: Infinity, nowMs: clock(host) })
+    step(host, { kind: 'membersChanged', live: members, nowMs: clock(host) })
+    step(host, { kind: 'manifestApplied', manifest, nowMs: clock(host) })
+    if (givesSeats) setSeats(host, evenSeats(host))
+  }
+
+  function evenSeats (host: HostName): readonly number[] {
+    const at = names.indexOf(host)
+    return Array.from({ length: manifest.seats }, (_, seat) => seat).filter(seat => seat % hosts === at)
+  }
+
+  function setSeats (host: HostName, held: readonly number[]): void {
+    whenRunning(host, () => step(host, { kind: 'seatsChanged', held, holders: new Map(), nowMs: clock(host) }))
+  }
+
+  function tick (): void {
+    for (const host of names) {
+      const { isUp, isPaused, state } = node(host)
+      if (isUp && !isPaused && state.active.size > 0) step(host, { kind: 'tick', nowMs: clock(host) })
+    }
+    queue.at(queue.now() + limitsTickMs, tick)
+  }
+
+  for (const host of names) start(host, 0)
+  tick()
+  return {
+    names,
+    verdicts,
+    counts,
+    now: queue.now,
+    at: queue.at,
+    run: queue.run,
+    setSeats,
+    evenSeats,
+    ask (host: HostName, account: string): void {
+      counts.requests += 1
+      const id = `r${counts.requests}`
+      asked.set(id, { account, host, askedMs: queue.now() })
+      if (!node(host).isUp) return settle(id, false)
+      whenRunning(host, () => step(host, { kind: 'admit', account, id, deadlineMs: Infinity, nowMs: clock(host) }))
+    },
+    pause (host: HostName): void { change(host, { isPaused: true }) },
+    resume (host: HostName): void {
+      const { backlog } = node(host)
+      change(host, { isPaused: false, backlog: [] })
+      for (const run of backlog) whenRunning(host, run)
+    },
+    kill (host: HostName): void {
+      change(host, { isUp: false, isPaused: false, backlog: [] })
+      for (const [id, request] of asked) if (request.host === host) settle(id, false)
+    },
+    restart (host: HostName): void { start(host, node(host).incarnation + 1) },
+    seeMembers (host: HostName, live: readonly HostName[]): void {
+      whenRunning(host, () => step(host, { kind: 'membersChanged', live: members.filter(member => live.includes(member.host)), nowMs: clock(host) }))
+    },
+    stateOf: (host: HostName) => node(host).state,
+    /** Whether the host is up and not paused. */
+    isRunning: (host: HostName) => node(host).isUp && !node(host).isPaused
+  }
+}
+
+/** How far the admissions exceed burst + rate * window in the worst window, in tokens. */
+export function capExceeded (verdicts: readonly Verdict[], account: string, ratePerS: number, burst: number): number {
+  const times = verdicts.filter(verdict => verdict.isAdmitted && verdict.account === account).map(({ atMs }) => atMs).sort((a, b) => a - b)
+  let level = burst
+  let lastMs = times[0] ?? 0
+  let worst = 0
+  for (const atMs of times) {
+    level = Math.min(burst, level + ratePerS * (atMs - lastMs) / 1000) - 1
+    lastMs = atMs
+    worst = Math.max(worst, -level)
+  }
+  return worst
+}
+
+/** What one bucket for the whole fleet would have admitted of the same requests. */
+export function idealAdmissions (verdicts: readonly Verdict[], account: string, ratePerS: number, burst: number): ReadonlySet<Verdict> {
+  const requests = verdicts.filter(verdict => verdict.account === account).sort((a, b) => a.askedMs - b.askedMs)
+  const admitted = new Set<Verdict>()
+  let level = burst
+  let lastMs = 0
+  for (const request of requests) {
+    level = Math.min(burst, level + ratePerS * (request.askedMs - lastMs) / 1000)
+    lastMs = request.askedMs
+    if (level < 1) continue
+    level -= 1
+    admitted.add(request)
+  }
+  return admitted
+}
+
+/** Makes a manifest that holds nothing but accounts. */
+export function accountsManifest (seats: number, accounts: ReadonlyArray<{ readonly name: string, readonly ratePerS: number, readonly burst: number }>): Manifest {
+  return {
+    accounts: accounts.map(account => ({ ...account, keys: [], weight: 1 })),
+    databases: [],
+    routes: [],
+    anonymous: { ratePerS: 1, burst: 1 },
+    seats
+  }
+}
