Test the stand-ins: ledger rules against an oracle, lag, fences, links

Fuzzing plays writes, late pulls and failovers on three ledgers and checks that logs agree, data is what the log says and nothing acknowledged is lost. Each guard was taken out and a test seen to fail: fence of an equal term, late entries of a lower term, truncation, rebuild, slots, connection cap, write lock, roll-back at a fence, dropped answers, half-open links. Taking out only the role change or only the term check of a fence fails nothing, since each covers the other.

--- /dev/null
+++ b/test/standins/database.test.ts
@@ -0,0 +1,176 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { Address } from '../../src/model/index.js'
+import { onServer, serverStatus, serviceLogin } from '../../standins/set/controls.js'
+import { client, databaseGroup, errorNumber } from '../support/standins.js'
+import { until } from '../support/until.js'
+
+const createTills = 'CREATE TABLE IF NOT EXISTS tills (id BIGINT PRIMARY KEY, note VARCHAR(80) NOT NULL) ENGINE=InnoDB'
+const countTills = 'SELECT COUNT(*) AS n FROM tills'
+
+async function count (address: Address): Promise<number> {
+  return Number((await onServer(address, countTills))[0]?.['n'])
+}
+
+async function fenceAndPromote (term: number, fenced: readonly Address[], promoted: Address): Promise<void> {
+  for (const address of fenced) {
+    assert.equal((await onServer(address, `CALL ledger_fence(${term}, 'p')`))[0]?.['accepted'], 1)
+  }
+  assert.equal((await onServer(promoted, `CALL ledger_promote(${term}, 'p')`))[0]?.['accepted'], 1)
+}
+
+function followCall (term: number, source: Address): string {
+  return `CALL ledger_follow(${term}, 'p', '${source.ip}', ${source.port})`
+}
+
+test('a write is received by replicas at once and applied after their lag', async t => {
+  const [primary, replica] = await databaseGroup(t)
+  const caller = await client(t, primary)
+  await caller.changed(createTills)
+  await until('the table is there', async () => (await serverStatus(replica)).applied.index === 2)
+  await onServer(replica, "CALL ledger_tune('lag_ms', 600000)")
+  assert.equal(await caller.changed('INSERT INTO tills VALUES (?, ?)', [1, 'o\'né "x" \\']), 1)
+  const position = await caller.position()
+  await until('received', async () => (await serverStatus(replica)).received.index === position.index)
+  assert.equal(await count(replica), 0)
+  assert.equal((await serverStatus(replica)).applied.index, position.index - 1)
+  assert.deepEqual(await caller.rows('SELECT note FROM tills'), [{ note: 'o\'né "x" \\' }])
+})
+
+test('a replica refuses writes and a unique key answers as MySQL does', async t => {
+  const [primary, replica] = await databaseGroup(t)
+  const [writer, reader] = [await client(t, primary), await client(t, replica)]
+  await writer.changed(createTills)
+  await writer.changed('INSERT INTO tills VALUES (1, "a")')
+  assert.equal(await writer.errorOf('INSERT INTO tills VALUES (1, "b")'), 1062)
+  assert.equal(await reader.errorOf('INSERT INTO tills VALUES (2, "b")'), 1290)
+  assert.equal(await writer.errorOf('SELECT * FROM missing_table'), 1146)
+  assert.equal(await writer.changed('INSERT INTO tills VALUES (1, "c") ON CONFLICT (id) DO UPDATE SET note = excluded.note'), 1)
+  assert.deepEqual(await writer.rows('SELECT id, note FROM tills'), [{ id: 1, note: 'c' }])
+})
+
+test('transactions are real: others see a commit whole, a rollback never', async t => {
+  const [primary] = await databaseGroup(t)
+  const [one, two] = [await client(t, primary), await client(t, primary)]
+  await one.changed(createTills)
+  await one.changed('BEGIN')
+  await one.changed('INSERT INTO tills VALUES (1, "a")')
+  await one.changed('INSERT INTO tills VALUES (2, "b")')
+  assert.equal(await count(primary), 0)
+  const waiting = two.changed('INSERT INTO tills VALUES (3, "c")')
+  await one.changed('COMMIT')
+  await waiting
+  assert.equal(await count(primary), 3)
+  await one.changed('START TRANSACTION')
+  await one.changed('DELETE FROM tills')
+  await one.changed('ROLLBACK')
+  assert.equal(await count(primary), 3)
+  assert.equal((await serverStatus(primary)).received.index, 4)
+})
+
+test('a connection that closes in a transaction leaves nothing behind', async t => {
+  const [primary] = await databaseGroup(t)
+  const [one, two] = [await client(t, primary), await client(t, primary)]
+  await one.changed(createTills)
+  await one.changed('BEGIN')
+  await one.changed('INSERT INTO tills VALUES (1, "a")')
+  one.connection.destroy()
+  await two.changed('INSERT INTO tills VALUES (1, "b")')
+  assert.deepEqual(await two.rows('SELECT note FROM tills'), [{ note: 'b' }])
+})
+
+test('a fenced primary commits nothing more, open transactions are rolled back', async t => {
+  const [primary, second, third] = await databaseGroup(t)
+  const [caller, other] = [await client(t, primary), await client(t, primary)]
+  await caller.changed(createTills)
+  await caller.changed('BEGIN')
+  await caller.changed('INSERT INTO tills VALUES (1, "a")')
+  const waiting = other.errorOf('INSERT INTO tills VALUES (2, "b")')
+  await until('received', async () => (await serverStatus(second)).received.index === 2)
+  await fenceAndPromote(2, [primary, second, third], second)
+  assert.equal(await waiting, 1290)
+  assert.equal(await caller.errorOf('INSERT INTO tills VALUES (3, "c")'), 1290)
+  assert.equal(await caller.errorOf('COMMIT'), 1290)
+  assert.equal(await caller.errorOf(countTills), 0)
+  assert.equal(await count(primary), 0)
+  assert.deepEqual((await serverStatus(second)).received, { term: 2, index: 3 })
+})
+
+test('a replaced primary drops what the new log lacks', async t => {
+  const [primary, second, third] = await databaseGroup(t)
+  const caller = await client(t, primary)
+  await caller.changed(createTills)
+  await caller.changed('INSERT INTO tills VALUES (1, "kept")')
+  await until('received', async () => (await serverStatus(second)).received.index === 3 && (await serverStatus(third)).received.index === 3)
+  // The rest of the group is fenced first, so the primary's next writes reach nobody.
+  await fenceAndPromote(2, [second, third], second)
+  await caller.changed('INSERT INTO tills VALUES (2, "lost")')
+  const reader = await client(t, primary)
+  await reader.changed('START TRANSACTION READ ONLY')
+  assert.equal((await reader.rows('SELECT id FROM tills')).length, 2)
+  const writer = await client(t, second)
+  await writer.changed('INSERT INTO tills VALUES (3, "new")')
+  for (const address of [primary, third]) await onServer(address, followCall(2, second))
+  for (const address of [primary, third]) {
+    await until('the new log is applied', async () => (await serverStatus(address)).applied.index === 5)
+    assert.deepEqual(await onServer(address, 'SELECT note FROM tills ORDER BY id'), [{ note: 'kept' }, { note: 'new' }])
+  }
+  assert.equal((await reader.rows('SELECT id FROM tills')).length, 2, 'an open snapshot stays as it was')
+})
+
+test('only so many statements run at a time', async t => {
+  const [primary] = await databaseGroup(t, { server: { slots: 2 } })
+  const callers = await Promise.all(Array.from({ length: 4 }, async () => await client(t, primary)))
+  const order: string[] = []
+  const run = async (index: number, text: string): Promise<void> => {
+    await callers[index]?.rows(text)
+    order.push(text)
+  }
+  const slow = [150, 600].map(async (serviceMs, index) => { await run(index, `SELECT ${index} /* service_ms=${serviceMs} */`) })
+  await until('the slow ones are in', async () => (await onServer(primary, 'CALL ledger_statements()')).length === 2)
+  await Promise.all([...slow, run(2, 'SELECT 2'), run(3, 'SELECT 3')])
+  assert.match(order[0] ?? '', /^SELECT 0/)
+})
+
+test('the connection cap holds, replicas stand outside it', async t => {
+  const [primary, replica] = await databaseGroup(t, { server: { maxConnections: 2 } })
+  const first = await client(t, primary)
+  await client(t, primary)
+  assert.equal(await errorNumber(client(t, primary)), 1040)
+  await first.changed(createTills)
+  await until('replication goes on', async () => (await serverStatus(replica)).applied.index === 2)
+})
+
+test('only the service login gets in, and a server shows what it was told', async t => {
+  const [primary] = await databaseGroup(t)
+  assert.equal(await errorNumber(client(t, primary, { user: 'atelier', password: 'key' })), 1045)
+  assert.equal(await errorNumber(client(t, primary, { ...serviceLogin, password: 'key' })), 1045)
+  const caller = await client(t, primary, { ...serviceLogin, database: 'ledger' })
+  await caller.rows('SELECT 42')
+  const sessions = await caller.rows('CALL ledger_sessions()')
+  const logins = sessions.filter(row => !String(row['attributes']).includes('ledger_replica'))
+  assert.deepEqual(logins.map(row => [row['user'], row['schema_name'], row['accepted']]), [['atelier', '', 0], ['service', '', 0], ['service', 'ledger', 1]])
+  assert.deepEqual(await caller.rows('CALL ledger_statements()'), [{ statement: 'SELECT 42' }])
+})
+
+test('reset rolls back, prepared statements are refused', async t => {
+  const [primary] = await databaseGroup(t)
+  const caller = await client(t, primary)
+  await caller.changed(createTills)
+  await caller.changed('BEGIN')
+  await caller.changed('INSERT INTO tills VALUES (1, "a")')
+  await caller.connection.reset()
+  await caller.connection.ping()
+  assert.equal(await count(primary), 0)
+  assert.equal(await errorNumber(caller.connection.execute('SELECT 1')), 1235)
+  assert.equal(await caller.errorOf('SET NAMES utf8mb4'), 0)
+})
+
+test('a wait answers as soon as something differs', async t => {
+  const [primary] = await databaseGroup(t)
+  const [waiter, writer] = [await client(t, primary), await client(t, primary)]
+  const waiting = waiter.rows('CALL ledger_wait(1, 1, 1, 1, 1, 60000)')
+  await writer.changed(createTills)
+  assert.equal((await waiting)[0]?.['received_index'], 2)
+  assert.equal((await waiter.rows('CALL ledger_wait(1, 2, 1, 2, 1, 5)'))[0]?.['received_index'], 2)
+})
--- /dev/null
+++ b/test/standins/ledger.test.ts
@@ -0,0 +1,191 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { comparePositions, type Position } from '../../src/model/index.js'
+import { appendCommitted, applyDue, fence, follow, mayCommit, newLedger, promote, receive, resumeAt, ship, statusOf, type Ledger } from '../../standins/database/ledger.js'
+import { entriesAfter, holdsPosition, lastPosition, logLength, type LogEntry } from '../../standins/database/log.js'
+
+const serverCount = 3
+const majority = 2
+
+/** Three ledgers, the data that each has applied, and what was acknowledged. */
+type Group = {
+  readonly ledgers: readonly Ledger[]
+  readonly data: ReadonlyArray<readonly string[]>
+  readonly acknowledged: readonly LogEntry[]
+  readonly written: number
+  /** Answers to pulls that have not arrived. */
+  readonly late: readonly LateShipment[]
+}
+
+type LateShipment = { readonly server: number, readonly term: number, readonly entries: readonly LogEntry[] }
+
+type Move =
+  | { readonly kind: 'write', readonly server: number }
+  | { readonly kind: 'pull', readonly server: number, readonly limit: number, readonly late: boolean }
+  | { readonly kind: 'arrive', readonly pick: number }
+  | { readonly kind: 'apply', readonly server: number }
+  /** A proposer fences some servers and promotes the furthest of a majority. */
+  | { readonly kind: 'failover', readonly term: number, readonly proposer: string, readonly reached: readonly number[], readonly followers: readonly number[] }
+
+const server = fc.nat({ max: serverCount - 1 })
+const servers = fc.uniqueArray(server, { maxLength: serverCount })
+const move: fc.Arbitrary<Move> = fc.oneof(
+  { weight: 4, arbitrary: fc.record({ kind: fc.constant('write' as const), server }) },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('pull' as const), server, limit: fc.integer({ min: 1, max: 3 }), late: fc.boolean() }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('arrive' as const), pick: fc.nat() }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('apply' as const), server }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('failover' as const), term: fc.integer({ min: 2, max: 12 }), proposer: fc.constantFrom('p', 'q'), reached: servers, followers: servers }) }
+)
+
+const portOf = (index: number): number => index + 1
+
+function newGroup (): Group {
+  const empty = Array.from({ length: serverCount }, (_, index) => newLedger(`s${index}`))
+  const ledgers = empty.map((ledger, index) => index === 0
+    ? promote(fence(ledger, 1, 'initial').ledger, 1, 'initial').ledger
+    : follow(ledger, 1, 'initial', { ip: 'x', port: portOf(0) }).ledger)
+  return { ledgers, data: ledgers.map(() => []), acknowledged: [], written: 0, late: [] }
+}
+
+function withLedger (group: Group, index: number, ledger: Ledger, data = group.data[index] ?? []): Group {
+  return { ...group, ledgers: group.ledgers.with(index, ledger), data: group.data.with(index, data) }
+}
+
+function play (group: Group, made: Move): Group {
+  switch (made.kind) {
+    case 'write': {
+      const ledger = group.ledgers[made.server] as Ledger
+      if (!mayCommit(ledger)) return group
+      const text = `w${group.written}`
+      const data = [...group.data[made.server] ?? [], text]
+      return { ...withLedger(group, made.server, appendCommitted(ledger, [text]), data), written: group.written + 1 }
+    }
+    case 'pull': return pull(group, made.server, made.limit, made.late)
+    case 'arrive': {
+      const arrived = group.late[made.pick % group.late.length]
+      return arrived === undefined ? group : take({ ...group, late: group.late.filter(each => each !== arrived) }, arrived)
+    }
+    case 'apply': {
+      const due = applyDue(group.ledgers[made.server] as Ledger, 0)
+      return withLedger(group, made.server, due.ledger, [...group.data[made.server] ?? [], ...textsOf(due.entries)])
+    }
+    case 'failover': return failover(group, made)
+  }
+}
+
+function pull (group: Group, index: number, limit: number, late: boolean): Group {
+  const ledger = group.ledgers[index] as Ledger
+  if (ledger.role.kind === 'primary' || ledger.role.source === undefined) return group
+  const source = group.ledgers[ledger.role.source.port - 1] as Ledger
+  let after: Position = lastPosition(ledger.log)
+  for (;;) {
+    const shipment = ship(source, ledger.role.term, after)
+    if (shipment.kind === 'notPrimary') return group
+    if (shipment.kind === 'retry') {
+      after = resumeAt(ledger, shipment.at)
+      continue
+    }
+    const answer = { server: index, term: ledger.role.term, entries: shipment.entries.slice(0, limit) }
+    return late ? { ...group, late: [...group.late, answer] } : take(group, answer)
+  }
+}
+
+function take (group: Group, shipment: LateShipment): Group {
+  const receipt = receive(group.ledgers[shipment.server] as Ledger, shipment.term, shipment.entries, 0)
+  const data = receipt.rebuild === undefined ? group.data[shipment.server] : textsOf(receipt.rebuild)
+  return withLedger(group, shipment.server, receipt.ledger, data)
+}
+
+function failover (group: Group, made: Move & { readonly kind: 'failover' }): Group {
+  const fenced = made.reached.map(index => ({ index, ruling: fence(group.ledgers[index] as Ledger, made.term, made.proposer) }))
+  const accepted = fenced.filter(each => each.ruling.accepted)
+  const after = accepted.reduce((next, each) => withLedger(next, each.index, each.ruling.ledger), group)
+  const leads = after.ledgers.some(ledger => ledger.role.kind === 'primary' && ledger.role.term === made.term)
+  if (accepted.length < majority || leads) return after
+  const furthest = accepted.map(each => each.index)
+    .reduce((best, index) => comparePositions(received(after, index), received(after, best)) > 0 ? index : best)
+  const before = after.ledgers[furthest] as Ledger
+  const promoted = promote(before, made.term, made.proposer)
+  assert.equal(promoted.accepted, true)
+  const data = [...after.data[furthest] ?? [], ...textsOf(before.pending.map(each => each.entry))]
+  const led = withLedger(after, furthest, promoted.ledger, data)
+  return made.followers.filter(index => index !== furthest).reduce((next, index) =>
+    withLedger(next, index, follow(next.ledgers[index] as Ledger, made.term, made.proposer, { ip: 'x', port: portOf(furthest) }).ledger), led)
+}
+
+function received (group: Group, index: number): Position {
+  return statusOf(group.ledgers[index] as Ledger).received
+}
+
+function entriesOf (ledger: Ledger): readonly LogEntry[] {
+  return entriesAfter(ledger.log, 0, logLength(ledger.log))
+}
+
+function textsOf (entries: readonly LogEntry[]): readonly string[] {
+  return entries.flatMap(entry => entry.statements)
+}
+
+/** A position is acknowledged once a majority has received one of the same term at or above it. */
+function acknowledge (group: Group): Group {
+  const leader = group.ledgers.find(mayCommit)
+  const term = leader?.role.term
+  if (leader === undefined) return group
+  const reached = group.ledgers.map(ledger => lastPosition(ledger.log)).filter(position => position.term === term).map(position => position.index)
+  const index = reached.sort((a, b) => b - a)[majority - 1] ?? 0
+  return { ...group, acknowledged: [...group.acknowledged, ...entriesOf(leader).slice(0, index)] }
+}
+
+function checkGroup (group: Group): void {
+  for (const [index, ledger] of group.ledgers.entries()) {
+    const held = textsOf(entriesOf(ledger).slice(0, ledger.applied.index))
+    assert.deepEqual(group.data[index], held, 'data is what the applied log says')
+    assert.ok(comparePositions(ledger.applied, lastPosition(ledger.log)) <= 0, 'applied is received')
+    for (const other of group.ledgers) {
+      const shared = entriesOf(ledger).findLast(entry => holdsPosition(other.log, entry.position))?.position.index ?? 0
+      assert.deepEqual(entriesOf(ledger).slice(0, shared), entriesOf(other).slice(0, shared), 'logs agree up to a shared entry')
+    }
+  }
+  const leaders = group.ledgers.filter(ledger => ledger.role.kind === 'primary')
+  assert.equal(new Set(leaders.map(ledger => ledger.role.term)).size, leaders.length, 'one primary a term')
+  const newest = leaders.filter(mayCommit).sort((a, b) => b.role.term - a.role.term)[0]
+  const isMajority = newest !== undefined && group.ledgers.filter(ledger => ledger.fencedTerm <= newest.role.term).length >= majority
+  if (!isMajority) return
+  for (const entry of group.acknowledged) assert.ok(holdsPosition(newest.log, entry.position), 'nothing acknowledged is lost')
+}
+
+test('failovers, pulls and writes in any order lose nothing that was acknowledged', () => {
+  fc.assert(fc.property(fc.array(move, { minLength: 20, maxLength: 80 }), moves => {
+    moves.reduce((group, made) => {
+      const next = acknowledge(play(group, made))
+      checkGroup(next)
+      return next
+    }, newGroup())
+  }), { seed: 20_261_207, numRuns: 600 })
+})
+
+test('a fence is taken for a higher term or again from its proposer', () => {
+  const fenced = fence(newLedger('s'), 3, 'p').ledger
+  assert.deepEqual([fence(fenced, 3, 'p'), fence(fenced, 3, 'q'), fence(fenced, 2, 'p'), fence(fenced, 4, 'q')].map(ruling => ruling.accepted), [true, false, false, true])
+  assert.deepEqual([promote(fenced, 3, 'q'), promote(fenced, 2, 'p'), promote(fenced, 3, 'p')].map(ruling => ruling.accepted), [false, false, true])
+  const leader = promote(fenced, 3, 'p').ledger
+  assert.deepEqual([mayCommit(leader), mayCommit(fence(leader, 4, 'q').ledger)], [true, false])
+  assert.deepEqual(lastPosition(promote(leader, 3, 'p').ledger.log), { term: 3, index: 1 })
+  assert.equal(follow(leader, 3, 'p', { ip: 'x', port: 1 }).accepted, false)
+})
+
+test('a fenced replica takes no entry from the primary of a lower term', () => {
+  const source = { ip: 'x', port: 1 }
+  const replica = follow(newLedger('s'), 1, 'initial', source).ledger
+  const entry: LogEntry = { position: { term: 1, index: 1 }, statements: ['w'] }
+  assert.deepEqual(lastPosition(receive(replica, 1, [entry], 0).ledger.log), { term: 1, index: 1 })
+  assert.equal(logLength(receive(fence(replica, 2, 'p').ledger, 1, [entry], 0).ledger.log), 0)
+})
+
+test('entries are applied only when their lag is over', () => {
+  const replica = follow(newLedger('s'), 1, 'initial', { ip: 'x', port: 1 }).ledger
+  const entry: LogEntry = { position: { term: 1, index: 1 }, statements: ['w'] }
+  const taken = receive(replica, 1, [entry], 500).ledger
+  assert.deepEqual(applyDue(taken, 499).entries, [])
+  assert.deepEqual(applyDue(taken, 500).entries, [entry])
+})
