Add the local set's workload, callers and fixtures of real processes

npm start starts the set, ships the manifest by the command line and runs a small workload by ordinary MySQL clients. Not run yet: the daemon and the command line are not there.

--- /dev/null
+++ b/standins/local.ts
@@ -0,0 +1,138 @@
+// What `npm start` runs: a local set of real processes, a small workload by
+// ordinary MySQL clients, and a report of what happened. Stays until a signal,
+// or ends after the workload with `--once`.
+
+import { spawn } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { once } from 'node:events'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { parseArgs } from 'node:util'
+import { connectCaller, errorNumber, type LocalCaller } from './set/caller.js'
+import { serverStatus } from './set/controls.js'
+import { startLocalSet, type LocalProxy, type LocalSet } from './set/local-set.js'
+import { builtProgram } from './set/process.js'
+
+const account = 'atelier'
+const route = 'ledger'
+/** How long the fleet may take until it serves its first statement. */
+const readyTimeoutMs = 30_000
+const retryDelayMs = 200
+const accessDenied = 1045
+/** Lines of each proxy's output that an error shows. */
+const shownLines = 20
+
+const { values } = parseArgs({ options: { once: { type: 'boolean', default: false } } })
+
+async function main (): Promise<number> {
+  console.log('starting a platform, a database of three servers and three proxies')
+  const set = await startLocalSet({ acceptManifest: false })
+  const ended = untilSignal()
+  try {
+    await applyManifest(set)
+    await runWorkload(set)
+    if (values.once) return 0
+    printHowToConnect(set)
+    await ended
+    return 0
+  } catch (error) {
+    console.error(error)
+    for (const proxy of set.proxies) console.error(`${proxy.name}:\n${proxy.process.output().slice(-shownLines).join('\n')}`)
+    return 1
+  } finally {
+    await set.stop()
+  }
+}
+
+async function untilSignal (): Promise<void> {
+  await new Promise<void>(resolve => {
+    process.once('SIGINT', resolve)
+    process.once('SIGTERM', resolve)
+  })
+}
+
+/** Ships the manifest as an operator does, by the command line. */
+async function applyManifest (set: LocalSet): Promise<void> {
+  const folder = mkdtempSync(join(tmpdir(), 'limpetmoor-manifest-'))
+  try {
+    const file = join(folder, 'manifest.json')
+    writeFileSync(file, JSON.stringify(set.manifest))
+    const url = `http://${set.platformAddress.ip}:${set.platformAddress.port}`
+    const child = spawn(process.execPath, [builtProgram('src/cli/main.js'), 'apply', '--platform', url, '--manifest', file], { stdio: 'inherit' })
+    const [code] = await once(child, 'exit')
+    if (code !== 0) throw new Error(`limpetmoor apply ended with ${String(code)}`)
+  } finally {
+    rmSync(folder, { recursive: true, force: true })
+  }
+}
+
+async function runWorkload (set: LocalSet): Promise<void> {
+  const key = set.keys.get(account) ?? ''
+  const [first, ...others] = set.proxies
+  if (first === undefined) throw new Error('no proxy')
+  const login = { account, key, route }
+  const writer = await firstCaller(first, login)
+  await writer.changed('CREATE TABLE IF NOT EXISTS job_cards (id BIGINT PRIMARY KEY, note VARCHAR(200))')
+  await writer.changed('INSERT INTO job_cards VALUES (?, ?)', [1, 'folios 1 to 12 resewn'])
+  console.log(`wrote a job card through ${first.name}`)
+  const token = await writer.token()
+  for (const proxy of others) {
+    await expectNote(proxy, { ...login, token }, 1, 'with the session token')
+    await expectNote(proxy, login, 1, 'in a new session')
+  }
+  for (const [index, proxy] of set.proxies.entries()) await writeAndRead(proxy, login, index + 2)
+  const refused = await errorNumber(connectCaller(first.mysql, { ...login, key: 'wrong' }))
+  if (refused !== accessDenied) throw new Error(`a wrong key was answered with ${refused}`)
+  console.log('a wrong key was refused')
+  for (const server of set.servers) {
+    const status = await serverStatus(server.address)
+    console.log(`${server.name}: ${status.role}, log up to term ${status.received.term} index ${status.received.index}`)
+  }
+  writer.close()
+}
+
+type Login = Parameters<typeof connectCaller>[1]
+
+/** The fleet takes a moment to learn its configuration and its members. */
+async function firstCaller (proxy: LocalProxy, login: Login): Promise<LocalCaller> {
+  const deadlineMs = performance.now() + readyTimeoutMs
+  for (;;) {
+    try {
+      const caller = await connectCaller(proxy.mysql, login)
+      await caller.rows('SELECT 1')
+      return caller
+    } catch (error) {
+      if (performance.now() > deadlineMs) throw error
+      await new Promise(resolve => { setTimeout(resolve, retryDelayMs) })
+    }
+  }
+}
+
+async function expectNote (proxy: LocalProxy, login: Login, id: number, how: string): Promise<void> {
+  const reader = await connectCaller(proxy.mysql, login)
+  const rows = await reader.rows('SELECT note FROM job_cards WHERE id = ?', [id])
+  reader.close()
+  if (rows.length !== 1) throw new Error(`${proxy.name} did not show job card ${id} ${how}`)
+  console.log(`read job card ${id} through ${proxy.name} ${how}`)
+}
+
+/** Each server has its home at one proxy, so two of three proxies pass a write on. */
+async function writeAndRead (proxy: LocalProxy, login: Login, id: number): Promise<void> {
+  const caller = await connectCaller(proxy.mysql, login)
+  await caller.changed('BEGIN')
+  await caller.changed('INSERT INTO job_cards VALUES (?, ?)', [id, `written through ${proxy.name}`])
+  await caller.changed('COMMIT')
+  caller.close()
+  console.log(`committed job card ${id} through ${proxy.name}`)
+  await expectNote(proxy, login, id, 'in a new session')
+}
+
+function printHowToConnect (set: LocalSet): void {
+  console.log('connect with any MySQL client, for example:')
+  for (const proxy of set.proxies) {
+    console.log(`  mysql --host ${proxy.mysql.ip} --port ${proxy.mysql.port} --user ${account} --password=${set.keys.get(account) ?? ''} ${route}`)
+  }
+  console.log('end with Ctrl-C')
+}
+
+process.exitCode = await main()
--- /dev/null
+++ b/standins/set/caller.ts
@@ -0,0 +1,69 @@
+// Ordinary MySQL clients that call a proxy, as applications do.
+
+import { createConnection, type Connection, type ResultSetHeader, type RowDataPacket } from 'mysql2/promise'
+import type { Address } from '../../src/model/index.js'
+
+/** How a caller logs in: schema is the route, password the key. */
+export type CallerLogin = {
+  readonly account: string
+  readonly key: string
+  readonly route: string
+  /** Session token from an earlier connection. */
+  readonly token?: string
+}
+
+export type CallerRow = Readonly<Record<string, unknown>>
+
+/** A caller's open connection. */
+export type LocalCaller = {
+  readonly connection: Connection
+  readonly rows: (text: string, values?: ReadonlyArray<string | number>) => Promise<readonly CallerRow[]>
+  readonly changed: (text: string, values?: ReadonlyArray<string | number>) => Promise<number>
+  readonly token: () => Promise<string>
+  readonly close: () => void
+}
+
+/** How long a proxy may take to let a caller in. */
+const connectTimeoutMs = 10_000
+
+/**
+ * Connects a caller to a proxy.
+ * @param proxy - the proxy's address for callers
+ * @param login - account, key and route
+ * @returns the open connection
+ */
+export async function connectCaller (proxy: Address, login: CallerLogin): Promise<LocalCaller> {
+  const attributes: Readonly<Record<string, string>> = login.token === undefined ? {} : { limpetmoor_session: login.token }
+  const connection = await createConnection({
+    host: proxy.ip,
+    port: proxy.port,
+    user: login.account,
+    password: login.key,
+    database: login.route,
+    connectTimeout: connectTimeoutMs,
+    connectAttributes: attributes
+  })
+  connection.on('error', () => {})
+  const rows: LocalCaller['rows'] = async (text, values = []) => (await connection.query<RowDataPacket[]>(text, [...values]))[0]
+  return {
+    connection,
+    rows,
+    changed: async (text, values = []) => (await connection.query<ResultSetHeader>(text, [...values]))[0].affectedRows,
+    token: async () => String(Object.values((await rows('SELECT @@limpetmoor_session'))[0] ?? {})[0]),
+    close: () => { connection.destroy() }
+  }
+}
+
+/**
+ * Error number of a call that fails.
+ * @param call - the call
+ * @returns the number, or 0 where the call succeeds
+ */
+export async function errorNumber (call: Promise<unknown>): Promise<number> {
+  try {
+    await call
+    return 0
+  } catch (error) {
+    return (error as { readonly errno?: number }).errno ?? -1
+  }
+}
--- a/standins/set/controls.ts
+++ b/standins/set/controls.ts
@@ -2,7 +2,7 @@
 // of links, its host list, calls to a database server.
 
 import { createConnection, type RowDataPacket } from 'mysql2/promise'
-import type { Address, Position } from '../../src/model/index.js'
+import type { Address, Manifest, Position } from '../../src/model/index.js'
 import type { LinkControl } from '../link-state.js'
 import type { Faults, Json, PlatformHost } from '../platform/state.js'
 
@@ -42,6 +42,19 @@
   }
 }
 
+/**
+ * Accepts a manifest straight in the store, under the next generation.
+ * @param platform - the platform's control
+ * @param manifest - the manifest
+ * @returns the generation
+ */
+export async function acceptManifest (platform: PlatformControl, manifest: Manifest): Promise<number> {
+  const stored = (await platform.read('manifest', 'current'))?.value as { readonly generation: number } | undefined
+  const generation = (stored?.generation ?? 0) + 1
+  await platform.write('manifest', 'current', { generation, manifest } as unknown as Json)
+  return generation
+}
+
 /** The links of a set. */
 export type LinksControl = {
   /** Makes a link to an address and gives the address to use in its place. */
--- a/standins/set/local-set.ts
+++ b/standins/set/local-set.ts
@@ -9,7 +9,7 @@
 import { stringify } from 'smol-toml'
 import { digestOf, keyRandomBytes, newKey } from '../../src/config/index.js'
 import type { Address, Manifest } from '../../src/model/index.js'
-import { linksControl, platformControl, serviceLogin, type LinksControl, type PlatformControl } from './controls.js'
+import { acceptManifest, linksControl, platformControl, serviceLogin, type LinksControl, type PlatformControl } from './controls.js'
 import { PortBlock } from './ports.js'
 import { startProcess, type StartedProcess } from './process.js'
 
@@ -39,6 +39,8 @@
   readonly serviceMs: number
   readonly connectDelayMs: number
   readonly faultyLinks: boolean
+  /** The manifest is in the store before the first proxy starts. */
+  readonly acceptManifest: boolean
   readonly settings: ExtraSettings
 }
 
@@ -57,6 +59,7 @@
   serviceMs: 1,
   connectDelayMs: 10,
   faultyLinks: false,
+  acceptManifest: true,
   settings: {}
 }
 
@@ -163,7 +166,7 @@
     const process = await start(place.name, 'src/cli/main.js', ['proxy', '--settings', place.settingsFile])
     return { ...place, process }
   }
-  await platform.write('manifest', 'current', manifest)
+  if (options.acceptManifest) await acceptManifest(platform, manifest)
   const proxies = await Promise.all(proxyPlaces.map(startProxy))
   return {
     options,
--- /dev/null
+++ b/test/standins/process.test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict'
+import { test, type TestContext } from 'node:test'
+import { onServer, serverStatus } from '../../standins/set/controls.js'
+import { startLocalSet, type LocalServer, type LocalSet } from '../../standins/set/local-set.js'
+import { client } from '../support/standins.js'
+import { until } from '../support/until.js'
+
+async function serversOnly (t: TestContext, faultyLinks: boolean): Promise<LocalSet> {
+  const set = await startLocalSet({ hosts: 0, faultyLinks, lagMs: 0 })
+  t.after(async () => { await set.stop() })
+  return set
+}
+
+function group (set: LocalSet): readonly [LocalServer, LocalServer, LocalServer] {
+  return set.servers as unknown as readonly [LocalServer, LocalServer, LocalServer]
+}
+
+test('a primary that was paused through a failover commits nothing when it wakes', async t => {
+  const [primary, second, third] = group(await serversOnly(t, false))
+  const caller = await client(t, primary.address)
+  await caller.changed('CREATE TABLE tills (id BIGINT PRIMARY KEY)')
+  await caller.changed('BEGIN')
+  await caller.changed('INSERT INTO tills VALUES (1)')
+  await until('received', async () => (await serverStatus(second.address)).received.index === 2)
+  primary.process.pause()
+  const commit = caller.errorOf('COMMIT')
+  // The fence waits in the paused server's socket; which of the two it reads first is not known.
+  const fenced = onServer(primary.address, "CALL ledger_fence(2, 'p')")
+  for (const { address } of [second, third]) await onServer(address, "CALL ledger_fence(2, 'p')")
+  await onServer(second.address, "CALL ledger_promote(2, 'p')")
+  primary.process.resume()
+  await Promise.all([commit, fenced])
+  const [ip, port] = [second.address.ip, second.address.port]
+  for (const { address } of [primary, third]) await onServer(address, `CALL ledger_follow(2, 'p', '${ip}', ${port})`)
+  await until('one log', async () => (await serverStatus(primary.address)).applied.term === 2)
+  assert.deepEqual(await onServer(primary.address, 'SELECT id FROM tills'), [])
+  assert.equal(await caller.errorOf('INSERT INTO tills VALUES (2)'), 1290)
+})
+
+test('replication outlives a link that goes silent', async t => {
+  const set = await serversOnly(t, true)
+  const [primary, second] = group(set)
+  await onServer(primary.address, 'CREATE TABLE tills (id BIGINT PRIMARY KEY)')
+  await until('received', async () => (await serverStatus(second.address)).received.index === 2)
+  await set.links?.set(`${second.name}>${primary.name}`, { mode: 'halfOpen' })
+  await onServer(primary.address, 'INSERT INTO tills VALUES (1)')
+  await until('received by a new connection', async () => (await serverStatus(second.address)).received.index === 3)
+})
+
+test('a set ends all its processes', async t => {
+  const set = await startLocalSet({ hosts: 0, faultyLinks: true })
+  await set.stop()
+  for (const { process: started } of set.servers) assert.deepEqual(await started.exited, { code: 0, signal: null })
+  assert.deepEqual(await set.platformProcess.exited, { code: 0, signal: null })
+})
