Judge the load's histories and schedule it from a seed

A measurement is worth what its judgement is worth, so the judgement comes first: stale reads, lost, doubled and torn writes, untrue refusals, refusals within rate and admissions over the cap are each found from callers' histories and database rows alone. The proxies' counters are not used.

--- /dev/null
+++ b/bench/rate-oracle.ts
@@ -0,0 +1,101 @@
+// Judges refusals by the rate limit. The limit promised to an account is one
+// token bucket for the whole fleet; the judgement fills that bucket from the
+// history and draws what was admitted. A refusal while the bucket holds a
+// token is wrongful.
+
+import { rateExceeded, type Operation } from './history.js'
+
+/** What an account was promised. */
+export type AccountLimit = {
+  readonly account: string
+  readonly ratePerS: number
+  readonly burst: number
+}
+
+/** How an account fared. */
+export type AccountVerdict = {
+  readonly account: string
+  readonly offered: number
+  readonly answered: number
+  /** Least of what it offered and what rate and burst let through. */
+  readonly due: number
+  /** Answered as part of due. */
+  readonly shareOfDue: number
+  readonly refusedByRate: number
+  readonly wrongfulRefusals: number
+  readonly otherNotRun: number
+  readonly unknown: number
+  /** Statements admitted beyond rate and burst; above 0 the cap was exceeded. */
+  readonly overCap: number
+}
+
+type Bucket = {
+  readonly tokens: number
+  readonly atMs: number
+}
+
+/** Requests wait on their way, so the bucket's clock is this uncertain. */
+const clockSlackMs = 50
+const msPerS = 1000
+
+function refilled (bucket: Bucket, limit: AccountLimit, nowMs: number): Bucket {
+  const gained = Math.max(0, nowMs - bucket.atMs) / msPerS * limit.ratePerS
+  return { tokens: Math.min(limit.burst, bucket.tokens + gained), atMs: Math.max(bucket.atMs, nowMs) }
+}
+
+/**
+ * Judges one account.
+ * @param limit - what it was promised
+ * @param history - what callers saw, of all accounts
+ * @returns how the account fared
+ */
+export function judgeAccount (limit: AccountLimit, history: readonly Operation[]): AccountVerdict {
+  const own = history.filter(operation => operation.account === limit.account).sort((a, b) => a.startMs - b.startMs)
+  const slack = clockSlackMs / msPerS * limit.ratePerS
+  const counts = { wrongful: 0, overCap: 0 }
+  let bucket: Bucket = { tokens: limit.burst, atMs: own[0]?.startMs ?? 0 }
+  for (const operation of own) {
+    bucket = refilled(bucket, limit, operation.startMs)
+    const tokens = bucket.tokens - operation.admittedStatements
+    counts.overCap = Math.max(counts.overCap, -tokens - slack)
+    bucket = { ...bucket, tokens }
+    if (isRateRefusal(operation) && tokens >= 1 + slack) counts.wrongful += 1
+  }
+  const answered = own.filter(operation => operation.outcome.kind === 'answered').length
+  const due = dueOperations(limit, own)
+  return {
+    account: limit.account,
+    offered: own.length,
+    answered,
+    due,
+    shareOfDue: due === 0 ? 1 : Math.min(1, answered / due),
+    refusedByRate: own.filter(isRateRefusal).length,
+    wrongfulRefusals: counts.wrongful,
+    otherNotRun: own.filter(operation => operation.outcome.kind === 'notRun' && !isRateRefusal(operation)).length,
+    unknown: own.filter(operation => operation.outcome.kind === 'unknown').length,
+    overCap: Math.max(0, counts.overCap)
+  }
+}
+
+function isRateRefusal (operation: Operation): boolean {
+  return operation.outcome.kind === 'notRun' && operation.outcome.reason === rateExceeded
+}
+
+/** Statements that an operation needs from the rate: COMMIT is free. */
+function neededStatements (operation: Operation): number {
+  return operation.request.kind === 'transaction' ? 3 : 1
+}
+
+/** Operations that one ideal bucket would let through at the times they were due. */
+function dueOperations (limit: AccountLimit, own: readonly Operation[]): number {
+  let bucket: Bucket = { tokens: limit.burst, atMs: own[0]?.dueMs ?? 0 }
+  let passed = 0
+  for (const operation of [...own].sort((a, b) => a.dueMs - b.dueMs)) {
+    bucket = refilled(bucket, limit, operation.dueMs)
+    const needed = neededStatements(operation)
+    if (bucket.tokens < needed) continue
+    bucket = { ...bucket, tokens: bucket.tokens - needed }
+    passed += 1
+  }
+  return passed
+}
--- /dev/null
+++ b/test/bench/oracle.test.ts
@@ -0,0 +1,104 @@
+// The bench's judgement finds each fault that it is there for, and finds none
+// in a history that has none.
+
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { staleReads, wrongWrites } from '../../bench/oracle.js'
+import { judgeAccount } from '../../bench/rate-oracle.js'
+import { scheduleOf, usualMix } from '../../bench/schedule.js'
+import { operationOf, refusedByRate, rowOf, writeOf } from './fixtures.js'
+
+const sessionRead = { kind: 'sessionRead', register: 1 } as const
+const limit = { account: 'bench', ratePerS: 10, burst: 5 }
+
+test('a session read that misses an acknowledged write is stale', () => {
+  const write = writeOf(1, 7)
+  const stale = operationOf(2, sessionRead, { outcome: { kind: 'answered', value: 6 } })
+  const fresh = operationOf(3, sessionRead, { outcome: { kind: 'answered', value: 7 } })
+  assert.deepEqual(staleReads([write, stale, fresh]).map(found => found.operation.id), [2])
+})
+
+test('a read that began before a write was acknowledged may miss it', () => {
+  const write = writeOf(1, 7, { endMs: 50 })
+  const read = operationOf(2, sessionRead)
+  assert.deepEqual(staleReads([write, read]), [])
+})
+
+test('a write whose outcome is unknown binds no read', () => {
+  const write = writeOf(1, 7, { outcome: { kind: 'unknown', reason: 'connectionLost' } })
+  assert.deepEqual(staleReads([write, operationOf(2, sessionRead)]), [])
+})
+
+test('a read of a stated age may miss what is younger, nothing older', () => {
+  const write = writeOf(1, 7)
+  const aged = (id: number, startMs: number): ReturnType<typeof operationOf> => operationOf(id, { kind: 'agedRead', register: 1, maxAgeMs: 100 }, { startMs, endMs: startMs + 1 })
+  assert.deepEqual(staleReads([write, aged(2, 110), aged(3, 116)]).map(found => found.operation.id), [3])
+})
+
+test('registers of different databases are different', () => {
+  const elsewhere = writeOf(1, 7, { database: 'stock' })
+  assert.deepEqual(staleReads([elsewhere, operationOf(2, sessionRead)]), [])
+})
+
+test('an acknowledged write that the database does not hold is lost', () => {
+  const kept = writeOf(1, 1)
+  const lost = writeOf(2, 2)
+  assert.deepEqual(wrongWrites([kept, lost], [rowOf(kept)]), [{ kind: 'lostWrite', operation: lost }])
+})
+
+test('a write that stands twice is doubled, whatever its caller was told', () => {
+  const acknowledged = writeOf(1, 1)
+  const unknown = writeOf(2, 2, { outcome: { kind: 'unknown', reason: 'connectionLost' } })
+  const found = wrongWrites([acknowledged, unknown], [acknowledged, acknowledged, unknown, unknown].map(each => rowOf(each)))
+  assert.deepEqual(found.map(each => [each.kind, each.operation.id]), [['doubledWrite', 1], ['doubledWrite', 2]])
+})
+
+test('a write of unknown outcome may stand once or not at all', () => {
+  const unknown = writeOf(1, 1, { outcome: { kind: 'unknown', reason: 'connectionLost' } })
+  assert.deepEqual(wrongWrites([unknown], []), [])
+  assert.deepEqual(wrongWrites([unknown], [rowOf(unknown)]), [])
+})
+
+test('a refused write that stands in the database was refused untruly', () => {
+  const refused = writeOf(1, 1, { outcome: { kind: 'notRun', reason: 'noPrimary' } })
+  assert.deepEqual(wrongWrites([refused], [rowOf(refused)]).map(found => found.kind), ['untrueRefusal'])
+})
+
+test('a transaction of which one row stands is torn', () => {
+  const transaction = operationOf(1, { kind: 'transaction', register: 1, value: 1 })
+  const first = rowOf(transaction)
+  assert.deepEqual(wrongWrites([transaction], [first]).map(found => found.kind), ['tornTransaction'])
+  assert.deepEqual(wrongWrites([transaction], [first, { ...first, part: 1 }]), [])
+})
+
+test('a refusal while the bucket holds tokens is wrongful', () => {
+  const first = operationOf(1, sessionRead, refusedByRate)
+  assert.equal(judgeAccount(limit, [first]).wrongfulRefusals, 1)
+})
+
+test('a refusal after the burst is used up is right', () => {
+  const burst = [1, 2, 3, 4, 5].map(id => operationOf(id, sessionRead, { startMs: id, dueMs: id }))
+  const late = operationOf(6, sessionRead, { startMs: 6, dueMs: 6, ...refusedByRate })
+  const verdict = judgeAccount(limit, [...burst, late])
+  assert.deepEqual([verdict.wrongfulRefusals, verdict.refusedByRate, verdict.due, verdict.shareOfDue], [0, 1, 5, 1])
+})
+
+test('statements beyond rate and burst are over the cap', () => {
+  const many = Array.from({ length: 8 }, (_, at) => operationOf(at, sessionRead, { startMs: 0, dueMs: 0 }))
+  assert.equal(judgeAccount(limit, many).overCap, 2.5)
+})
+
+test('an account that got less than it was due is seen', () => {
+  const answered = operationOf(1, sessionRead)
+  const dropped = operationOf(2, sessionRead, { outcome: { kind: 'notRun', reason: 'queueFull' } })
+  const verdict = judgeAccount(limit, [answered, dropped])
+  assert.deepEqual([verdict.due, verdict.shareOfDue, verdict.otherNotRun], [2, 0.5, 1])
+})
+
+test('the same seed gives the same schedule, another seed another one', () => {
+  const spec = { durationMs: 2000, demands: [{ account: 'bench', ratePerS: 50 }], mix: usualMix, maxAgeMs: 200, databases: 2, proxies: [0, 1, 2], roaming: 0.2, firstId: 1 }
+  const first = scheduleOf({ ...spec, seed: 5 })
+  assert.deepEqual(scheduleOf({ ...spec, seed: 5 }), first)
+  assert.notDeepEqual(scheduleOf({ ...spec, seed: 6 }), first)
+  assert.ok(first.every((arrival, at) => at === 0 || arrival.atMs >= (first[at - 1]?.atMs ?? 0)))
+})
