--- /dev/null
+++ b/bench/caller.ts
@@ -0,0 +1,240 @@
+// One caller's session: an ordinary MySQL client that runs one operation after
+// the other and moves between proxies. It keeps what it was told as records of
+// the history.
+
+import { createConnection, type Connection, type RowDataPacket } from 'mysql2/promise'
+import type { Address } from '../src/model/index.js'
+import type { Operation, OperationOutcome, OperationRequest } from './history.js'
+import type { Arrival } from './schedule.js'
+
+/** Table that the load writes. */
+export const factTable = 'facts'
+export const createFactTable = `CREATE TABLE IF NOT EXISTS ${factTable} (operation BIGINT, part BIGINT, register BIGINT, value BIGINT)`
+export const createFactIndex = `CREATE INDEX facts_by_register ON ${factTable} (register, value)`
+
+/** Longest wait of a caller for one answer. */
+const answerTimeoutMs = 20_000
+const connectTimeoutMs = 5_000
+/** Part of the writes that carry a request id and are sent again where their outcome is unknown. */
+const resentPart = 0.25
+
+/** How a caller reaches the proxies. */
+export type CallerPlace = {
+  readonly account: string
+  readonly key: string
+  readonly database: string
+  /** All proxies, by place. */
+  readonly proxies: readonly Address[]
+}
+
+type Told =
+  | { readonly kind: 'rows', readonly rows: ReadonlyArray<Readonly<Record<string, unknown>>> }
+  | Exclude<OperationOutcome, { readonly kind: 'answered' }>
+
+/** A session that roams between proxies. */
+export class Caller {
+  readonly #place: CallerPlace
+  #proxy: number
+  #connection: Connection | undefined
+  #token: string | undefined
+  #lastValue = 0
+
+  constructor (readonly session: number, place: CallerPlace, proxy: number) {
+    this.#place = place
+    this.#proxy = proxy
+  }
+
+  /**
+   * Runs one operation.
+   * @param arrival - what is due
+   * @param register - the register that it reads; writes go to the session's own
+   * @param dueMs - when it was due, by the clock of the history
+   * @returns the record
+   */
+  async run (arrival: Arrival, register: number, dueMs: number): Promise<Operation> {
+    await this.#move(arrival)
+    const request = this.#request(arrival, register)
+    const startMs = performance.now()
+    const { outcome, admittedStatements } = await this.#perform(arrival, request)
+    return {
+      id: arrival.id,
+      account: this.#place.account,
+      session: this.session,
+      database: this.#place.database,
+      proxy: this.#proxy,
+      request,
+      dueMs,
+      startMs,
+      endMs: performance.now(),
+      admittedStatements,
+      outcome
+    }
+  }
+
+  /** Ends the connection; a token that may be out of date goes with it. */
+  close (): void {
+    this.#connection?.destroy()
+    this.#connection = undefined
+    this.#token = undefined
+  }
+
+  #request (arrival: Arrival, register: number): OperationRequest {
+    const { intent } = arrival
+    switch (intent.kind) {
+      case 'sessionRead': return { kind: 'sessionRead', register: this.session }
+      case 'agedRead': return { kind: 'agedRead', register, maxAgeMs: intent.maxAgeMs }
+      case 'latestRead': return { kind: 'latestRead', register }
+      case 'write': return { kind: 'write', register: this.session, value: this.#nextValue(1) }
+      case 'transaction': return { kind: 'transaction', register: this.session, value: this.#nextValue(2) }
+    }
+  }
+
+  #nextValue (count: number): number {
+    const value = this.#lastValue + 1
+    this.#lastValue += count
+    return value
+  }
+
+  async #move ({ movement }: Arrival): Promise<void> {
+    switch (movement.kind) {
+      case 'stay': return
+      case 'roam': {
+        const token = movement.withToken ? await this.#readToken() : undefined
+        this.close()
+        this.#token = token
+        this.#proxy = movement.proxy
+      }
+    }
+  }
+
+  async #readToken (): Promise<string | undefined> {
+    if (this.#connection === undefined) return undefined
+    const told = await this.#ask('SELECT @@limpetmoor_session')
+    if (told.kind !== 'rows') return undefined
+    const token = Object.values(told.rows[0] ?? {})[0]
+    return typeof token === 'string' ? token : undefined
+  }
+
+  async #perform (arrival: Arrival, request: OperationRequest): Promise<{ readonly outcome: OperationOutcome, readonly admittedStatements: number }> {
+    switch (request.kind) {
+      case 'sessionRead': return single(await this.#ask(readText('', arrival.id, request.register)))
+      case 'agedRead': return single(await this.#ask(readText(`/* limpetmoor max_age_ms=${request.maxAgeMs} */ `, arrival.id, request.register)))
+      case 'latestRead': return single(await this.#ask(readText('/* limpetmoor latest */ ', arrival.id, request.register)))
+      case 'write': return await this.#write(arrival, request)
+      case 'transaction': return await this.#transaction(arrival, request)
+    }
+  }
+
+  async #write (arrival: Arrival, request: OperationRequest & { readonly kind: 'write' }): Promise<{ readonly outcome: OperationOutcome, readonly admittedStatements: number }> {
+    const insert = insertText(arrival.id, 0, request.register, request.value)
+    if (arrival.pick >= resentPart) return single(await this.#ask(insert))
+    const text = `/* limpetmoor request_id=op-${arrival.id} */ ${insert}`
+    const first = single(await this.#ask(text))
+    if (first.outcome.kind !== 'unknown') return first
+    this.close()
+    this.#proxy = (this.#proxy + 1) % this.#place.proxies.length
+    const second = single(await this.#ask(text))
+    // A resend that is refused says nothing of the first sending.
+    const outcome = second.outcome.kind === 'answered' ? second.outcome : first.outcome
+    return { outcome, admittedStatements: first.admittedStatements + second.admittedStatements }
+  }
+
+  async #transaction (arrival: Arrival, request: OperationRequest & { readonly kind: 'transaction' }): Promise<{ readonly outcome: OperationOutcome, readonly admittedStatements: number }> {
+    const texts = [
+      'BEGIN',
+      insertText(arrival.id, 0, request.register, request.value),
+      insertText(arrival.id, 1, request.register, request.value + 1)
+    ]
+    let admittedStatements = 0
+    for (const text of texts) {
+      const told = await this.#ask(text)
+      if (told.kind !== 'rows') {
+        await this.#letGo()
+        // Nothing was committed, so an unknown outcome before COMMIT is none.
+        const outcome: OperationOutcome = told.kind === 'unknown' ? { kind: 'notRun', reason: 'transactionNotCommitted' } : told
+        return { outcome, admittedStatements }
+      }
+      admittedStatements += 1
+    }
+    return { outcome: outcomeOf(await this.#ask('COMMIT')), admittedStatements }
+  }
+
+  async #letGo (): Promise<void> {
+    if (this.#connection === undefined) return
+    const told = await this.#ask('ROLLBACK')
+    if (told.kind !== 'rows') this.close()
+  }
+
+  async #ask (sql: string): Promise<Told> {
+    let connection: Connection
+    try {
+      connection = await this.#open()
+    } catch (error) {
+      return refusalOf(error) ?? { kind: 'notRun', reason: 'connect' }
+    }
+    try {
+      const [rows] = await connection.query<RowDataPacket[]>({ sql, timeout: answerTimeoutMs })
+      return { kind: 'rows', rows: Array.isArray(rows) ? rows : [] }
+    } catch (error) {
+      const refusal = refusalOf(error)
+      if (refusal !== undefined) return refusal
+      this.close()
+      return { kind: 'unknown', reason: codeOf(error) }
+    }
+  }
+
+  async #open (): Promise<Connection> {
+    if (this.#connection !== undefined) return this.#connection
+    const { account, key, database, proxies } = this.#place
+    const address = proxies[this.#proxy]
+    if (address === undefined) throw new RangeError(`no proxy ${this.#proxy}`)
+    const connection = await createConnection({
+      host: address.ip,
+      port: address.port,
+      user: account,
+      password: key,
+      database,
+      connectTimeout: connectTimeoutMs,
+      ...(this.#token === undefined ? {} : { connectAttributes: { limpetmoor_session: this.#token } })
+    })
+    connection.on('error', () => { if (this.#connection === connection) this.close() })
+    this.#connection = connection
+    return connection
+  }
+}
+
+function readText (hint: string, operation: number, register: number): string {
+  return `${hint}SELECT MAX(value) AS op_${operation} FROM ${factTable} WHERE register = ${register}`
+}
+
+function insertText (operation: number, part: number, register: number, value: number): string {
+  return `INSERT INTO ${factTable} (operation, part, register, value) VALUES (${operation}, ${part}, ${register}, ${value})`
+}
+
+function single (told: Told): { readonly outcome: OperationOutcome, readonly admittedStatements: number } {
+  return { outcome: outcomeOf(told), admittedStatements: told.kind === 'notRun' ? 0 : 1 }
+}
+
+function outcomeOf (told: Told): OperationOutcome {
+  switch (told.kind) {
+    case 'rows': return { kind: 'answered', value: Number(Object.values(told.rows[0] ?? {})[0] ?? 0) }
+    case 'notRun':
+    case 'refused':
+    case 'unknown': return told
+  }
+}
+
+/** What a server's error packet says; undefined where the connection failed. */
+function refusalOf (error: unknown): Exclude<OperationOutcome, { readonly kind: 'answered' }> | undefined {
+  const { message = '', errno, fatal } = error as { readonly message?: string, readonly errno?: number, readonly fatal?: boolean }
+  const notRun = /not run \((\w+)\)/.exec(message)?.[1]
+  if (notRun !== undefined) return { kind: 'notRun', reason: notRun }
+  const unknown = /outcome unknown \((\w+)\)/.exec(message)?.[1]
+  if (unknown !== undefined) return { kind: 'unknown', reason: unknown }
+  if (errno === undefined || errno < 1000 || fatal === true) return undefined
+  return { kind: 'refused', errorNumber: errno, message }
+}
+
+function codeOf (error: unknown): string {
+  return (error as { readonly code?: string }).code ?? 'connection'
+}
--- /dev/null
+++ b/bench/load.ts
@@ -0,0 +1,100 @@
+// Runs a schedule against proxies. Each arrival starts when it is due, whatever
+// became of earlier ones; it waits only where all sessions of its account are
+// busy, and that wait is part of its latency.
+
+import { setTimeout as delay } from 'node:timers/promises'
+import type { Address } from '../src/model/index.js'
+import { Caller, type CallerPlace } from './caller.js'
+import type { Operation } from './history.js'
+import type { Arrival } from './schedule.js'
+
+/** What a load needs. */
+export type LoadSpec = {
+  readonly arrivals: readonly Arrival[]
+  readonly databases: readonly string[]
+  readonly proxies: readonly Address[]
+  /** Proxies that sessions start on. */
+  readonly entries: readonly number[]
+  readonly keys: ReadonlyMap<string, string>
+  readonly sessionsEach: number
+  /** Sessions get numbers from here on, so that several loads may share databases. */
+  readonly firstSession: number
+}
+
+/** Sessions of one account on one database. */
+class SessionGroup {
+  readonly #idle: Caller[] = []
+  readonly #waiting: Array<(caller: Caller) => void> = []
+
+  constructor (readonly callers: readonly Caller[]) {
+    this.#idle.push(...callers)
+  }
+
+  async take (pick: number): Promise<Caller> {
+    const at = Math.floor(pick * this.#idle.length)
+    const [caller] = this.#idle.splice(at, 1)
+    return caller ?? await new Promise(resolve => { this.#waiting.push(resolve) })
+  }
+
+  giveBack (caller: Caller): void {
+    const next = this.#waiting.shift()
+    if (next === undefined) this.#idle.push(caller)
+    else next(caller)
+  }
+
+  /** Register of one of the group's sessions. */
+  register (pick: number): number {
+    return this.callers[Math.floor(pick * this.callers.length)]?.session ?? 0
+  }
+}
+
+/**
+ * Runs a load to its end.
+ * @param spec - what it needs
+ * @returns the history
+ */
+export async function runLoad (spec: LoadSpec): Promise<readonly Operation[]> {
+  const groups = sessionGroups(spec)
+  const startedMs = performance.now()
+  const history = await Promise.all(spec.arrivals.map(async arrival => {
+    const dueMs = startedMs + arrival.atMs
+    await delay(Math.max(0, dueMs - performance.now()))
+    return await runArrival(groups, spec, arrival, dueMs)
+  }))
+  for (const group of groups.values()) {
+    for (const caller of group.callers) caller.close()
+  }
+  return history
+}
+
+async function runArrival (groups: ReadonlyMap<string, SessionGroup>, spec: LoadSpec, arrival: Arrival, dueMs: number): Promise<Operation> {
+  const group = groups.get(groupKey(arrival.account, spec.databases[arrival.database] ?? ''))
+  if (group === undefined) throw new RangeError(`no session for ${arrival.account}`)
+  const caller = await group.take(arrival.pick)
+  try {
+    return await caller.run(arrival, group.register(arrival.pick), dueMs)
+  } finally {
+    group.giveBack(caller)
+  }
+}
+
+function sessionGroups (spec: LoadSpec): ReadonlyMap<string, SessionGroup> {
+  const groups = new Map<string, SessionGroup>()
+  let session = spec.firstSession
+  for (const [account, key] of spec.keys) {
+    for (const database of spec.databases) {
+      const place: CallerPlace = { account, key, database, proxies: spec.proxies }
+      const callers: Caller[] = []
+      while (callers.length < spec.sessionsEach) {
+        callers.push(new Caller(session, place, spec.entries[session % spec.entries.length] ?? 0))
+        session += 1
+      }
+      groups.set(groupKey(account, database), new SessionGroup(callers))
+    }
+  }
+  return groups
+}
+
+function groupKey (account: string, database: string): string {
+  return JSON.stringify([account, database])
+}
--- /dev/null
+++ b/bench/server-log.ts
@@ -0,0 +1,63 @@
+// Which server ran which read, from the database servers' own statement logs.
+// A server keeps its last statements only, so it is asked again and again.
+
+import { createConnection, type Connection, type RowDataPacket } from 'mysql2/promise'
+import { setTimeout as delay } from 'node:timers/promises'
+import { serviceLogin } from '../standins/set/controls.js'
+import type { LocalServer } from '../standins/set/local-set.js'
+
+/** Servers that ran each operation's read. */
+export type ReadPlaces = ReadonlyMap<number, readonly string[]>
+
+/** Collects until told to stop. */
+export type ServerLog = {
+  readonly stop: () => Promise<ReadPlaces>
+}
+
+const operationColumn = /\bop_(\d+)\b/
+
+/**
+ * Starts to collect.
+ * @param servers - the servers to ask
+ * @param periodMs - how often
+ * @returns the running collection
+ */
+export async function collectServerLog (servers: readonly LocalServer[], periodMs: number): Promise<ServerLog> {
+  const places = new Map<number, readonly string[]>()
+  const connections = await Promise.all(servers.map(async server => await connect(server)))
+  const state = { stopped: false }
+  const askAll = async (): Promise<void> => {
+    await Promise.all(servers.map(async (server, at) => { await collect(connections[at], server.name, places) }))
+  }
+  const asking = (async () => {
+    while (!state.stopped) {
+      await askAll()
+      await delay(periodMs)
+    }
+  })()
+  return {
+    stop: async () => {
+      state.stopped = true
+      await asking
+      await askAll()
+      for (const connection of connections) connection.destroy()
+      return places
+    }
+  }
+}
+
+async function connect (server: LocalServer): Promise<Connection> {
+  const connection = await createConnection({ host: server.address.ip, port: server.address.port, ...serviceLogin })
+  connection.on('error', () => {})
+  return connection
+}
+
+async function collect (connection: Connection | undefined, server: string, places: Map<number, readonly string[]>): Promise<void> { // eslint-disable-line no-restricted-syntax -- filled by the collection that owns it
+  const rows = await connection?.query<RowDataPacket[]>('CALL ledger_statements()').then(([found]) => found, () => [])
+  for (const row of rows ?? []) {
+    const operation = Number(operationColumn.exec(String(row['statement']))?.[1])
+    if (Number.isNaN(operation)) continue
+    const known = places.get(operation) ?? []
+    if (!known.includes(server)) places.set(operation, [...known, server])
+  }
+}
--- /dev/null
+++ b/bench/statistics.ts
@@ -0,0 +1,34 @@
+// Figures from samples.
+
+/** A line through measured points. */
+export type Slope = {
+  readonly perUnit: number
+  readonly atZero: number
+}
+
+/**
+ * A percentile of samples.
+ * @param samples - the samples, in any order
+ * @param percent - from 0 to 100
+ * @returns the sample at that place; NaN where there is none
+ */
+export function percentile (samples: readonly number[], percent: number): number {
+  const sorted = [...samples].sort((a, b) => a - b)
+  const at = Math.min(sorted.length - 1, Math.max(0, Math.ceil(sorted.length * percent / 100) - 1))
+  return sorted[at] ?? NaN
+}
+
+/**
+ * Least-squares line.
+ * @param points - at least two points as x and y
+ * @returns the line
+ */
+export function slopeOf (points: ReadonlyArray<readonly [number, number]>): Slope {
+  const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
+  const meanX = mean(points.map(([x]) => x))
+  const meanY = mean(points.map(([, y]) => y))
+  const above = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0)
+  const below = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0)
+  const perUnit = above / below
+  return { perUnit, atZero: meanY - perUnit * meanX }
+}
