--- /dev/null
+++ b/bench/measure-failover.ts
@@ -0,0 +1,133 @@
+// Failover: the primary's process is killed under load. The gap is the time
+// from the last answered write before to the first one after, by callers'
+// histories.
+
+import { setTimeout as delay } from 'node:timers/promises'
+import type { LocalServer } from '../standins/set/local-set.js'
+import { correctnessFigures, faultNotes, runJudgedLoad, type JudgedLoad } from './judged-load.js'
+import type { Operation } from './history.js'
+import { atMost, plain, type Figure, type MeasureResult } from './measure.js'
+import { primaryOf, type Rig } from './rig.js'
+import type { Mix } from './schedule.js'
+import { percentile } from './statistics.js'
+
+/** Operations on each database. */
+const ratePerDatabasePerS = 80
+const firstKillMs = 3000
+const betweenKillsMs = 5000
+const afterLastKillMs = 6000
+/** Answers that count for the gap lie within this time around the kill. */
+const beforeKillMs = 500
+const sessionsEach = 24
+const accountsInUse = 2
+const mix: Mix = { sessionRead: 0.4, agedRead: 0, latestRead: 0, write: 0.55, transaction: 0.05 }
+
+/** One failover of one database. */
+export type FailoverRun = {
+  readonly database: string
+  readonly killedMs: number
+  readonly writeGapMs: number
+  readonly readGapMs: number
+}
+
+/** What one set's failovers give. */
+export type FailoverRound = {
+  readonly runs: readonly FailoverRun[]
+  readonly load: JudgedLoad
+}
+
+/**
+ * Kills the primary of each database of a set, one after the other.
+ * @param rig - a fresh set
+ * @param seed - seed of the load
+ * @param count - databases whose primary is killed
+ * @returns the gaps and the judged load
+ */
+export async function runFailovers (rig: Rig, seed: number, count: number): Promise<FailoverRound> {
+  const databases = rig.set.options.databases.slice(0, count)
+  const accounts = rig.set.options.accounts.slice(0, accountsInUse)
+  const killed = new Map<string, LocalServer>()
+  const kills = killAll(rig, databases, killed)
+  const load = await runJudgedLoad({
+    rig,
+    seed,
+    durationMs: firstKillMs + betweenKillsMs * (databases.length - 1) + afterLastKillMs,
+    demands: accounts.map(account => ({ account: account.name, ratePerS: ratePerDatabasePerS * rig.set.options.databases.length / accounts.length })),
+    entries: rig.entrances.map((_, at) => at),
+    roaming: 0.05,
+    sessionsEach,
+    collectPlaces: false,
+    mix,
+    servers: () => rig.set.servers.filter(server => killed.get(server.database) !== server)
+  })
+  const killTimes = await kills
+  const runs = databases.map(database => runOf(load.history, database, killTimes.get(database) ?? NaN))
+  return { runs, load }
+}
+
+async function killAll (rig: Rig, databases: readonly string[], killed: Map<string, LocalServer>): Promise<ReadonlyMap<string, number>> { // eslint-disable-line no-restricted-syntax -- filled as servers are killed
+  const times = new Map<string, number>()
+  await delay(firstKillMs)
+  for (const database of databases) {
+    const primary = await primaryOf(rig.set.servers, database)
+    killed.set(database, primary)
+    times.set(database, performance.now())
+    await primary.process.kill()
+    await delay(betweenKillsMs)
+  }
+  return times
+}
+
+function runOf (history: readonly Operation[], database: string, killedMs: number): FailoverRun {
+  const answered = history.filter(operation => operation.database === database && operation.outcome.kind === 'answered')
+  const ends = (write: boolean): readonly number[] => answered
+    .filter(operation => operation.request.kind.endsWith('Read') !== write)
+    .map(operation => operation.endMs)
+  return { database, killedMs, writeGapMs: serviceGapMs(ends(true), killedMs), readGapMs: serviceGapMs(ends(false), killedMs) }
+}
+
+/**
+ * The longest time without an answer around a kill.
+ * @param endsMs - when answers came, in any order
+ * @param killedMs - when the primary was killed
+ * @returns the gap; infinite where no answer came after it
+ */
+export function serviceGapMs (endsMs: readonly number[], killedMs: number): number {
+  const around = endsMs.filter(endMs => endMs >= killedMs - beforeKillMs && endMs <= killedMs + betweenKillsMs).sort((a, b) => a - b)
+  const last = around.at(-1)
+  if (last === undefined || last < killedMs) return Infinity
+  return Math.max(...around.slice(1).map((endMs, at) => endMs - (around[at] ?? endMs)))
+}
+
+/**
+ * Sums up all rounds.
+ * @param rounds - the rounds of all sets
+ * @returns the figures
+ */
+export function failoverResult (rounds: readonly FailoverRound[]): MeasureResult {
+  const runs = rounds.flatMap(round => round.runs)
+  const writeGaps = runs.map(run => run.writeGapMs)
+  const readGaps = runs.map(run => run.readGapMs)
+  return {
+    measure: 'failover',
+    figures: [
+      plain('failovers', '', runs.length),
+      atMost('gap in writes, median', 'ms', percentile(writeGaps, 50), 1000),
+      atMost('gap in writes, worst', 'ms', Math.max(...writeGaps), 2000),
+      atMost('gap in session reads, median', 'ms', percentile(readGaps, 50), 1000),
+      atMost('gap in session reads, worst', 'ms', Math.max(...readGaps), 2000),
+      ...summed(rounds)
+    ],
+    series: [{ name: 'gap in writes', unit: 'ms', samples: writeGaps }, { name: 'gap in session reads', unit: 'ms', samples: readGaps }],
+    notes: [
+      `gaps in writes: ${writeGaps.map(gap => gap.toFixed(0)).join(', ')} ms`,
+      ...rounds.flatMap(round => faultNotes(round.load))
+    ]
+  }
+}
+
+/** Adds up the figures of all loads. */
+function summed (rounds: readonly FailoverRound[]): readonly Figure[] {
+  const each = rounds.map(round => correctnessFigures(round.load))
+  return (each[0] ?? []).map((figure, at) => ({ ...figure, value: each.reduce((sum, figures) => sum + (figures[at]?.value ?? 0), 0) }))
+}
--- /dev/null
+++ b/bench/measure-path.ts
@@ -0,0 +1,195 @@
+// The cost of the path: latency added to a direct connection to the same
+// database server in the same run, processor time for one statement in each
+// role, memory for one idle caller connection.
+
+import { createConnection, type Connection } from 'mysql2/promise'
+import { setTimeout as delay } from 'node:timers/promises'
+import type { Address } from '../src/model/index.js'
+import { serviceLogin } from '../standins/set/controls.js'
+import { factTable } from './caller.js'
+import { atMost, plain, type Figure, type MeasureResult } from './measure.js'
+import { usageOf } from './process-usage.js'
+import { primaryOf, type Rig } from './rig.js'
+import { percentile, slopeOf } from './statistics.js'
+
+const warmUpRounds = 200
+const rounds = 1500
+const busyConnections = 32
+const busyMs = 5000
+const idleSteps: readonly number[] = [0, 250, 500, 1000, 2000]
+const settleMs = 1500
+const msPerS = 1000
+
+type Probe = {
+  readonly name: string
+  readonly hops: number
+  readonly samples: readonly number[]
+}
+
+type Kind = {
+  readonly name: string
+  readonly direct: string
+  readonly proxied: string
+  readonly isRead: boolean
+}
+
+const select = `SELECT MAX(value) FROM ${factTable} WHERE register = 1`
+const insert = `INSERT INTO ${factTable} (operation, part, register, value) VALUES (0, 0, 0, 0)`
+const kinds: readonly Kind[] = [
+  { name: 'read of a stated age', direct: select, proxied: `/* limpetmoor max_age_ms=60000 */ ${select}`, isRead: true },
+  { name: 'session read', direct: select, proxied: select, isRead: true },
+  { name: 'latest read', direct: select, proxied: `/* limpetmoor latest */ ${select}`, isRead: true },
+  { name: 'write', direct: insert, proxied: insert, isRead: false }
+]
+
+/**
+ * Measures the path on a set of three hosts, one in each failure domain, with
+ * one database.
+ * @param rig - the set; its database servers should add no time of their own
+ * @returns the figures
+ */
+export async function measurePath (rig: Rig): Promise<MeasureResult> {
+  const latency = await measureLatency(rig)
+  const busy = await measureBusy(rig)
+  const memory = await measureMemory(rig)
+  return {
+    measure: 'path',
+    figures: [...latency.figures, ...busy, ...memory],
+    series: latency.probes.map(({ name, samples }) => ({ name, unit: 'ms', samples })),
+    notes: [
+      'The direct write is answered before any replica has it; a write through a proxy waits for a majority.',
+      'One hop: the caller\'s proxy is the home of the primary. Two hops: another proxy passes the statement to the home.'
+    ]
+  }
+}
+
+async function measureLatency (rig: Rig): Promise<{ readonly figures: readonly Figure[], readonly probes: readonly Probe[] }> {
+  const direct = await connectDirect(rig)
+  const atHome = await connectProxy(rig, rig.entrances[0])
+  const remote = await connectProxy(rig, rig.entrances[1])
+  const figures: Figure[] = []
+  const probes: Probe[] = []
+  for (const kind of kinds) {
+    const samples = await interleaved([[direct, kind.direct], [atHome, kind.proxied], [remote, kind.proxied]])
+    const [base = [], one = [], two = []] = samples
+    probes.push({ name: `${kind.name}, direct`, hops: 0, samples: base }, { name: `${kind.name}, one hop`, hops: 1, samples: one }, { name: `${kind.name}, two hops`, hops: 2, samples: two })
+    const added = (of: readonly number[], percent: number): number => percentile(of, percent) - percentile(base, percent)
+    figures.push(
+      plain(`${kind.name}, direct p50`, 'ms', percentile(base, 50)),
+      bounded(kind, `${kind.name}, added by one hop p50`, added(one, 50)),
+      plain(`${kind.name}, added by one hop p99`, 'ms', added(one, 99)),
+      bounded(kind, `${kind.name}, added by two hops p50, for each`, added(two, 50) / 2),
+      plain(`${kind.name}, added by two hops p99`, 'ms', added(two, 99))
+    )
+  }
+  for (const connection of [direct, atHome, remote]) connection.destroy()
+  return { figures, probes }
+}
+
+function bounded (kind: Kind, name: string, value: number): Figure {
+  return kind.isRead ? atMost(name, 'ms', value, 1) : plain(name, 'ms', value)
+}
+
+async function interleaved (sides: ReadonlyArray<readonly [Connection, string]>): Promise<ReadonlyArray<readonly number[]>> {
+  const samples = sides.map((): number[] => [])
+  for (let round = 0; round < warmUpRounds + rounds; round++) {
+    for (const [at, [connection, sql]] of sides.entries()) {
+      const startMs = performance.now()
+      await connection.query(sql)
+      if (round >= warmUpRounds) samples[at]?.push(performance.now() - startMs)
+    }
+  }
+  return samples
+}
+
+async function measureBusy (rig: Rig): Promise<readonly Figure[]> {
+  const [home, entry] = rig.set.proxies
+  if (home === undefined || entry === undefined) return []
+  const primary = await primaryOf(rig.set.servers, rig.set.options.databases[0] ?? '')
+  const latest = `/* limpetmoor latest */ ${select}`
+  const pids = { home: home.process.pid, entry: entry.process.pid, server: primary.process.pid }
+  const both = await busyRun(rig, rig.entrances[0], latest, pids)
+  const parted = await busyRun(rig, rig.entrances[1], latest, pids)
+  const aged = await busyRun(rig, rig.entrances[2], `/* limpetmoor max_age_ms=60000 */ ${select}`, { home: rig.set.proxies[2]?.process.pid ?? 0, entry: pids.entry, server: pids.server })
+  return [
+    plain('entry and home in one proxy, latest reads', 'statements/s', both.perS),
+    plain('entry and home in one proxy, CPU of a latest read', 'us', both.cpuUs.home),
+    plain('database server, CPU of a latest read', 'us', both.cpuUs.server),
+    plain('entry alone, latest reads', 'statements/s', parted.perS),
+    plain('entry alone, CPU of a latest read', 'us', parted.cpuUs.entry),
+    plain('home alone, CPU of a latest read', 'us', parted.cpuUs.home),
+    plain('entry and home in one proxy, reads of a stated age', 'statements/s', aged.perS),
+    plain('entry and home in one proxy, CPU of a read of a stated age', 'us', aged.cpuUs.home)
+  ]
+}
+
+type Pids = { readonly home: number, readonly entry: number, readonly server: number }
+
+async function busyRun (rig: Rig, address: Address | undefined, sql: string, pids: Pids): Promise<{ readonly perS: number, readonly cpuUs: Pids }> {
+  const connections = await Promise.all(Array.from({ length: busyConnections }, async () => await connectProxy(rig, address)))
+  const cpu = (): Pids => ({ home: usageOf(pids.home).cpuMs, entry: usageOf(pids.entry).cpuMs, server: usageOf(pids.server).cpuMs })
+  const before = cpu()
+  const startMs = performance.now()
+  const counts = await Promise.all(connections.map(async connection => await queryUntil(connection, sql, startMs + busyMs)))
+  const tookMs = performance.now() - startMs
+  const after = cpu()
+  for (const connection of connections) connection.destroy()
+  const statements = counts.reduce((sum, count) => sum + count, 0)
+  const each = (used: number): number => used * msPerS / statements
+  return {
+    perS: statements * msPerS / tookMs,
+    cpuUs: { home: each(after.home - before.home), entry: each(after.entry - before.entry), server: each(after.server - before.server) }
+  }
+}
+
+async function queryUntil (connection: Connection, sql: string, untilMs: number): Promise<number> {
+  let count = 0
+  while (performance.now() < untilMs) {
+    await connection.query(sql)
+    count += 1
+  }
+  return count
+}
+
+async function measureMemory (rig: Rig): Promise<readonly Figure[]> {
+  const proxy = rig.set.proxies[2]
+  if (proxy === undefined) return []
+  const connections: Connection[] = []
+  const points: Array<readonly [number, number]> = [] // eslint-disable-line no-restricted-syntax -- grows with each step
+  for (const step of idleSteps) {
+    while (connections.length < step) connections.push(await connectProxy(rig, rig.entrances[2]))
+    await delay(settleMs)
+    points.push([step, usageOf(proxy.process.pid).residentKb])
+  }
+  for (const connection of connections) connection.destroy()
+  const slope = slopeOf(points)
+  return [
+    ...points.map(([step, residentKb]) => plain(`resident memory at ${step} idle callers`, 'KB', residentKb)),
+    plain('memory of one idle caller', 'KB', slope.perUnit)
+  ]
+}
+
+async function connectDirect (rig: Rig): Promise<Connection> {
+  const primary = await primaryOf(rig.set.servers, rig.set.options.databases[0] ?? '')
+  return await connect({ host: primary.address.ip, port: primary.address.port, ...serviceLogin })
+}
+
+async function connectProxy (rig: Rig, address: Address | undefined): Promise<Connection> {
+  const account = rig.set.options.accounts[0]?.name ?? ''
+  const database = rig.set.options.databases[0] ?? ''
+  return await connect({ host: address?.ip ?? '', port: address?.port ?? 0, user: account, password: rig.set.keys.get(account) ?? '', database })
+}
+
+type Login = {
+  readonly host: string
+  readonly port: number
+  readonly user: string
+  readonly password: string
+  readonly database?: string
+}
+
+async function connect (login: Login): Promise<Connection> {
+  const connection = await createConnection(login)
+  connection.on('error', () => {})
+  return connection
+}
--- /dev/null
+++ b/test/bench/figures.test.ts
@@ -0,0 +1,39 @@
+// Figures and their verdicts.
+
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { readDeployment } from '../../bench/deployment.js'
+import { serviceGapMs } from '../../bench/measure-failover.js'
+import { atLeast, atMost, plain, verdictOf } from '../../bench/measure.js'
+import { percentile, slopeOf } from '../../bench/statistics.js'
+
+test('a target is met up to its bound and missed beyond it', () => {
+  const verdicts = [atMost('a', '', 2, 2), atMost('a', '', 2.1, 2), atLeast('a', '', 2, 2), atLeast('a', '', 1.9, 2), plain('a', '', 1)].map(verdictOf)
+  assert.deepEqual(verdicts, ['met', 'missed', 'met', 'missed', 'no target'])
+})
+
+test('a figure that could not be measured misses its target', () => {
+  assert.deepEqual([atMost('a', '', NaN, 2), atLeast('a', '', NaN, 2)].map(verdictOf), ['missed', 'missed'])
+})
+
+test('the gap in service is the longest time without an answer around the kill', () => {
+  assert.equal(serviceGapMs([1700, 1950, 2800, 2810, 100, 9000], 2000), 850)
+})
+
+test('a service that never answers again has an endless gap', () => {
+  assert.equal(serviceGapMs([1700, 1950], 2000), Infinity)
+})
+
+test('percentiles are samples and a slope is the line through its points', () => {
+  assert.equal(percentile([5, 1, 3, 2, 4], 50), 3)
+  assert.equal(percentile([5, 1, 3, 2, 4], 99), 5)
+  assert.deepEqual(slopeOf([[0, 10], [1, 12], [2, 14]]), { perUnit: 2, atZero: 10 })
+})
+
+test('both deployments have three databases, eight accounts and a noisy one among them', () => {
+  for (const name of ['atelier', 'mission']) {
+    const deployment = readDeployment(name)
+    assert.deepEqual([deployment.databases.length, deployment.accounts.length, deployment.failureDomains.length], [3, 8, 3])
+    assert.ok(deployment.accounts.some(account => account.name === deployment.noisyAccount))
+  }
+})
