--- a/docs/examples/embed-request-pipe.ts
+++ b/docs/examples/embed-request-pipe.ts
@@ -1,11 +1,14 @@
 // Embeds the request pipe without any socket: a front end of its own (here a
 // function) asks, and an executor of its own (here a map) answers.
 
-import { request, runPipe, type ExecuteRequest, type Manifest, type Outcome, type Position } from '../../src/index.js'
+import { request, runPipe, type ExecuteRequest, type KeyDeclaration, type Manifest, type Outcome, type Position } from '../../src/index.js'
+
+/** The key of the client account below. */
+export const exampleKey: KeyDeclaration = { id: 'k1', digest: '0'.repeat(40) }
 
 /** A manifest with one client account and one database. */
 export const exampleManifest: Manifest = {
-  accounts: [{ name: 'bindery', keys: [{ id: 'k1', digest: '0'.repeat(40) }], ratePerS: 10, burst: 10, weight: 1 }],
+  accounts: [{ name: 'bindery', keys: [exampleKey], ratePerS: 10, burst: 10, weight: 1 }],
   databases: [{ name: 'orders', state: 'active', servers: [{ name: 's1', ip: '127.0.0.1', port: 3306, failureDomain: 'a', slots: 5, maxConnections: 75, state: 'active' }] }],
   routes: [{ name: 'orders', database: 'orders', access: { kind: 'accounts', accounts: ['bindery'] } }],
   anonymous: { ratePerS: 1, burst: 1 },
--- a/src/config/access.ts
+++ b/src/config/access.ts
@@ -42,7 +42,7 @@
   const key = provenKey(index.accounts.get(login.user), login)
   if (key === undefined) return { kind: 'refused', reason: 'badKey' }
   if (route === undefined) return { kind: 'refused', reason: 'routeUnknown' }
-  const caller: Caller = { kind: 'account', account: login.user, keyId: keyId(key) }
+  const caller: Caller = { kind: 'account', account: login.user, keyId: keyIdentity(key) }
   return grants(route, caller) ? { kind: 'granted', caller } : { kind: 'refused', reason: 'routeForbidden' }
 }
 
@@ -100,7 +100,7 @@
   if (known !== undefined) return known
   const index: ManifestIndex = {
     accounts: new Map(manifest.accounts.map(account => [account.name, account])),
-    keyIds: new Map(manifest.accounts.map(account => [account.name, new Set(account.keys.map(keyId))])),
+    keyIds: new Map(manifest.accounts.map(account => [account.name, new Set(account.keys.map(keyIdentity))])),
     routes: new Map(manifest.routes.map(route => [route.name, route])),
     databases: new Map(manifest.databases.map(database => [database.name, database]))
   }
@@ -116,7 +116,12 @@
 
 // The digest is part of the identity: a key that was exchanged under the same
 // id is another key. Its hash stands in, as digests appear nowhere else.
-function keyId (key: KeyDeclaration): string {
+/**
+ * The identity of a key, as an accepted login carries it.
+ * @param key - the declared key
+ * @returns its id with a fingerprint of its digest
+ */
+export function keyIdentity (key: KeyDeclaration): string {
   const fingerprintCharacters = 12
   const fingerprint = createHash('sha256').update(key.digest).digest('hex').slice(0, fingerprintCharacters)
   return `${key.id}#${fingerprint}`
--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -162,7 +162,7 @@
 function onStoreAnswer (state: ConfigurationState, accepted: AcceptedManifest | undefined, askedAtMs: number): Decision {
   const decision = accepted === undefined ? stay<ConfigurationState, ConfigurationEffect>(state) : consider(state, accepted)
   // A store that shows less than what is in force gave an old answer.
-  
+
   return { ...decision, state: storeConfirmed(decision.state, askedAtMs) }
 }
 
