--- a/bench/schedule.ts
+++ b/bench/schedule.ts
@@ -2,7 +2,7 @@
 // asks for. Arrivals of each account follow a Poisson process, so the load is
 // open: a slow system gets no fewer requests.
 
-import { seededDraws, type Draws } from './random.js'
+import { seededDraws, type Draws } from './draws.js'
 
 /** What an arrival asks for; the session that takes it fills in register and value. */
 export type Intent =
