--- /dev/null
+++ b/bench/fair-queue.ts
@@ -0,0 +1,148 @@
+// Weighs disciplines for the queue in front of a server's slots under the same
+// seeded demands: eight accounts, one of which sends five times its rate.
+// Run: node dist/bench/fair-queue.js
+
+import type { AccountName } from '../src/model/index.js'
+import { fairQueueStep, initialFairQueue } from '../src/request/fair-queue.js'
+import { deficitRoundRobin, fifo, type Discipline } from './queue-disciplines.js'
+import { exponential, quantile, seededRandom } from './seeded.js'
+
+type Demand = {
+  readonly account: AccountName
+  readonly atMs: number
+  readonly tookMs: number
+}
+
+/** What one account sends. */
+type Sender = {
+  readonly account: AccountName
+  readonly everyMs: number
+  readonly meanMs: number
+  /** Sends all of its demand in this part of each second. */
+  readonly onPart: number
+}
+
+type Scenario = {
+  readonly name: string
+  readonly senders: readonly Sender[]
+}
+
+type Running = {
+  readonly id: string
+  readonly endsAtMs: number
+  readonly tookMs: number
+}
+
+type Served = {
+  readonly offered: number
+  readonly served: number
+  readonly waitsMs: readonly number[]
+}
+
+const accountCount = 8
+const slots = 5
+const maxWaiting = 512
+const durationMs = 20_000
+const deadlineMs = 1000
+const seeds = [1, 2, 3]
+/** One account's statements, at a share of 9 % of the slots. */
+const meanMs = 2
+const everyMs = meanMs / (slots * 0.09)
+const floodFactor = 5
+const flooder = 'account-0'
+
+function senders (changed: Partial<Sender>): readonly Sender[] {
+  return Array.from({ length: accountCount }, (_, index) => {
+    const usual = { account: `account-${index}`, everyMs, meanMs, onPart: 1 }
+    return index === 0 ? { ...usual, ...changed } : usual
+  })
+}
+
+const scenarios: readonly Scenario[] = [
+  { name: 'nobody floods', senders: senders({}) },
+  { name: '5 x the statements', senders: senders({ everyMs: everyMs / floodFactor }) },
+  { name: '5 x the time of each statement', senders: senders({ meanMs: meanMs * floodFactor }) },
+  { name: '5 x the statements, all in a fifth of each second', senders: senders({ everyMs: everyMs / floodFactor, onPart: 0.2 }) }
+]
+
+function demandsOf (scenario: Scenario, seed: number): readonly Demand[] {
+  const random = seededRandom(seed)
+  const demands = scenario.senders.flatMap(sender => {
+    const list: Demand[] = []
+    for (let sentMs = exponential(random, sender.everyMs); sentMs < durationMs; sentMs += exponential(random, sender.everyMs)) {
+      const second = Math.floor(sentMs / 1000) * 1000
+      list.push({ account: sender.account, atMs: second + (sentMs - second) * sender.onPart, tookMs: exponential(random, sender.meanMs) })
+    }
+    return list
+  })
+  return demands.sort((a, b) => a.atMs - b.atMs)
+}
+
+function simulate<S> (discipline: Discipline<S>, demands: readonly Demand[]): ReadonlyMap<AccountName, Served> {
+  let state = discipline.initial({ slots, maxWaiting })
+  const byAccount = new Map<AccountName, Served>()
+  let running: readonly Running[] = []
+  const change = (account: AccountName, next: (before: Served) => Served): void => {
+    byAccount.set(account, next(byAccount.get(account) ?? { offered: 0, served: 0, waitsMs: [] }))
+  }
+  const waits = new Map<AccountName, number[]>()
+  const step = (event: Parameters<Discipline<S>['step']>[1]): void => {
+    const next = discipline.step(state, event)
+    state = next.state
+    for (const effect of next.effects) {
+      const demand = demands[Number(effect.id)]
+      if (effect.kind !== 'start' || demand === undefined) continue
+      const started = { id: effect.id, endsAtMs: event.nowMs + demand.tookMs, tookMs: demand.tookMs }
+      running = [...running, started].sort((a, b) => a.endsAtMs - b.endsAtMs)
+      change(demand.account, before => ({ ...before, served: before.served + 1 }))
+      waits.set(demand.account, waits.get(demand.account) ?? [])
+      waits.get(demand.account)?.push(event.nowMs - demand.atMs)
+    }
+  }
+  const finishUntil = (untilMs: number): void => {
+    for (let first = running[0]; first !== undefined && first.endsAtMs <= untilMs; first = running[0]) {
+      running = running.slice(1)
+      step({ kind: 'finished', id: first.id, tookMs: first.tookMs, nowMs: first.endsAtMs })
+    }
+  }
+  demands.forEach((demand, index) => {
+    finishUntil(demand.atMs)
+    change(demand.account, before => ({ ...before, offered: before.offered + 1 }))
+    step({ kind: 'offered', id: String(index), account: demand.account, weight: 1, deadlineAtMs: demand.atMs + deadlineMs, nowMs: demand.atMs })
+  })
+  finishUntil(Infinity)
+  return new Map([...byAccount].map(([account, served]) => [account, { ...served, waitsMs: waits.get(account) ?? [] }]))
+}
+
+type Result = {
+  readonly worstShare: number
+  readonly refused: number
+  readonly p99Ms: number
+  readonly flooderShare: number
+}
+
+function resultOf (served: ReadonlyMap<AccountName, Served>): Result {
+  const others = [...served].filter(([account]) => account !== flooder).map(([, one]) => one)
+  const flood = served.get(flooder)
+  return {
+    worstShare: Math.min(...others.map(one => one.served / one.offered)),
+    refused: others.reduce((sum, one) => sum + one.offered - one.served, 0),
+    p99Ms: quantile(others.flatMap(one => one.waitsMs), 0.99),
+    flooderShare: flood === undefined ? 0 : flood.served / flood.offered
+  }
+}
+
+function report<S> (name: string, scenario: Scenario, discipline: Discipline<S>): void {
+  const results = seeds.map(seed => resultOf(simulate(discipline, demandsOf(scenario, seed))))
+  const mean = (pick: (result: Result) => number): number => results.reduce((sum, result) => sum + pick(result), 0) / results.length
+  const worst = Math.min(...results.map(result => result.worstShare))
+  console.log(`| ${scenario.name} | ${name} | ${(worst * 100).toFixed(1)} % | ${mean(result => result.refused).toFixed(0)} | ${mean(result => result.p99Ms).toFixed(1)} | ${(mean(result => result.flooderShare) * 100).toFixed(1)} % |`)
+}
+
+console.log('| demand | discipline | worst-served share | refused of others | p99 wait of others, ms | served of the flood |')
+console.log('| --- | --- | --- | --- | --- | --- |')
+for (const scenario of scenarios) {
+  report('first in first out', scenario, fifo)
+  report('deficit round robin', scenario, deficitRoundRobin)
+  report('start-time fair queueing', scenario, { initial: initialFairQueue, step: fairQueueStep })
+}
--- /dev/null
+++ b/bench/queue-disciplines.ts
@@ -0,0 +1,122 @@
+// The disciplines that the fair queue was weighed against, with the same
+// events and effects: first in first out, and deficit round robin.
+
+import type { AccountName } from '../src/model/index.js'
+import type { Transition } from '../src/pipe/index.js'
+import type { FairQueueEffect, FairQueueEvent, FairQueueSettings } from '../src/request/fair-queue.js'
+
+type Offered = Extract<FairQueueEvent, { readonly kind: 'offered' }>
+
+/** A discipline as a decision with its first state. */
+export type Discipline<S> = {
+  readonly initial: (settings: FairQueueSettings) => S
+  readonly step: (state: S, event: FairQueueEvent) => Transition<S, FairQueueEffect>
+}
+
+export type FifoState = {
+  readonly settings: FairQueueSettings
+  readonly waiting: readonly Offered[]
+  readonly running: number
+}
+
+export const fifo: Discipline<FifoState> = {
+  initial: settings => ({ settings, waiting: [], running: 0 }),
+  step (state, event) {
+    switch (event.kind) {
+      case 'offered': return state.waiting.length >= state.settings.maxWaiting
+        ? { state, effects: [{ kind: 'refuse', id: event.id, reason: 'queueFull' }] }
+        : fillFifo({ ...state, waiting: [...state.waiting, event] }, event.nowMs)
+      case 'finished': return fillFifo({ ...state, running: state.running - 1 }, event.nowMs)
+      case 'cancelled':
+      case 'tick': return { state, effects: [] }
+    }
+  }
+}
+
+function fillFifo (state: FifoState, nowMs: number): Transition<FifoState, FairQueueEffect> {
+  const effects: FairQueueEffect[] = []
+  let { running, waiting } = state
+  while (running < state.settings.slots && waiting.length > 0) {
+    const [first, ...rest] = waiting
+    waiting = rest
+    if (first === undefined) break
+    const late = nowMs >= first.deadlineAtMs
+    if (!late) running += 1
+    effects.push(late ? { kind: 'refuse', id: first.id, reason: 'deadlinePassed' } : { kind: 'start', id: first.id })
+  }
+  return { state: { ...state, running, waiting }, effects }
+}
+
+type RoundAccount = {
+  readonly name: AccountName
+  readonly weight: number
+  /** Service time that the account may still use in this round. */
+  readonly deficitMs: number
+  readonly waiting: readonly Offered[]
+}
+
+export type RoundState = {
+  readonly settings: FairQueueSettings
+  /** In the order of their turns; the first one is served. */
+  readonly accounts: readonly RoundAccount[]
+  readonly running: Readonly<Record<string, AccountName>>
+}
+
+/** Service time that a round gives to an account of weight 1. */
+const quantumMs = 5
+
+/** What a statement takes is charged when it has ended. */
+export const deficitRoundRobin: Discipline<RoundState> = {
+  initial: settings => ({ settings, accounts: [], running: {} }),
+  step (state, event) {
+    switch (event.kind) {
+      case 'offered': return offerRound(state, event)
+      case 'finished': {
+        const { [event.id]: name, ...running } = state.running
+        const accounts = state.accounts.map(account =>
+          account.name === name ? { ...account, deficitMs: account.deficitMs - event.tookMs } : account)
+        return fillRound({ ...state, running, accounts }, event.nowMs)
+      }
+      case 'cancelled':
+      case 'tick': return { state, effects: [] }
+    }
+  }
+}
+
+function offerRound (state: RoundState, event: Offered): Transition<RoundState, FairQueueEffect> {
+  const known = state.accounts.find(account => account.name === event.account)
+  const before = known ?? { name: event.account, weight: event.weight, deficitMs: 0, waiting: [] }
+  const total = state.accounts.reduce((sum, account) => sum + account.waiting.length, 0)
+  if (before.waiting.length >= state.settings.maxWaiting / 2) return { state, effects: [{ kind: 'refuse', id: event.id, reason: 'queueFull' }] }
+  const after = { ...before, waiting: [...before.waiting, event] }
+  const accounts = known === undefined ? [...state.accounts, after] : state.accounts.map(account => account === known ? after : account)
+  const grown = { ...state, accounts }
+  if (total < state.settings.maxWaiting) return fillRound(grown, event.nowMs)
+  const crowded = accounts.reduce((most, account) => account.waiting.length > most.waiting.length ? account : most)
+  const shorter = accounts.map(account => account === crowded ? { ...account, waiting: account.waiting.slice(0, -1) } : account)
+  return { state: { ...grown, accounts: shorter }, effects: [{ kind: 'refuse', id: crowded.waiting.at(-1)?.id ?? '', reason: 'queueFull' }] }
+}
+
+function fillRound (state: RoundState, nowMs: number): Transition<RoundState, FairQueueEffect> {
+  const effects: FairQueueEffect[] = []
+  const running = { ...state.running }
+  let accounts = state.accounts
+  while (Object.keys(running).length < state.settings.slots && accounts.some(account => account.waiting.length > 0)) {
+    const [turn, ...others] = accounts
+    if (turn === undefined) break
+    const [first, ...waiting] = turn.waiting
+    if (first === undefined) {
+      accounts = [...others, { ...turn, deficitMs: Math.min(0, turn.deficitMs + quantumMs * turn.weight) }]
+    } else if (turn.deficitMs <= 0) {
+      accounts = [...others, { ...turn, deficitMs: turn.deficitMs + quantumMs * turn.weight }]
+    } else if (nowMs >= first.deadlineAtMs) {
+      accounts = [{ ...turn, waiting }, ...others]
+      effects.push({ kind: 'refuse', id: first.id, reason: 'deadlinePassed' })
+    } else {
+      accounts = [{ ...turn, waiting }, ...others]
+      running[first.id] = turn.name
+      effects.push({ kind: 'start', id: first.id })
+    }
+  }
+  return { state: { ...state, accounts, running }, effects }
+}
