--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -11,7 +11,7 @@
 export type ExecutionMode =
   | { readonly kind: 'read', readonly floor: Position, readonly maxAgeMs: number | undefined }
   | { readonly kind: 'write', readonly requestId: string | undefined }
-  | { readonly kind: 'begin' }
+  | { readonly kind: 'begin', readonly requestId: string | undefined }
   | { readonly kind: 'inTransaction', readonly transaction: string }
   | { readonly kind: 'commit', readonly transaction: string }
   | { readonly kind: 'rollback', readonly transaction: string }
@@ -34,6 +34,8 @@
   /** Set where `begin` opened a transaction. */
   readonly transaction: string | undefined
   readonly primary: PrimaryView
+  /** Applied position of the server, as its home knew it. */
+  readonly applied: Position | undefined
 }
 
 /** What a member says of itself in a heartbeat and its answer. */
@@ -46,13 +48,48 @@
   readonly generation: Generation
   /** How long ago the store confirmed that generation; undefined: never. */
   readonly storeConfirmedAgoMs: number | undefined
+  /** What observers in a large fleet saw of others; small fleets send none. */
+  readonly rumours?: readonly MemberRumour[]
 }
 
-/** Tokens of an account that one member entrusts to another, or lends on. */
-export type TokenGrant = {
+/** What one member saw of another; passed on in heartbeats. */
+export type MemberRumour = {
+  readonly host: HostName
+  readonly observer: HostName
+  readonly silent: boolean
+  readonly agoMs: number
+}
+
+/** A part of an account's limit. It is moved between hosts, never copied. */
+export type Share = {
+  readonly ratePerS: number
+  /** Part of the burst: the most tokens that may be saved up. */
+  readonly capacity: number
+}
+
+/** A request to borrow a part of an account's limit. */
+export type BorrowRequest = {
   readonly account: AccountName
+  /** `use`: for requests here; `collect`: by the account's home, to lend on. */
+  readonly purpose: 'use' | 'collect'
+  /** Rises with each request of one incarnation; an older one is void. */
+  readonly sequence: number
+  /** What the borrower still holds of this lender and limits itself to until the answer. */
+  readonly held: Share
+  /** What it wants to hold in all. */
+  readonly want: Share
+  /** Tokens that it wants at once. */
+  readonly wantTokens: number
+  /** Unused tokens that come back with the part of the loan that is given up. */
+  readonly returnedTokens: number
+  /** Requests wait for them; the lender gives up half of what it saves for itself. */
+  readonly isUrgent: boolean
+}
+
+/** A share that is lent, with tokens that come at once. */
+export type ShareGrant = Share & {
   readonly tokens: number
-  /** Time that the grant holds, counted by the receiver from its own request or by the sender from its sending, whichever ends first. */
+  /** How long it holds, counted by the borrower from its request. */
   readonly validMs: number
 }
 
@@ -63,8 +100,7 @@
   readonly heartbeat: { readonly params: MemberState, readonly result: MemberState }
   readonly pullConfiguration: { readonly params: { readonly above: Generation }, readonly result: { readonly accepted: AcceptedManifest | undefined } }
   readonly offerConfiguration: { readonly params: { readonly accepted: AcceptedManifest }, readonly result: { readonly generation: Generation } }
-  readonly entrust: { readonly params: { readonly from: HostName, readonly grants: readonly TokenGrant[] }, readonly result: { readonly unusedTokens: Readonly<Record<AccountName, number>> } }
-  readonly borrow: { readonly params: { readonly from: HostName, readonly account: AccountName, readonly tokens: number }, readonly result: { readonly grant: TokenGrant | undefined } }
+  readonly borrow: { readonly params: { readonly from: HostName, readonly incarnation: string, readonly request: BorrowRequest }, readonly result: { readonly grant: ShareGrant | undefined } }
   readonly report: { readonly params: { readonly report: HostReport }, readonly result: { readonly accepted: boolean } }
 }
 
--- /dev/null
+++ b/src/request/authorize.ts
@@ -0,0 +1,44 @@
+// Filter: may this caller use this route now? Asked at each statement, so that
+// a key that was withdrawn stops working on connections that are open.
+
+import { accountOf, databaseOf, mayUse, type UseDecision } from '../config/index.js'
+import { notRun, type Outcome } from '../model/index.js'
+import { end, next, type Filter } from '../pipe/index.js'
+import { served, type Authorized, type Incoming, type Served } from './message.js'
+import type { ConfigurationInForce } from './services.js'
+
+/**
+ * Makes the filter.
+ * @param configuration - gives the configuration in force
+ * @returns the filter
+ */
+export function authorize (configuration: () => ConfigurationInForce): Filter<Incoming, Authorized, Served> {
+  return message => {
+    const { manifest, confirmed } = configuration()
+    const { session } = message
+    if (manifest === undefined) return end(served(message, notRun('unconfirmedConfiguration', 'no configuration is in force yet')))
+    if (!confirmed && session.caller.kind === 'account') {
+      return end(served(message, notRun('unconfirmedConfiguration', 'this host has not confirmed its configuration lately')))
+    }
+    const use = mayUse(manifest, session.caller, session.route, session.transaction === undefined ? 'new' : 'continued')
+    if (use.kind === 'refused') return end(served(message, refusal(use)))
+    const database = databaseOf(manifest, use.database)
+    if (database === undefined) return end(served(message, notRun('routeUnknown', 'the route has no database')))
+    const account = session.caller.kind === 'account' ? accountOf(manifest, session.caller.account) : undefined
+    return next({ ...message, database, account })
+  }
+}
+
+/**
+ * The answer to a caller that may not use a route.
+ * @param use - the decision
+ * @returns the outcome
+ */
+export function refusal (use: Extract<UseDecision, { readonly kind: 'refused' }>): Outcome {
+  switch (use.reason) {
+    case 'keyWithdrawn': return notRun(use.reason, 'the key was withdrawn')
+    case 'routeUnknown': return notRun(use.reason, 'there is no such route')
+    case 'routeForbidden': return notRun(use.reason, 'the route is not open to this account')
+    case 'leaving': return notRun(use.reason, 'the database is leaving')
+  }
+}
