Report events, metrics, figures of accounts and gathered reports

Cause: operators steer by the manifest and read what the system reports. Events are numbered and catalogued, metrics go to statsd, each account has a latency histogram, and one host of each failure domain gathers the reports and writes them at most once a period, only where changed.

--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -92,12 +92,14 @@
 
 function joinParts (settings: Settings, stopping: () => boolean): Parts {
   const timers = systemTimers()
-  const reports = startReports({ settings, timers })
+  const incarnation = randomUUID()
+  const random = Math.random
+  const reports = startReports({ settings, timers, incarnation, random })
   const context: DaemonContext = {
     settings,
     timers,
-    random: Math.random,
-    incarnation: randomUUID(),
+    random,
+    incarnation,
     onTaskError: task => error => { reports.event('taskFailed', { task, error: error.message }) }
   }
   const platform = platformClient({ url: settings.platform.url, callTimeoutMs: settings.platform.callTimeoutMs, redirect: address => redirected(settings.links, address) })
@@ -146,10 +148,13 @@
     links,
     listHosts: async () => (await platform.hosts()).map(decodeListedHost),
     ownState,
-    onMembers: view => { takeMembers(view, { configuration, databases, routing, limits }) },
+    onMembers: view => {
+      takeMembers(view, { configuration, databases, routing, limits })
+      reports.event('membersChanged', { live: view.live.length, listed: view.listed.length })
+    },
     onHeard: (from, askedAtMs) => { configuration.heard(from, askedAtMs) }
   })
-  reports.attach({ platform, members, configuration, databases, routing, limits, links })
+  reports.attach({ platform, members, configuration, databases, routing, links, stopping })
   return { context, reports, platform, links, members, configuration, databases, routing, limits, stopping }
 }
 
@@ -267,6 +272,7 @@
   await handOver(parts)
   while (databases.load() > 0 && leftMs() > 1) await sleep(timers, drainPollMs)
   limits.leave()
+  if (callers.count() > 0) reports.event('stopOverdue', { host: settings.host.name, callers: callers.count() })
   callers.close()
   await reports.stop()
   await Promise.all([databases.stop(), limits.stop(), members.stop(), configuration.stop()])
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -1,37 +1,178 @@
-// What this host tells its operators: events, metrics, histograms, and the
-// report that the gatherer of its failure domain writes to the store.
+// What this host tells its operators: events, metrics, figures of each client
+// account, and its report. The gatherer of the failure domain collects the
+// reports of its hosts and writes them to the store.
 
+import { randomUUID } from 'node:crypto'
 import type { Settings } from '../config/index.js'
-import type { Caller, HostReport, Outcome } from '../model/index.js'
-import type { TimerService } from '../pipe/index.js'
+import { watchersOf } from '../members/index.js'
+import type { Caller, DatabaseReport, HostName, HostReport, Outcome } from '../model/index.js'
+import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
+import { AccountFigureTable, eventLog, gatherStep, initialGather, metricsTo, outcomeTag, type EventFields, type EventName, type GatherEffect, type GatherEvent, type GatherState, type Metrics } from '../report/index.js'
+import { anonymousAccount } from '../request/index.js'
+import { updateObject, type PlatformClient } from '../wire/index.js'
+import type { ConfigurationTask } from './configuration-task.js'
+import type { Databases } from './databases.js'
+import type { MembersTask } from './members-task.js'
+import type { PeerLinks } from './peers.js'
+import type { RoutingTable } from './routing.js'
 
 /** What the reports are made of. */
 export type ReportsSpec = {
   readonly settings: Settings
   readonly timers: TimerService
+  readonly incarnation: string
+  readonly random: () => number
+}
+
+/** The parts that are reported on. */
+export type ReportedParts = {
+  readonly platform: PlatformClient
+  readonly links: PeerLinks
+  readonly members: MembersTask
+  readonly configuration: ConfigurationTask
+  readonly databases: Databases
+  readonly routing: RoutingTable
+  readonly stopping: () => boolean
 }
 
 /** The running reports. */
 export type Reports = {
-  readonly event: (name: string, fields: Readonly<Record<string, string | number>>) => void
+  readonly event: <N extends EventName>(name: N, fields: EventFields<N>) => void
   readonly served: (caller: Caller, outcome: Outcome, tookMs: number) => void
-  /** Takes a report of another host; true where this host gathers. */
+  /** Takes the report of another host of the failure domain. */
   readonly gathered: (report: HostReport) => boolean
-  readonly attach: (parts: unknown) => void
+  /** Begins to report on the parts. */
+  readonly attach: (parts: ReportedParts) => void
   readonly stop: () => Promise<void>
 }
 
+/** Kind of the gathered reports in the store; the name is the failure domain. */
+export const reportKind = 'report'
+
+const mailboxCapacity = 2048
+const confirmationCheckMs = 500
+const sendTimeoutMs = 1000
+const writeDeadlineMs = 3000
+
+/** Reports of a failure domain, as they stand in the store. */
+type StoredReports = { readonly hosts: readonly HostReport[] }
+
 /**
- * Starts the reports.
+ * Starts the reports; nothing is reported on before `attach`.
  * @param spec - what they are made of
  * @returns the running reports
  */
 export function startReports (spec: ReportsSpec): Reports {
+  const { settings, timers } = spec
+  const log = eventLog({ host: settings.host.name, ...settings.log, writeLine: line => { process.stderr.write(line + '\n') } })
+  const metrics = metricsTo(settings.metrics.kind === 'statsd' ? settings.metrics.address : undefined, settings.host.name)
+  const figures = new AccountFigureTable()
+  let gather: Task<GatherEvent> | undefined
+  return {
+    event: log.write,
+    served (caller, outcome, tookMs) {
+      const account = caller.kind === 'account' ? caller.account : anonymousAccount
+      figures.note(account, outcome, tookMs)
+      countServed(metrics, account, outcome, tookMs)
+    },
+    gathered (report) {
+      return gather?.port.send({ kind: 'reported', report, nowMs: timers.nowMs() }) === 'accepted'
+    },
+    attach (parts) {
+      const started = startGather(spec, parts)
+      gather = started
+      timers.every(settings.control.reportMs, { send: () => { void sendReport(spec, parts, figures, metrics, started.port); return 'accepted' } })
+      let confirmed = true
+      timers.every(confirmationCheckMs, {
+        send: () => {
+          const now = parts.configuration.mayServeKeyed()
+          if (now !== confirmed) log.write(now ? 'confirmationRegained' : 'confirmationLost', { generation: generationOf(parts) })
+          confirmed = now
+          return 'accepted'
+        }
+      })
+    },
+    async stop () {
+      await gather?.stop()
+      metrics.close()
+    }
+  }
+}
+
+function countServed (metrics: Metrics, account: string, outcome: Outcome, tookMs: number): void {
+  metrics.count('statement.count', { account, outcome: outcomeTag(outcome) })
+  metrics.time('statement.ms', tookMs, { account })
+  if (outcome.kind === 'answered' && outcome.answer.kind === 'rows') metrics.count('read.served_by', { role: outcome.servedBy })
+}
+
+function startGather (spec: ReportsSpec, parts: ReportedParts): Task<GatherEvent> {
+  const { settings, timers } = spec
+  const task = startTask<GatherState, GatherEvent, GatherEffect>({
+    name: 'gather',
+    initial: initialGather(settings.control.reportMs),
+    capacity: mailboxCapacity,
+    onError: () => {},
+    step: gatherStep,
+    perform: (effect, port) => { void writeReports(spec, parts, effect, port) }
+  })
+  timers.every(settings.control.reportMs, tickPort<GatherEvent>(task.port, nowMs => ({ kind: 'tick', nowMs })))
+  return task
+}
+
+async function writeReports (spec: ReportsSpec, parts: ReportedParts, effect: GatherEffect, port: Port<GatherEvent>): Promise<void> {
+  const { settings, timers, random } = spec
+  const written = await updateObject<StoredReports>(parts.platform, { timers, random, newWriteId: randomUUID }, {
+    kind: reportKind,
+    name: settings.host.failureDomain,
+    // Whatever stands there is replaced whole.
+    decode: () => ({ hosts: [] }),
+    change: () => ({ hosts: effect.hosts }),
+    deadlineMs: writeDeadlineMs
+  }).then(() => effect.text, () => undefined)
+  port.send({ kind: 'writeEnded', written, nowMs: timers.nowMs() })
+}
+
+async function sendReport (spec: ReportsSpec, parts: ReportedParts, figures: AccountFigureTable, metrics: Metrics, gather: Port<GatherEvent>): Promise<void> {
+  const report = reportOf(spec, parts, figures)
+  metrics.gauge('configuration.generation', report.generation)
+  metrics.gauge('members.live', parts.members.view.get().live.length)
+  const gatherer = gathererOf(spec.settings.host.failureDomain, parts)
+  if (gatherer === undefined || gatherer === spec.settings.host.name) {
+    gather.send({ kind: 'reported', report, nowMs: spec.timers.nowMs() })
+    return
+  }
+  await parts.links.call(gatherer, 'report', { report }, sendTimeoutMs).catch(() => {})
+}
+
+function gathererOf (failureDomain: string, parts: ReportedParts): HostName | undefined {
+  const near = parts.members.view.get().live.filter(member => member.failureDomain === failureDomain)
+  return watchersOf(near, 1)[0]
+}
+
+function reportOf (spec: ReportsSpec, parts: ReportedParts, figures: AccountFigureTable): HostReport {
+  const { host } = spec.settings
   return {
-    event (name, fields) { process.stderr.write(JSON.stringify({ host: spec.settings.host.name, atMs: Math.round(spec.timers.nowMs()), name, ...fields }) + '\n') },
-    served: () => {},
-    gathered: () => false,
-    attach: () => {},
-    stop: async () => {}
+    host: host.name,
+    failureDomain: host.failureDomain,
+    incarnation: spec.incarnation,
+    generation: generationOf(parts),
+    state: parts.stopping() ? 'stopping' : 'serving',
+    rejectedManifest: parts.configuration.state.get().rejected,
+    databases: parts.databases.all().map(({ declaration, task }) => {
+      const { primary, statuses } = task.view.get()
+      const homes = parts.routing.homes(declaration.name)
+      const end = primary.primary === undefined ? undefined : statuses.get(primary.primary)?.received
+      const servers = declaration.servers.map(({ name }): DatabaseReport['servers'][number] => {
+        const applied = statuses.get(name)?.applied
+        const lagEntries = end === undefined || applied === undefined ? undefined : Math.max(0, end.index - applied.index)
+        return { server: name, home: homes.get(name), lagEntries }
+      })
+      return { database: declaration.name, primary: primary.primary, term: primary.term, servers }
+    }),
+    accounts: figures.reports()
   }
 }
+
+function generationOf (parts: ReportedParts): number {
+  return parts.configuration.inForce()?.generation ?? 0
+}
