Fuzz the limits; seats are void after a lapsed confirmation

A host whose confirmation lapsed now uses no seat before it has read a table that it asked for after the lapse. Absence is counted between two host lists, so an old list frees no seat after an outage.

--- a/src/daemon/limits-task.ts
+++ b/src/daemon/limits-task.ts
@@ -186,7 +186,7 @@
 
 function performSeats (spec: LimitsTaskSpec, tell: (event: Untimed<LimitsEvent>) => void, effect: SeatsEffect, port: Port<SeatsEvent>): void {
   switch (effect.kind) {
-    case 'seatsChanged': return tell({ kind: 'seatsChanged', held: effect.held, holders: effect.holders })
+    case 'seatsChanged': return tell(effect)
     case 'readTable': return void readTable(spec, effect.table, port)
     case 'writeTable': return void writeTable(spec, effect, port)
   }
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -49,13 +49,17 @@
   readonly homes: ReadonlyMap<AccountName, HostName | undefined>
   /** Nothing is admitted or lent from this time on unless it is put off. */
   readonly confirmedUntilMs: number
+  /** Whether a confirmation holds or has lapsed unnoticed. */
+  readonly wasConfirmed: boolean
+  /** Last time that the confirmation was found to have lapsed. A table of seats that was read before is void: others may hold the seats now. */
+  readonly lapsedMs: number
   readonly sequence: number
 }
 
 /** What happens to the limits. */
 export type LimitsEvent =
   | { readonly kind: 'manifestApplied', readonly manifest: Manifest, readonly nowMs: number }
-  | { readonly kind: 'seatsChanged', readonly held: readonly number[], readonly holders: ReadonlyMap<number, HostName>, readonly nowMs: number }
+  | { readonly kind: 'seatsChanged', readonly held: readonly number[], readonly holders: ReadonlyMap<number, HostName>, readonly tableOfMs: number, readonly nowMs: number }
   | { readonly kind: 'membersChanged', readonly live: readonly Member[], readonly nowMs: number }
   | { readonly kind: 'confirmationChanged', readonly confirmedUntilMs: number, readonly nowMs: number }
   | { readonly kind: 'admit', readonly account: AccountName, readonly id: string, readonly deadlineMs: number, readonly nowMs: number }
@@ -90,6 +94,8 @@
     members: [],
     homes: new Map(),
     confirmedUntilMs: -Infinity,
+    wasConfirmed: false,
+    lapsedMs: -Infinity,
     sequence: 0
   }
 }
@@ -103,9 +109,12 @@
 export function limitsStep (state: LimitsState, event: LimitsEvent): Next {
   switch (event.kind) {
     case 'manifestApplied': return manifestApplied(state, event.manifest, event.nowMs)
-    case 'seatsChanged': return { state: seatsChanged(state, event.held, event.holders, event.nowMs), effects: [] }
+    case 'seatsChanged': {
+      const held = event.tableOfMs < state.lapsedMs ? [] : event.held
+      return { state: seatsChanged(state, held, event.holders, event.nowMs), effects: [] }
+    }
     case 'membersChanged': return { state: { ...state, members: event.live, homes: new Map() }, effects: [] }
-    case 'confirmationChanged': return { state: { ...state, confirmedUntilMs: event.confirmedUntilMs }, effects: [] }
+    case 'confirmationChanged': return { state: confirmationChanged(state, event.confirmedUntilMs, event.nowMs), effects: [] }
     case 'admit': return admit(state, event.account, { id: event.id, untilMs: Math.min(event.deadlineMs, event.nowMs + maxWaitMs) }, event.nowMs)
     case 'borrowRequested': return borrowRequested(state, event)
     case 'borrowAnswered': return borrowAnswered(state, event)
@@ -161,6 +170,13 @@
   return { ...state, held, holders, accounts }
 }
 
+function confirmationChanged (state: LimitsState, confirmedUntilMs: number, nowMs: number): LimitsState {
+  const wasConfirmed = state.wasConfirmed || confirmedUntilMs > nowMs
+  if (!state.wasConfirmed || nowMs < state.confirmedUntilMs) return { ...state, confirmedUntilMs, wasConfirmed }
+  const lapsed = { ...state, confirmedUntilMs, wasConfirmed: confirmedUntilMs > nowMs, lapsedMs: nowMs }
+  return seatsChanged(lapsed, [], state.holders, nowMs)
+}
+
 function refusal (account: AccountLimit, id: string): LimitsEffect {
   const ratePerS = Math.max(account.usable.ratePerS, account.limit.ratePerS / 2)
   const missing = account.waiting.length + 1 - account.level
--- a/src/limits/seats.ts
+++ b/src/limits/seats.ts
@@ -189,6 +189,12 @@
   /** Seats given up in a write on top of `version`; unused until a newer one. */
   readonly giving: { readonly seats: ReadonlySet<number>, readonly version: number }
   readonly isWriting: boolean
+  /** When the read that is under way was sent. */
+  readonly readSentMs: number | undefined
+  /** A write ended during a read, which may have missed it. */
+  readonly mustReadAgain: boolean
+  /** When the read was sent that the table comes from. */
+  readonly tableOfMs: number
   readonly nextReadMs: number
 }
 
@@ -206,7 +212,7 @@
 
 /** What the seats want done, in this order. */
 export type SeatsEffect =
-  | { readonly kind: 'seatsChanged', readonly held: readonly number[], readonly holders: ReadonlyMap<number, HostName> }
+  | { readonly kind: 'seatsChanged', readonly held: readonly number[], readonly holders: ReadonlyMap<number, HostName>, readonly tableOfMs: number }
   | { readonly kind: 'readTable', readonly table: string }
   | { readonly kind: 'writeTable', readonly table: string, readonly value: SeatTable, readonly version: number }
 
@@ -227,6 +233,9 @@
     version: -1,
     giving: { seats: new Set(), version: -1 },
     isWriting: false,
+    readSentMs: undefined,
+    mustReadAgain: false,
+    tableOfMs: -Infinity,
     nextReadMs: 0
   }
 }
@@ -239,20 +248,25 @@
  */
 export function seatsStep (state: SeatsState, event: SeatsEvent): Transition<SeatsState, SeatsEffect> {
   switch (event.kind) {
-    case 'manifestApplied': return plan({ ...state, seats: event.seats }, event.nowMs)
-    case 'hostsListed': return plan({ ...state, hosts: event.hosts, listedMs: event.nowMs, ...absence(state, event.hosts, event.nowMs) }, event.nowMs)
+    case 'manifestApplied': return plan({ ...state, seats: event.seats })
+    case 'hostsListed': return plan({ ...state, hosts: event.hosts, listedMs: event.nowMs, ...absence(state, event.hosts, event.nowMs) })
     case 'tableRead': return tableRead(state, event.table, event.version, event.nowMs)
     case 'writeEnded': return read({ ...state, isWriting: false }, event.nowMs)
-    case 'readFailed': return { state: { ...state, nextReadMs: event.nowMs + readPeriodMs }, effects: [] }
-    case 'stopping': return plan({ ...state, stopping: true }, event.nowMs)
-    case 'tick': return event.nowMs < state.nextReadMs || state.isWriting ? { state, effects: [] } : read(state, event.nowMs)
+    case 'readFailed': return readAgain({ ...state, readSentMs: undefined }, event.nowMs)
+    case 'stopping': return plan({ ...state, stopping: true })
+    case 'tick': return event.nowMs < state.nextReadMs || state.isWriting || state.readSentMs !== undefined ? { state, effects: [] } : read(state, event.nowMs)
   }
 }
 
 function read (state: SeatsState, nowMs: number): Transition<SeatsState, SeatsEffect> {
   const periodMs = Math.max(readPeriodMs, state.hosts.length * readPeriodPerHostMs)
   if (state.seats === 0) return { state, effects: [] }
-  return { state: { ...state, nextReadMs: nowMs + periodMs }, effects: [{ kind: 'readTable', table: rangeOf(state).table }] }
+  if (state.readSentMs !== undefined) return { state: { ...state, mustReadAgain: true }, effects: [] }
+  return { state: { ...state, nextReadMs: nowMs + periodMs, readSentMs: nowMs, mustReadAgain: false }, effects: [{ kind: 'readTable', table: rangeOf(state).table }] }
+}
+
+function readAgain (state: SeatsState, nowMs: number): Transition<SeatsState, SeatsEffect> {
+  return state.mustReadAgain ? read(state, nowMs) : { state, effects: [] }
 }
 
 function rangeOf (state: SeatsState): SeatRange {
@@ -268,20 +282,23 @@
 }
 
 function tableRead (state: SeatsState, table: SeatTable | undefined, version: number, nowMs: number): Transition<SeatsState, SeatsEffect> {
-  // Reads may be answered out of order; an older table says nothing new.
-  if (version < state.version) return { state, effects: [] }
-  const given = version > state.giving.version ? { seats: new Set<number>(), version } : state.giving
-  const known = { ...state, table: table ?? { seats: [] }, version, giving: given }
-  return plan({ ...known, ...(known.listedMs === undefined ? {} : absence(known, known.hosts, nowMs)) }, nowMs)
+  const answered = { ...state, readSentMs: undefined }
+  if (version < state.version || state.mustReadAgain) return readAgain(answered, nowMs)
+  const giving = version > state.giving.version ? { seats: new Set<number>(), version } : state.giving
+  const tableOfMs = state.readSentMs ?? state.tableOfMs
+  const known = { ...answered, table: table ?? { seats: [] }, version, giving, tableOfMs }
+  return plan({ ...known, ...(known.listedMs === undefined ? {} : absence(known, known.hosts, nowMs)) })
 }
 
-function plan (state: SeatsState, nowMs: number): Transition<SeatsState, SeatsEffect> {
+function plan (state: SeatsState): Transition<SeatsState, SeatsEffect> {
   if (state.table === undefined || state.seats === 0) return { state, effects: [] }
   if (state.isWriting || state.listedMs === undefined) return { state, effects: [seatsChanged(state)] }
   const range = rangeOf(state)
   const table = resized(state.table, range.size)
   const sharing = state.stopping ? range.hosts.filter(host => host !== state.self.host) : range.hosts
-  const isGone = (host: HostName): boolean => nowMs - (state.absentSinceMs.get(host) ?? nowMs) >= absenceMarginMs
+  const { listedMs } = state
+  // Counted between two lists: an old list says nothing of the time since.
+  const isGone = (host: HostName): boolean => listedMs - (state.absentSinceMs.get(host) ?? listedMs) >= absenceMarginMs
   const changes = planSeats(table, { self: state.self, sharing, isGone })
   // A given seat that is to be kept after all needs a newer version of the table, too.
   const isGiving = state.giving.seats.size > 0 && state.giving.version === state.version
@@ -307,5 +324,5 @@
     const isMine = holder.host === state.self.host && holder.incarnation === state.self.incarnation
     if (isMine && !state.giving.seats.has(at)) held.push(firstSeat + at)
   }
-  return { kind: 'seatsChanged', held, holders }
+  return { kind: 'seatsChanged', held, holders, tableOfMs: state.tableOfMs }
 }
--- /dev/null
+++ b/test/limits/fuzz.test.ts
@@ -0,0 +1,142 @@
+// Stateful fuzzing of the limits against two oracles: one bucket for the whole
+// fleet, which sees the admissions only, and the sum of what all hosts could
+// use at any moment, which sees a share that is in two hands before it does harm.
+
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { advanced } from '../../src/limits/account.js'
+import { accountOf } from '../../src/limits/accounts.js'
+import { plus, noShare } from '../../src/limits/share.js'
+import { accountsManifest, capExceeded, limitFleet, type Fleet, type Link } from '../support/limit-fleet.js'
+import { seatStore } from '../support/seat-store.js'
+
+const hosts = 5
+const accounts = [{ name: 'mill', ratePerS: 50, burst: 60 }, { name: 'inn', ratePerS: 20, burst: 8 }] as const
+/** Clocks run unequally by at most this; the oracle's bucket gets as much more. */
+const drift = 1e-4
+const startMs = 12_000
+
+const host = fc.nat({ max: hosts - 1 })
+const action = fc.oneof(
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('burst' as const), host, account: fc.nat({ max: 1 }), count: fc.integer({ min: 1, max: 80 }) }) },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('flow' as const), host, account: fc.nat({ max: 1 }), ratePerS: fc.integer({ min: 5, max: 200 }), forMs: fc.integer({ min: 200, max: 4000 }) }) },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('cut' as const), host, peer: host }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('network' as const), lossPart: fc.constantFrom(0, 0.1, 0.5), delayMs: fc.constantFrom(1, 40, 700) }) },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('pause' as const), host }) },
+  { weight: 4, arbitrary: fc.record({ kind: fc.constant('resume' as const), host }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('kill' as const), host }) },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('restart' as const), host }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('cutOff' as const), host }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('reconnect' as const), host }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('stop' as const), host }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('members' as const), host, live: fc.subarray([0, 1, 2, 3, 4], { minLength: 1 }) }) },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('store' as const), isDown: fc.boolean(), lostPart: fc.constantFrom(0, 0.5), latePart: fc.constantFrom(0, 0.5) }) },
+  { weight: 8, arbitrary: fc.record({ kind: fc.constant('wait' as const), forMs: fc.constantFrom(50, 500, 3000, 12_000) }) }
+)
+type Action = typeof action extends fc.Arbitrary<infer A> ? A : never
+
+const sampleMs = 25
+
+/** By how much the hosts together could use more than an account's limit just now. */
+function sharedTwice (fleet: Fleet): number {
+  return Math.max(...accounts.map(({ name, ratePerS, burst }) => {
+    const sum = fleet.names.filter(fleet.isUp).map(host => {
+      const { accounts: states, confirmedUntilMs } = fleet.stateOf(host)
+      const state = accountOf(states, name)
+      const nowMs = fleet.clock(host)
+      return state === undefined || nowMs >= confirmedUntilMs ? noShare : advanced(state, nowMs).usable
+    }).reduce(plus, noShare)
+    return Math.max(sum.ratePerS / ratePerS, sum.capacity / burst) - 1
+  }))
+}
+
+type Worst = { readonly excessTokens: number, readonly sharedTwice: number }
+
+/** Carries the actions out, then gives the largest excess over the cap. */
+function worstExcess (actions: readonly Action[], seed: number): Worst {
+  const cuts = new Set<string>()
+  let network: Link = { isCut: false, lossPart: 0, delayMs: 1 }
+  const fleet = limitFleet({
+    hosts,
+    seed,
+    drift,
+    manifest: accountsManifest(12, accounts),
+    link: (from, to) => ({ ...network, isCut: cuts.has(`${from}/${to}`) }),
+    givesSeats: false,
+    isConfirmed: false
+  })
+  const store = seatStore(fleet, { seats: 12, confirmationMs: 5000, listLagMs: 3000 })
+  let worstShared = 0
+  const sample = (): void => {
+    worstShared = Math.max(worstShared, sharedTwice(fleet))
+    fleet.at(fleet.now() + sampleMs, sample)
+  }
+  sample()
+  const down = new Set<string>()
+  const paused = new Set<string>()
+  const nameOf = (at: number): string => `h${at}`
+  const perform = (next: Action): void => {
+    switch (next.kind) {
+      case 'burst': {
+        for (let count = 0; count < next.count; count += 1) fleet.ask(nameOf(next.host), accounts[next.account]?.name ?? 'mill')
+        return
+      }
+      case 'flow': {
+        const gapMs = 1000 / next.ratePerS
+        for (let inMs = 0; inMs < next.forMs; inMs += gapMs) fleet.at(fleet.now() + inMs, () => fleet.ask(nameOf(next.host), accounts[next.account]?.name ?? 'mill'))
+        return
+      }
+      case 'cut': {
+        const link = `${nameOf(next.host)}/${nameOf(next.peer)}`
+        if (!cuts.delete(link)) cuts.add(link)
+        return
+      }
+      case 'network': { network = { isCut: false, lossPart: next.lossPart, delayMs: next.delayMs }; return }
+      case 'pause': {
+        if (down.has(nameOf(next.host)) || paused.has(nameOf(next.host))) return
+        paused.add(nameOf(next.host))
+        return store.pause(nameOf(next.host))
+      }
+      case 'resume': {
+        if (paused.delete(nameOf(next.host))) store.resume(nameOf(next.host))
+        return
+      }
+      case 'kill': {
+        if (down.has(nameOf(next.host))) return
+        down.add(nameOf(next.host))
+        paused.delete(nameOf(next.host))
+        return store.kill(nameOf(next.host))
+      }
+      case 'restart': {
+        if (down.delete(nameOf(next.host))) store.restart(nameOf(next.host))
+        return
+      }
+      case 'cutOff': return store.cutOff(nameOf(next.host))
+      case 'reconnect': return store.reconnect(nameOf(next.host))
+      case 'stop': return store.stop(nameOf(next.host))
+      case 'members': return fleet.seeMembers(nameOf(next.host), next.live.map(nameOf))
+      case 'store': return store.setFaults(next)
+      case 'wait': return fleet.run(fleet.now() + next.forMs)
+    }
+  }
+  fleet.run(startMs)
+  for (const next of actions) {
+    perform(next)
+    fleet.run(fleet.now() + 20)
+  }
+  for (const name of paused) store.resume(name)
+  fleet.run(fleet.now() + 6000)
+  const excess = accounts.map(({ name, ratePerS, burst }) => capExceeded(fleet.verdicts, name, ratePerS * (1 + 2 * drift), burst))
+  return { excessTokens: Math.max(...excess), sharedTwice: worstShared }
+}
+
+for (const seed of [11, 12, 13]) {
+  test(`no account exceeds burst + rate * window, whatever fails (seed ${seed})`, () => {
+    fc.assert(fc.property(fc.array(action, { minLength: 10, maxLength: 60, size: 'max' }), fc.integer(), (actions, world) => {
+      const worst = worstExcess(actions, world)
+      assert.ok(worst.excessTokens < 1e-3, `${worst.excessTokens} tokens above the cap`)
+      assert.ok(worst.sharedTwice < 1e-6, `${worst.sharedTwice} of a limit in two hands`)
+    }), { seed, numRuns: 60, endOnFailure: true })
+  })
+}
--- a/test/support/limit-fleet.ts
+++ b/test/support/limit-fleet.ts
@@ -97,8 +97,10 @@
   readonly link?: (from: HostName, to: HostName) => Link
   /** Relative error of each host's clock at most. */
   readonly drift?: number
-  /** Even division of the seats from the start; else `setSeats` gives them. */
+  /** Even division of the seats from the start; else they come from a table. */
   readonly givesSeats?: boolean
+  /** Whether hosts count as confirmed for ever. */
+  readonly isConfirmed?: boolean
 }
 
 export type Fleet = ReturnType<typeof limitFleet>
@@ -106,7 +108,7 @@
 const goodLink: Link = { isCut: false, lossPart: 0, delayMs: 1 }
 
 /** Starts a fleet; nothing moves until `run`. */
-export function limitFleet ({ hosts, manifest, seed, link = () => goodLink, drift = 0, givesSeats = true }: FleetOptions) {
+export function limitFleet ({ hosts, manifest, seed, link = () => goodLink, drift = 0, givesSeats = true, isConfirmed = true }: FleetOptions) {
   const random = randomFrom(seed)
   const queue = eventQueue()
   const names = Array.from({ length: hosts }, (_, at) => `h${at}`)
@@ -184,7 +186,7 @@
 
   function start (host: HostName, incarnation: number): void {
     nodes.set(host, { state: initialLimits(host), incarnation, isUp: true, isPaused: false, backlog: [] })
-    step(host, { kind: 'confirmationChanged', confirmedUntilMs: Infinity, nowMs: clock(host) })
+    if (isConfirmed) step(host, { kind: 'confirmationChanged', confirmedUntilMs: Infinity, nowMs: clock(host) })
     step(host, { kind: 'membersChanged', live: members, nowMs: clock(host) })
     step(host, { kind: 'manifestApplied', manifest, nowMs: clock(host) })
     if (givesSeats) setSeats(host, evenSeats(host))
@@ -196,7 +198,7 @@
   }
 
   function setSeats (host: HostName, held: readonly number[]): void {
-    whenRunning(host, () => step(host, { kind: 'seatsChanged', held, holders: new Map(), nowMs: clock(host) }))
+    whenRunning(host, () => step(host, { kind: 'seatsChanged', held, holders: new Map(), tableOfMs: clock(host), nowMs: clock(host) }))
   }
 
   function tick (): void {
@@ -239,7 +241,16 @@
     seeMembers (host: HostName, live: readonly HostName[]): void {
       whenRunning(host, () => step(host, { kind: 'membersChanged', live: members.filter(member => live.includes(member.host)), nowMs: clock(host) }))
     },
+    /** Hands an event to a host; one that is paused takes it in later. */
+    tell (host: HostName, event: (nowMs: number) => LimitsEvent): void {
+      whenRunning(host, () => step(host, event(clock(host))))
+    },
+    whenRunning,
+    clock,
+    random,
+    incarnationOf: (host: HostName) => String(node(host).incarnation),
     stateOf: (host: HostName) => node(host).state,
+    isUp: (host: HostName): boolean => node(host).isUp,
     /** Whether the host is up and not paused. */
     isRunning: (host: HostName) => node(host).isUp && !node(host).isPaused
   }
