Prove at most once under lost answers; roll back what a dead proxy left open

Proof: callers write through three proxies while answers are swallowed and links cut; the rows of the database are held against what each caller was told. Seen failing first: with a write sent again after a lost answer, the first test found rows twice; with the record of request ids taken out, the second did.

Cause of a fault found: a proxy killed in mid-transaction left its transaction at the home, which held the database's write lock until the idle timeout of 10 s. Ruled out: the failover (no server was touched) and the pool. Statements now name the host that the caller is connected to, and a home rolls back what came from a host that the members find silent.

--- a/docs/examples/embed-request-pipe.ts
+++ b/docs/examples/embed-request-pipe.ts
@@ -71,7 +71,7 @@
     decodeToken: token => JSON.parse(token),
     holdsKey: () => false
   }
-  const bounds = { ownFailureDomain: 'a', defaultDeadlineMs: 1000, maxDeadlineMs: 1000 }
+  const bounds = { self: 'here', ownFailureDomain: 'a', defaultDeadlineMs: 1000, maxDeadlineMs: 1000 }
   const pipe = request.requestPipe(services, bounds)
   return await runPipe(pipe, { session, statement: { caller: session.caller, route: session.route, sql, receivedAtMs: nowMs } })
 }
--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -3,7 +3,7 @@
 
 import type { HomeReply } from '../home/index.js'
 import { homeRanks, homesOf, rendezvousOrder, type Member } from '../members/index.js'
-import { notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type Position, type PrimaryView, type ServerDeclaration, type ServerName } from '../model/index.js'
+import { notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type Position, type PrimaryView, type ServerDeclaration, type ServerName } from '../model/index.js'
 import type { DaemonContext } from './context.js'
 import { startDatabase, type DatabaseTask } from './database-task.js'
 import { startHome, type HomeTask } from './home-task.js'
@@ -59,10 +59,14 @@
    * Takes the members.
    * @param live - those that answer
    * @param listed - those that there may be
+   * @param silent - those that were found silent
    */
-  takeMembers (live: readonly Member[], listed: readonly Member[]): void {
+  takeMembers (live: readonly Member[], listed: readonly Member[], silent: ReadonlySet<HostName>): void {
     this.#live = live
     this.#listed = listed
+    for (const { homes } of this.#units.values()) {
+      for (const home of homes.values()) home.letGo(silent)
+    }
     this.#takeDuties()
   }
 
--- a/src/daemon/home-task.ts
+++ b/src/daemon/home-task.ts
@@ -4,7 +4,7 @@
 
 import { redirected } from '../config/index.js'
 import { homePipe, type HomeReply, type HomeRequest, type HomeServices, type HomeTransaction, type ServerCheck, type ServerSession, type TransactionTable, type Turn } from '../home/index.js'
-import { covers, type ExecuteRequest, type ServerDeclaration } from '../model/index.js'
+import { covers, type ExecuteRequest, type HostName, type ServerDeclaration } from '../model/index.js'
 import { ask, Latest, runPipe, startTask, type Reply, type Snapshot, type Transition, withoutReplies } from '../pipe/index.js'
 import { fairQueueStep, initialFairQueue, replicaServesAge, type FairQueueEffect, type FairQueueEvent, type FairQueueState } from '../request/index.js'
 import type { DaemonContext } from './context.js'
@@ -24,6 +24,8 @@
   readonly execute: (request: ExecuteRequest) => Promise<HomeReply>
   /** Statements that run or wait, and open transactions. */
   readonly load: () => number
+  /** Rolls back the transactions whose callers' hosts are gone. */
+  readonly letGo: (silent: ReadonlySet<HostName>) => void
   readonly stop: () => Promise<void>
 }
 
@@ -72,6 +74,7 @@
   let running = 0
   return {
     load: () => running + transactions.size,
+    letGo: silent => { transactions.letGo(silent) },
     async execute (request) {
       running += 1
       try {
@@ -229,11 +232,11 @@
     return this.#held.size
   }
 
-  open (account: string, session: ServerSession): string | undefined {
+  open (account: string, from: HostName, session: ServerSession): string | undefined {
     if (this.#held.size >= this.#capacity || this.#heldBy(account) >= this.#capacity * accountShareOfTransactions) return undefined
     const id = `${this.#context.incarnation}.${this.#nextId}`
     this.#nextId += 1
-    this.#held.set(id, { id, account, session, usedAtMs: this.#context.timers.nowMs(), busy: false })
+    this.#held.set(id, { id, account, from, session, usedAtMs: this.#context.timers.nowMs(), busy: false })
     return id
   }
 
@@ -258,6 +261,15 @@
     this.#held.clear()
   }
 
+  // Rolls back the transactions whose callers' hosts are gone.
+  letGo (silent: ReadonlySet<HostName>): void {
+    for (const held of this.#held.values()) {
+      if (held.busy || !silent.has(held.from)) continue
+      this.#held.delete(held.id)
+      this.#discard(held.session)
+    }
+  }
+
   #heldBy (account: string): number {
     return [...this.#held.values()].filter(held => held.account === account).length
   }
--- a/src/daemon/members-task.ts
+++ b/src/daemon/members-task.ts
@@ -1,7 +1,7 @@
 // The members task: owns the view of the fleet. It reads the platform's host
 // list, exchanges heartbeats over the peer links and publishes who is live.
 
-import { initialMembership, membershipStep, quorumHosts, rumoursOf, type ListedHost, type Member, type MembershipEffect, type MembershipEvent, type MembershipState } from '../members/index.js'
+import { initialMembership, membershipStep, quorumHosts, rumoursOf, silentHosts, type ListedHost, type Member, type MembershipEffect, type MembershipEvent, type MembershipState } from '../members/index.js'
 import type { HostName, MemberState } from '../model/index.js'
 import { ask, Latest, startTask, tickPort, type Port, type Reply, type Snapshot } from '../pipe/index.js'
 import type { DaemonContext } from './context.js'
@@ -12,6 +12,8 @@
   readonly live: readonly Member[]
   readonly listed: readonly ListedHost[]
   readonly quorum: readonly HostName[]
+  /** Hosts that were found silent; a stopping host is not among them. */
+  readonly silent: ReadonlySet<HostName>
 }
 
 /** A running members task. */
@@ -118,7 +120,7 @@
 }
 
 function viewOf (state: MembershipState): MembersView {
-  return { live: state.live, listed: state.listed, quorum: quorumHosts(state) }
+  return { live: state.live, listed: state.listed, quorum: quorumHosts(state), silent: silentHosts(state) }
 }
 
 function perform (spec: MembersSpec, effect: Effect, port: Port<Message>, view: Snapshot<MembersView>): void {
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -61,6 +61,7 @@
   const peers = await listenForPeers({ ip: settings.host.ip, port: settings.host.peerPort }, peerHandlers(parts), tlsOf(settings.peers))
   const configuration = (): ConfigurationInForce => ({ manifest: parts.configuration.inForce()?.manifest, confirmed: parts.configuration.mayServeKeyed() })
   const pipe = requestPipe(requestServices(parts, configuration), {
+    self: settings.host.name,
     ownFailureDomain: settings.host.failureDomain,
     defaultDeadlineMs: settings.limits.defaultDeadlineMs,
     maxDeadlineMs
@@ -161,7 +162,7 @@
 function takeMembers (view: MembersView, to: Pick<Parts, 'configuration' | 'databases' | 'routing' | 'limits'>): void {
   to.configuration.quorumChanged(view.quorum)
   to.routing.takeMembers(view.live)
-  to.databases.takeMembers(view.live, view.listed)
+  to.databases.takeMembers(view.live, view.listed, view.silent)
   to.limits.takeMembers(view.live, view.listed)
 }
 
@@ -248,6 +249,7 @@
 
 async function rollBack (parts: Parts, transaction: OpenTransaction): Promise<void> {
   const request: ExecuteRequest = {
+    from: parts.context.settings.host.name,
     database: transaction.database,
     server: transaction.server,
     account: transaction.account,
--- a/src/home/message.ts
+++ b/src/home/message.ts
@@ -1,6 +1,6 @@
 // Messages of the home's pipe, and what it asks of the tasks around it.
 
-import type { ExecuteReply, ExecuteRequest, NotRunReason, Outcome, Position, PrimaryView } from '../model/index.js'
+import type { ExecuteReply, ExecuteRequest, HostName, NotRunReason, Outcome, Position, PrimaryView } from '../model/index.js'
 import type { ServerSession, SessionPool } from './server-session.js'
 
 /** A statement that came to the home of a server. */
@@ -36,13 +36,15 @@
 export type HomeTransaction = {
   readonly id: string
   readonly account: string
+  /** The host that the caller is connected to. */
+  readonly from: HostName
   readonly session: ServerSession
 }
 
 /** The open transactions of one server. */
 export type TransactionTable = {
   /** Keeps a session for a transaction; undefined where too many are open. */
-  readonly open: (account: string, session: ServerSession) => string | undefined
+  readonly open: (account: string, from: HostName, session: ServerSession) => string | undefined
   /** Takes a transaction out while a statement of it runs; undefined where it is unknown or busy. */
   readonly take: (id: string, account: string) => HomeTransaction | undefined
   readonly putBack: (transaction: HomeTransaction) => void
--- a/src/home/run.ts
+++ b/src/home/run.ts
@@ -75,7 +75,7 @@
   const session = await services.pool.acquire(timeLeftMs(services, message))
   if (session === undefined) return ended(notRun('noServer', 'the server takes no connection'))
   const begun = await beginOn(services, message, session, requestId)
-  const id = begun.kind === 'answered' ? services.transactions.open(message.request.account, session) : undefined
+  const id = begun.kind === 'answered' ? services.transactions.open(message.request.account, message.request.from, session) : undefined
   if (id !== undefined) return { outcome: begun, confirm: undefined, transaction: id }
   services.pool.discard(session)
   return ended(begun.kind === 'answered' ? notRun('queueFull', 'too many transactions are open on the server') : begun)
--- a/src/members/membership.ts
+++ b/src/members/membership.ts
@@ -145,6 +145,16 @@
   return watchersOf(state.listed, state.settings.watchersPerDomain)
 }
 
+/**
+ * The hosts that were found silent, by this member or by observers.
+ * @param state - what is known
+ * @returns the hosts; those that only stop are not among them
+ */
+export function silentHosts (state: MembershipState): ReadonlySet<HostName> {
+  const own = [...state.peers].filter(([, peer]) => peer.silent).map(([host]) => host)
+  return new Set([...own, ...silentByRumour(state)])
+}
+
 /**
  * Tells whether the platform's list holds a host. A heartbeat of a host that
  * is not listed confirms nothing to it.
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -18,6 +18,8 @@
 
 /** A statement on its way to the home of a server. */
 export type ExecuteRequest = {
+  /** The host that the caller is connected to. */
+  readonly from: HostName
   readonly database: DatabaseName
   readonly server: ServerName
   readonly account: AccountName
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -35,7 +35,7 @@
 export function execute (services: Services, bounds: RequestBounds): Filter<Floored, never, Served> {
   return async message => {
     const { transaction } = message.session
-    if (transaction !== undefined) return end(await runInTransaction(services, message, transaction))
+    if (transaction !== undefined) return end(await runInTransaction(services, bounds, message, transaction))
     return end(await runAlone(services, bounds, message))
   }
 }
@@ -46,7 +46,7 @@
   for (;;) {
     if (services.nowMs() >= message.statement.deadlineAtMs) return giveUp(message, progress)
     const route = chooseRoute(routeRequest(services, bounds, message, progress), services.routing(message.database.name))
-    const attempt = await attemptOn(services, message, route)
+    const attempt = await attemptOn(services, bounds, message, route)
     const verdict = judgeAttempt(attempt, repeatable)
     if (verdict.kind === 'answer') return finish(message, verdict.outcome, route, attempt)
     progress = {
@@ -79,9 +79,10 @@
   }
 }
 
-async function attemptOn (services: Services, message: Floored, route: Route): Promise<Attempt> {
+async function attemptOn (services: Services, bounds: RequestBounds, message: Floored, route: Route): Promise<Attempt> {
   if (route.kind === 'none') return { kind: 'noRoute', missing: route.missing }
   const attempt = await services.execute(route.home, {
+    from: bounds.self,
     database: message.database.name,
     server: route.server,
     account: accountName(message),
@@ -128,13 +129,13 @@
   return raiseFloor(session, database, outcome.position)
 }
 
-async function runInTransaction (services: Services, message: Floored, transaction: OpenTransaction): Promise<Served> {
+async function runInTransaction (services: Services, bounds: RequestBounds, message: Floored, transaction: OpenTransaction): Promise<Served> {
   const { statementClass } = message.statement
   if (transaction.lost) return afterLostTransaction(message, statementClass.kind)
   if (statementClass.kind === 'begin') return { outcome: notRun('unsupported', 'a transaction is open already'), session: message.session }
   const mode = transactionMode(statementClass.kind, transaction)
   const route: Route = { kind: 'send', server: transaction.server, home: transaction.home, mode }
-  const attempt = await attemptOn(services, message, route)
+  const attempt = await attemptOn(services, bounds, message, route)
   return settleInTransaction(message, transaction, mode, attempt)
 }
 
--- a/src/request/services.ts
+++ b/src/request/services.ts
@@ -36,6 +36,7 @@
 
 /** Bounds of the request pipe. */
 export type RequestBounds = {
+  readonly self: HostName
   readonly ownFailureDomain: string
   readonly defaultDeadlineMs: number
   readonly maxDeadlineMs: number
