Show how busy the machine was during each measure

Other work on the machine makes figures worse; the report now says how much of the processors was in use.

--- a/bench/process-usage.ts
+++ b/bench/process-usage.ts
@@ -37,3 +37,30 @@
 function numberAfter (text: string, pattern: RegExp): number {
   return Number(pattern.exec(text)?.[1] ?? 0)
 }
+
+/** Processor time of the whole machine since it started. */
+export type MachineUsage = {
+  readonly busyTicks: number
+  readonly allTicks: number
+}
+
+const idleAt = 3
+const ioWaitAt = 4
+/** User, nice, system, idle, iowait, irq, softirq, steal; guest time stands in user time already. */
+const countedFields = 8
+
+/**
+ * Reads what the machine's processors have done.
+ * @returns ticks in use and ticks in all
+ */
+export function machineUsage (): MachineUsage {
+  const [first = ''] = readFileSync('/proc/stat', 'utf8').split('\n')
+  const ticks = first.trim().split(/\s+/).slice(1, 1 + countedFields).map(Number)
+  const allTicks = ticks.reduce((sum, value) => sum + value, 0)
+  return { allTicks, busyTicks: allTicks - (ticks[idleAt] ?? 0) - (ticks[ioWaitAt] ?? 0) }
+}
+
+/** Part of the machine's processor time in use between two readings, in percent. */
+export function machinePercent (before: MachineUsage, after: MachineUsage): number {
+  return 100 * (after.busyTicks - before.busyTicks) / (after.allTicks - before.allTicks)
+}
--- a/bench/run.ts
+++ b/bench/run.ts
@@ -13,7 +13,8 @@
 import { measurePath } from './measure-path.js'
 import { measureSteady, type MeasureSpec } from './measure-steady.js'
 import { measureStoreOutage } from './measure-store-outage.js'
-import { verdictOf, type MeasureResult } from './measure.js'
+import { plain, verdictOf, type MeasureResult } from './measure.js'
+import { machinePercent, machineUsage } from './process-usage.js'
 import { jsonResult, markdownReport, svgPlot, type BenchRun } from './report.js'
 import { startRig, type Rig, type RigOptions } from './rig.js'
 
@@ -107,7 +108,12 @@
 const picked = measures.filter(each => asked.includes(each))
 const begun = { startedAt: new Date().toISOString(), loadAverage: readFileSync('/proc/loadavg', 'utf8').split(' ').slice(0, 3).join(' ') }
 const results: MeasureResult[] = []
-for (const which of picked) results.push(await measure(which))
+for (const which of picked) {
+  const before = machineUsage()
+  const result = await measure(which)
+  const machine = plain('processors of the machine in use, other work included', '%', machinePercent(before, machineUsage()))
+  results.push({ ...result, figures: [...result.figures, machine] })
+}
 write({
   command: `npm run bench -- ${process.argv.slice(2).join(' ')}`.trim(),
   commit: commit(),
