--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -1,5 +1,9 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { advanced, type AccountLimit } from '../../src/limits/account.js'
+import { accountOf } from '../../src/limits/accounts.js'
+import { limitsStep, type LimitsEvent, type LimitsState } from '../../src/limits/index.js'
+import type { BorrowRequest } from '../../src/model/index.js'
 import { accountsManifest, capExceeded, idealAdmissions, limitFleet, randomFrom, type Fleet } from '../support/limit-fleet.js'
 
 type Stream = { readonly account: string, readonly ratePerS: number, readonly hosts: readonly string[] }
@@ -32,3 +36,102 @@
     assert.equal(wronged, 0)
   })
 }
+
+function borrowing (sequence: number, changed: Partial<BorrowRequest> = {}): BorrowRequest {
+  return {
+    account: 'mill',
+    purpose: 'use',
+    sequence,
+    held: { ratePerS: 0, capacity: 0 },
+    want: { ratePerS: 10, capacity: 10 },
+    wantTokens: 2,
+    returnedTokens: 0,
+    isUrgent: true,
+    ...changed
+  }
+}
+
+/** One host that owns the whole limit of 100/s and 100, with a full bucket. */
+function owner (): LimitsState {
+  const fleet = limitFleet({ hosts: 1, seed: 1, manifest: accountsManifest(4, [{ name: 'mill', ratePerS: 100, burst: 100 }]) })
+  fleet.run(10_000)
+  return limitsStep(fleet.stateOf('h0'), { kind: 'tick', nowMs: fleet.clock('h0') }).state
+}
+
+function ask (state: LimitsState, request: BorrowRequest, nowMs: number) {
+  const { state: after, effects } = limitsStep(state, { kind: 'borrowRequested', callId: 'c', from: 'h1', incarnation: 'a', request, nowMs })
+  return { after, grant: effects.flatMap(effect => effect.kind === 'lend' ? [effect.grant] : [])[0] }
+}
+
+function lentAt (state: LimitsState, nowMs: number): number {
+  return 100 - advanced(accountOf(state.accounts, 'mill') as AccountLimit, nowMs).usable.ratePerS
+}
+
+const laterMs = 1e7
+
+test('an outdated request neither lends nor frees anything', () => {
+  const first = ask(owner(), borrowing(5), laterMs)
+  assert.ok((first.grant?.ratePerS ?? 0) > 0)
+  const second = ask(first.after, borrowing(4, { want: { ratePerS: 0, capacity: 0 } }), laterMs + 1)
+  assert.equal(second.grant, undefined)
+  assert.ok(lentAt(second.after, laterMs + 1) >= 10)
+})
+
+test('tokens come back only within what was lent', () => {
+  const giving = borrowing(6, { held: { ratePerS: 0, capacity: 0 }, want: { ratePerS: 0, capacity: 0 }, wantTokens: 0, returnedTokens: 50, isUrgent: false })
+  const levelOf = (state: LimitsState): number => (accountOf(state.accounts, 'mill') as AccountLimit).level
+  const empty = Array.from({ length: 100 }, (_, at) => at).reduce<LimitsState>((state, at) =>
+    limitsStep(state, { kind: 'admit', account: 'mill', id: String(at), deadlineMs: Infinity, nowMs: laterMs }).state, owner())
+  assert.ok(levelOf(empty) < 1)
+  assert.ok(levelOf(ask(empty, giving, laterMs).after) < 1)
+  const lent = ask(owner(), borrowing(5), laterMs)
+  const before = levelOf(lent.after)
+  const back = levelOf(ask(lent.after, giving, laterMs).after) - before
+  assert.ok(back <= (lent.grant?.capacity ?? 0), `${back} came back`)
+})
+
+test('a host whose confirmation lapsed uses no seat of an older table', () => {
+  const event = (kind: 'old' | 'new'): LimitsEvent => ({ kind: 'seatsChanged', held: [0, 1, 2, 3], holders: new Map(), tableOfMs: kind === 'old' ? laterMs : laterMs + 30_000, nowMs: laterMs + 30_000 })
+  const confirmed = limitsStep(owner(), { kind: 'confirmationChanged', confirmedUntilMs: laterMs + 5000, nowMs: laterMs }).state
+  const lapsed = limitsStep(confirmed, { kind: 'confirmationChanged', confirmedUntilMs: laterMs + 40_000, nowMs: laterMs + 20_000 }).state
+  assert.equal(limitsStep(lapsed, event('old')).state.held.size, 0)
+  assert.equal(limitsStep(lapsed, event('new')).state.held.size, 4)
+})
+
+test('an unconfirmed host neither admits nor lends', () => {
+  const state = limitsStep(owner(), { kind: 'confirmationChanged', confirmedUntilMs: laterMs + 5000, nowMs: laterMs }).state
+  const admit: LimitsEvent = { kind: 'admit', account: 'mill', id: 'r', deadlineMs: Infinity, nowMs: laterMs + 6000 }
+  assert.deepEqual(limitsStep(state, admit).effects.map(({ kind }) => kind), ['refused'])
+  assert.equal(ask(state, borrowing(1), laterMs + 6000).grant, undefined)
+})
+
+test('a changed division gives nobody more than both divisions do', () => {
+  const accounts = [{ name: 'mill', ratePerS: 100, burst: 100 }]
+  const apply = (state: LimitsState, seats: number, withNew: boolean, nowMs: number): LimitsState => {
+    const all = withNew ? [...accounts, { name: 'new', ratePerS: 10, burst: 10 }] : accounts
+    return limitsStep(state, { kind: 'manifestApplied', manifest: accountsManifest(seats, all), nowMs }).state
+  }
+  const rate = (state: LimitsState, account: string, nowMs: number): number => advanced(accountOf(state.accounts, account) as AccountLimit, nowMs).usable.ratePerS
+  const finer = apply(owner(), 8, false, laterMs)
+  assert.equal(rate(finer, 'mill', laterMs), 50)
+  const coarser = apply(finer, 4, true, laterMs + 60_000)
+  assert.equal(rate(coarser, 'mill', laterMs + 65_000), 50)
+  assert.equal(rate(coarser, 'new', laterMs + 65_000), 0)
+  assert.equal(rate(coarser, 'mill', laterMs + 90_000), 100)
+  assert.equal(rate(coarser, 'new', laterMs + 90_000), 10)
+})
+
+test('a request waits for a token no longer than its deadline', () => {
+  const fleet = limitFleet({ hosts: 1, seed: 1, manifest: accountsManifest(4, [{ name: 'mill', ratePerS: 1, burst: 1 }]) })
+  fleet.run(10_000)
+  const nowMs = fleet.clock('h0')
+  const admit = (id: string, deadlineMs: number): LimitsEvent => ({ kind: 'admit', account: 'mill', id, deadlineMs, nowMs })
+  const events: readonly LimitsEvent[] = [admit('a', Infinity), admit('b', nowMs + 10), admit('c', Infinity), { kind: 'tick', nowMs: nowMs + 11 }, { kind: 'tick', nowMs: nowMs + 101 }]
+  let state = fleet.stateOf('h0')
+  const seen = events.map(event => {
+    const next = limitsStep(state, event)
+    state = next.state
+    return next.effects.map(effect => effect.kind === 'admitted' || effect.kind === 'refused' ? `${effect.kind} ${effect.id}` : effect.kind)
+  })
+  assert.deepEqual(seen, [['admitted a'], [], [], ['refused b'], ['refused c']])
+})
