--- /dev/null
+++ b/src/config/access.ts
@@ -0,0 +1,117 @@
+// Who a caller is and what it may do under a manifest. Asked for the key once
+// at the login and for everything else at each statement, so that a withdrawn
+// key or a closed route also ends work on connections that are already open.
+
+import { createHash } from 'node:crypto'
+import type { AccountDeclaration, Caller, DatabaseDeclaration, DatabaseName, KeyDeclaration, Manifest, NotRunReason, RouteDeclaration, RouteName } from '../model/index.js'
+import { checkNativePassword } from './keys.js'
+
+/** What a caller shows at its login. */
+export type Login = {
+  readonly user: string
+  /** The 20 bytes that the handshake sent. */
+  readonly nonce: Uint8Array
+  /** The native password proof; empty where the caller showed no key. */
+  readonly proof: Uint8Array
+  readonly route: RouteName
+}
+
+/** What became of a login. */
+export type KeyDecision =
+  | { readonly kind: 'granted', readonly caller: Caller }
+  | { readonly kind: 'refused', readonly reason: NotRunReason & ('badKey' | 'routeUnknown' | 'routeForbidden') }
+
+/** What a caller may do on a route now. */
+export type UseDecision =
+  | { readonly kind: 'allowed', readonly database: DatabaseName }
+  | { readonly kind: 'refused', readonly reason: NotRunReason & ('keyWithdrawn' | 'routeUnknown' | 'routeForbidden' | 'leaving') }
+
+/** Whether a statement begins work or goes on with a transaction that is open. */
+export type Work = 'new' | 'continued'
+
+/**
+ * Decides who a caller is.
+ * @param manifest - the manifest in force
+ * @param login - what the caller showed
+ * @returns the caller, or why the login is refused; an unknown account reads as a bad key
+ */
+export function keyDecision (manifest: Manifest, login: Login): KeyDecision {
+  const index = indexOf(manifest)
+  const route = index.routes.get(login.route)
+  if (login.proof.length === 0 && route?.access.kind === 'open') return { kind: 'granted', caller: { kind: 'anonymous' } }
+  const key = provenKey(index.accounts.get(login.user), login)
+  if (key === undefined) return { kind: 'refused', reason: 'badKey' }
+  if (route === undefined) return { kind: 'refused', reason: 'routeUnknown' }
+  const caller: Caller = { kind: 'account', account: login.user, keyId: keyId(key) }
+  return grants(route, caller) ? { kind: 'granted', caller } : { kind: 'refused', reason: 'routeForbidden' }
+}
+
+/**
+ * Decides whether a caller may run a statement on a route now.
+ * @param manifest - the manifest in force
+ * @param caller - who the login said the caller is
+ * @param routeName - the route
+ * @param work - new work is refused on a database that is leaving
+ * @returns the route's database, or why the statement is not run
+ */
+export function mayUse (manifest: Manifest, caller: Caller, routeName: RouteName, work: Work = 'new'): UseDecision {
+  const index = indexOf(manifest)
+  if (!isInForce(index, caller)) return { kind: 'refused', reason: 'keyWithdrawn' }
+  const route = index.routes.get(routeName)
+  if (route === undefined) return { kind: 'refused', reason: 'routeUnknown' }
+  if (!grants(route, caller)) return { kind: 'refused', reason: 'routeForbidden' }
+  const leaving = index.databases.get(route.database)?.state !== 'active'
+  if (leaving && work === 'new') return { kind: 'refused', reason: 'leaving' }
+  return { kind: 'allowed', database: route.database }
+}
+
+type ManifestIndex = {
+  readonly accounts: ReadonlyMap<string, AccountDeclaration>
+  readonly keyIds: ReadonlyMap<string, ReadonlySet<string>>
+  readonly routes: ReadonlyMap<RouteName, RouteDeclaration>
+  readonly databases: ReadonlyMap<DatabaseName, DatabaseDeclaration>
+}
+
+// A manifest never changes, so its index is made once for as long as it lives.
+const indexes = new WeakMap<Manifest, ManifestIndex>()
+
+function indexOf (manifest: Manifest): ManifestIndex {
+  const known = indexes.get(manifest)
+  if (known !== undefined) return known
+  const index: ManifestIndex = {
+    accounts: new Map(manifest.accounts.map(account => [account.name, account])),
+    keyIds: new Map(manifest.accounts.map(account => [account.name, new Set(account.keys.map(keyId))])),
+    routes: new Map(manifest.routes.map(route => [route.name, route])),
+    databases: new Map(manifest.databases.map(database => [database.name, database]))
+  }
+  indexes.set(manifest, index)
+  return index
+}
+
+// All keys are tried, so that the time does not tell which one fits.
+function provenKey (account: AccountDeclaration | undefined, login: Login): KeyDeclaration | undefined {
+  const proven = (account?.keys ?? []).filter(key => checkNativePassword(key.digest, login.nonce, login.proof))
+  return proven[0]
+}
+
+// The digest is part of the identity: a key that was exchanged under the same
+// id is another key. Its hash stands in, as digests appear nowhere else.
+function keyId (key: KeyDeclaration): string {
+  const fingerprintCharacters = 12
+  const fingerprint = createHash('sha256').update(key.digest).digest('hex').slice(0, fingerprintCharacters)
+  return `${key.id}#${fingerprint}`
+}
+
+function isInForce (index: ManifestIndex, caller: Caller): boolean {
+  switch (caller.kind) {
+    case 'account': return index.keyIds.get(caller.account)?.has(caller.keyId) === true
+    case 'anonymous': return true
+  }
+}
+
+function grants (route: RouteDeclaration, caller: Caller): boolean {
+  switch (route.access.kind) {
+    case 'open': return true
+    case 'accounts': return caller.kind === 'account' && route.access.accounts.includes(caller.account)
+  }
+}
--- a/src/config/index.ts
+++ b/src/config/index.ts
@@ -4,3 +4,5 @@
 export * from './settings.js'
 export * from './manifest.js'
 export * from './keys.js'
+export * from './configuration.js'
+export * from './access.js'
--- /dev/null
+++ b/test/config/configuration.test.ts
@@ -0,0 +1,273 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { configurationStep, confirmedGeneration, generationInForce, initialConfiguration, mayServeKeyed, storeConfirmedAgoMs, type ConfigurationEvent, type ConfigurationState } from '../../src/config/index.js'
+import type { AcceptedManifest } from '../../src/model/index.js'
+import { manifestOf } from './fixtures.js'
+
+const confirmWithinMs = 1_000
+const hostNames = ['host-0', 'host-1', 'host-2', 'host-3', 'host-4']
+
+function acceptedOf (generation: number, seats = 18): AcceptedManifest {
+  return { generation, manifest: manifestOf({ seats }) }
+}
+
+function stateOf (events: readonly ConfigurationEvent[], host = 'host-0', startedAtMs = 0): ConfigurationState {
+  const initial = initialConfiguration({ host, startedAtMs, confirmWithinMs, pullMs: 100 })
+  return events.reduce((state, event) => configurationStep(state, event).state, initial)
+}
+
+function storeAnswered (generation: number, askedAtMs: number): ConfigurationEvent {
+  return { kind: 'storeAnswered', accepted: acceptedOf(generation), askedAtMs }
+}
+
+function peerConfirmed (host: string, generation: number, askedAtMs: number, agoMs?: number): ConfigurationEvent {
+  return { kind: 'peerConfirmed', host, generation, storeConfirmedAgoMs: agoMs, askedAtMs, nowMs: askedAtMs }
+}
+
+const quorumOfFive: ConfigurationEvent = { kind: 'quorumChanged', hosts: hostNames }
+
+test('an invalid manifest is refused whole and the last one stays in force', () => {
+  const before = stateOf([storeAnswered(1, 0)])
+  const { state, effects } = configurationStep(before, { kind: 'storeAnswered', accepted: acceptedOf(2, 0), askedAtMs: 5 })
+  const rejected = { generation: 2, errors: ['seats: found 0, allowed: a whole number from 1 to 100000'] }
+  assert.deepEqual(effects, [{ kind: 'rejected', rejected }])
+  assert.equal(generationInForce(state), 1)
+  assert.equal(mayServeKeyed(state, 5), true)
+  assert.equal(generationInForce(configurationStep(state, storeAnswered(3, 6)).state), 3)
+})
+
+test('a lower generation is never applied, whoever offers it', () => {
+  const before = stateOf([storeAnswered(2, 0)])
+  for (const event of [storeAnswered(1, 900), { kind: 'peerOffered', accepted: acceptedOf(1) } as const]) {
+    const { state, effects } = configurationStep(before, event)
+    assert.deepEqual(effects, [])
+    assert.equal(generationInForce(state), 2)
+    assert.equal(mayServeKeyed(state, confirmWithinMs + 1), false, 'an old answer of the store confirms nothing')
+  }
+})
+
+test('keyed work ends when neither the store nor a majority has confirmed in time', () => {
+  const state = stateOf([quorumOfFive, storeAnswered(1, 0)])
+  assert.equal(mayServeKeyed(state, confirmWithinMs), true)
+  assert.equal(mayServeKeyed(state, confirmWithinMs + 1), false)
+  const one = configurationStep(state, peerConfirmed('host-1', 1, 900)).state
+  assert.equal(mayServeKeyed(one, confirmWithinMs + 1), false)
+  const two = configurationStep(one, peerConfirmed('host-2', 1, 900)).state
+  assert.equal(mayServeKeyed(two, confirmWithinMs + 1), true)
+  assert.equal(mayServeKeyed(two, 900 + confirmWithinMs + 1), false)
+})
+
+test('one peer passes the store\'s confirmation on with its age', () => {
+  const state = stateOf([quorumOfFive, storeAnswered(1, 0), peerConfirmed('host-1', 1, 900, 200)])
+  assert.equal(storeConfirmedAgoMs(state, 1_000), 300)
+  assert.equal(mayServeKeyed(state, 700 + confirmWithinMs), true)
+  assert.equal(mayServeKeyed(state, 700 + confirmWithinMs + 1), false)
+})
+
+test('a host that hears of a higher generation pulls it before it does keyed work', () => {
+  const { state, effects } = configurationStep(stateOf([quorumOfFive, storeAnswered(1, 0)]), peerConfirmed('host-1', 2, 10))
+  assert.deepEqual(effects, [{ kind: 'pull', host: 'host-1', above: 1 }, { kind: 'relist' }])
+  assert.equal(mayServeKeyed(state, 10), false)
+  assert.deepEqual(configurationStep(state, { kind: 'tick', nowMs: 50 }).effects, [], 'one pull at a time')
+  assert.equal(configurationStep(state, { kind: 'tick', nowMs: 110 }).effects.length, 2)
+  assert.equal(mayServeKeyed(configurationStep(state, { kind: 'peerOffered', accepted: acceptedOf(2) }).state, 10), true)
+})
+
+test('a host alone in its list needs the store', () => {
+  const state = stateOf([{ kind: 'quorumChanged', hosts: ['host-0'] }, storeAnswered(1, 0)])
+  assert.equal(mayServeKeyed(state, confirmWithinMs + 1), false)
+})
+
+test('a replaced host serves from what a majority of others tells, while the store is down', () => {
+  const offered = stateOf([quorumOfFive, { kind: 'peerOffered', accepted: acceptedOf(4) }, peerConfirmed('host-1', 4, 60, 9_000), peerConfirmed('host-2', 4, 60, 9_000)], 'host-0', 50)
+  assert.equal(mayServeKeyed(offered, 70), false, 'two others are no majority of five')
+  assert.equal(confirmedGeneration(offered), 0)
+  const settled = configurationStep(offered, peerConfirmed('host-3', 3, 60)).state
+  assert.equal(mayServeKeyed(settled, 70), true)
+  assert.equal(confirmedGeneration(settled), 4)
+})
+
+// Stateful fuzzing: five hosts, one store, links that are cut and healed, late
+// answers, replaced hosts. The oracle knows when each generation was accepted
+// and when a majority of settled hosts held it.
+
+type Action =
+  | { readonly kind: 'accept' }
+  | { readonly kind: 'askStore', readonly host: number }
+  | { readonly kind: 'heartbeat', readonly host: number, readonly peer: number }
+  | { readonly kind: 'deliver', readonly pick: number }
+  | { readonly kind: 'lose', readonly pick: number }
+  | { readonly kind: 'advance', readonly byMs: number }
+  | { readonly kind: 'setStore', readonly up: boolean }
+  | { readonly kind: 'setLink', readonly host: number, readonly up: boolean }
+  | { readonly kind: 'replace', readonly host: number }
+
+/** Messages that five hosts may need for one round of heartbeats and offers. */
+const maxLettersARound = 1_000
+
+type Letter = { readonly to: number, readonly incarnation: number, readonly event: ConfigurationEvent }
+
+class World {
+  #nowMs = 0
+  #storeUp = true
+  #states: readonly ConfigurationState[] = hostNames.map(host => this.#fresh(host))
+  #incarnations: readonly number[] = hostNames.map(() => 0)
+  #cut: ReadonlySet<number> = new Set()
+  #letters: readonly Letter[] = []
+  /** Index is the generation. */
+  #acceptedAtMs: readonly number[] = [0]
+  #heldAtMs: ReadonlyArray<number | undefined> = [0]
+
+  act (action: Action): void {
+    const before = this.#states.map(generationInForce)
+    switch (action.kind) {
+      case 'accept': {
+        if (this.#storeUp) this.#acceptedAtMs = [...this.#acceptedAtMs, this.#nowMs]
+        break
+      }
+      case 'askStore': {
+        if (!this.#storeUp || this.#cut.has(action.host)) break
+        this.#post(action.host, { kind: 'storeAnswered', accepted: this.#stored(), askedAtMs: this.#nowMs })
+        break
+      }
+      case 'heartbeat': {
+        if (this.#linked(action.host, action.peer)) this.#post(action.host, this.#heartbeatOf(action.peer))
+        break
+      }
+      case 'deliver': this.#take(action.pick, letter => this.#tell(letter.to, letter.event)); break
+      case 'lose': this.#take(action.pick, () => {}); break
+      case 'advance': this.#nowMs += action.byMs; break
+      case 'setStore': this.#storeUp = action.up; break
+      case 'setLink': {
+        const others = [...this.#cut].filter(host => host !== action.host)
+        this.#cut = new Set(action.up ? others : [...others, action.host])
+        break
+      }
+      case 'replace': {
+        this.#states = this.#states.with(action.host, this.#fresh(hostNames[action.host] as string))
+        this.#incarnations = this.#incarnations.with(action.host, (this.#incarnations[action.host] as number) + 1)
+        break
+      }
+    }
+    this.#check(action, before)
+  }
+
+  settle (): void {
+    this.act({ kind: 'setStore', up: true })
+    hostNames.forEach((_, host) => this.act({ kind: 'setLink', host, up: true }))
+    // One host asks the store; heartbeats and offers carry it to all others.
+    for (let round = 0; round < 4; round += 1) {
+      this.act({ kind: 'advance', byMs: 200 })
+      this.act({ kind: 'askStore', host: 0 })
+      hostNames.forEach((_, host) => hostNames.forEach((__, peer) => this.act({ kind: 'heartbeat', host, peer })))
+      for (let count = 0; this.#letters.length > 0; count += 1) {
+        assert.ok(count < maxLettersARound, 'hosts go on offering without end')
+        this.act({ kind: 'deliver', pick: 0 })
+      }
+    }
+    const generation = this.#acceptedAtMs.length - 1
+    for (const state of this.#states) {
+      assert.equal(generationInForce(state), generation, 'all hosts converge')
+      assert.equal(mayServeKeyed(state, this.#nowMs), generation > 0, 'all hosts serve again')
+    }
+  }
+
+  #check (action: Action, before: readonly number[]): void {
+    this.#heldAtMs = this.#acceptedAtMs.map((_, generation) => {
+      const holders = this.#states.filter(state => confirmedGeneration(state) >= generation)
+      return this.#heldAtMs[generation] ?? (holders.length > hostNames.length / 2 ? this.#nowMs : undefined)
+    })
+    this.#states.forEach((state, host) => {
+      const generation = generationInForce(state)
+      if (action.kind !== 'replace') assert.ok(generation >= (before[host] as number), 'a generation reverted')
+      if (!mayServeKeyed(state, this.#nowMs)) return
+      const sinceMs = this.#nowMs - confirmWithinMs
+      for (let above = generation + 1; above < this.#acceptedAtMs.length; above += 1) {
+        const heldAtMs = this.#heldAtMs[above]
+        const overdue = heldAtMs !== undefined && heldAtMs < sinceMs && (this.#acceptedAtMs[above] as number) < sinceMs
+        assert.ok(!overdue, `host ${host} serves generation ${generation} though ${above} has been held by a majority since ${heldAtMs} ms (now ${this.#nowMs})`)
+      }
+    })
+  }
+
+  #fresh (host: string): ConfigurationState {
+    const initial = initialConfiguration({ host, startedAtMs: this.#nowMs, confirmWithinMs, pullMs: 100 })
+    return configurationStep(initial, quorumOfFive).state
+  }
+
+  #stored (): AcceptedManifest | undefined {
+    const generation = this.#acceptedAtMs.length - 1
+    return generation === 0 ? undefined : acceptedOf(generation)
+  }
+
+  #linked (a: number, b: number): boolean {
+    return a !== b && !this.#cut.has(a) && !this.#cut.has(b)
+  }
+
+  #heartbeatOf (peer: number): ConfigurationEvent {
+    const state = this.#states[peer] as ConfigurationState
+    return peerConfirmed(hostNames[peer] as string, confirmedGeneration(state), this.#nowMs, storeConfirmedAgoMs(state, this.#nowMs))
+  }
+
+  #post (to: number, event: ConfigurationEvent): void {
+    this.#letters = [...this.#letters, { to, incarnation: this.#incarnations[to] as number, event }]
+  }
+
+  #take (pick: number, use: (letter: Letter) => void): void {
+    if (this.#letters.length === 0) return
+    const at = pick % this.#letters.length
+    const letter = this.#letters[at] as Letter
+    this.#letters = this.#letters.toSpliced(at, 1)
+    if (letter.incarnation === this.#incarnations[letter.to]) use(letter)
+  }
+
+  #tell (host: number, event: ConfigurationEvent): void {
+    const { state, effects } = configurationStep(this.#states[host] as ConfigurationState, event)
+    this.#states = this.#states.with(host, state)
+    for (const effect of effects) {
+      switch (effect.kind) {
+        case 'offer': {
+          hostNames.forEach((_, peer) => {
+            if (this.#linked(host, peer)) this.#post(peer, { kind: 'peerOffered', accepted: effect.accepted })
+          })
+          break
+        }
+        case 'pull': {
+          const peer = hostNames.indexOf(effect.host)
+          const accepted = this.#states[peer]?.accepted
+          if (accepted !== undefined && this.#linked(host, peer)) this.#post(host, { kind: 'peerOffered', accepted })
+          break
+        }
+        case 'apply':
+        case 'relist':
+        case 'rejected':
+      }
+    }
+  }
+}
+
+function actions (): fc.Arbitrary<readonly Action[]> {
+  const host = fc.nat({ max: hostNames.length - 1 })
+  const pick = fc.nat({ max: 20 })
+  const action = fc.oneof(
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant('accept' as const) }) },
+    { weight: 4, arbitrary: fc.record({ kind: fc.constant('askStore' as const), host }) },
+    { weight: 10, arbitrary: fc.record({ kind: fc.constant('heartbeat' as const), host, peer: host }) },
+    { weight: 16, arbitrary: fc.record({ kind: fc.constant('deliver' as const), pick }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant('lose' as const), pick }) },
+    { weight: 4, arbitrary: fc.record({ kind: fc.constant('advance' as const), byMs: fc.constantFrom(1, 100, 600, 1_500) }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant('setStore' as const), up: fc.boolean() }) },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constant('setLink' as const), host, up: fc.boolean() }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant('replace' as const), host }) }
+  )
+  return fc.array(action, { minLength: 30, maxLength: 150 })
+}
+
+test('hosts never revert, stop serving a replaced generation in time and converge', () => {
+  fc.assert(fc.property(actions(), list => {
+    const world = new World()
+    for (const action of list) world.act(action)
+    world.settle()
+  }), { seed: 1117, numRuns: 400, endOnFailure: true })
+})
