--- a/src/config/access.ts
+++ b/src/config/access.ts
@@ -3,7 +3,7 @@
 // key or a closed route also ends work on connections that are already open.
 
 import { createHash } from 'node:crypto'
-import type { AccountDeclaration, Caller, DatabaseDeclaration, DatabaseName, KeyDeclaration, Manifest, NotRunReason, RouteDeclaration, RouteName } from '../model/index.js'
+import type { AccountDeclaration, AccountName, Caller, DatabaseDeclaration, DatabaseName, KeyDeclaration, Manifest, NotRunReason, RouteDeclaration, RouteName } from '../model/index.js'
 import { checkNativePassword } from './keys.js'
 
 /** What a caller shows at its login. */
@@ -42,7 +42,7 @@
   const key = provenKey(index.accounts.get(login.user), login)
   if (key === undefined) return { kind: 'refused', reason: 'badKey' }
   if (route === undefined) return { kind: 'refused', reason: 'routeUnknown' }
-  const caller: Caller = { kind: 'account', account: login.user, keyId: keyId(key) }
+  const caller: Caller = { kind: 'account', account: login.user, keyId: keyIdentity(key) }
   return grants(route, caller) ? { kind: 'granted', caller } : { kind: 'refused', reason: 'routeForbidden' }
 }
 
@@ -65,6 +65,26 @@
   return { kind: 'allowed', database: route.database }
 }
 
+/**
+ * Finds a client account.
+ * @param manifest - the manifest in force
+ * @param account - its name
+ * @returns the account, or undefined where there is none
+ */
+export function accountOf (manifest: Manifest, account: AccountName): AccountDeclaration | undefined {
+  return indexOf(manifest).accounts.get(account)
+}
+
+/**
+ * Finds a database.
+ * @param manifest - the manifest in force
+ * @param database - its name
+ * @returns the database, or undefined where there is none
+ */
+export function databaseOf (manifest: Manifest, database: DatabaseName): DatabaseDeclaration | undefined {
+  return indexOf(manifest).databases.get(database)
+}
+
 type ManifestIndex = {
   readonly accounts: ReadonlyMap<string, AccountDeclaration>
   readonly keyIds: ReadonlyMap<string, ReadonlySet<string>>
@@ -80,7 +100,7 @@
   if (known !== undefined) return known
   const index: ManifestIndex = {
     accounts: new Map(manifest.accounts.map(account => [account.name, account])),
-    keyIds: new Map(manifest.accounts.map(account => [account.name, new Set(account.keys.map(keyId))])),
+    keyIds: new Map(manifest.accounts.map(account => [account.name, new Set(account.keys.map(keyIdentity))])),
     routes: new Map(manifest.routes.map(route => [route.name, route])),
     databases: new Map(manifest.databases.map(database => [database.name, database]))
   }
@@ -96,7 +116,12 @@
 
 // The digest is part of the identity: a key that was exchanged under the same
 // id is another key. Its hash stands in, as digests appear nowhere else.
-function keyId (key: KeyDeclaration): string {
+/**
+ * The identity of a key, as an accepted login carries it.
+ * @param key - the declared key
+ * @returns its id with a fingerprint of its digest
+ */
+export function keyIdentity (key: KeyDeclaration): string {
   const fingerprintCharacters = 12
   const fingerprint = createHash('sha256').update(key.digest).digest('hex').slice(0, fingerprintCharacters)
   return `${key.id}#${fingerprint}`
