Give operators check, apply, status and keys

Commands return a result and write nothing themselves; the main program turns it into output and exit code (0 done, 1 failed, 2 wrong usage or input). Ruled out: keys as arguments, which every process can read.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,27 +1,66 @@
 #!/usr/bin/env node
-// The command line. Each command stands in a module of its own.
+// The command line. Each command stands in a module of its own and gives a
+// result; here results become output and exit code.
 
 import { readFileSync } from 'node:fs'
-import { parseArgs } from 'node:util'
-import { parseSettings } from '../config/index.js'
-import { runProxy } from '../daemon/index.js'
+import { runApply } from './apply.js'
+import { runCheck } from './check.js'
+import { commandHelp, commandNames, programHelp, type CommandName } from './help.js'
+import { runKeys } from './keys.js'
+import { runProxyCommand } from './proxy.js'
+import { done, exitCodes, invalid, type CommandResult } from './result.js'
+import { runStatus } from './status.js'
 
-const exitUsage = 2
+async function run (args: readonly string[]): Promise<CommandResult> {
+  const [first, ...rest] = args
+  if (first === '--version' || rest.includes('--version')) return done(version())
+  if (first === '--help') return done(programHelp)
+  const command = commandNames.find(name => name === first)
+  if (command === undefined) {
+    const found = first === undefined ? 'no command' : `unknown command ${JSON.stringify(first)}`
+    return invalid(found, programHelp)
+  }
+  if (rest.includes('--help')) return done(commandHelp(command))
+  try {
+    return await runCommand(command, rest)
+  } catch (error) {
+    if (isUsageError(error)) return invalid(error.message, commandHelp(command))
+    throw error
+  }
+}
 
-async function main (): Promise<number> {
-  const { values, positionals } = parseArgs({ allowPositionals: true, options: { settings: { type: 'string' } } })
-  if (positionals[0] !== 'proxy' || values.settings === undefined) {
-    process.stderr.write('usage: limpetmoor proxy --settings FILE\n')
-    return exitUsage
+async function runCommand (command: CommandName, args: readonly string[]): Promise<CommandResult> {
+  switch (command) {
+    case 'proxy': return await runProxyCommand(args)
+    case 'check': return runCheck(args)
+    case 'apply': return await runApply(args)
+    case 'status': return await runStatus(args)
+    case 'keys': return runKeys(args)
   }
-  const result = parseSettings(readFileSync(values.settings, 'utf8'), values.settings)
+}
+
+function isUsageError (error: unknown): error is Error {
+  return error instanceof TypeError && String((error as NodeJS.ErrnoException).code).startsWith('ERR_PARSE_ARGS')
+}
+
+function version (): string {
+  const text = readFileSync(new URL('../../../package.json', import.meta.url), 'utf8')
+  return (JSON.parse(text) as { readonly version: string }).version
+}
+
+function finish (result: CommandResult): number {
   switch (result.kind) {
-    case 'valid': return await runProxy(result.settings)
+    case 'done': {
+      process.stdout.write(result.output.join('\n') + '\n')
+      return exitCodes.done
+    }
+    case 'failed':
     case 'invalid': {
       process.stderr.write(result.errors.join('\n') + '\n')
-      return exitUsage
+      return exitCodes[result.kind]
     }
+    case 'exited': return result.exitCode
   }
 }
 
-process.exitCode = await main()
+process.exitCode = finish(await run(process.argv.slice(2)))
--- /dev/null
+++ b/src/cli/platform.ts
@@ -0,0 +1,26 @@
+// What commands share that talk to the platform.
+
+import { platformClient, PlatformError, type PlatformClient } from '../wire/index.js'
+import { failed, invalid, type CommandResult } from './result.js'
+
+/** Longest wait for one answer of the platform. */
+export const callTimeoutMs = 2_000
+
+/**
+ * Runs a command with a client of the platform and closes it afterwards.
+ * @param url - base URL of the platform, as the operator gave it
+ * @param use - the command
+ * @returns the command's result; a failure of the platform is told in a sentence
+ */
+export async function withPlatform (url: string, use: (client: PlatformClient) => Promise<CommandResult>): Promise<CommandResult> {
+  if (!URL.canParse(url) || !/^https?:/.test(url)) return invalid(`--platform: found ${JSON.stringify(url)}, allowed: an http or https URL`)
+  const client = platformClient({ url, callTimeoutMs })
+  try {
+    return await use(client)
+  } catch (error) {
+    if (error instanceof PlatformError) return failed(error.message)
+    throw error
+  } finally {
+    client.close()
+  }
+}
--- /dev/null
+++ b/src/cli/status.ts
@@ -0,0 +1,109 @@
+// `limpetmoor status`: what the hosts report, gathered by failure domain in
+// the platform's store, against the accepted generation and the host list.
+
+import { parseArgs } from 'node:util'
+import { z } from 'zod'
+import { manifestObject } from '../daemon/index.js'
+import type { Generation, HostName, HostReport } from '../model/index.js'
+import type { ListedHost, PlatformClient } from '../wire/index.js'
+import { decodeStored } from './apply.js'
+import { withPlatform } from './platform.js'
+import { done, invalid, type CommandResult } from './result.js'
+import { statusLines } from './status-text.js'
+
+/** What the operators are shown. */
+export type FleetStatus = {
+  readonly acceptedGeneration: Generation
+  readonly appliedBy: string | undefined
+  /** Listed or reporting hosts that don't report the accepted generation. */
+  readonly hostsBehind: readonly HostName[]
+  /** Hosts of the platform's list that no report names. */
+  readonly hostsSilent: readonly HostName[]
+  readonly hosts: readonly HostReport[]
+}
+
+const latencySchema = z.object({ count: z.number(), p50Ms: z.number(), p99Ms: z.number(), maxMs: z.number() })
+
+const hostSchema = z.object({
+  host: z.string(),
+  failureDomain: z.string(),
+  incarnation: z.string(),
+  generation: z.number(),
+  state: z.enum(['serving', 'stopping']),
+  // JSON has no undefined: a field that is not set is left out.
+  rejectedManifest: z.object({ generation: z.number(), errors: z.array(z.string()) }).optional().transform(orUndefined),
+  databases: z.array(z.object({
+    database: z.string(),
+    primary: z.string().optional().transform(orUndefined),
+    term: z.number(),
+    servers: z.array(z.object({
+      server: z.string(),
+      home: z.string().optional().transform(orUndefined),
+      lagEntries: z.number().optional().transform(orUndefined)
+    }))
+  })),
+  accounts: z.array(z.object({
+    account: z.string(),
+    admitted: z.number(),
+    refusedByRate: z.number(),
+    latency: latencySchema
+  }))
+})
+
+const reportSchema = z.object({ hosts: z.array(hostSchema) })
+
+/**
+ * Shows what the hosts report.
+ * @param args - arguments after the command's name
+ * @returns the status as text or JSON
+ */
+export async function runStatus (args: readonly string[]): Promise<CommandResult> {
+  const options = { platform: { type: 'string' }, json: { type: 'boolean', default: false } } as const
+  const { values } = parseArgs({ args: [...args], options })
+  if (values.platform === undefined) return invalid('status needs --platform URL')
+  return await withPlatform(values.platform, async client => {
+    const status = await fleetStatus(client)
+    return values.json ? done(JSON.stringify(status, undefined, 2)) : done(...statusLines(status))
+  })
+}
+
+async function fleetStatus (client: PlatformClient): Promise<FleetStatus> {
+  const [stored, reports, listed] = await Promise.all([
+    client.getObject(manifestObject.kind, manifestObject.name),
+    client.listObjects('report'),
+    client.hosts()
+  ])
+  const accepted = stored === undefined ? undefined : decodeStored(stored.value)
+  const hosts = reports.objects.flatMap(object => hostsOf(object.value))
+  return statusOf(accepted?.generation ?? 0, accepted?.appliedBy, latestOfEach(hosts), listed)
+}
+
+function statusOf (acceptedGeneration: Generation, appliedBy: string | undefined, hosts: readonly HostReport[], listed: readonly ListedHost[]): FleetStatus {
+  const reporting = new Set(hosts.map(report => report.host))
+  return {
+    acceptedGeneration,
+    appliedBy,
+    hostsBehind: hosts.filter(report => report.generation !== acceptedGeneration).map(report => report.host),
+    hostsSilent: listed.map(each => each.host).filter(host => !reporting.has(host)),
+    hosts
+  }
+}
+
+function hostsOf (value: unknown): readonly HostReport[] {
+  const checked = reportSchema.safeParse(value)
+  return checked.success ? checked.data.hosts : []
+}
+
+// A host stands twice where it changed its failure domain; the higher generation is the later report.
+function latestOfEach (hosts: readonly HostReport[]): readonly HostReport[] {
+  const byHost = new Map<HostName, HostReport>()
+  for (const report of hosts) {
+    const known = byHost.get(report.host)
+    if (known === undefined || known.generation <= report.generation) byHost.set(report.host, report)
+  }
+  return [...byHost.values()].sort((a, b) => a.host.localeCompare(b.host))
+}
+
+function orUndefined<T> (value: T | undefined): T | undefined {
+  return value
+}
--- a/src/config/keys.ts
+++ b/src/config/keys.ts
@@ -10,6 +10,7 @@
 const base32Alphabet = 'abcdefghijklmnopqrstuvwxyz234567'
 const base32Bits = 5
 const keyPattern = /lmk_[a-z2-7]{40}/i
+const wholeKeyPattern = /^lmk_[a-z2-7]{40}$/
 const sha1Bytes = 20
 
 /**
@@ -60,6 +61,15 @@
   return keyPattern.test(text)
 }
 
+/**
+ * Tells whether a text is a key and nothing else.
+ * @param text - what somebody gave as a key
+ * @returns true where it is
+ */
+export function isKey (text: string): boolean {
+  return wholeKeyPattern.test(text)
+}
+
 function sha1 (bytes: Uint8Array): Buffer {
   return createHash('sha1').update(bytes).digest()
 }
