Ask the store per failure domain, not per host; find the fleet through seeds

Cause: each host read the platform's host list once a second and the manifest every second or so: at 6,700 hosts several thousand reads a second against a budget of two thousand. And a host that started while the store was out knew nobody and served nothing for as long as the outage lasted.

Now the watchers of each failure domain ask the platform, the others ask a watcher, and a host asks the store for the manifest only where no peer has told a confirmation lately. Optional seeds (peers.seeds) give a starting host somebody to ask. Changes of the list alone now reach limits and homes as well.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -83,6 +83,8 @@
   readonly platform: PlatformSettings
   readonly databaseLogin: DatabaseLogin
   readonly peers: PeerTransport
+  /** Peers to ask for the host list where the platform does not give one. */
+  readonly seeds: readonly Address[]
   readonly limits: RequestLimits
   readonly control: ControlSettings
   readonly metrics: MetricsSettings
@@ -130,7 +132,7 @@
     user: text('a user name'),
     password: z.string({ error: 'text' })
   }),
-  peers: z.strictObject(tlsFields).superRefine(allOrNone(tlsFields)),
+  peers: z.strictObject({ ...tlsFields, seeds: z.array(addressText()).default([]) }).superRefine(allOrNone(tlsFields)),
   limits: z.strictObject({
     max_statement_bytes: wholeNumber(1, maxStatementBytes).default(1_000_000),
     max_connections: wholeNumber(1, 1_000_000).default(10_000),
@@ -219,6 +221,7 @@
     platform: camelFields(sections.platform),
     databaseLogin: sections.database_login,
     peers: transportOf(sections.peers),
+    seeds: sections.peers.seeds.map(parseAddress),
     limits: camelFields(sections.limits),
     control: camelFields(sections.control),
     metrics: metricsOf(sections.metrics),
--- a/src/daemon/configuration-task.ts
+++ b/src/daemon/configuration-task.ts
@@ -43,8 +43,6 @@
 
 const mailboxCapacity = 4096
 const tickMs = 100
-/** A host that does not watch asks the store this many times less often. */
-const unwatchedFactor = 6
 
 /**
  * Starts the configuration task.
@@ -78,7 +76,7 @@
   return {
     begin () {
       void watchStore(spec, task.port, stopping)
-      void relistLoop(spec, task.port, stopping)
+      void relistLoop(spec, task.port, published, stopping)
     },
     state: published,
     mayServeKeyed: () => mayServeKeyed(published.get(), timers.nowMs()),
@@ -166,15 +164,23 @@
   }
 }
 
-async function relistLoop (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, stopping: { readonly now: boolean }): Promise<void> {
+async function relistLoop (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, state: Snapshot<ConfigurationState>, stopping: { readonly now: boolean }): Promise<void> {
   const { timers, settings, random } = spec.context
   while (!stopping.now) {
-    await askStore(spec, port)
-    const factor = spec.watches() ? 1 : unwatchedFactor
-    await sleep(timers, relistMs(settings) * factor * (0.5 + random()))
+    if (needsStore(spec, state.get())) await askStore(spec, port)
+    await sleep(timers, relistMs(settings) * (0.5 + random()))
   }
 }
 
+// Heartbeats carry how long ago the store confirmed the sender, so a host that
+// does not watch asks the store only where that has not reached it.
+function needsStore (spec: ConfigurationTaskSpec, state: ConfigurationState): boolean {
+  const { timers, settings } = spec.context
+  if (spec.watches()) return true
+  const agoMs = storeConfirmedAgoMs(state, timers.nowMs())
+  return agoMs === undefined || agoMs > settings.control.confirmWithinMs / 2
+}
+
 // Confirmations must come more often than they expire.
 function relistMs (settings: DaemonContext['settings']): number {
   return Math.min(settings.platform.relistMs, settings.control.confirmWithinMs / 3)
--- a/src/daemon/members-task.ts
+++ b/src/daemon/members-task.ts
@@ -22,6 +22,8 @@
   readonly begin: () => void
   readonly view: Snapshot<MembersView>
   readonly tell: (event: MembershipEvent) => void
+  /** The platform's list as this host has it; undefined: none yet. */
+  readonly listed: () => readonly ListedHost[] | undefined
   /** Answers a heartbeat of another member. */
   readonly answerHeartbeat: (from: MemberState) => Promise<MemberState>
   readonly stop: () => Promise<void>
@@ -49,6 +51,7 @@
 const tickMs = 50
 /** How often the platform's host list is read. */
 const listMs = 1000
+const listTimeoutMs = 500
 
 /**
  * Starts the members task.
@@ -70,12 +73,15 @@
     perform: (effect, port) => { perform(spec, effect, port, published) }
   })
   const tell = (event: MembershipEvent): void => { task.port.send({ kind: 'event', event }) }
+  let listed: readonly ListedHost[] | undefined
   const list = async (): Promise<void> => {
-    const hosts = await spec.listHosts()
+    const hosts = await findHosts(spec, published.get())
+    if (hosts === undefined) return
+    listed = hosts
     links.list(hosts)
     tell({ kind: 'hostsListed', hosts, nowMs: timers.nowMs() })
   }
-  const listNow = (): void => { void list().catch(() => {}) }
+  const listNow = (): void => { void list().catch(context.onTaskError('members')) }
   return {
     begin () {
       timers.every(tickMs, tickPort<Message>(task.port, nowMs => ({ kind: 'event', event: { kind: 'tick', nowMs } })))
@@ -84,6 +90,7 @@
     },
     view: published,
     tell,
+    listed: () => listed,
     answerHeartbeat: async from => await ask<Message, MemberState>(task.port, reply => ({ kind: 'heartbeatOf', from, reply }), spec.ownState()),
     stop: task.stop
   }
@@ -101,11 +108,35 @@
   }
 }
 
+// The watchers of each failure domain ask the platform; all others ask a
+// watcher, and the platform only where none answers. So the store's calls grow
+// with the failure domains, and a host that starts while the store is out finds
+// the fleet through its seeds.
+async function findHosts (spec: MembersSpec, view: MembersView): Promise<readonly ListedHost[] | undefined> {
+  const { settings, random } = spec.context
+  const watchers = view.quorum.filter(host => host !== settings.host.name && !view.silent.has(host))
+  const isWatcher = view.quorum.includes(settings.host.name)
+  const watcher = watchers[Math.floor(random() * watchers.length)]
+  const fromPlatform = async (): Promise<readonly ListedHost[] | undefined> => await spec.listHosts().catch(() => undefined)
+  const fromWatcher = async (): Promise<readonly ListedHost[] | undefined> => watcher === undefined ? undefined : await askHosts(async () => await spec.links.call(watcher, 'listHosts', {}, listTimeoutMs))
+  const sources = isWatcher || watcher === undefined ? [fromPlatform] : [fromWatcher, fromPlatform]
+  const seeds = settings.seeds.map(seed => async () => await askHosts(async () => await spec.links.callAddress(seed, 'listHosts', {}, listTimeoutMs)))
+  for (const source of view.listed.length === 0 ? [...sources, ...seeds] : sources) {
+    const hosts = await source()
+    if (hosts !== undefined) return hosts
+  }
+  return undefined
+}
+
+async function askHosts (call: () => Promise<{ readonly hosts: readonly ListedHost[] | undefined }>): Promise<readonly ListedHost[] | undefined> {
+  return await call().then(answer => answer.hosts, () => undefined)
+}
+
 type Next = { readonly state: MembershipState, readonly effects: readonly Effect[] }
 
 function step (state: MembershipState, message: Message, nowMs: number): Next {
   switch (message.kind) {
-    case 'event': return membershipStep(state, message.event)
+    case 'event': return tellChanges(state, membershipStep(state, message.event))
     case 'heartbeatOf': {
       const heard = membershipStep(state, { kind: 'heartbeatReceived', state: message.from, nowMs })
       const answer: Effect = { kind: 'answer', reply: message.reply, rumours: rumoursOf(heard.state, nowMs) }
@@ -114,6 +145,20 @@
   }
 }
 
+// Others need to know of a changed list and of silent hosts, too, not only of
+// another set of live members.
+function tellChanges (before: MembershipState, transition: ReturnType<typeof membershipStep>): Next {
+  const { state, effects } = transition
+  if (effects.some(effect => effect.kind === 'membersChanged') || !hasChanged(before, state)) return transition
+  return { state, effects: [...effects, { kind: 'membersChanged', live: state.live }] }
+}
+
+function hasChanged (before: MembershipState, after: MembershipState): boolean {
+  if (before.listed !== after.listed && JSON.stringify(before.listed) !== JSON.stringify(after.listed)) return true
+  if (before.peers === after.peers) return false
+  return [...silentHosts(after)].sort().join() !== [...silentHosts(before)].sort().join()
+}
+
 function publish (published: Latest<MembersView>, transition: Next): Next {
   published.publish(viewOf(transition.state))
   return transition
--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -2,7 +2,7 @@
 // member and given up when the member moves to another address.
 
 import { redirected } from '../config/index.js'
-import type { HostName, PeerMethod, PeerParams, PeerResult } from '../model/index.js'
+import type { Address, HostName, PeerMethod, PeerParams, PeerResult } from '../model/index.js'
 import type { ListedHost } from '../members/index.js'
 import { peerClient, WireError, type PeerClient, type PeerTls } from '../wire/index.js'
 import type { DaemonContext } from './context.js'
@@ -59,6 +59,24 @@
     }
   }
 
+  /**
+   * Calls a method of a host that is known by its address only.
+   * @param address - where it listens for other proxies
+   * @param method - the method
+   * @param params - its parameters
+   * @param timeoutMs - how long to wait for the answer
+   * @returns the result; throws a `WireError`
+   */
+  async callAddress<M extends PeerMethod> (address: Address, method: M, params: PeerParams<M>, timeoutMs: number): Promise<PeerResult<M>> {
+    const { settings, timers } = this.#context
+    const client = peerClient(redirected(settings.links, address), timers, tlsOf(settings.peers))
+    try {
+      return await client.call(method, params, timeoutMs)
+    } finally {
+      client.close()
+    }
+  }
+
   /** Gives up all links. */
   close (): void {
     for (const [host, peer] of this.#peers) this.#drop(host, peer)
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -191,6 +191,7 @@
       configuration.offered(accepted)
       return { generation: configuration.told().generation }
     },
+    listHosts: async () => ({ hosts: members.listed() }),
     borrow: async params => await limits.lend(params),
     report: async ({ report }) => ({ accepted: reports.gathered(report) })
   }
--- a/src/daemon/server-watch.ts
+++ b/src/daemon/server-watch.ts
@@ -24,8 +24,8 @@
   | { readonly kind: 'answered', readonly status: ServerStatus }
   | { readonly kind: 'failed', readonly how: 'refused' | 'overdue' }
 
-/** A quiet server still answers this often. */
-const waitMs = 100
+/** A quiet server still answers this many times in a probe period, so that probes are left to silent ones. */
+const answersPerProbe = 1.5
 /** An answer that is this late means that the connection is silent. */
 const answerTimeoutMs = 400
 const reconnectDelayMs = 100
@@ -116,6 +116,7 @@
     const session = await this.#open(this.#context.settings.limits.connectTimeoutMs)
     this.#waiting = session
     const { nowMs } = this.#context.timers
+    const waitMs = this.#context.settings.control.probeMs / answersPerProbe
     let askedAtMs = nowMs()
     let status = await session.ledger.status(answerTimeoutMs)
     while (!this.#stopped) {
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -95,6 +95,15 @@
   readonly validMs: number
 }
 
+/** One host of the platform's list, with the address for other proxies. */
+export type ListedMember = {
+  readonly host: HostName
+  readonly failureDomain: FailureDomain
+  readonly ip: string
+  readonly port: number
+  readonly state: 'live' | 'leaving'
+}
+
 /** Parameters and results of each method. */
 export type PeerMethods = {
   readonly execute: { readonly params: ExecuteRequest, readonly result: ExecuteReply }
@@ -103,6 +112,8 @@
   readonly pullConfiguration: { readonly params: { readonly above: Generation }, readonly result: { readonly accepted: AcceptedManifest | undefined } }
   readonly offerConfiguration: { readonly params: { readonly accepted: AcceptedManifest }, readonly result: { readonly generation: Generation } }
   readonly borrow: { readonly params: { readonly from: HostName, readonly incarnation: string, readonly request: BorrowRequest }, readonly result: { readonly grant: ShareGrant | undefined } }
+  /** The platform's host list as the asked host has it; undefined: none yet. */
+  readonly listHosts: { readonly params: Readonly<Record<string, never>>, readonly result: { readonly hosts: readonly ListedMember[] | undefined } }
   readonly report: { readonly params: { readonly report: HostReport }, readonly result: { readonly accepted: boolean } }
 }
 
