--- a/standins/database/dialect.ts
+++ b/standins/database/dialect.ts
@@ -8,6 +8,7 @@
   | { readonly kind: 'commit' }
   | { readonly kind: 'rollback' }
   | { readonly kind: 'set' }
+  | { readonly kind: 'kill', readonly session: number }
   | { readonly kind: 'refused', readonly word: string }
   | { readonly kind: 'call', readonly name: string, readonly args: ReadonlyArray<string | number> }
   | { readonly kind: 'read' }
@@ -64,6 +65,8 @@
   if (word === 'COMMIT') return { kind: 'commit' }
   if (word === 'ROLLBACK') return /\bTO\b/i.test(bare) ? { kind: 'refused', word } : { kind: 'rollback' }
   if (word === 'SET') return { kind: 'set' }
+  const killed = /^KILL\s+(?:CONNECTION\s+)?(\d+)$/i.exec(bare)?.[1]
+  if (killed !== undefined) return { kind: 'kill', session: Number(killed) }
   if (word === 'CALL') return callOf(bare)
   if (refusedWords.includes(word)) return { kind: 'refused', word }
   return { kind: word === 'SELECT' || word === 'EXPLAIN' ? 'read' : 'write' }
--- a/standins/database/server.ts
+++ b/standins/database/server.ts
@@ -5,9 +5,10 @@
 import { applyDue, fence, follow, mayCommit, newLedger, promote, receive, resumeAt, type Ledger } from './ledger.js'
 import { lastPosition } from './log.js'
 import type { Address } from '../../src/model/index.js'
+import type { Reply } from '../../src/pipe/index.js'
 import {
   andThen, answerWith, doneReply, errorReply, putSession,
-  type Login, type LoginVerdict, type Next, type ServerMessage, type ServerSettings, type ServerState, type Session, type Tuning, type Work
+  type Login, type LoginVerdict, type Next, type ServerMessage, type ServerSettings, type ServerState, type Session, type SqlReply, type Tuning, type Work
 } from './server-state.js'
 import {
   beginTransaction, commitTransaction, executed, idleTransaction, leaveSlotQueue, lockOverdue, loseWriters, releaseLock, rollbackTransaction, served, startStatement
@@ -110,6 +111,7 @@
   const work = (of: Work['kind']): Work => ({ id: state.nextId, kind: of, text, reply })
   switch (kind.kind) {
     case 'set': return answerWith(noted, reply, doneReply)
+    case 'kill': return killSession(noted, kind.session, reply)
     case 'refused': return answerWith(noted, reply, errorReply(1235, `${kind.word} is not supported`))
     case 'begin': return beginTransaction(noted, session, kind.readOnly, reply)
     case 'rollback': return rollbackTransaction(noted, session, reply)
@@ -119,6 +121,13 @@
   }
 }
 
+/** Ends a session at once, as its own connection would by closing; what it had open is rolled back before the answer. */
+function killSession (state: ServerState, id: number, reply: Reply<SqlReply>): Next {
+  if (!state.sessions.has(id)) return answerWith(state, reply, errorReply(1094, `Unknown thread id: ${id}`))
+  const killed: Next = { state, effects: [{ kind: 'disconnect', session: id }] }
+  return andThen(andThen(killed, next => closeSession(next, id)), next => answerWith(next, reply, doneReply))
+}
+
 /** A replica's pull brought something; the reply says where to go on, or nothing where the pull is out of date. */
 function shipped (state: ServerState, { term, shipment, nowMs, reply }: ServerMessage & { readonly kind: 'shipped' }): Next {
   const role = state.ledger.role
--- /dev/null
+++ b/test/integration/manifest.test.ts
@@ -0,0 +1,128 @@
+// Changes of the manifest on a running fleet.
+
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { Manifest } from '../../src/model/index.js'
+import { acceptManifest, onServer, type PlatformControl } from '../../standins/set/controls.js'
+import type { LocalProxy, LocalSet } from '../../standins/set/local-set.js'
+import { connectCaller, errorNumber } from '../../standins/set/caller.js'
+import type { Json } from '../../standins/platform/state.js'
+import { loginOf, told } from '../support/load.js'
+import { callerOf, localSet, proxyAt } from '../support/local-set.js'
+import { primaryOf } from '../support/servers.js'
+import { until } from '../support/until.js'
+
+const unknownRoute = 1049
+/** Beyond this age of its configuration a proxy would refuse keyed work. */
+const confirmWithinMs = 4000
+
+function withRoute (manifest: Manifest, name: string): Manifest {
+  const first = manifest.routes[0]
+  assert.ok(first !== undefined)
+  return { ...manifest, routes: [...manifest.routes, { ...first, name }] }
+}
+
+async function knowsRoute (set: LocalSet, proxy: LocalProxy, route: string): Promise<boolean> {
+  return await errorNumber(connectCaller(proxy.mysql, { ...loginOf(set), route }).then(async caller => {
+    await caller.rows('SELECT 1').finally(() => { caller.close() })
+  })) !== unknownRoute
+}
+
+async function untilEverywhere (set: LocalSet, route: string, proxies = set.proxies): Promise<void> {
+  for (const proxy of proxies) await until(`${proxy.name} knows ${route}`, async () => await knowsRoute(set, proxy, route), 8000)
+}
+
+async function storeGeneration (platform: PlatformControl, generation: number, manifest: unknown): Promise<void> {
+  await platform.write('manifest', 'current', { generation, manifest: manifest as Json })
+}
+
+test('an accepted manifest is in force everywhere, also where watches are silent', async t => {
+  const set = await localSet(t)
+  await acceptManifest(set.platform, withRoute(set.manifest, 'second'))
+  await untilEverywhere(set, 'second')
+  await set.platform.faults({ silentWatches: true })
+  await acceptManifest(set.platform, withRoute(set.manifest, 'third'))
+  await untilEverywhere(set, 'third')
+})
+
+test('a lower generation or an invalid manifest changes nothing', async t => {
+  const set = await localSet(t)
+  await acceptManifest(set.platform, withRoute(set.manifest, 'second'))
+  await untilEverywhere(set, 'second')
+  await storeGeneration(set.platform, 1, set.manifest)
+  await storeGeneration(set.platform, 9, { ...set.manifest, seats: 'many' })
+  // A later valid one shows that the store was read since.
+  await storeGeneration(set.platform, 10, withRoute(withRoute(set.manifest, 'second'), 'third'))
+  const seen = set.proxies.map(async proxy => {
+    let kept = true
+    await until(`${proxy.name} knows third`, async () => {
+      kept &&= await knowsRoute(set, proxy, 'second')
+      return await knowsRoute(set, proxy, 'third')
+    })
+    return kept
+  })
+  assert.deepEqual(await Promise.all(seen), [true, true, true])
+})
+
+test('a host that starts while the store is down serves from its peers', async t => {
+  const set = await localSet(t)
+  await proxyAt(set, 2).process.kill()
+  await set.platform.faults({ down: true })
+  const again = await set.startProxy(proxyAt(set, 2))
+  await until('it serves', async () =>
+    (await told(callerOf(t, set, again).then(async caller => await caller.rows('SELECT 1')))).kind === 'answered')
+})
+
+test('statements go on while the store is down', async t => {
+  const set = await localSet(t, { settings: { control: { confirm_within_ms: confirmWithinMs } } })
+  const callers = await Promise.all(set.proxies.map(async proxy => await callerOf(t, set, proxy)))
+  await set.platform.faults({ down: true })
+  const outcomes: unknown[] = []
+  const untilMs = performance.now() + 2 * confirmWithinMs
+  for (let id = 1; performance.now() < untilMs; id += callers.length) {
+    for (const [index, caller] of callers.entries()) {
+      const outcome = await told(caller.changed(`INSERT INTO tills VALUES (${id + index}, 'x', 1)`))
+      if (outcome.kind !== 'answered') outcomes.push(outcome)
+    }
+  }
+  assert.deepEqual(outcomes, [])
+})
+
+test('a server that is leaving gets no new work after a few seconds', async t => {
+  const set = await localSet(t)
+  const primary = await primaryOf(set)
+  const leaving = set.servers.find(server => server !== primary)
+  assert.ok(leaving !== undefined)
+  const databases = set.manifest.databases.map(database => ({
+    ...database,
+    servers: database.servers.map(server => server.name === leaving.name ? { ...server, state: 'leaving' as const } : server)
+  }))
+  await acceptManifest(set.platform, { ...set.manifest, databases })
+  await untilQuiet(set, leaving.address)
+})
+
+test('a database that is leaving refuses new work and says so', async t => {
+  const set = await localSet(t)
+  const caller = await callerOf(t, set, proxyAt(set, 0))
+  const databases = set.manifest.databases.map(database => ({ ...database, state: 'leaving' as const }))
+  await acceptManifest(set.platform, { ...set.manifest, databases })
+  const refused = await until('it refuses', async () => {
+    const outcome = await told(caller.rows('SELECT 1'))
+    return outcome.kind === 'answered' ? undefined : outcome
+  }, 8000)
+  assert.equal(refused.kind, 'notRun')
+})
+
+/** No proxy sends a statement to the server although all go on reading. */
+async function untilQuiet (set: LocalSet, address: LocalProxy['mysql']): Promise<void> {
+  const callers = await Promise.all(set.proxies.map(async proxy => await connectCaller(proxy.mysql, loginOf(set))))
+  const seen = async (): Promise<number> => (await onServer(address, 'CALL ledger_statements()')).length
+  await until('the server is quiet', async () => {
+    const before = await seen()
+    for (let round = 0; round < 30; round++) {
+      for (const caller of callers) await caller.rows(`/* limpetmoor max_age_ms=60000 */ SELECT ${round}`)
+    }
+    return await seen() === before
+  })
+  for (const caller of callers) caller.close()
+}
--- a/test/integration/transactions.test.ts
+++ b/test/integration/transactions.test.ts
@@ -102,3 +102,18 @@
     }
   }
 })
+
+test('a proxy that dies in a transaction leaves nothing of it behind', async t => {
+  const set = await localSet(t)
+  const primary = await primaryOf(set)
+  const home = set.proxies.findIndex(proxy => proxy.failureDomain === primary.failureDomain)
+  const [entry, other] = [proxyAt(set, (home + 1) % 3), proxyAt(set, (home + 2) % 3)]
+  const caller = await connectCaller(entry.mysql, loginOf(set))
+  await caller.changed('BEGIN')
+  await caller.changed("INSERT INTO tills VALUES (1, 'dying', 1)")
+  await entry.process.kill()
+  const writer = await connectCaller(other.mysql, loginOf(set))
+  t.after(() => { writer.close() })
+  await until('a write goes through', async () => (await told(writer.changed("INSERT INTO tills VALUES (1, 'living', 1)"))).kind === 'answered')
+  assert.deepEqual(await onServer(primary.address, 'SELECT proxy FROM tills'), [{ proxy: 'living' }])
+})
--- a/test/standins/database.test.ts
+++ b/test/standins/database.test.ts
@@ -79,6 +79,19 @@
   assert.deepEqual(await two.rows('SELECT note FROM tills'), [{ note: 'b' }])
 })
 
+test('a killed session ends and its transaction is rolled back', async t => {
+  const [primary] = await databaseGroup(t)
+  const [silent, other] = [await client(t, primary), await client(t, primary)]
+  await silent.changed(createTills)
+  await silent.changed('BEGIN')
+  await silent.changed('INSERT INTO tills VALUES (1, "a")')
+  await other.changed(`KILL ${silent.connection.threadId}`)
+  await other.changed('INSERT INTO tills VALUES (1, "b")')
+  assert.notEqual(await silent.errorOf('COMMIT'), 0)
+  assert.deepEqual(await other.rows('SELECT note FROM tills'), [{ note: 'b' }])
+  assert.equal(await other.errorOf('KILL 999999'), 1094)
+})
+
 test('a fenced primary commits nothing more, open transactions are rolled back', async t => {
   const [primary, second, third] = await databaseGroup(t)
   const [caller, other] = [await client(t, primary), await client(t, primary)]
--- a/test/support/local-set.ts
+++ b/test/support/local-set.ts
@@ -28,7 +28,8 @@
  * @returns the set
  */
 export async function localSet (t: TestContext, changes: Partial<LocalSetOptions> = {}): Promise<LocalSet> {
-  const set = await startLocalSet({ ...changes, settings: { control: quickControl, ...changes.settings } })
+  const settings = { ...changes.settings, control: { ...quickControl, ...changes.settings?.['control'] } }
+  const set = await startLocalSet({ ...changes, settings })
   t.after(async () => { await set.stop() })
   await Promise.all(set.proxies.map(async proxy => { await untilServing(set, proxy) }))
   return set
