--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -61,6 +61,7 @@
   const peers = await listenForPeers({ ip: settings.host.ip, port: settings.host.peerPort }, peerHandlers(parts), tlsOf(settings.peers))
   const configuration = (): ConfigurationInForce => ({ manifest: parts.configuration.inForce()?.manifest, confirmed: parts.configuration.mayServeKeyed() })
   const pipe = requestPipe(requestServices(parts, configuration), {
+    self: settings.host.name,
     ownFailureDomain: settings.host.failureDomain,
     defaultDeadlineMs: settings.limits.defaultDeadlineMs,
     maxDeadlineMs
@@ -92,12 +93,14 @@
 
 function joinParts (settings: Settings, stopping: () => boolean): Parts {
   const timers = systemTimers()
-  const reports = startReports({ settings, timers })
+  const incarnation = randomUUID()
+  const random = Math.random
+  const reports = startReports({ settings, timers, incarnation, random })
   const context: DaemonContext = {
     settings,
     timers,
-    random: Math.random,
-    incarnation: randomUUID(),
+    random,
+    incarnation,
     onTaskError: task => error => { reports.event('taskFailed', { task, error: error.message }) }
   }
   const platform = platformClient({ url: settings.platform.url, callTimeoutMs: settings.platform.callTimeoutMs, redirect: address => redirected(settings.links, address) })
@@ -146,17 +149,20 @@
     links,
     listHosts: async () => (await platform.hosts()).map(decodeListedHost),
     ownState,
-    onMembers: view => { takeMembers(view, { configuration, databases, routing, limits }) },
+    onMembers: view => {
+      takeMembers(view, { configuration, databases, routing, limits })
+      reports.event('membersChanged', { live: view.live.length, listed: view.listed.length })
+    },
     onHeard: (from, askedAtMs) => { configuration.heard(from, askedAtMs) }
   })
-  reports.attach({ platform, members, configuration, databases, routing, limits, links })
+  reports.attach({ platform, members, configuration, databases, routing, links, stopping })
   return { context, reports, platform, links, members, configuration, databases, routing, limits, stopping }
 }
 
 function takeMembers (view: MembersView, to: Pick<Parts, 'configuration' | 'databases' | 'routing' | 'limits'>): void {
   to.configuration.quorumChanged(view.quorum)
   to.routing.takeMembers(view.live)
-  to.databases.takeMembers(view.live, view.listed)
+  to.databases.takeMembers(view.live, view.listed, view.silent)
   to.limits.takeMembers(view.live, view.listed)
 }
 
@@ -243,6 +249,7 @@
 
 async function rollBack (parts: Parts, transaction: OpenTransaction): Promise<void> {
   const request: ExecuteRequest = {
+    from: parts.context.settings.host.name,
     database: transaction.database,
     server: transaction.server,
     account: transaction.account,
@@ -267,6 +274,7 @@
   await handOver(parts)
   while (databases.load() > 0 && leftMs() > 1) await sleep(timers, drainPollMs)
   limits.leave()
+  if (callers.count() > 0) reports.event('stopOverdue', { host: settings.host.name, callers: callers.count() })
   callers.close()
   await reports.stop()
   await Promise.all([databases.stop(), limits.stop(), members.stop(), configuration.stop()])
