--- a/bench/measure-path.ts
+++ b/bench/measure-path.ts
@@ -10,36 +10,42 @@
 import { atMost, plain, type Figure, type MeasureResult } from './measure.js'
 import { usageOf } from './process-usage.js'
 import { primaryOf, type Rig } from './rig.js'
+import { collectServerLog } from './server-log.js'
 import { percentile, slopeOf } from './statistics.js'
 
 const warmUpRounds = 200
 const rounds = 1500
 const busyConnections = 32
 const busyMs = 5000
-const idleSteps: readonly number[] = [0, 250, 500, 1000, 2000]
+const idleSteps: readonly number[] = [0, 1000, 2000, 4000]
+const loginsAtOnce = 50
 const settleMs = 1500
 const msPerS = 1000
+const measuredEntries = 2
+const firstMark = 1_000_000
+/** The servers' logs are read before and after, not while latencies are taken. */
+const logPeriodMs = 600_000
 
 type Probe = {
   readonly name: string
-  readonly hops: number
   readonly samples: readonly number[]
 }
 
 type Kind = {
   readonly name: string
-  readonly direct: string
-  readonly proxied: string
+  readonly hint: string
+  /** The statement, with a number by which the servers' logs tell it from others. */
+  readonly sql: (mark: number) => string
   readonly isRead: boolean
 }
 
-const select = `SELECT MAX(value) FROM ${factTable} WHERE register = 1`
-const insert = `INSERT INTO ${factTable} (operation, part, register, value) VALUES (0, 0, 0, 0)`
+const selectMarked = (mark: number): string => `SELECT MAX(value) AS op_${mark} FROM ${factTable} WHERE register = 1`
+const select = selectMarked(0)
 const kinds: readonly Kind[] = [
-  { name: 'read of a stated age', direct: select, proxied: `/* limpetmoor max_age_ms=60000 */ ${select}`, isRead: true },
-  { name: 'session read', direct: select, proxied: select, isRead: true },
-  { name: 'latest read', direct: select, proxied: `/* limpetmoor latest */ ${select}`, isRead: true },
-  { name: 'write', direct: insert, proxied: insert, isRead: false }
+  { name: 'read of a stated age', hint: '/* limpetmoor max_age_ms=60000 */ ', sql: selectMarked, isRead: true },
+  { name: 'session read', hint: '', sql: selectMarked, isRead: true },
+  { name: 'latest read', hint: '/* limpetmoor latest */ ', sql: selectMarked, isRead: true },
+  { name: 'write', hint: '', sql: mark => `INSERT INTO ${factTable} (operation, part, register, value) VALUES (0, ${mark}, 0, 0)`, isRead: false }
 ]
 
 /**
@@ -58,34 +64,46 @@
     series: latency.probes.map(({ name, samples }) => ({ name, unit: 'ms', samples })),
     notes: [
       'The direct write is answered before any replica has it; a write through a proxy waits for a majority.',
-      'One hop: the caller\'s proxy is the home of the primary. Two hops: another proxy passes the statement to the home.'
+      'One hop: the caller\'s proxy is the home of the server that ran the statement, by the servers\' own logs. Two hops: it passes the statement to another proxy.'
     ]
   }
 }
 
 async function measureLatency (rig: Rig): Promise<{ readonly figures: readonly Figure[], readonly probes: readonly Probe[] }> {
   const direct = await connectDirect(rig)
-  const atHome = await connectProxy(rig, rig.entrances[0])
-  const remote = await connectProxy(rig, rig.entrances[1])
+  const entries = await Promise.all(rig.entrances.slice(0, measuredEntries).map(async address => await connectProxy(rig, address)))
   const figures: Figure[] = []
   const probes: Probe[] = []
-  for (const kind of kinds) {
-    const samples = await interleaved([[direct, kind.direct], [atHome, kind.proxied], [remote, kind.proxied]])
-    const [base = [], one = [], two = []] = samples
-    probes.push({ name: `${kind.name}, direct`, hops: 0, samples: base }, { name: `${kind.name}, one hop`, hops: 1, samples: one }, { name: `${kind.name}, two hops`, hops: 2, samples: two })
-    const added = (of: readonly number[], percent: number): number => percentile(of, percent) - percentile(base, percent)
-    figures.push(
-      plain(`${kind.name}, direct p50`, 'ms', percentile(base, 50)),
-      bounded(kind, `${kind.name}, added by one hop p50`, added(one, 50)),
-      plain(`${kind.name}, added by one hop p99`, 'ms', added(one, 99)),
-      bounded(kind, `${kind.name}, added by two hops p50, for each`, added(two, 50) / 2),
-      plain(`${kind.name}, added by two hops p99`, 'ms', added(two, 99))
-    )
+  for (const [at, kind] of kinds.entries()) {
+    const markOf = (entry: number): number => firstMark + at * measuredEntries + entry
+    const log = await collectServerLog(rig.set.servers, logPeriodMs)
+    const [base = [], ...proxied] = await interleaved([
+      [direct, kind.sql(0)],
+      ...entries.map((connection, entry) => [connection, kind.hint + kind.sql(markOf(entry))] as const)
+    ])
+    const places = await log.stop()
+    figures.push(plain(`${kind.name}, direct p50`, 'ms', percentile(base, 50)))
+    probes.push({ name: `${kind.name}, direct`, samples: base })
+    for (const [entry, samples] of proxied.entries()) {
+      const hops = hopsOf(rig, entry, kind, places.get(markOf(entry)) ?? [])
+      const name = `${kind.name}, entry ${entry + 1}, ${hops} ${hops === 1 ? 'hop' : 'hops'}`
+      const added = (percent: number): number => percentile(samples, percent) - percentile(base, percent)
+      probes.push({ name, samples })
+      figures.push(bounded(kind, `${name}, added p50 for each hop`, added(50) / hops), plain(`${name}, added p99`, 'ms', added(99)))
+    }
   }
-  for (const connection of [direct, atHome, remote]) connection.destroy()
+  for (const connection of [direct, ...entries]) connection.destroy()
   return { figures, probes }
 }
 
+/** One where the caller's proxy is the home of every server that ran the statement; two where it passed some on. */
+function hopsOf (rig: Rig, entry: number, kind: Kind, servers: readonly string[]): 1 | 2 {
+  const own = rig.set.proxies[entry]?.failureDomain
+  const ranOn = kind.isRead ? servers : rig.set.servers.slice(0, 1).map(server => server.name)
+  const domains = rig.set.servers.filter(server => ranOn.includes(server.name)).map(server => server.failureDomain)
+  return domains.length > 0 && domains.every(domain => domain === own) ? 1 : 2
+}
+
 function bounded (kind: Kind, name: string, value: number): Figure {
   return kind.isRead ? atMost(name, 'ms', value, 1) : plain(name, 'ms', value)
 }
@@ -157,7 +175,10 @@
   const connections: Connection[] = []
   const points: Array<readonly [number, number]> = [] // eslint-disable-line no-restricted-syntax -- grows with each step
   for (const step of idleSteps) {
-    while (connections.length < step) connections.push(await connectProxy(rig, rig.entrances[2]))
+    while (connections.length < step) {
+      const logins = Array.from({ length: Math.min(loginsAtOnce, step - connections.length) }, async () => await connectProxy(rig, rig.entrances[2]))
+      connections.push(...await Promise.all(logins))
+    }
     await delay(settleMs)
     points.push([step, usageOf(proxy.process.pid).residentKb])
   }
--- a/bench/server-log.ts
+++ b/bench/server-log.ts
@@ -29,15 +29,17 @@
   const askAll = async (): Promise<void> => {
     await Promise.all(servers.map(async (server, at) => { await collect(connections[at], server.name, places) }))
   }
+  const waking = new AbortController()
   const asking = (async () => {
     while (!state.stopped) {
       await askAll()
-      await delay(periodMs)
+      await delay(periodMs, undefined, { signal: waking.signal }).catch(() => {})
     }
   })()
   return {
     stop: async () => {
       state.stopped = true
+      waking.abort()
       await asking
       await askAll()
       for (const connection of connections) connection.destroy()
