--- a/bench/slopes-processes.ts
+++ b/bench/slopes-processes.ts
@@ -1,8 +1,9 @@
 // Slopes of whole processes at rest: what control costs one proxy, by the number
-// of its peers and by the number of databases that it is home of, and what the
-// fleet asks of the platform's store. Run by `npm run bench:slopes-processes`.
+// of its peers and by the number of servers that it is home of, and what the fleet
+// asks of the platform's store. Run by `npm run bench:slopes-processes`.
 
 import { setTimeout as delay } from 'node:timers/promises'
+import { parseArgs } from 'node:util'
 import { readDeployment } from './deployment.js'
 import { usageOf, type Usage } from './process-usage.js'
 import { startRig, type Rig } from './rig.js'
@@ -10,6 +11,8 @@
 
 const hostSizes: readonly number[] = [3, 6, 12, 18]
 const databaseSizes: readonly number[] = [1, 2, 4, 8]
+/** One in each failure domain, so that each is the home of one server of every database. */
+const fewestHosts = 3
 const settleMs = 8000
 const measuredMs = 15_000
 const msPerS = 1000
@@ -20,7 +23,7 @@
   readonly cpuPercent: number
   readonly ioBytesPerS: number
   readonly residentKb: number
-  readonly storeCallsPerS: number
+  readonly storeCallsPerS: Readonly<Record<string, number>>
 }
 
 async function atRest (hosts: number, databases: number): Promise<AtRest> {
@@ -38,8 +41,7 @@
 async function observe (rig: Rig): Promise<AtRest> {
   const pids = rig.set.proxies.map(proxy => proxy.process.pid)
   const total = (of: (usage: Usage) => number): number => pids.map(pid => of(usageOf(pid))).reduce((sum, value) => sum + value, 0) / pids.length
-  const calls = async (): Promise<number> => Object.values(await rig.set.platform.calls()).reduce((sum, count) => sum + count, 0)
-  const before = { cpuMs: total(usage => usage.cpuMs), ioBytes: total(usage => usage.ioBytes), calls: await calls() }
+  const before = { cpuMs: total(usage => usage.cpuMs), ioBytes: total(usage => usage.ioBytes), calls: await rig.set.platform.calls() }
   const startMs = performance.now()
   await delay(measuredMs)
   const tookMs = performance.now() - startMs
@@ -48,7 +50,7 @@
     cpuPercent: (total(usage => usage.cpuMs) - before.cpuMs) * percentOf / tookMs,
     ioBytesPerS: perS(total(usage => usage.ioBytes) - before.ioBytes),
     residentKb: total(usage => usage.residentKb),
-    storeCallsPerS: perS(await calls() - before.calls)
+    storeCallsPerS: Object.fromEntries(Object.entries(await rig.set.platform.calls()).map(([kind, count]) => [kind, perS(count - (before.calls[kind] ?? 0))]))
   }
 }
 
@@ -58,13 +60,24 @@
     { name: 'one proxy at rest, CPU', sizeName, unit: '% of a core', points: points(each => each.cpuPercent) },
     { name: 'one proxy at rest, bytes read and written', sizeName, unit: 'B/s', points: points(each => each.ioBytesPerS) },
     { name: 'one proxy at rest, resident memory', sizeName, unit: 'KB', points: points(each => each.residentKb) },
-    { name: 'calls of the whole fleet to the store', sizeName, unit: 'calls/s', points: points(each => each.storeCallsPerS) }
+    ...callSlopes(sizeName, sizes, measured)
   ]
 }
 
+function callSlopes (sizeName: string, sizes: readonly number[], measured: readonly AtRest[]): readonly MeasuredSlope[] {
+  const kinds = [...new Set(measured.flatMap(each => Object.keys(each.storeCallsPerS)))].sort()
+  return kinds.map(kind => ({
+    name: `calls of the whole fleet to the store, ${kind}`,
+    sizeName,
+    unit: 'calls/s',
+    points: sizes.map((size, at) => [size, measured[at]?.storeCallsPerS[kind] ?? 0] as const)
+  }))
+}
+
+const { values } = parseArgs({ options: { part: { type: 'string', default: 'hosts,databases' } } })
 const byHosts: AtRest[] = []
-for (const hosts of hostSizes) byHosts.push(await atRest(hosts, 1))
-console.log(slopeTable(slopesOf('hosts, one database in all', hostSizes, byHosts)))
+for (const hosts of values.part.includes('hosts') ? hostSizes : []) byHosts.push(await atRest(hosts, 1))
+if (byHosts.length > 0) console.log(slopeTable(slopesOf('hosts, one database in all', hostSizes, byHosts)))
 const byDatabases: AtRest[] = []
-for (const databases of databaseSizes) byDatabases.push(await atRest(1, databases))
-console.log(slopeTable(slopesOf('databases of the one host', databaseSizes, byDatabases)))
+for (const databases of values.part.includes('databases') ? databaseSizes : []) byDatabases.push(await atRest(fewestHosts, databases))
+if (byDatabases.length > 0) console.log(slopeTable(slopesOf('databases, three hosts', databaseSizes, byDatabases)))
