Weigh the limits; keep membership and limits cheap in large fleets

Cause: at 6,700 hosts an event of membership copied and judged all hosts (2.8 ms for a heartbeat, 3.2 ms for a tick, on a busy machine), and the limits looked for an account's home and owners at each step. Membership now keeps a view of observed peers only and judges all only on news; the limits keep an account's placement until members or seats change.

--- /dev/null
+++ b/bench/slopes-members.ts
@@ -0,0 +1,127 @@
+// Slopes for docs/CAPACITY.md: what an event of membership, rendezvous, seats
+// and limits costs in time, and what their state takes in memory, over three
+// sizes of the fleet. Prints a table.
+//
+//   node --expose-gc dist/bench/slopes-members.js
+
+import { initialLimits, initialSeats, limitsStep, seatFraction, seatRange, seatsStep, type LimitsEvent, type LimitsState, type SeatTable } from '../src/limits/index.js'
+import { accountHome, defaultMembershipSettings, homesOf, initialMembership, membershipStep, type ListedHost, type MembershipEvent, type MembershipState } from '../src/members/index.js'
+import type { DatabaseDeclaration, Manifest } from '../src/model/index.js'
+
+const sizes = [18, 670, 6700] as const
+const domains = 10
+const accountCount = 1000
+const runs = 2000
+
+function hostsOf (count: number): readonly ListedHost[] {
+  return Array.from({ length: count }, (_, at) => ({ host: `host-${at}`, failureDomain: `d${at % domains}`, ip: '10.0.0.1', port: at, state: 'live' }))
+}
+
+function databaseOf (name: string): DatabaseDeclaration {
+  const servers = Array.from({ length: 3 }, (_, at) => ({ name: `${name}-${at}`, ip: '10.0.0.1', port: 1, failureDomain: `d${at}`, slots: 5, maxConnections: 75, state: 'active' as const }))
+  return { name, servers, state: 'active' }
+}
+
+function manifestOf (seats: number): Manifest {
+  const accounts = Array.from({ length: accountCount }, (_, at) => ({ name: `account-${at}`, keys: [], ratePerS: 100 + at, burst: 100 + at, weight: 1 }))
+  return { accounts, databases: [], routes: [], anonymous: { ratePerS: 10, burst: 10 }, seats }
+}
+
+/** Microseconds of one call, after a warm-up. */
+function timeOf (count: number, run: (at: number) => void): number {
+  for (let at = 0; at < count / 4; at += 1) run(at)
+  const start = process.hrtime.bigint()
+  for (let at = 0; at < count; at += 1) run(at)
+  return Number(process.hrtime.bigint() - start) / 1000 / count
+}
+
+/** Kilobytes that are held by what `make` gives. */
+function memoryOf (make: () => unknown): number {
+  globalThis.gc?.()
+  const before = process.memoryUsage().heapUsed
+  const kept = make()
+  globalThis.gc?.()
+  const used = process.memoryUsage().heapUsed - before
+  return kept === undefined ? 0 : Math.round(used / 1024)
+}
+
+type Row = Readonly<Record<string, string | number>>
+
+function membershipRow (count: number): Row {
+  const hosts = hostsOf(count)
+  const start = (): MembershipState => {
+    const empty = initialMembership(hosts[0] as ListedHost, defaultMembershipSettings, 0)
+    return membershipStep(empty, { kind: 'hostsListed', hosts, nowMs: 0 }).state
+  }
+  let state = start()
+  const peers = [...state.observed]
+  const heard = (at: number): MembershipEvent => ({
+    kind: 'heartbeatReceived',
+    state: { host: peers[at % peers.length] as string, failureDomain: 'd0', incarnation: 'a', state: 'serving', generation: 1, storeConfirmedAgoMs: 0 },
+    nowMs: at
+  })
+  return {
+    peers: peers.length,
+    'heartbeat us': timeOf(runs, at => { state = membershipStep(state, heard(at)).state }).toFixed(1),
+    'tick us': timeOf(runs, at => { state = membershipStep(state, { kind: 'tick', nowMs: runs + at / 100 }).state }).toFixed(1),
+    'list us': timeOf(20, at => { state = membershipStep(state, { kind: 'hostsListed', hosts, nowMs: 2 * runs + at }).state }).toFixed(0),
+    'state KB': memoryOf(start)
+  }
+}
+
+function rendezvousRow (count: number): Row {
+  const hosts = hostsOf(count)
+  const database = databaseOf('db')
+  homesOf(database, hosts)
+  return {
+    'index us': timeOf(5, () => { homesOf(database, [...hosts]) }).toFixed(0),
+    'homes of a database us': timeOf(runs, at => { homesOf({ ...database, name: `db${at}` }, hosts) }).toFixed(1),
+    'account home us': timeOf(runs, at => { accountHome(`account${at}`, hosts) }).toFixed(1)
+  }
+}
+
+function seatsRow (count: number): Row {
+  const hosts = hostsOf(count)
+  const seats = Math.max(64, Math.ceil(count * 1.25))
+  const range = seatRange('host-0', hosts.map(({ host }) => host), seats)
+  const table: SeatTable = { seats: Array.from({ length: range.size }, (_, at) => ({ host: range.hosts[at % range.hosts.length] as string, incarnation: 'x'.repeat(8) })) }
+  const start = () => seatsStep(seatsStep(initialSeats({ host: 'host-0', incarnation: 'x'.repeat(8) }), { kind: 'manifestApplied', seats, nowMs: 0 }).state, { kind: 'hostsListed', hosts, nowMs: 0 }).state
+  let state = start()
+  return {
+    'table bytes': JSON.stringify(table).length,
+    'hosts in table': range.hosts.length,
+    'table read us': timeOf(20, at => { state = seatsStep(state, { kind: 'tableRead', table, version: at + 1, nowMs: at }).state }).toFixed(0),
+    'read period s': Math.max(5, count * 0.05),
+    'seats of account': Array.from({ length: seats }, (_, seat) => seatFraction('account-1', 101, seat, seats)).filter(part => part > 0).length
+  }
+}
+
+function limitsRow (count: number): Row {
+  const hosts = hostsOf(count)
+  const seats = Math.max(64, Math.ceil(count * 1.25))
+  const held = Array.from({ length: Math.ceil(seats / count) }, (_, at) => at)
+  const events: readonly LimitsEvent[] = [
+    { kind: 'confirmationChanged', confirmedUntilMs: Infinity, nowMs: 0 },
+    { kind: 'membersChanged', live: hosts, nowMs: 0 },
+    { kind: 'manifestApplied', manifest: manifestOf(seats), nowMs: 0 },
+    { kind: 'seatsChanged', held, holders: new Map(), tableOfMs: 0, nowMs: 0 }
+  ]
+  const start = (): LimitsState => events.reduce((state, event) => limitsStep(state, event).state, initialLimits('host-0'))
+  let state = start()
+  return {
+    accounts: accountCount,
+    'admit us': timeOf(runs, at => { state = limitsStep(state, { kind: 'admit', account: `account-${at % 100}`, id: 'r', deadlineMs: Infinity, nowMs: 60_000 + at }).state }).toFixed(1),
+    'borrow request us': timeOf(runs, at => {
+      const request = { account: `account-${at % 10}`, purpose: 'use', sequence: at, held: { ratePerS: 0, capacity: 0 }, want: { ratePerS: 1, capacity: 1 }, wantTokens: 1, returnedTokens: 0, isUrgent: false } as const
+      state = limitsStep(state, { kind: 'borrowRequested', callId: 'c', from: `host-${at % count}`, incarnation: 'a', request, nowMs: 70_000 + at }).state
+    }).toFixed(1),
+    'tick us': timeOf(20, at => { state = limitsStep(state, { kind: 'tick', nowMs: 80_000 + 10 * at }).state }).toFixed(0),
+    'active accounts': state.active.size,
+    'state KB': memoryOf(start)
+  }
+}
+
+for (const [name, rowOf] of [['membership', membershipRow], ['rendezvous', rendezvousRow], ['seats', seatsRow], ['limits', limitsRow]] as const) {
+  console.log(name)
+  console.table(Object.fromEntries(sizes.map(size => [size, rowOf(size)])))
+}
--- a/src/limits/account.ts
+++ b/src/limits/account.ts
@@ -8,6 +8,7 @@
 // its rate and burst at every moment, and a level never exceeds the capacity.
 // So in any window the fleet admits at most burst + rate * window.
 
+import type { Member } from '../members/index.js'
 import type { HostName, Share } from '../model/index.js'
 import { noDemand, type Demand } from './demand.js'
 import { heldAt, type Loan } from './loans.js'
@@ -42,6 +43,15 @@
 /** A request that waits for a token. */
 export type WaitingRequest = { readonly id: string, readonly untilMs: number }
 
+/** Who lends and owns an account's limit, as found from one view of the fleet. */
+export type Placement = {
+  readonly members: readonly Member[]
+  readonly holders: ReadonlyMap<number, HostName>
+  readonly home: HostName | undefined
+  /** Live hosts, without this one, that may own a part. */
+  readonly owners: readonly HostName[]
+}
+
 /** One account's limit on one host. */
 export type AccountLimit = {
   readonly account: string
@@ -60,6 +70,7 @@
   readonly waiting: readonly WaitingRequest[]
   /** Last time that somebody was short of tokens here or asked for some. */
   readonly shortMs: number
+  readonly placement: Placement | undefined
   /** Tokens that requests waited for at borrowers and did not get. */
   readonly unmet: { readonly tokens: number, readonly atMs: number }
 }
@@ -89,6 +100,7 @@
     demand: noDemand,
     waiting: [],
     shortMs: -Infinity,
+    placement: undefined,
     unmet: { tokens: 0, atMs: -Infinity }
   }
 }
--- a/src/limits/borrowing.ts
+++ b/src/limits/borrowing.ts
@@ -137,7 +137,7 @@
 // Who gets nothing for requests that wait asks again after a growing time.
 function nextAsk (state: AccountLimit, lender: Lender, grant: ShareGrant | undefined, nowMs: number): Pick<Lender, 'nextAskMs' | 'backoffMs'> {
   if (missingTokens(state, nowMs) === 0) return { nextAskMs: nowMs, backoffMs: backoffMs.first }
-  if (grant !== undefined && grant.tokens >= usefulTokens) return { nextAskMs: nowMs, backoffMs: backoffMs.first }
+  if (grant !== undefined && grant.tokens >= usefulTokens) return { nextAskMs: nowMs, backoffMs: Math.max(backoffMs.first, lender.backoffMs / 2) }
   return { nextAskMs: nowMs + lender.backoffMs, backoffMs: Math.min(lender.backoffMs * 2, backoffMs.longest) }
 }
 
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -14,7 +14,7 @@
 import type { AccountName, BorrowRequest, HostName, Manifest, Share, ShareGrant } from '../model/index.js'
 import type { Transition } from '../pipe/index.js'
 import { accountHome, type Member } from '../members/index.js'
-import { advanced, hasToken, newAccount, ownFraction, refreshed, withoutToken, type AccountLimit, type OwnPart, type WaitingRequest } from './account.js'
+import { advanced, hasToken, newAccount, ownFraction, refreshed, withoutToken, type AccountLimit, type OwnPart, type Placement, type WaitingRequest } from './account.js'
 import { accountOf, allAccounts, noAccounts, withAccount, type Accounts } from './accounts.js'
 import { askHome, collect, takeAnswer, type Asking } from './borrowing.js'
 import { demandRate, withRequest } from './demand.js'
@@ -45,8 +45,6 @@
   readonly held: ReadonlyMap<number, number>
   readonly holders: ReadonlyMap<number, HostName>
   readonly members: readonly Member[]
-  /** Homes found so far for these members. */
-  readonly homes: ReadonlyMap<AccountName, HostName | undefined>
   /** Nothing is admitted or lent from this time on unless it is put off. */
   readonly confirmedUntilMs: number
   /** Whether a confirmation holds or has lapsed unnoticed. */
@@ -92,7 +90,6 @@
     held: new Map(),
     holders: new Map(),
     members: [],
-    homes: new Map(),
     confirmedUntilMs: -Infinity,
     wasConfirmed: false,
     lapsedMs: -Infinity,
@@ -113,7 +110,7 @@
       const held = event.tableOfMs < state.lapsedMs ? [] : event.held
       return { state: seatsChanged(state, held, event.holders, event.nowMs), effects: [] }
     }
-    case 'membersChanged': return { state: { ...state, members: event.live, homes: new Map() }, effects: [] }
+    case 'membersChanged': return { state: { ...state, members: event.live }, effects: [] }
     case 'confirmationChanged': return { state: confirmationChanged(state, event.confirmedUntilMs, event.nowMs), effects: [] }
     case 'admit': return admit(state, event.account, { id: event.id, untilMs: Math.min(event.deadlineMs, event.nowMs + maxWaitMs) }, event.nowMs)
     case 'borrowRequested': return borrowRequested(state, event)
@@ -226,17 +223,25 @@
 }
 
 function askForMore (state: LimitsState, account: AccountLimit, nowMs: number): Next {
-  const known = state.homes.has(account.account)
-  const home = known ? state.homes.get(account.account) : accountHome(account.account, state.members)
-  const next = known ? state : { ...state, homes: new Map(state.homes).set(account.account, home) }
-  const shortHere = isShort(account, nowMs) ? { ...account, shortMs: nowMs } : account
-  if (home !== undefined && home !== state.self) return sendAll(next, [to => askHome(to.account, home, to.sequence, nowMs)], account)
-  return collectAll(next, shortHere, nowMs)
+  const { placed, placement } = placedAccount(state, account)
+  const { home } = placement
+  if (home !== undefined && home !== state.self) return sendAll(state, [to => askHome(to.account, home, to.sequence, nowMs)], placed)
+  return collectAll(state, isShort(placed, nowMs) ? { ...placed, shortMs: nowMs } : placed, nowMs)
 }
 
 function collectAll (state: LimitsState, account: AccountLimit, nowMs: number): Next {
-  if (nowMs - account.shortMs >= collectIdleMs) return sendAll(state, [], account)
-  return sendAll(state, ownersOf(state, account).map(owner => to => collect(to.account, owner, to.sequence, nowMs)), account)
+  const { placed, placement } = placedAccount(state, account)
+  if (nowMs - placed.shortMs >= collectIdleMs) return sendAll(state, [], placed)
+  return sendAll(state, placement.owners.map(owner => to => collect(to.account, owner, to.sequence, nowMs)), placed)
+}
+
+function placedAccount (state: LimitsState, account: AccountLimit): { readonly placed: AccountLimit, readonly placement: Placement } {
+  const { members, holders } = state
+  const known = account.placement
+  if (known?.members === members && known.holders === holders) return { placed: account, placement: known }
+  const home = known?.members === members ? known.home : accountHome(account.account, members)
+  const placement = { members, holders, home, owners: ownersOf(state, account) }
+  return { placed: { ...account, placement }, placement }
 }
 
 function ownersOf (state: LimitsState, account: AccountLimit): readonly HostName[] {
--- a/src/members/membership.ts
+++ b/src/members/membership.ts
@@ -65,6 +65,10 @@
   readonly silent: boolean
 }
 
+function newPeer (nowMs: number): PeerView {
+  return { heardMs: nowMs, askedMs: -Infinity, doubtedMs: undefined, stopping: false, silent: false }
+}
+
 type Sighting = { readonly host: HostName, readonly observer: HostName, readonly silent: boolean, readonly seenMs: number }
 
 /** What a member knows of the fleet. */
@@ -73,7 +77,9 @@
   readonly self: Member
   readonly stopping: boolean
   readonly listed: readonly ListedHost[]
+  readonly listedByName: ReadonlyMap<HostName, ListedHost>
   readonly observed: ReadonlySet<HostName>
+  /** Observed peers, and others that spoke up or were doubted. */
   readonly peers: ReadonlyMap<HostName, PeerView>
   readonly sightings: ReadonlyMap<string, Sighting>
   readonly live: readonly Member[]
@@ -109,6 +115,7 @@
     self,
     stopping: false,
     listed: [],
+    listedByName: new Map(),
     observed: new Set(),
     peers: new Map(),
     sightings: new Map(),
@@ -163,7 +170,7 @@
  * @returns true where it is listed
  */
 export function isListed (state: MembershipState, host: HostName): boolean {
-  return state.peers.has(host) || (host === state.self.host && state.listed.some(listed => listed.host === host))
+  return state.listedByName.has(host)
 }
 
 /**
@@ -199,28 +206,31 @@
 }
 
 function listHosts (state: MembershipState, hosts: readonly ListedHost[], nowMs: number): MembershipState {
-  const fresh: PeerView = { heardMs: nowMs, askedMs: -Infinity, doubtedMs: undefined, stopping: false, silent: false }
-  const others = hosts.filter(host => host.host !== state.self.host)
-  const peers = new Map(others.map(({ host }) => [host, state.peers.get(host) ?? fresh]))
-  const names = others.map(host => host.host)
+  const listedByName = new Map(hosts.map(host => [host.host, host]))
+  const names = hosts.map(({ host }) => host).filter(host => host !== state.self.host)
   const small = hosts.length <= state.settings.fullMeshHosts
   const observed = new Set(small ? names : ringNeighbours(state.self.host, names))
-  const sightings = new Map([...state.sightings].filter(([, sighting]) => peers.has(sighting.host)))
-  const regarded = [...peers].map(([host, peer]): readonly [HostName, PeerView] => {
+  const sightings = new Map([...state.sightings].filter(([, { host }]) => listedByName.has(host)))
+  const peers = new Map([...state.peers].filter(([host]) => listedByName.has(host)))
+  for (const host of observed) {
+    const peer = peers.get(host) ?? newPeer(nowMs)
     // Nobody listened to a host that was not observed until now.
-    const grace = observed.has(host) && !state.observed.has(host) && !peer.silent
-    return [host, grace ? { ...peer, heardMs: nowMs } : peer]
-  })
-  return { ...state, listed: hosts, observed, peers: new Map(regarded), sightings }
+    const isNew = !state.observed.has(host) && !peer.silent
+    peers.set(host, isNew ? { ...peer, heardMs: nowMs } : peer)
+  }
+  return { ...state, listed: hosts, listedByName, observed, peers, sightings }
 }
 
 function heard (state: MembershipState, from: MemberState, answered: boolean, nowMs: number): Next {
-  const peer = state.peers.get(from.host)
-  if (peer === undefined) return { state, effects: [] }
+  if (!state.listedByName.has(from.host) || from.host === state.self.host) return { state, effects: [] }
+  const peer = state.peers.get(from.host) ?? newPeer(nowMs)
   // Only an answer shows that the peer can be reached from here.
   const doubtedMs = answered ? undefined : peer.doubtedMs
-  const known = withPeer(state, from.host, { ...peer, heardMs: nowMs, doubtedMs, stopping: from.state === 'stopping' })
-  return announce(takeRumours(known, from.rumours ?? [], nowMs), nowMs, state)
+  const stopping = from.state === 'stopping'
+  const known = withPeer(state, from.host, { ...peer, heardMs: nowMs, doubtedMs, stopping })
+  const told = takeRumours(known, from.rumours ?? [], nowMs)
+  const isNews = peer.silent || peer.stopping !== stopping || told !== known
+  return isNews ? announce(told, nowMs, state) : { state: told, effects: [] }
 }
 
 function takeRumours (state: MembershipState, rumours: readonly MemberRumour[], nowMs: number): MembershipState {
@@ -231,27 +241,30 @@
     const seenMs = nowMs - agoMs
     const known = sightings.get(key)
     const isNews = known === undefined || (known.silent !== silent && known.seenMs < seenMs)
-    if (isNews && observer !== state.self.host && state.peers.has(host)) sightings.set(key, { host, observer, silent, seenMs })
+    if (isNews && observer !== state.self.host && host !== state.self.host && state.listedByName.has(host)) sightings.set(key, { host, observer, silent, seenMs })
   }
   const hasNews = [...sightings].some(([key, sighting]) => state.sightings.get(key) !== sighting)
   return hasNews ? { ...state, sightings } : state
 }
 
 function linkFailed (state: MembershipState, host: HostName, nowMs: number): Next {
-  const peer = state.peers.get(host)
-  if (peer === undefined || peer.doubtedMs !== undefined) return { state, effects: [] }
+  const listed = state.listedByName.get(host)
+  const peer = state.peers.get(host) ?? newPeer(nowMs)
+  if (listed === undefined || peer.doubtedMs !== undefined) return { state, effects: [] }
   const asked = withPeer(state, host, { ...peer, doubtedMs: nowMs, askedMs: nowMs })
-  const to = state.listed.filter(listed => listed.host === host)
-  return { state: asked, effects: [{ kind: 'heartbeat', to, rumours: rumoursOf(state, nowMs) }] }
+  return { state: asked, effects: [{ kind: 'heartbeat', to: [listed], rumours: rumoursOf(state, nowMs) }] }
 }
 
 function tick (state: MembershipState, nowMs: number): Next {
-  const judged = announce({ ...forgetOld(graceAfterPause(state, nowMs), nowMs), lastTickMs: nowMs }, nowMs)
-  const due = judged.state.listed.filter(({ host }) => isDue(judged.state, host, nowMs))
+  const current = { ...forgetOld(graceAfterPause(state, nowMs), nowMs), lastTickMs: nowMs }
+  const isNews = current.sightings !== state.sightings || judge(current, nowMs) !== current
+  const judged = isNews ? announce(current, nowMs) : { state: current, effects: [] }
+  const due = [...judged.state.peers].filter(([host, peer]) => isDue(judged.state, host, peer, nowMs))
   if (due.length === 0) return judged
   const peers = new Map(judged.state.peers)
-  for (const { host } of due) peers.set(host, { ...peers.get(host) as PeerView, askedMs: nowMs })
-  const heartbeat: MembershipEffect = { kind: 'heartbeat', to: due, rumours: rumoursOf(judged.state, nowMs) }
+  for (const [host, peer] of due) peers.set(host, { ...peer, askedMs: nowMs })
+  const to = due.flatMap(([host]) => state.listedByName.get(host) ?? [])
+  const heartbeat: MembershipEffect = { kind: 'heartbeat', to, rumours: rumoursOf(judged.state, nowMs) }
   return { state: { ...judged.state, peers }, effects: [...judged.effects, heartbeat] }
 }
 
@@ -270,9 +283,7 @@
   return kept.length === state.sightings.size ? state : { ...state, sightings: new Map(kept) }
 }
 
-function isDue (state: MembershipState, host: HostName, nowMs: number): boolean {
-  const peer = state.peers.get(host)
-  if (peer === undefined) return false
+function isDue (state: MembershipState, host: HostName, peer: PeerView, nowMs: number): boolean {
   const periodMs = periodOf(state)
   if (nowMs - peer.askedMs < periodMs * repeatPart) return false
   if (peer.doubtedMs !== undefined) return true
@@ -322,7 +333,8 @@
 
 function spread (state: MembershipState, before: MembershipState, nowMs: number): readonly MembershipEffect[] {
   if (isFullMesh(state) || state.sightings === before.sightings) return []
-  const to = state.listed.filter(({ host }) => state.observed.has(host) && state.peers.get(host)?.silent === false)
+  const reached = [...state.observed].filter(host => state.peers.get(host)?.silent === false)
+  const to = reached.flatMap(host => state.listedByName.get(host) ?? [])
   return [{ kind: 'heartbeat', to, rumours: rumoursOf(state, nowMs) }]
 }
 
@@ -330,11 +342,12 @@
   if (listed.state === 'leaving') return false
   if (listed.host === state.self.host) return !state.stopping
   const peer = state.peers.get(listed.host)
-  return peer !== undefined && !peer.silent && !peer.stopping && !gone.has(listed.host)
+  const isOut = peer !== undefined && (peer.silent || peer.stopping)
+  return !isOut && !gone.has(listed.host)
 }
 
 function isSelfAbsent (state: MembershipState): boolean {
-  return !state.stopping && !state.listed.some(({ host }) => host === state.self.host)
+  return !state.stopping && !state.listedByName.has(state.self.host)
 }
 
 function sameHosts (a: readonly Member[], b: readonly Member[]): boolean {
