--- a/test/config/configuration.test.ts
+++ b/test/config/configuration.test.ts
@@ -90,6 +90,13 @@
   assert.equal(confirmedGeneration(settled), 4)
 })
 
+test('a host that has just started counts for nobody while it lacks what others hold', () => {
+  const others = ['host-1', 'host-2', 'host-3'].map(host => peerConfirmed(host, 3, 60))
+  const behind = stateOf([quorumOfFive, { kind: 'peerOffered', accepted: acceptedOf(2) }, ...others], 'host-0', 50)
+  assert.equal(confirmedGeneration(behind), 0)
+  assert.equal(confirmedGeneration(configurationStep(behind, { kind: 'peerOffered', accepted: acceptedOf(3) }).state), 3)
+})
+
 // Stateful fuzzing: three hosts, one store, links that are cut and healed, late
 // answers, replaced hosts. The oracle knows when each generation was accepted
 // and when a majority of settled hosts held it.
@@ -107,6 +114,8 @@
   | { readonly kind: 'replace', readonly host: number }
   /** Every host asks every other, and all that waits is delivered. */
   | { readonly kind: 'gossip' }
+  /** A generation is accepted and reaches every host that is not cut off. */
+  | { readonly kind: 'rollOut' }
 
 const fuzzHosts = hostNames.slice(0, 3)
 /** Messages that the hosts may need for one round of heartbeats and offers. */
@@ -152,6 +161,12 @@
       }
       case 'isolate': this.#cut = new Set([action.host]); break
       case 'gossip': this.#gossip(); break
+      case 'rollOut': {
+        this.act({ kind: 'accept' })
+        fuzzHosts.forEach((_, host) => this.act({ kind: 'askStore', host }))
+        this.#gossip()
+        break
+      }
       case 'replace': {
         this.#states = this.#states.with(action.host, this.#fresh(fuzzHosts[action.host] as string))
         this.#incarnations = this.#incarnations.with(action.host, (this.#incarnations[action.host] as number) + 1)
@@ -262,18 +277,20 @@
 function actions (): fc.Arbitrary<readonly Action[]> {
   const host = fc.nat({ max: fuzzHosts.length - 1 })
   const pick = fc.nat({ max: 20 })
+  const plain = <K extends Action['kind']>(kind: K) => fc.constant({ kind })
   const action = fc.oneof(
-    { weight: 2, arbitrary: fc.record({ kind: fc.constant('accept' as const) }) },
+    { weight: 2, arbitrary: plain('accept') },
     { weight: 4, arbitrary: fc.record({ kind: fc.constant('askStore' as const), host }) },
-    { weight: 10, arbitrary: fc.record({ kind: fc.constant('heartbeat' as const), host, peer: host }) },
-    { weight: 16, arbitrary: fc.record({ kind: fc.constant('deliver' as const), pick }) },
-    { weight: 2, arbitrary: fc.record({ kind: fc.constant('lose' as const), pick }) },
-    { weight: 4, arbitrary: fc.record({ kind: fc.constant('advance' as const), byMs: fc.constantFrom(1, 100, 600, 1_500) }) },
+    { weight: 6, arbitrary: fc.record({ kind: fc.constant('heartbeat' as const), host, peer: host }) },
+    { weight: 8, arbitrary: fc.record({ kind: fc.constant('deliver' as const), pick }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant('lose' as const), pick }) },
+    { weight: 6, arbitrary: fc.record({ kind: fc.constant('advance' as const), byMs: fc.constantFrom(1, 100, 600, 1_500) }) },
     { weight: 2, arbitrary: fc.record({ kind: fc.constant('setStore' as const), up: fc.boolean() }) },
-    { weight: 3, arbitrary: fc.record({ kind: fc.constant('setLink' as const), host, up: fc.boolean() }) },
-    { weight: 2, arbitrary: fc.record({ kind: fc.constant('isolate' as const), host }) },
-    { weight: 2, arbitrary: fc.record({ kind: fc.constant('replace' as const), host }) },
-    { weight: 4, arbitrary: fc.constant<Action>({ kind: 'gossip' }) }
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant('setLink' as const), host, up: fc.boolean() }) },
+    { weight: 4, arbitrary: fc.record({ kind: fc.constant('isolate' as const), host }) },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constant('replace' as const), host }) },
+    { weight: 5, arbitrary: plain('gossip') },
+    { weight: 5, arbitrary: plain('rollOut') }
   )
   return fc.array(action, { minLength: 30, maxLength: 150 })
 }
