Let a majority of the quorum confirm the configuration while the store is out

Cause: with the store down, hosts refused keyed work after the confirmation bound although their peers answered. Of two members only the one with the lower name asks for a heartbeat, and only an answer to one's own question confirms anything, so the other one confirmed nothing. Ruled out: the decision in src/config (its fuzz asks both ways) and the quorum itself. A host whose confirmation is half way to its bound now asks the quorum's hosts itself.

The local set gives each host its peers as seeds, which a host that starts while the store is out needs.

Seen failing first: manifest.test 'statements go on while the store is down' and 'a host that starts while the store is down serves from its peers'; both pass now (manifest and start: 14 passed).

--- a/src/daemon/configuration-task.ts
+++ b/src/daemon/configuration-task.ts
@@ -21,6 +21,8 @@
   readonly peers: () => readonly HostName[]
   /** True where this host is one of those that watch the store. */
   readonly watches: () => boolean
+  /** What this host says of itself. */
+  readonly ownState: () => MemberState
   readonly onApply: (accepted: AcceptedManifest) => void
   readonly onRejected: (generation: Generation, errors: readonly string[]) => void
   readonly decode: (value: unknown) => AcceptedManifest | undefined
@@ -83,9 +85,7 @@
     inForce: () => published.get().accepted,
     told: () => ({ generation: confirmedGeneration(published.get()), storeConfirmedAgoMs: storeConfirmedAgoMs(published.get(), timers.nowMs()) }),
     offered: accepted => { task.port.send({ kind: 'peerOffered', accepted }) },
-    heard: (state, askedAtMs) => {
-      task.port.send({ kind: 'peerConfirmed', host: state.host, generation: state.generation, storeConfirmedAgoMs: state.storeConfirmedAgoMs, askedAtMs, nowMs: timers.nowMs() })
-    },
+    heard: (state, askedAtMs) => { task.port.send(confirmationOf(state, askedAtMs, timers.nowMs())) },
     quorumChanged: hosts => { task.port.send({ kind: 'quorumChanged', hosts }) },
     stop: async () => {
       stopping.now = true
@@ -141,6 +141,25 @@
   port.send({ kind: 'storeAnswered', accepted, askedAtMs })
 }
 
+// While the store confirms nothing, a majority of the quorum may. Heartbeats do
+// not serve for that: of two members only one asks, and only who asks knows
+// that an answer is not older than the question.
+function askQuorum (spec: ConfigurationTaskSpec, state: ConfigurationState, port: Port<ConfigurationEvent>): void {
+  const { timers, settings } = spec.context
+  const askedAtMs = timers.nowMs()
+  for (const host of state.quorum) {
+    if (host === settings.host.name) continue
+    spec.links.call(host, 'heartbeat', spec.ownState(), relistMs(settings)).then(
+      answer => { port.send(confirmationOf(answer, askedAtMs, timers.nowMs())) },
+      () => {}
+    )
+  }
+}
+
+function confirmationOf (from: MemberState, askedAtMs: number, nowMs: number): ConfigurationEvent {
+  return { kind: 'peerConfirmed', host: from.host, generation: from.generation, storeConfirmedAgoMs: from.storeConfirmedAgoMs, askedAtMs, nowMs }
+}
+
 // Watches have a deadline of their own, and a silent one costs nothing but
 // delay: the listing below goes on beside it.
 async function watchStore (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, stopping: { readonly now: boolean }): Promise<void> {
@@ -168,6 +187,7 @@
   const { timers, settings, random } = spec.context
   while (!stopping.now) {
     if (needsStore(spec, state.get())) await askStore(spec, port)
+    if (isUnconfirmed(spec, state.get())) askQuorum(spec, state.get(), port)
     await sleep(timers, relistMs(settings) * (0.5 + random()))
   }
 }
@@ -175,8 +195,12 @@
 // Heartbeats carry how long ago the store confirmed the sender, so a host that
 // does not watch asks the store only where that has not reached it.
 function needsStore (spec: ConfigurationTaskSpec, state: ConfigurationState): boolean {
-  const { timers, settings } = spec.context
   if (spec.watches()) return true
+  return isUnconfirmed(spec, state)
+}
+
+function isUnconfirmed (spec: ConfigurationTaskSpec, state: ConfigurationState): boolean {
+  const { timers, settings } = spec.context
   const agoMs = storeConfirmedAgoMs(state, timers.nowMs())
   return agoMs === undefined || agoMs > settings.control.confirmWithinMs / 2
 }
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -120,6 +120,7 @@
     platform,
     links,
     peers: () => members.view.get().live.map(member => member.host),
+    ownState: () => ownState(),
     watches: () => members.view.get().quorum.includes(settings.host.name),
     decode: decodeAcceptedManifest,
     onApply: accepted => {
--- a/standins/set/local-set.ts
+++ b/standins/set/local-set.ts
@@ -15,6 +15,8 @@
 
 const ip = '127.0.0.1'
 const platformName = 'platform'
+/** Peers that a host may ask for the host list. */
+const seedCount = 3
 
 export type LocalAccount = {
   readonly name: string
@@ -24,7 +26,7 @@
 }
 
 /** Fields of the settings by section, as in the TOML text. */
-export type ExtraSettings = Readonly<Record<string, Readonly<Record<string, string | number>>>>
+export type ExtraSettings = Readonly<Record<string, Readonly<Record<string, string | number | readonly string[]>>>>
 
 export type LocalSetOptions = {
   readonly hosts: number
@@ -159,7 +161,7 @@
     const direct = platformProcess.address
     const platformAddress = await links?.add(linkName(place.name, platformName), direct) ?? direct
     const settingsFile = join(holdings.folder, `${place.name}.toml`)
-    writeFileSync(settingsFile, settingsText(options, place, platformAddress, detours))
+    writeFileSync(settingsFile, settingsText(options, place, platformAddress, detours, hostPlaces))
     return { name: place.name, failureDomain: place.failureDomain, mysql: place.mysql, peer: place.address, settingsFile }
   }))
   const startProxy = async (place: ProxyPlace): Promise<LocalProxy> => {
@@ -268,11 +270,12 @@
   return fields.flatMap(([name, value]) => [`--${name}`, String(value)])
 }
 
-function settingsText (options: LocalSetOptions, place: HostPlace, platform: Address, detours: ReadonlyMap<string, string>): string {
+function settingsText (options: LocalSetOptions, place: HostPlace, platform: Address, detours: ReadonlyMap<string, string>, hosts: readonly HostPlace[]): string {
   const sections: ExtraSettings = {
     host: { name: place.name, failure_domain: place.failureDomain, ip, mysql_port: place.mysql.port, peer_port: place.address.port },
     platform: { url: `http://${addressText(platform)}` },
     database_login: serviceLogin,
+    peers: { seeds: hosts.filter(host => host !== place).slice(0, seedCount).map(host => addressText(host.address)) },
     links: Object.fromEntries(detours)
   }
   const names = new Set([...Object.keys(sections), ...Object.keys(options.settings)])
