--- a/bench/slopes-decisions.ts
+++ b/bench/slopes-decisions.ts
@@ -62,11 +62,24 @@
   const text = (size: number): string => texts.get(size) ?? ''
   return [
     { name: 'manifest, JSON', sizeName: 'databases', unit: 'KB', points: points(databaseSizes, size => text(size).length / bytesPerKb) },
+    { name: 'manifest, heap', sizeName: 'databases', unit: 'KB', points: points(databaseSizes, size => heapKbOf(() => JSON.parse(text(size)))) },
     { name: 'manifest, decode', sizeName: 'databases', unit: 'us', points: points(databaseSizes, size => meanUs(10, () => { JSON.parse(text(size)) })) },
     { name: 'manifest, check whole', sizeName: 'databases', unit: 'us', points: points(databaseSizes, size => meanUs(5, () => { checkManifest(JSON.parse(text(size))) })) }
   ]
 }
 
+/** Needs `--expose-gc`; NaN without it. */
+function heapKbOf (make: () => unknown): number {
+  const collect = globalThis.gc
+  if (collect === undefined) return NaN
+  collect()
+  const before = process.memoryUsage().heapUsed
+  const held = make()
+  collect()
+  const grown = process.memoryUsage().heapUsed - before
+  return held === undefined ? NaN : grown / bytesPerKb
+}
+
 function placementSlopes (): readonly MeasuredSlope[] {
   const databases = databasesOf(200)
   const each = (size: number, place: (database: DatabaseDeclaration, members: readonly Member[]) => void): number => {
--- a/bench/slopes-processes.ts
+++ b/bench/slopes-processes.ts
@@ -23,6 +23,8 @@
   readonly cpuPercent: number
   readonly ioBytesPerS: number
   readonly residentKb: number
+  /** Longest report of a failure domain in the store. */
+  readonly reportBytes: number
   readonly storeCallsPerS: Readonly<Record<string, number>>
 }
 
@@ -50,22 +52,30 @@
     cpuPercent: (total(usage => usage.cpuMs) - before.cpuMs) * percentOf / tookMs,
     ioBytesPerS: perS(total(usage => usage.ioBytes) - before.ioBytes),
     residentKb: total(usage => usage.residentKb),
+    reportBytes: await reportBytes(rig),
     storeCallsPerS: Object.fromEntries(Object.entries(await rig.set.platform.calls()).map(([kind, count]) => [kind, perS(count - (before.calls[kind] ?? 0))]))
   }
 }
 
+async function reportBytes (rig: Rig): Promise<number> {
+  const domains = rig.set.options.failureDomains
+  const reports = await Promise.all(domains.map(async domain => await rig.set.platform.read('report', domain)))
+  return Math.max(...reports.map(report => report === undefined ? 0 : JSON.stringify(report.value).length))
+}
+
 function slopesOf (sizeName: string, sizes: readonly number[], measured: readonly AtRest[]): readonly MeasuredSlope[] {
   const points = (of: (each: AtRest) => number): MeasuredSlope['points'] => sizes.map((size, at) => [size, of(measured[at] as AtRest)] as const)
   return [
     { name: 'one proxy at rest, CPU', sizeName, unit: '% of a core', points: points(each => each.cpuPercent) },
     { name: 'one proxy at rest, bytes read and written', sizeName, unit: 'B/s', points: points(each => each.ioBytesPerS) },
     { name: 'one proxy at rest, resident memory', sizeName, unit: 'KB', points: points(each => each.residentKb) },
+    { name: 'longest report of a failure domain in the store', sizeName, unit: 'B', points: points(each => each.reportBytes) },
     ...callSlopes(sizeName, sizes, measured)
   ]
 }
 
 function callSlopes (sizeName: string, sizes: readonly number[], measured: readonly AtRest[]): readonly MeasuredSlope[] {
-  const kinds = [...new Set(measured.flatMap(each => Object.keys(each.storeCallsPerS)))].sort()
+  const kinds = [...new Set(measured.flatMap(each => Object.entries(each.storeCallsPerS).flatMap(([kind, perS]) => perS > 0 ? [kind] : [])))].sort()
   return kinds.map(kind => ({
     name: `calls of the whole fleet to the store, ${kind}`,
     sizeName,
