--- a/bench/fair-queue.ts
+++ b/bench/fair-queue.ts
@@ -5,7 +5,8 @@
 import type { AccountName } from '../src/model/index.js'
 import { fairQueueStep, initialFairQueue } from '../src/request/fair-queue.js'
 import { deficitRoundRobin, fifo, type Discipline } from './queue-disciplines.js'
-import { exponential, quantile, seededRandom } from './seeded.js'
+import { seededDraws, type Draws } from './random.js'
+import { percentile } from './statistics.js'
 
 type Demand = {
   readonly account: AccountName
@@ -27,6 +28,11 @@
   readonly senders: readonly Sender[]
 }
 
+type Wait = {
+  readonly account: AccountName
+  readonly waitMs: number
+}
+
 type Running = {
   readonly id: string
   readonly endsAtMs: number
@@ -50,6 +56,12 @@
 const everyMs = meanMs / (slots * 0.09)
 const floodFactor = 5
 const flooder = 'account-0'
+/** Enough for every demand of the longest scenario. */
+const maxDraws = 300_000
+
+function exponential (draws: Draws, mean: number): number {
+  return -mean * Math.log(1 - draws())
+}
 
 function senders (changed: Partial<Sender>): readonly Sender[] {
   return Array.from({ length: accountCount }, (_, index) => {
@@ -66,12 +78,12 @@
 ]
 
 function demandsOf (scenario: Scenario, seed: number): readonly Demand[] {
-  const random = seededRandom(seed)
+  const draws = seededDraws(seed, maxDraws)
   const demands = scenario.senders.flatMap(sender => {
     const list: Demand[] = []
-    for (let sentMs = exponential(random, sender.everyMs); sentMs < durationMs; sentMs += exponential(random, sender.everyMs)) {
+    for (let sentMs = exponential(draws, sender.everyMs); sentMs < durationMs; sentMs += exponential(draws, sender.everyMs)) {
       const second = Math.floor(sentMs / 1000) * 1000
-      list.push({ account: sender.account, atMs: second + (sentMs - second) * sender.onPart, tookMs: exponential(random, sender.meanMs) })
+      list.push({ account: sender.account, atMs: second + (sentMs - second) * sender.onPart, tookMs: exponential(draws, sender.meanMs) })
     }
     return list
   })
@@ -85,7 +97,7 @@
   const change = (account: AccountName, next: (before: Served) => Served): void => {
     byAccount.set(account, next(byAccount.get(account) ?? { offered: 0, served: 0, waitsMs: [] }))
   }
-  const waits = new Map<AccountName, number[]>()
+  const waits: Wait[] = []
   const step = (event: Parameters<Discipline<S>['step']>[1]): void => {
     const next = discipline.step(state, event)
     state = next.state
@@ -95,8 +107,7 @@
       const started = { id: effect.id, endsAtMs: event.nowMs + demand.tookMs, tookMs: demand.tookMs }
       running = [...running, started].sort((a, b) => a.endsAtMs - b.endsAtMs)
       change(demand.account, before => ({ ...before, served: before.served + 1 }))
-      waits.set(demand.account, waits.get(demand.account) ?? [])
-      waits.get(demand.account)?.push(event.nowMs - demand.atMs)
+      waits.push({ account: demand.account, waitMs: event.nowMs - demand.atMs })
     }
   }
   const finishUntil = (untilMs: number): void => {
@@ -111,7 +122,8 @@
     step({ kind: 'offered', id: String(index), account: demand.account, weight: 1, deadlineAtMs: demand.atMs + deadlineMs, nowMs: demand.atMs })
   })
   finishUntil(Infinity)
-  return new Map([...byAccount].map(([account, served]) => [account, { ...served, waitsMs: waits.get(account) ?? [] }]))
+  const waitsOf = (name: AccountName): readonly number[] => waits.filter(wait => wait.account === name).map(wait => wait.waitMs)
+  return new Map([...byAccount].map(([account, served]) => [account, { ...served, waitsMs: waitsOf(account) }]))
 }
 
 type Result = {
@@ -127,7 +139,7 @@
   return {
     worstShare: Math.min(...others.map(one => one.served / one.offered)),
     refused: others.reduce((sum, one) => sum + one.offered - one.served, 0),
-    p99Ms: quantile(others.flatMap(one => one.waitsMs), 0.99),
+    p99Ms: percentile(others.flatMap(one => one.waitsMs), 99),
     flooderShare: flood === undefined ? 0 : flood.served / flood.offered
   }
 }
