--- /dev/null
+++ b/bench/slopes-processes.ts
@@ -0,0 +1,83 @@
+// Slopes of whole processes at rest: what control costs one proxy, by the number
+// of its peers and by the number of servers that it is home of, and what the fleet
+// asks of the platform's store. Run by `npm run bench:slopes-processes`.
+
+import { setTimeout as delay } from 'node:timers/promises'
+import { parseArgs } from 'node:util'
+import { readDeployment } from './deployment.js'
+import { usageOf, type Usage } from './process-usage.js'
+import { startRig, type Rig } from './rig.js'
+import { slopeTable, type MeasuredSlope } from './slope-report.js'
+
+const hostSizes: readonly number[] = [3, 6, 12, 18]
+const databaseSizes: readonly number[] = [1, 2, 4, 8]
+/** One in each failure domain, so that each is the home of one server of every database. */
+const fewestHosts = 3
+const settleMs = 8000
+const measuredMs = 15_000
+const msPerS = 1000
+const percentOf = 100
+
+/** What one proxy of an idle set uses. */
+type AtRest = {
+  readonly cpuPercent: number
+  readonly ioBytesPerS: number
+  readonly residentKb: number
+  readonly storeCallsPerS: Readonly<Record<string, number>>
+}
+
+async function atRest (hosts: number, databases: number): Promise<AtRest> {
+  const names = Array.from({ length: databases }, (_, at) => `database-${at}`)
+  const deployment = { ...readDeployment('atelier'), databases: names }
+  const rig = await startRig(deployment, { hosts, delays: false, unlimited: true, settings: { log: { level: 'warn' } } })
+  try {
+    await delay(settleMs)
+    return await observe(rig)
+  } finally {
+    await rig.set.stop()
+  }
+}
+
+async function observe (rig: Rig): Promise<AtRest> {
+  const pids = rig.set.proxies.map(proxy => proxy.process.pid)
+  const total = (of: (usage: Usage) => number): number => pids.map(pid => of(usageOf(pid))).reduce((sum, value) => sum + value, 0) / pids.length
+  const before = { cpuMs: total(usage => usage.cpuMs), ioBytes: total(usage => usage.ioBytes), calls: await rig.set.platform.calls() }
+  const startMs = performance.now()
+  await delay(measuredMs)
+  const tookMs = performance.now() - startMs
+  const perS = (change: number): number => change * msPerS / tookMs
+  return {
+    cpuPercent: (total(usage => usage.cpuMs) - before.cpuMs) * percentOf / tookMs,
+    ioBytesPerS: perS(total(usage => usage.ioBytes) - before.ioBytes),
+    residentKb: total(usage => usage.residentKb),
+    storeCallsPerS: Object.fromEntries(Object.entries(await rig.set.platform.calls()).map(([kind, count]) => [kind, perS(count - (before.calls[kind] ?? 0))]))
+  }
+}
+
+function slopesOf (sizeName: string, sizes: readonly number[], measured: readonly AtRest[]): readonly MeasuredSlope[] {
+  const points = (of: (each: AtRest) => number): MeasuredSlope['points'] => sizes.map((size, at) => [size, of(measured[at] as AtRest)] as const)
+  return [
+    { name: 'one proxy at rest, CPU', sizeName, unit: '% of a core', points: points(each => each.cpuPercent) },
+    { name: 'one proxy at rest, bytes read and written', sizeName, unit: 'B/s', points: points(each => each.ioBytesPerS) },
+    { name: 'one proxy at rest, resident memory', sizeName, unit: 'KB', points: points(each => each.residentKb) },
+    ...callSlopes(sizeName, sizes, measured)
+  ]
+}
+
+function callSlopes (sizeName: string, sizes: readonly number[], measured: readonly AtRest[]): readonly MeasuredSlope[] {
+  const kinds = [...new Set(measured.flatMap(each => Object.keys(each.storeCallsPerS)))].sort()
+  return kinds.map(kind => ({
+    name: `calls of the whole fleet to the store, ${kind}`,
+    sizeName,
+    unit: 'calls/s',
+    points: sizes.map((size, at) => [size, measured[at]?.storeCallsPerS[kind] ?? 0] as const)
+  }))
+}
+
+const { values } = parseArgs({ options: { part: { type: 'string', default: 'hosts,databases' } } })
+const byHosts: AtRest[] = []
+for (const hosts of values.part.includes('hosts') ? hostSizes : []) byHosts.push(await atRest(hosts, 1))
+if (byHosts.length > 0) console.log(slopeTable(slopesOf('hosts, one database in all', hostSizes, byHosts)))
+const byDatabases: AtRest[] = []
+for (const databases of values.part.includes('databases') ? databaseSizes : []) byDatabases.push(await atRest(fewestHosts, databases))
+if (byDatabases.length > 0) console.log(slopeTable(slopesOf('databases, three hosts', databaseSizes, byDatabases)))
--- a/src/daemon/home-task.ts
+++ b/src/daemon/home-task.ts
@@ -4,8 +4,8 @@
 
 import { redirected } from '../config/index.js'
 import { homePipe, type HomeReply, type HomeRequest, type HomeServices, type HomeTransaction, type ServerCheck, type ServerSession, type TransactionTable, type Turn } from '../home/index.js'
-import { covers, type ExecuteRequest, type ServerDeclaration } from '../model/index.js'
-import { ask, runPipe, startTask, tickPort, type Reply, type Snapshot, type Transition, withoutReplies } from '../pipe/index.js'
+import { covers, type ExecuteRequest, type HostName, type ServerDeclaration } from '../model/index.js'
+import { ask, Latest, runPipe, startTask, type Reply, type Snapshot, type Transition, withoutReplies } from '../pipe/index.js'
 import { fairQueueStep, initialFairQueue, replicaServesAge, type FairQueueEffect, type FairQueueEvent, type FairQueueState } from '../request/index.js'
 import type { DaemonContext } from './context.js'
 import type { DatabaseTask, DatabaseView } from './database-task.js'
@@ -24,6 +24,8 @@
   readonly execute: (request: ExecuteRequest) => Promise<HomeReply>
   /** Statements that run or wait, and open transactions. */
   readonly load: () => number
+  /** Rolls back the transactions whose callers' hosts are gone. */
+  readonly letGo: (silent: ReadonlySet<HostName>) => void
   readonly stop: () => Promise<void>
 }
 
@@ -72,6 +74,7 @@
   let running = 0
   return {
     load: () => running + transactions.size,
+    letGo: silent => { transactions.letGo(silent) },
     async execute (request) {
       running += 1
       try {
@@ -151,19 +154,26 @@
 
 function startQueue (context: DaemonContext, server: ServerDeclaration): QueueTask {
   const { timers, settings } = context
+  const isWaiting = new Latest(false)
   const task = startTask<QueueState, QueueMessage, QueueEffect>({
     name: `queue ${server.name}`,
     initial: { queue: initialFairQueue({ slots: server.slots, maxWaiting: settings.limits.queueLength }), replies: new Map(), nextId: 1 },
     capacity: mailboxCapacity,
     onError: context.onTaskError(`queue ${server.name}`),
-    step: queueStep,
+    step: (state, message) => {
+      const transition = queueStep(state, message)
+      isWaiting.publish(transition.state.queue.waitingCount > 0)
+      return transition
+    },
     perform: (effect, port) => {
       effect.reply(turnFor(effect.effect, timers.nowMs(), (id, tookMs) => {
         port.send({ kind: 'finished', id, tookMs, nowMs: timers.nowMs() })
       }, timers.nowMs))
     }
   })
-  const cancel = timers.every(queueTickMs, tickPort<QueueMessage>(task.port, nowMs => ({ kind: 'tick', nowMs })))
+  const cancel = timers.every(queueTickMs, {
+    send: tick => isWaiting.get() ? task.port.send(tick) : 'accepted'
+  })
   return {
     enter: async request => await ask<QueueMessage, Turn>(task.port, reply => ({ kind: 'enter', request, nowMs: timers.nowMs(), reply }), { kind: 'refused', reason: 'queueFull' }),
     stop: async () => {
@@ -222,11 +232,11 @@
     return this.#held.size
   }
 
-  open (account: string, session: ServerSession): string | undefined {
+  open (account: string, from: HostName, session: ServerSession): string | undefined {
     if (this.#held.size >= this.#capacity || this.#heldBy(account) >= this.#capacity * accountShareOfTransactions) return undefined
     const id = `${this.#context.incarnation}.${this.#nextId}`
     this.#nextId += 1
-    this.#held.set(id, { id, account, session, usedAtMs: this.#context.timers.nowMs(), busy: false })
+    this.#held.set(id, { id, account, from, session, usedAtMs: this.#context.timers.nowMs(), busy: false })
     return id
   }
 
@@ -251,6 +261,15 @@
     this.#held.clear()
   }
 
+  // Rolls back the transactions whose callers' hosts are gone.
+  letGo (silent: ReadonlySet<HostName>): void {
+    for (const held of this.#held.values()) {
+      if (held.busy || !silent.has(held.from)) continue
+      this.#held.delete(held.id)
+      this.#discard(held.session)
+    }
+  }
+
   #heldBy (account: string): number {
     return [...this.#held.values()].filter(held => held.account === account).length
   }
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -14,7 +14,7 @@
 import type { AccountName, BorrowRequest, HostName, Manifest, Share, ShareGrant } from '../model/index.js'
 import type { Transition } from '../pipe/index.js'
 import { accountHome, type Member } from '../members/index.js'
-import { advanced, hasToken, newAccount, ownFraction, refreshed, withoutToken, type AccountLimit, type OwnPart, type WaitingRequest } from './account.js'
+import { advanced, hasToken, newAccount, ownFraction, refreshed, withoutToken, type AccountLimit, type OwnPart, type Placement, type WaitingRequest } from './account.js'
 import { accountOf, allAccounts, noAccounts, withAccount, type Accounts } from './accounts.js'
 import { askHome, collect, takeAnswer, type Asking } from './borrowing.js'
 import { demandRate, withRequest } from './demand.js'
@@ -45,17 +45,19 @@
   readonly held: ReadonlyMap<number, number>
   readonly holders: ReadonlyMap<number, HostName>
   readonly members: readonly Member[]
-  /** Homes found so far for these members. */
-  readonly homes: ReadonlyMap<AccountName, HostName | undefined>
   /** Nothing is admitted or lent from this time on unless it is put off. */
   readonly confirmedUntilMs: number
+  /** Whether a confirmation holds or has lapsed unnoticed. */
+  readonly wasConfirmed: boolean
+  /** Last time that the confirmation was found to have lapsed. A table of seats that was read before is void: others may hold the seats now. */
+  readonly lapsedMs: number
   readonly sequence: number
 }
 
 /** What happens to the limits. */
 export type LimitsEvent =
   | { readonly kind: 'manifestApplied', readonly manifest: Manifest, readonly nowMs: number }
-  | { readonly kind: 'seatsChanged', readonly held: readonly number[], readonly holders: ReadonlyMap<number, HostName>, readonly nowMs: number }
+  | { readonly kind: 'seatsChanged', readonly held: readonly number[], readonly holders: ReadonlyMap<number, HostName>, readonly tableOfMs: number, readonly nowMs: number }
   | { readonly kind: 'membersChanged', readonly live: readonly Member[], readonly nowMs: number }
   | { readonly kind: 'confirmationChanged', readonly confirmedUntilMs: number, readonly nowMs: number }
   | { readonly kind: 'admit', readonly account: AccountName, readonly id: string, readonly deadlineMs: number, readonly nowMs: number }
@@ -88,8 +90,9 @@
     held: new Map(),
     holders: new Map(),
     members: [],
-    homes: new Map(),
     confirmedUntilMs: -Infinity,
+    wasConfirmed: false,
+    lapsedMs: -Infinity,
     sequence: 0
   }
 }
@@ -103,9 +106,12 @@
 export function limitsStep (state: LimitsState, event: LimitsEvent): Next {
   switch (event.kind) {
     case 'manifestApplied': return manifestApplied(state, event.manifest, event.nowMs)
-    case 'seatsChanged': return { state: seatsChanged(state, event.held, event.holders, event.nowMs), effects: [] }
-    case 'membersChanged': return { state: { ...state, members: event.live, homes: new Map() }, effects: [] }
-    case 'confirmationChanged': return { state: { ...state, confirmedUntilMs: event.confirmedUntilMs }, effects: [] }
+    case 'seatsChanged': {
+      const held = event.tableOfMs < state.lapsedMs ? [] : event.held
+      return { state: seatsChanged(state, held, event.holders, event.nowMs), effects: [] }
+    }
+    case 'membersChanged': return { state: { ...state, members: event.live }, effects: [] }
+    case 'confirmationChanged': return { state: confirmationChanged(state, event.confirmedUntilMs, event.nowMs), effects: [] }
     case 'admit': return admit(state, event.account, { id: event.id, untilMs: Math.min(event.deadlineMs, event.nowMs + maxWaitMs) }, event.nowMs)
     case 'borrowRequested': return borrowRequested(state, event)
     case 'borrowAnswered': return borrowAnswered(state, event)
@@ -161,6 +167,13 @@
   return { ...state, held, holders, accounts }
 }
 
+function confirmationChanged (state: LimitsState, confirmedUntilMs: number, nowMs: number): LimitsState {
+  const wasConfirmed = state.wasConfirmed || confirmedUntilMs > nowMs
+  if (!state.wasConfirmed || nowMs < state.confirmedUntilMs) return { ...state, confirmedUntilMs, wasConfirmed }
+  const lapsed = { ...state, confirmedUntilMs, wasConfirmed: confirmedUntilMs > nowMs, lapsedMs: nowMs }
+  return seatsChanged(lapsed, [], state.holders, nowMs)
+}
+
 function refusal (account: AccountLimit, id: string): LimitsEffect {
   const ratePerS = Math.max(account.usable.ratePerS, account.limit.ratePerS / 2)
   const missing = account.waiting.length + 1 - account.level
@@ -210,17 +223,25 @@
 }
 
 function askForMore (state: LimitsState, account: AccountLimit, nowMs: number): Next {
-  const known = state.homes.has(account.account)
-  const home = known ? state.homes.get(account.account) : accountHome(account.account, state.members)
-  const next = known ? state : { ...state, homes: new Map(state.homes).set(account.account, home) }
-  const shortHere = isShort(account, nowMs) ? { ...account, shortMs: nowMs } : account
-  if (home !== undefined && home !== state.self) return sendAll(next, [to => askHome(to.account, home, to.sequence, nowMs)], account)
-  return collectAll(next, shortHere, nowMs)
+  const { placed, placement } = placedAccount(state, account)
+  const { home } = placement
+  if (home !== undefined && home !== state.self) return sendAll(state, [to => askHome(to.account, home, to.sequence, nowMs)], placed)
+  return collectAll(state, isShort(placed, nowMs) ? { ...placed, shortMs: nowMs } : placed, nowMs)
 }
 
 function collectAll (state: LimitsState, account: AccountLimit, nowMs: number): Next {
-  if (nowMs - account.shortMs >= collectIdleMs) return sendAll(state, [], account)
-  return sendAll(state, ownersOf(state, account).map(owner => to => collect(to.account, owner, to.sequence, nowMs)), account)
+  const { placed, placement } = placedAccount(state, account)
+  if (nowMs - placed.shortMs >= collectIdleMs) return sendAll(state, [], placed)
+  return sendAll(state, placement.owners.map(owner => to => collect(to.account, owner, to.sequence, nowMs)), placed)
+}
+
+function placedAccount (state: LimitsState, account: AccountLimit): { readonly placed: AccountLimit, readonly placement: Placement } {
+  const { members, holders } = state
+  const known = account.placement
+  if (known?.members === members && known.holders === holders) return { placed: account, placement: known }
+  const home = known?.members === members ? known.home : accountHome(account.account, members)
+  const placement = { members, holders, home, owners: ownersOf(state, account) }
+  return { placed: { ...account, placement }, placement }
 }
 
 function ownersOf (state: LimitsState, account: AccountLimit): readonly HostName[] {
