--- a/bench/fair-queue.ts
+++ b/bench/fair-queue.ts
@@ -5,7 +5,7 @@
 import type { AccountName } from '../src/model/index.js'
 import { fairQueueStep, initialFairQueue } from '../src/request/fair-queue.js'
 import { deficitRoundRobin, fifo, type Discipline } from './queue-disciplines.js'
-import { seededDraws, type Draws } from './random.js'
+import { seededDraws, type Draws } from './draws.js'
 import { percentile } from './statistics.js'
 
 type Demand = {
