--- a/test/config/configuration.test.ts
+++ b/test/config/configuration.test.ts
@@ -91,7 +91,7 @@
 })
 
 test('a host that has just started counts for nobody while it lacks what others hold', () => {
-  const others = ['host-1', 'host-2', 'host-3'].map(host => peerConfirmed(host, 3, 60))
+  const others = [...['host-1', 'host-2', 'host-3'].map(host => peerConfirmed(host, 3, 60)), peerConfirmed('host-4', 2, 60)]
   const behind = stateOf([quorumOfFive, { kind: 'peerOffered', accepted: acceptedOf(2) }, ...others], 'host-0', 50)
   assert.equal(confirmedGeneration(behind), 0)
   assert.equal(confirmedGeneration(configurationStep(behind, { kind: 'peerOffered', accepted: acceptedOf(3) }).state), 3)
