Confirm by asking the quorum; keep keys that stand in a name out of logs and answers

Cause, seen in new tests on real processes: of three proxies, those that receive heartbeats and never send them refused keyed work one confirmation time after the store went down. A received heartbeat has no known age, so it must not confirm; the host now asks its quorum itself where the store's confirmation has grown old. And a key given as the user name came back in the error and stood in the log.

Also a host outside the quorum counted itself for the quorum's majority: it and two of five share no host with the other three, who may hold a newer generation.

Guards seen failing: counting only quorum members (focused test), the two tests above before the change.

--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -53,6 +53,7 @@
   /** Whether the host counts for majorities. */
   readonly settled: boolean
   readonly pulledAtMs: number | undefined
+  readonly askedPeersAtMs: number | undefined
 }
 
 /**
@@ -74,6 +75,8 @@
   | { readonly kind: 'offer', readonly accepted: AcceptedManifest }
   /** Ask a peer for what it holds above a generation. */
   | { readonly kind: 'pull', readonly host: HostName, readonly above: Generation }
+  /** Ask peers for their generation; each answer is a `peerConfirmed`. */
+  | { readonly kind: 'askPeers', readonly hosts: readonly HostName[] }
   /** Ask the store now. */
   | { readonly kind: 'relist' }
   | { readonly kind: 'rejected', readonly rejected: RejectedManifest }
@@ -95,7 +98,8 @@
     quorum: [],
     heard: { generation: 0, from: undefined },
     settled: false,
-    pulledAtMs: undefined
+    pulledAtMs: undefined,
+    askedPeersAtMs: undefined
   }
 }
 
@@ -112,7 +116,7 @@
     case 'peerOffered': return consider(state, event.accepted)
     case 'peerConfirmed': return onPeer(state, event)
     case 'quorumChanged': return stay(settle({ ...state, quorum: event.hosts, peers: only(state.peers, event.hosts) }))
-    case 'tick': return catchUp(state, event.nowMs)
+    case 'tick': return askWhereOld(catchUp(state, event.nowMs), event.nowMs)
   }
 }
 
@@ -127,7 +131,7 @@
   const sinceMs = nowMs - state.spec.confirmWithinMs
   if (state.storeConfirmedAtMs !== undefined && state.storeConfirmedAtMs >= sinceMs) return true
   const others = confirmers(state, sinceMs)
-  const own = state.settled ? 1 : 0
+  const own = state.settled && state.quorum.includes(state.spec.host) ? 1 : 0
   return others > 0 && others + own >= majority(state.quorum)
 }
 
@@ -202,6 +206,19 @@
   return { state: { ...state, pulledAtMs: nowMs }, effects: [...pull, { kind: 'relist' }] }
 }
 
+// Heartbeats alone don't reach every host of the quorum, and a received one
+// has no known age. Where the store's confirmation has grown old, the host asks.
+function askWhereOld (decision: Decision, nowMs: number): Decision {
+  const { state, effects } = decision
+  const { host: self, confirmWithinMs, pullMs } = state.spec
+  const oldMs = nowMs - confirmWithinMs / 2
+  if (state.storeConfirmedAtMs !== undefined && state.storeConfirmedAtMs >= oldMs) return decision
+  if (state.askedPeersAtMs !== undefined && nowMs - state.askedPeersAtMs < pullMs) return decision
+  const hosts = state.quorum.filter(host => host !== self && (state.peers[host]?.askedAtMs ?? -Infinity) < oldMs)
+  if (hosts.length === 0) return decision
+  return { state: { ...state, askedPeersAtMs: nowMs }, effects: [...effects, { kind: 'askPeers', hosts }] }
+}
+
 function storeConfirmed (state: ConfigurationState, atMs: number): ConfigurationState {
   const storeConfirmedAtMs = Math.max(atMs, state.storeConfirmedAtMs ?? atMs)
   return settle({ ...state, storeConfirmedAtMs })
--- a/src/config/keys.ts
+++ b/src/config/keys.ts
@@ -61,6 +61,16 @@
   return keyPattern.test(text)
 }
 
+/**
+ * Takes everything shaped like a key out of a text, as a caller may show a key
+ * in the place of a name.
+ * @param text - a text that is to be logged or answered
+ * @returns the text with `lmk_...` in the place of each key
+ */
+export function withoutKeys (text: string): string {
+  return text.replace(new RegExp(keyPattern, 'gi'), `${keyPrefix}...`)
+}
+
 /**
  * Tells whether a text is a key and nothing else.
  * @param text - what somebody gave as a key
--- a/src/daemon/callers.ts
+++ b/src/daemon/callers.ts
@@ -1,7 +1,7 @@
 // The callers of this host: listens, decides logins and starts a task for each
 // connection.
 
-import { keyDecision } from '../config/index.js'
+import { keyDecision, withoutKeys } from '../config/index.js'
 import { notRun, type Caller, type Outcome } from '../model/index.js'
 import type { Filter } from '../pipe/index.js'
 import { openSessionState, type ConfigurationInForce, type Incoming, type OpenTransaction, type Served } from '../request/index.js'
@@ -99,6 +99,6 @@
   const decision = keyDecision(configuration.manifest, login)
   switch (decision.kind) {
     case 'granted': return decision
-    case 'refused': return { kind: 'refused', outcome: notRun(decision.reason, `the login of ${login.user} is refused`) }
+    case 'refused': return { kind: 'refused', outcome: notRun(decision.reason, `the login of ${withoutKeys(login.user)} is refused`) }
   }
 }
--- a/src/daemon/configuration-task.ts
+++ b/src/daemon/configuration-task.ts
@@ -21,6 +21,8 @@
   readonly peers: () => readonly HostName[]
   /** True where this host is one of those that watch the store. */
   readonly watches: () => boolean
+  /** What this host says of itself when it asks a peer. */
+  readonly ownState: () => MemberState
   readonly onApply: (accepted: AcceptedManifest) => void
   readonly onRejected: (generation: Generation, errors: readonly string[]) => void
   readonly decode: (value: unknown) => AcceptedManifest | undefined
@@ -99,6 +101,7 @@
     case 'apply': return spec.onApply(effect.accepted)
     case 'offer': return offer(spec, effect.accepted)
     case 'pull': return void pull(spec, effect.host, effect.above, port)
+    case 'askPeers': return askPeers(spec, effect.hosts, port)
     case 'relist': return void askStore(spec, port)
     case 'rejected': return spec.onRejected(effect.rejected.generation, effect.rejected.errors)
   }
@@ -121,6 +124,16 @@
   }
 }
 
+function askPeers (spec: ConfigurationTaskSpec, hosts: readonly HostName[], port: Port<ConfigurationEvent>): void {
+  const { timers, settings } = spec.context
+  const askedAtMs = timers.nowMs()
+  for (const host of hosts) {
+    spec.links.call(host, 'heartbeat', spec.ownState(), settings.control.pullMs).then(state => {
+      port.send({ kind: 'peerConfirmed', host, generation: state.generation, storeConfirmedAgoMs: state.storeConfirmedAgoMs, askedAtMs, nowMs: timers.nowMs() })
+    }, () => {})
+  }
+}
+
 async function askStore (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>): Promise<void> {
   const { timers } = spec.context
   const askedAtMs = timers.nowMs()
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -121,6 +121,7 @@
     links,
     peers: () => members.view.get().live.map(member => member.host),
     watches: () => members.view.get().quorum.includes(settings.host.name),
+    ownState: () => ownState(),
     decode: decodeAcceptedManifest,
     onApply: accepted => {
       routing.takeDatabases(accepted.manifest.databases)
--- a/src/report/log.ts
+++ b/src/report/log.ts
@@ -1,6 +1,7 @@
 // Writes events through tslog: one line an event, to the standard error.
 
 import { Logger } from 'tslog'
+import { withoutKeys } from '../config/index.js'
 import { eventCatalogue, type EventFields, type EventLevel, type EventName } from './events.js'
 
 /** Writes events. */
@@ -27,7 +28,7 @@
  */
 export function eventLog (spec: EventLogSpec): EventLog {
   const logger = new Logger<Readonly<Record<string, unknown>>>({ type: 'hidden', minLevel: levelNumbers[spec.level], name: spec.host })
-  logger.attachTransport(record => { spec.writeLine(lineOf(spec, record as unknown as LogRecord)) })
+  logger.attachTransport(record => { spec.writeLine(withoutKeys(lineOf(spec, record as unknown as LogRecord))) })
   return {
     write (name, fields) {
       const { number, level } = eventCatalogue[name]
--- a/test/config/configuration.test.ts
+++ b/test/config/configuration.test.ts
@@ -76,6 +76,21 @@
   assert.equal(mayServeKeyed(configurationStep(state, { kind: 'peerOffered', accepted: acceptedOf(2) }).state, 10), true)
 })
 
+test('a host outside the quorum does not count for its majority', () => {
+  const quorum: ConfigurationEvent = { kind: 'quorumChanged', hosts: ['host-1', 'host-2', 'host-3'] }
+  const one = stateOf([quorum, storeAnswered(1, 0), peerConfirmed('host-1', 1, 900)])
+  assert.equal(mayServeKeyed(one, confirmWithinMs + 1), false)
+  assert.equal(mayServeKeyed(configurationStep(one, peerConfirmed('host-2', 1, 900)).state, confirmWithinMs + 1), true)
+})
+
+test('the quorum is asked where the store\'s confirmation grows old', () => {
+  const state = stateOf([quorumOfFive, storeAnswered(1, 0), peerConfirmed('host-1', 1, 400)])
+  assert.deepEqual(configurationStep(state, { kind: 'tick', nowMs: 500 }).effects, [])
+  const asked = configurationStep(state, { kind: 'tick', nowMs: 501 })
+  assert.deepEqual(asked.effects, [{ kind: 'askPeers', hosts: ['host-2', 'host-3', 'host-4'] }])
+  assert.deepEqual(configurationStep(asked.state, { kind: 'tick', nowMs: 600 }).effects, [], 'not again before the answers can be in')
+})
+
 test('a host alone in its list needs the store', () => {
   const state = stateOf([{ kind: 'quorumChanged', hosts: ['host-0'] }, storeAnswered(1, 0)])
   assert.equal(mayServeKeyed(state, confirmWithinMs + 1), false)
@@ -97,7 +112,7 @@
   assert.equal(confirmedGeneration(configurationStep(behind, { kind: 'peerOffered', accepted: acceptedOf(3) }).state), 3)
 })
 
-// Stateful fuzzing: three hosts, one store, links that are cut and healed, late
+// Stateful fuzzing: three hosts of a quorum and one outside it, one store, links that are cut and healed, late
 // answers, replaced hosts. The oracle knows when each generation was accepted
 // and when a majority of settled hosts held it.
 
@@ -108,6 +123,7 @@
   | { readonly kind: 'deliver', readonly pick: number }
   | { readonly kind: 'lose', readonly pick: number }
   | { readonly kind: 'advance', readonly byMs: number }
+  | { readonly kind: 'tick', readonly host: number }
   | { readonly kind: 'setStore', readonly up: boolean }
   | { readonly kind: 'setLink', readonly host: number, readonly up: boolean }
   | { readonly kind: 'isolate', readonly host: number }
@@ -117,7 +133,8 @@
   /** A generation is accepted and reaches every host that is not cut off. */
   | { readonly kind: 'rollOut' }
 
-const fuzzHosts = hostNames.slice(0, 3)
+const fuzzHosts = hostNames.slice(0, 4)
+const fuzzQuorum = fuzzHosts.slice(0, 3)
 /** Messages that the hosts may need for one round of heartbeats and offers. */
 const maxLettersARound = 1_000
 
@@ -152,6 +169,7 @@
       }
       case 'deliver': this.#take(action.pick, letter => this.#tell(letter.to, letter.event)); break
       case 'lose': this.#take(action.pick, () => {}); break
+      case 'tick': this.#tell(action.host, { kind: 'tick', nowMs: this.#nowMs }); break
       case 'advance': this.#nowMs += action.byMs; break
       case 'setStore': this.#storeUp = action.up; break
       case 'setLink': {
@@ -202,8 +220,8 @@
 
   #check (action: Action, before: readonly number[]): void {
     this.#heldAtMs = this.#acceptedAtMs.map((_, generation) => {
-      const holders = this.#states.filter(state => confirmedGeneration(state) >= generation)
-      return this.#heldAtMs[generation] ?? (holders.length > fuzzHosts.length / 2 ? this.#nowMs : undefined)
+      const holders = this.#states.filter(state => fuzzQuorum.includes(state.spec.host) && confirmedGeneration(state) >= generation)
+      return this.#heldAtMs[generation] ?? (holders.length > fuzzQuorum.length / 2 ? this.#nowMs : undefined)
     })
     this.#states.forEach((state, host) => {
       const generation = generationInForce(state)
@@ -220,7 +238,7 @@
 
   #fresh (host: string): ConfigurationState {
     const initial = initialConfiguration({ host, startedAtMs: this.#nowMs, confirmWithinMs, pullMs: 100 })
-    return configurationStep(initial, { kind: 'quorumChanged', hosts: fuzzHosts }).state
+    return configurationStep(initial, { kind: 'quorumChanged', hosts: fuzzQuorum }).state
   }
 
   #stored (): AcceptedManifest | undefined {
@@ -266,6 +284,12 @@
           if (accepted !== undefined && this.#linked(host, peer)) this.#post(host, { kind: 'peerOffered', accepted })
           break
         }
+        case 'askPeers': {
+          for (const peer of effect.hosts.map(name => fuzzHosts.indexOf(name))) {
+            if (this.#linked(host, peer)) this.#post(host, this.#heartbeatOf(peer))
+          }
+          break
+        }
         case 'apply':
         case 'relist':
         case 'rejected':
@@ -285,6 +309,7 @@
     { weight: 8, arbitrary: fc.record({ kind: fc.constant('deliver' as const), pick }) },
     { weight: 1, arbitrary: fc.record({ kind: fc.constant('lose' as const), pick }) },
     { weight: 6, arbitrary: fc.record({ kind: fc.constant('advance' as const), byMs: fc.constantFrom(1, 100, 600, 1_500) }) },
+    { weight: 4, arbitrary: fc.record({ kind: fc.constant('tick' as const), host }) },
     { weight: 2, arbitrary: fc.record({ kind: fc.constant('setStore' as const), up: fc.boolean() }) },
     { weight: 1, arbitrary: fc.record({ kind: fc.constant('setLink' as const), host, up: fc.boolean() }) },
     { weight: 4, arbitrary: fc.record({ kind: fc.constant('isolate' as const), host }) },
--- /dev/null
+++ b/test/integration/configuration.test.ts
@@ -0,0 +1,80 @@
+// Configuration on real processes: in force everywhere, never reverting, while
+// operators race, answers get lost, watches fall silent and hosts are replaced.
+
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { applyTo, GenerationWatch, reportsOf, withAnonymousRate } from '../support/configuration.js'
+import { told } from '../support/load.js'
+import { callerOf, localSet, proxyAt, quickControl } from '../support/local-set.js'
+import { until } from '../support/until.js'
+import type { LocalSet } from '../../standins/set/local-set.js'
+
+async function untilInForce (set: LocalSet, watch: GenerationWatch, generation: number): Promise<void> {
+  await until(`generation ${generation} is in force everywhere`, async () => {
+    const seen = await watch.look(set)
+    return set.proxies.every(proxy => seen.get(proxy.name) === generation)
+  })
+}
+
+test('racing operators and lost answers: one generation in force everywhere, none reverts', async t => {
+  const set = await localSet(t)
+  const watch = new GenerationWatch()
+  await untilInForce(set, watch, 1)
+  const rates = [11, 12, 13, 14, 15, 16]
+  await set.platform.faults({ dropAnswers: 4 })
+  const applied = Promise.all(rates.map(async rate => await applyTo(t, set, withAnonymousRate(set.manifest, rate))))
+  const last = 1 + rates.length
+  await untilInForce(set, watch, last)
+  assert.deepEqual([...await applied].sort((a, b) => a - b), [2, 3, 4, 5, 6, 7])
+  assert.deepEqual(watch.reverted, [])
+})
+
+test('a silent watch delays a generation and no more', async t => {
+  const set = await localSet(t)
+  const watch = new GenerationWatch()
+  await set.platform.faults({ silentWatches: true })
+  const generation = await applyTo(t, set, withAnonymousRate(set.manifest, 9))
+  await untilInForce(set, watch, generation)
+})
+
+test('a replaced host takes the generation in force and reverts nobody', async t => {
+  const set = await localSet(t)
+  const watch = new GenerationWatch()
+  await untilInForce(set, watch, await applyTo(t, set, withAnonymousRate(set.manifest, 9)))
+  const replaced = proxyAt(set, 1)
+  const before = (await reportsOf(set)).find(report => report.host === replaced.name)?.incarnation
+  await replaced.process.kill()
+  await set.startProxy(replaced)
+  await until('the new process serves', async () => (await told((await callerOf(t, set, replaced)).rows('SELECT 1'))).kind === 'answered')
+  await until('the new process reports', async () => {
+    const report = (await reportsOf(set)).find(each => each.host === replaced.name)
+    return report?.incarnation !== before && report?.generation === 2
+  })
+  await untilInForce(set, watch, await applyTo(t, set, withAnonymousRate(set.manifest, 8)))
+  assert.deepEqual(watch.reverted, [])
+})
+
+test('an invalid manifest in the store is refused whole, and reports and status say so', async t => {
+  const set = await localSet(t)
+  await set.platform.write('manifest', 'current', { generation: 2, manifest: { ...set.manifest, seats: 0 } as never })
+  await until('all hosts report the errors', async () => {
+    const reports = await reportsOf(set)
+    return reports.length === set.proxies.length && reports.every(report => report.rejectedManifest?.generation === 2)
+  })
+  const [report] = await reportsOf(set)
+  assert.equal(report?.generation, 1)
+  assert.deepEqual(report?.rejectedManifest?.errors, ['seats: found 0, allowed: a whole number from 1 to 100000'])
+  assert.deepEqual(await (await callerOf(t, set, proxyAt(set, 0))).rows('SELECT 1 AS n'), [{ n: 1 }])
+})
+
+test('while the store is down every host goes on with keyed work, on the word of the others', async t => {
+  const set = await localSet(t)
+  const callers = await Promise.all(set.proxies.map(async proxy => await callerOf(t, set, proxy)))
+  await set.platform.faults({ down: true })
+  // Longer than a confirmation by the store lasts.
+  const endAtMs = performance.now() + quickControl.confirm_within_ms * 2
+  while (performance.now() < endAtMs) {
+    for (const caller of callers) assert.deepEqual(await told(caller.rows('SELECT 1')), { kind: 'answered' })
+  }
+  for (const proxy of set.proxies) assert.deepEqual(await told((await callerOf(t, set, proxy)).rows('SELECT 1')), { kind: 'answered' })
+})
--- /dev/null
+++ b/test/integration/withdrawal.test.ts
@@ -0,0 +1,87 @@
+// Keys on real processes: withdrawn from callers that are connected, and seen
+// nowhere but on the caller's own connection.
+
+import assert from 'node:assert/strict'
+import { randomBytes } from 'node:crypto'
+import { test, type TestContext } from 'node:test'
+import { holdsKey, keyRandomBytes, newKey } from '../../src/config/index.js'
+import { connectCaller } from '../../standins/set/caller.js'
+import { onServer } from '../../standins/set/controls.js'
+import { linkName, type LocalProxy, type LocalSet } from '../../standins/set/local-set.js'
+import { applyTo, platformUrl, withoutKeys } from '../support/configuration.js'
+import { runCli } from '../support/cli.js'
+import { told, type Told } from '../support/load.js'
+import { callerOf, localSet, proxyAt } from '../support/local-set.js'
+import { until } from '../support/until.js'
+
+const withdrawn = 'mission'
+const kept = 'atelier'
+
+/** Cuts a host off from the platform and from all other hosts, or joins it again. */
+async function setCutOff (set: LocalSet, proxy: LocalProxy, mode: 'cut' | 'pass'): Promise<void> {
+  const others = set.proxies.filter(each => each.name !== proxy.name).map(each => each.name)
+  const names = [linkName(proxy.name, 'platform'), ...others.flatMap(other => [linkName(proxy.name, other), linkName(other, proxy.name)])]
+  await Promise.all(names.map(async name => { await set.links?.set(name, { mode }) }))
+}
+
+function isRefused (outcome: Told, reason: string): boolean {
+  return outcome.kind === 'notRun' && outcome.message.startsWith(`not run (${reason}): `)
+}
+
+test('a withdrawn key stops on open connections, also at a host that hears of nothing', async t => {
+  const set = await localSet(t, { faultyLinks: true })
+  const cutOff = proxyAt(set, 2)
+  const joined = [proxyAt(set, 0), proxyAt(set, 1)]
+  const callers = await Promise.all(joined.map(async proxy => await callerOf(t, set, proxy, { account: withdrawn })))
+  const loyal = await Promise.all(joined.map(async proxy => await callerOf(t, set, proxy, { account: kept })))
+  const unaware = await callerOf(t, set, cutOff, { account: withdrawn })
+  for (const caller of [...callers, unaware]) assert.equal((await told(caller.rows('SELECT 1'))).kind, 'answered')
+  await setCutOff(set, cutOff, 'cut')
+  await applyTo(t, set, withoutKeys(set.manifest, withdrawn))
+  for (const caller of callers) {
+    await until('the withdrawn key is refused', async () => isRefused(await told(caller.rows('SELECT 1')), 'keyWithdrawn'))
+  }
+  await until('the host that is cut off refuses keyed work', async () => isRefused(await told(unaware.rows('SELECT 1')), 'unconfirmedConfiguration'))
+  for (const caller of loyal) assert.equal((await told(caller.rows('SELECT 1'))).kind, 'answered')
+  for (const proxy of joined) {
+    assert.ok(isRefused(await told(callerOf(t, set, proxy, { account: withdrawn })), 'badKey'))
+  }
+  await setCutOff(set, cutOff, 'pass')
+  await until('it learns of the withdrawal', async () => isRefused(await told(unaware.rows('SELECT 1')), 'keyWithdrawn'))
+  await until('it serves other keys again', async () => (await told((await callerOf(t, set, cutOff, { account: kept })).rows('SELECT 1'))).kind === 'answered')
+})
+
+/** Every way in which a caller may show a key at a wrong place. */
+async function showKeysEverywhere (t: TestContext, set: LocalSet, proxy: LocalProxy): Promise<readonly Told[]> {
+  const key = set.keys.get(kept) ?? ''
+  const stray = newKey(randomBytes(keyRandomBytes))
+  const caller = await callerOf(t, set, proxy)
+  const login = { account: kept, key, route: set.options.databases[0] ?? '' }
+  return [
+    await told(caller.rows(`SELECT '${key}'`)),
+    await told(caller.changed(`INSERT INTO tills VALUES (1, '${stray}', 1)`)),
+    await told(caller.rows(`/* limpetmoor request_id=${stray} */ SELECT 1`)),
+    await told(caller.rows(`SET @@limpetmoor_session = '${stray}'`)),
+    await told(connectCaller(proxy.mysql, { ...login, key: stray })),
+    await told(connectCaller(proxy.mysql, { ...login, account: key })),
+    await told(connectCaller(proxy.mysql, { ...login, route: key })),
+    await told(connectCaller(proxy.mysql, { ...login, token: stray }))
+  ]
+}
+
+test('no key shows in any log, error, report, object of the store or database session', async t => {
+  const set = await localSet(t, { settings: { log: { level: 'debug' } } })
+  const outcomes = (await Promise.all(set.proxies.map(async proxy => await showKeysEverywhere(t, set, proxy)))).flat()
+  const messages = outcomes.flatMap(outcome => outcome.kind === 'answered' ? [] : [outcome.message])
+  assert.equal(messages.length, outcomes.length, `a key at a wrong place was taken: ${JSON.stringify(outcomes)}`)
+  const status = await runCli(['status', '--platform', platformUrl(set), '--json'])
+  const outputs = [...set.proxies, ...set.servers].flatMap(each => each.process.output())
+  const statements = (await Promise.all(set.servers.map(async server => await onServer(server.address, 'CALL ledger_statements()')))).flat()
+  const objects = await Promise.all([set.platform.read('manifest', 'current'), set.platform.read('seats', 'table'), ...set.options.failureDomains.map(async name => await set.platform.read('report', name))])
+  const everything = [...messages, status.out, status.err, ...outputs, ...set.platformProcess.output(), ...statements, ...objects].map(each => JSON.stringify(each ?? ''))
+  assert.ok(statements.length > 0 && outputs.length > 0)
+  assert.deepEqual(everything.filter(holdsKey), [])
+  const digests = set.manifest.accounts.flatMap(account => account.keys.map(key => key.digest))
+  const logged = [...messages, ...outputs, ...statements.map(row => JSON.stringify(row))]
+  assert.deepEqual(logged.filter(line => digests.some(digest => line.includes(digest))), [])
+})
