--- a/src/daemon/configuration-task.ts
+++ b/src/daemon/configuration-task.ts
@@ -21,7 +21,7 @@
   readonly peers: () => readonly HostName[]
   /** True where this host is one of those that watch the store. */
   readonly watches: () => boolean
-  /** What this host says of itself. */
+  /** What this host says of itself when it asks a peer. */
   readonly ownState: () => MemberState
   readonly onApply: (accepted: AcceptedManifest) => void
   readonly onRejected: (generation: Generation, errors: readonly string[]) => void
@@ -99,6 +99,7 @@
     case 'apply': return spec.onApply(effect.accepted)
     case 'offer': return offer(spec, effect.accepted)
     case 'pull': return void pull(spec, effect.host, effect.above, port)
+    case 'askPeers': return askPeers(spec, effect.hosts, port)
     case 'relist': return void askStore(spec, port)
     case 'rejected': return spec.onRejected(effect.rejected.generation, effect.rejected.errors)
   }
@@ -121,6 +122,17 @@
   }
 }
 
+function askPeers (spec: ConfigurationTaskSpec, hosts: readonly HostName[], port: Port<ConfigurationEvent>): void {
+  const { timers, settings } = spec.context
+  const askedAtMs = timers.nowMs()
+  for (const host of hosts) {
+    spec.links.call(host, 'heartbeat', spec.ownState(), settings.control.pullMs).then(
+      from => { port.send(confirmationOf(from, askedAtMs, timers.nowMs())) },
+      () => {}
+    )
+  }
+}
+
 async function askStore (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>): Promise<void> {
   const { timers } = spec.context
   const askedAtMs = timers.nowMs()
@@ -141,21 +153,6 @@
   port.send({ kind: 'storeAnswered', accepted, askedAtMs })
 }
 
-// While the store confirms nothing, a majority of the quorum may. Heartbeats do
-// not serve for that: of two members only one asks, and only who asks knows
-// that an answer is not older than the question.
-function askQuorum (spec: ConfigurationTaskSpec, state: ConfigurationState, port: Port<ConfigurationEvent>): void {
-  const { timers, settings } = spec.context
-  const askedAtMs = timers.nowMs()
-  for (const host of state.quorum) {
-    if (host === settings.host.name) continue
-    spec.links.call(host, 'heartbeat', spec.ownState(), relistMs(settings)).then(
-      answer => { port.send(confirmationOf(answer, askedAtMs, timers.nowMs())) },
-      () => {}
-    )
-  }
-}
-
 function confirmationOf (from: MemberState, askedAtMs: number, nowMs: number): ConfigurationEvent {
   return { kind: 'peerConfirmed', host: from.host, generation: from.generation, storeConfirmedAgoMs: from.storeConfirmedAgoMs, askedAtMs, nowMs }
 }
@@ -187,7 +184,6 @@
   const { timers, settings, random } = spec.context
   while (!stopping.now) {
     if (needsStore(spec, state.get())) await askStore(spec, port)
-    if (isUnconfirmed(spec, state.get())) askQuorum(spec, state.get(), port)
     await sleep(timers, relistMs(settings) * (0.5 + random()))
   }
 }
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -122,6 +122,7 @@
     peers: () => members.view.get().live.map(member => member.host),
     ownState: () => ownState(),
     watches: () => members.view.get().quorum.includes(settings.host.name),
+    ownState: () => ownState(),
     decode: decodeAcceptedManifest,
     onApply: accepted => {
       routing.takeDatabases(accepted.manifest.databases)
