Refuse new statements at a home that hands over before its links close

A stopping home waited two heartbeats, then closed its links as soon as it was idle for a moment; an entry whose view was older still sent it statements and told its caller 'outcome unknown (connectionLost)'. The home now refuses new statements as 'not run (stopping)' once its duties have moved, lets open transactions go on, and closes its links when nothing was refused for two heartbeats.

--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -11,6 +11,7 @@
 import { startConfiguration, type ConfigurationTask } from './configuration-task.js'
 import type { DaemonContext } from './context.js'
 import { Databases } from './databases.js'
+import { HandOver } from './hand-over.js'
 import { decodeAcceptedManifest, decodeListedHost, decodePrimary, decodeSeatTable } from './decode.js'
 import { startLimits, type LimitsTask } from './limits-task.js'
 import { startMembers, type MembersTask, type MembersView } from './members-task.js'
@@ -34,6 +35,8 @@
 const maxDeadlineMs = 600_000
 const openFloorTimeoutMs = 1000
 const drainPollMs = 20
+/** Heartbeats within which others learn that this host takes no new duties. */
+const handOverHeartbeats = 2
 
 /** The parts of a proxy, joined. */
 type Parts = {
@@ -47,6 +50,7 @@
   readonly routing: RoutingTable
   readonly limits: LimitsTask
   readonly stopping: () => boolean
+  readonly handOver: HandOver
 }
 
 /**
@@ -120,7 +124,6 @@
     platform,
     links,
     peers: () => members.view.get().live.map(member => member.host),
-    ownState: () => ownState(),
     watches: () => members.view.get().quorum.includes(settings.host.name),
     ownState: () => ownState(),
     decode: decodeAcceptedManifest,
@@ -159,7 +162,7 @@
     onHeard: (from, askedAtMs) => { configuration.heard(from, askedAtMs) }
   })
   reports.attach({ platform, members, configuration, databases, routing, links, stopping })
-  return { context, reports, platform, links, members, configuration, databases, routing, limits, stopping }
+  return { context, reports, platform, links, members, configuration, databases, routing, limits, stopping, handOver: new HandOver() }
 }
 
 function takeMembers (view: MembersView, to: Pick<Parts, 'configuration' | 'databases' | 'routing' | 'limits'>): void {
@@ -183,7 +186,7 @@
 function peerHandlers (parts: Parts): PeerHandlers {
   const { configuration, databases, members, limits, reports } = parts
   return {
-    execute: async request => await databases.execute(request),
+    execute: async request => parts.handOver.refusal(request, parts.context.timers.nowMs()) ?? await databases.execute(request),
     openFloor: async ({ database }) => await databases.openFloor(database),
     heartbeat: async from => await members.answerHeartbeat(from),
     pullConfiguration: async ({ above }) => {
@@ -275,8 +278,11 @@
   reports.event('stopping', { host: settings.host.name, callers: callers.count() })
   members.tell({ kind: 'stopping', nowMs: timers.nowMs() })
   await withTimeout(timers, leftMs(), callers.drain())
-  await handOver(parts)
-  while (databases.load() > 0 && leftMs() > 1) await sleep(timers, drainPollMs)
+  const quietMs = settings.control.heartbeatMs * handOverHeartbeats
+  await sleep(timers, quietMs)
+  parts.handOver.begin(timers.nowMs())
+  const isBusy = (): boolean => databases.load() > 0 || parts.handOver.quietMs(timers.nowMs()) < quietMs
+  while (isBusy() && leftMs() > 1) await sleep(timers, drainPollMs)
   limits.leave()
   if (callers.count() > 0) reports.event('stopOverdue', { host: settings.host.name, callers: callers.count() })
   callers.close()
@@ -287,9 +293,3 @@
   reports.event('stopped', { host: settings.host.name })
   timers.stop()
 }
-
-// Others learn within two heartbeats that this host takes no new duties.
-async function handOver (parts: Parts): Promise<void> {
-  const heartbeats = 2
-  await sleep(parts.context.timers, parts.context.settings.control.heartbeatMs * heartbeats)
-}
--- a/test/support/local-set.ts
+++ b/test/support/local-set.ts
@@ -16,6 +16,9 @@
   report_ms: 500
 }
 
+/** Settings under which a busy machine is no failure of a host or a server. */
+export const calmControl = { ...quickControl, heartbeat_ms: 500, probe_ms: 500, probe_timeout_ms: 4000, confirm_within_ms: 8000 }
+
 /** How long a set may take until its proxies serve. */
 const readyTimeoutMs = 30_000
 /** Lines of a proxy's output that a failed start shows. */
