Renew the limits' confirmation while nobody asks

Cause: the limits task takes the confirmation in with each message only, and since it became a finite time (now + confirm_within_ms) it lapses whenever no message comes for 4 s. The seats' table is read every 5 s, so each reading finds a lapse and is void for it. Ruled out: an unclaimed table (version 3, all seats held) and the configuration (statements passed the authorize filter).

A tick four times in each confirmation takes it in. Also removes a property that a merge had doubled in proxy.ts, which did not compile.

--- a/src/daemon/limits-task.ts
+++ b/src/daemon/limits-task.ts
@@ -59,6 +59,8 @@
 const mailboxCapacity = 65536
 const seatsMailboxCapacity = 1024
 const seatsTickMs = 200
+/** How often a confirmation is taken in while it holds. */
+const renewalsPerConfirmation = 4
 const borrowTimeoutMs = 150
 /** Kind of the seat tables in the store. */
 const seatsKind = 'seats'
@@ -89,6 +91,10 @@
   const cancelTicks = timers.every(limitsTickMs, {
     send: () => isActive.get() ? task.port.send({ kind: 'event', event: { kind: 'tick' } }) : 'accepted'
   })
+  // The confirmation is taken in with each message; without one it would lapse while nobody asks.
+  const cancelRenewals = timers.every(settings.control.confirmWithinMs / renewalsPerConfirmation, {
+    send: () => task.port.send({ kind: 'event', event: { kind: 'tick' } })
+  })
   return {
     admit: async (account, deadlineAtMs) => await ask<Message, Outcome | undefined>(task.port, reply => ({ kind: 'admitFor', account, deadlineAtMs, reply }), notRun('queueFull', 'too many requests wait for a token')),
     lend: async params => await ask<Message, PeerResult<'borrow'>>(task.port, reply => ({ kind: 'lendTo', params, reply }), { grant: undefined }),
@@ -105,6 +111,7 @@
     },
     async stop () {
       cancelTicks()
+      cancelRenewals()
       await Promise.all([seats.stop(), task.stop()])
     }
   }
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -120,7 +120,6 @@
     platform,
     links,
     peers: () => members.view.get().live.map(member => member.host),
-    ownState: () => ownState(),
     watches: () => members.view.get().quorum.includes(settings.host.name),
     ownState: () => ownState(),
     decode: decodeAcceptedManifest,
