--- a/src/limits/borrowing.ts
+++ b/src/limits/borrowing.ts
@@ -86,7 +86,7 @@
   const current = advanced(state, nowMs)
   const lender = current.lenders.get(from)
   if (lender?.sequence !== sequence || lender.openUntilMs === undefined) return current
-  const closed: Lender = { ...lender, openUntilMs: undefined, ...nextAsk(current, lender, grant, nowMs) }
+  const closed: Lender = { ...lender, openUntilMs: undefined, ...nextAsk(current, lender, grant, from, nowMs) }
   if (grant === undefined) return withLender(current, from, closed)
   const expiresMs = lender.sentMs + grant.validMs
   if (expiresMs <= nowMs) return withLender(current, from, closed)
@@ -134,11 +134,13 @@
   return asks.purpose === 'collect' || lendsOn(state) ? kept : smaller(kept, { ratePerS: asks.want.ratePerS, capacity: Infinity })
 }
 
-// Who gets nothing for requests that wait asks again after a growing time.
-function nextAsk (state: AccountLimit, lender: Lender, grant: ShareGrant | undefined, nowMs: number): Pick<Lender, 'nextAskMs' | 'backoffMs'> {
+// Who gets nothing for requests that wait asks again after a growing time; the
+// home's owners less often, because it asks all of them.
+function nextAsk (state: AccountLimit, lender: Lender, grant: ShareGrant | undefined, from: HostName, nowMs: number): Pick<Lender, 'nextAskMs' | 'backoffMs'> {
   if (missingTokens(state, nowMs) === 0) return { nextAskMs: nowMs, backoffMs: backoffMs.first }
   if (grant !== undefined && grant.tokens >= usefulTokens) return { nextAskMs: nowMs, backoffMs: Math.max(backoffMs.first, lender.backoffMs / 2) }
-  return { nextAskMs: nowMs + lender.backoffMs, backoffMs: Math.min(lender.backoffMs * 2, backoffMs.longest) }
+  const longestMs = state.placement?.home === from ? backoffMs.longest : collectPeriodMs
+  return { nextAskMs: nowMs + lender.backoffMs, backoffMs: Math.min(lender.backoffMs * 2, longestMs) }
 }
 
 function withLender (state: AccountLimit, host: HostName, lender: Lender): AccountLimit {
--- a/src/limits/lending.ts
+++ b/src/limits/lending.ts
@@ -121,7 +121,7 @@
 // that they never lie on top of tokens that it has already.
 function tokensFor (before: AccountLimit, after: AccountLimit, offer: Share, request: BorrowRequest, nowMs: number): number {
   const room = Math.max(0, offer.capacity - request.held.capacity)
-  const spare = Math.max(0, before.level - keptShare(before, request.isUrgent, nowMs).capacity)
+  const spare = Math.max(0, before.level - keptShare(before, request.isUrgent, nowMs).tokens)
   const overflow = Math.max(0, before.level - after.usable.capacity)
   return Math.min(room, Math.max(overflow, Math.min(request.wantTokens, spare)))
 }
--- a/src/limits/needs.ts
+++ b/src/limits/needs.ts
@@ -9,6 +9,8 @@
 const leastDemandPerS = 4
 /** Room for saved tokens, as a multiple of them: the demand comes unevenly. */
 const capacityFactor = 3
+/** The same for what a lender keeps. */
+const keptFactor = 1.5
 /** Part of a host's part of the burst that it holds; the rest stays at the home. */
 const heldPart = 0.6
 /** Saved tokens of a host with any demand. */
@@ -36,21 +38,26 @@
   return ratePerS < leastDemandPerS || saved < leastSaved ? noProvision : { ratePerS, saved, capacity }
 }
 
+/** A share, and the tokens in it. */
+export type Provided = Share & { readonly tokens: number }
+
 /**
  * What a host keeps for its own requests when others ask it for a loan.
  * @param state - the account, advanced to now
  * @param isUrgent - whether requests wait at the borrower
  * @param nowMs - the time
- * @returns the share
+ * @returns the rate, the room for tokens, and the tokens
  */
-export function keptShare (state: AccountLimit, isUrgent: boolean, nowMs: number): Share {
-  const saved = provision(state, nowMs).saved * (isUrgent ? urgentPart : 1)
-  return { ratePerS: wantedShare(state, nowMs).ratePerS, capacity: saved + state.waiting.length }
+export function keptShare (state: AccountLimit, isUrgent: boolean, nowMs: number): Provided {
+  const { saved, capacity } = provision(state, nowMs)
+  const part = isUrgent ? urgentPart : 1
+  return {
+    ratePerS: wantedShare(state, nowMs).ratePerS,
+    capacity: Math.min(capacity, saved * keptFactor) * part + state.waiting.length,
+    tokens: saved * part + state.waiting.length
+  }
 }
 
-/** What a host wants to have in all. */
-export type Wanted = Share & { readonly tokens: number }
-
 /**
  * What a host wants to have, its own share included. The rate follows the
  * demand and what is missing in saved tokens, so a surplus shrinks by itself.
@@ -58,7 +65,7 @@
  * @param nowMs - the time
  * @returns rate, capacity and tokens that come at once
  */
-export function wantedShare (state: AccountLimit, nowMs: number): Wanted {
+export function wantedShare (state: AccountLimit, nowMs: number): Provided {
   const { ratePerS, saved, capacity } = provision(state, nowMs)
   const missing = saved + state.waiting.length - state.level
   const refilling = ratePerS === 0 ? 0 : ratePerS + missing * 1000 / refillMs
--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -37,6 +37,38 @@
   })
 }
 
+for (const [name, pick] of [
+  ['on all hosts', (random: () => number) => Math.floor(18 * random())],
+  ['on few hosts', (random: () => number) => Math.floor(18 * random() ** 4)],
+  ['on one host', () => 5]
+] as const) {
+  test(`an account that sends 5 times its rate ${name} gets its due and harms no other`, () => {
+    const accounts = [{ name: 'mill', ratePerS: 100, burst: 100 }, { name: 'inn', ratePerS: 50, burst: 50 }]
+    const fleet = limitFleet({ hosts: 18, seed: 3, manifest: accountsManifest(64, accounts) })
+    const random = randomFrom(9)
+    const flood = fleet.names.map(() => fleet.names[pick(random)] as string)
+    load(fleet, { account: 'mill', ratePerS: 80, hosts: fleet.names }, 6000, 26_000, 7)
+    load(fleet, { account: 'inn', ratePerS: 250, hosts: flood }, 6000, 26_000, 8)
+    fleet.run(27_000)
+    const calm = outcome(fleet, 'mill', 100, 100, 6000)
+    const wild = outcome(fleet, 'inn', 50, 50, 6000)
+    assert.ok(calm.exceeded <= 1e-6 && wild.exceeded <= 1e-6)
+    assert.equal(calm.wronged, 0)
+    assert.ok(wild.admitted >= 0.95 * wild.due, `${wild.admitted} of ${wild.due}`)
+  })
+}
+
+test('demand that moves to another host each second is admitted', () => {
+  const fleet = limitFleet({ hosts: 18, seed: 1, manifest: accountsManifest(64, [{ name: 'mill', ratePerS: 100, burst: 100 }]) })
+  for (let second = 6; second < 26; second += 1) {
+    load(fleet, { account: 'mill', ratePerS: 80, hosts: [fleet.names[second % 18] as string] }, second * 1000, second * 1000 + 1000, second)
+  }
+  fleet.run(27_000)
+  const { exceeded, wronged } = outcome(fleet, 'mill', 100, 100, 6000)
+  assert.ok(exceeded <= 1e-6)
+  assert.equal(wronged, 0)
+})
+
 function borrowing (sequence: number, changed: Partial<BorrowRequest> = {}): BorrowRequest {
   return {
     account: 'mill',
