--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -120,7 +120,9 @@
     platform,
     links,
     peers: () => members.view.get().live.map(member => member.host),
+    ownState: () => ownState(),
     watches: () => members.view.get().quorum.includes(settings.host.name),
+    ownState: () => ownState(),
     decode: decodeAcceptedManifest,
     onApply: accepted => {
       routing.takeDatabases(accepted.manifest.databases)
@@ -134,7 +136,8 @@
     context,
     platform,
     links,
-    confirmedUntilMs: () => configuration.mayServeKeyed() ? Infinity : -Infinity,
+    // A finite time, so that a lapse during a pause is seen although the confirmation is fresh again.
+    confirmedUntilMs: () => configuration.mayServeKeyed() ? context.timers.nowMs() + settings.control.confirmWithinMs : -Infinity,
     decodeTable: decodeSeatTable
   })
   const ownState = (): MemberState => ({
