Test two homes that propose at once, each with its own majority

The fuzz test had not noticed a fence that takes the same term from a second proposer: the plans rarely make two proposals meet.

--- a/test/failover/fuzz.test.ts
+++ b/test/failover/fuzz.test.ts
@@ -95,3 +95,16 @@
     fc.assert(fc.property(plans(servers), plan => { checkRecovered(play(servers, plan), plan) }), { seed, numRuns, endOnFailure: true })
   })
 }
+
+test('two homes that propose at once, each with a majority in reach, promote one server a term', () => {
+  fc.assert(fc.property(fc.nat(1_000_000), seed => {
+    const world = new World({ servers: 3, homes: 2, seed, sameRank: true })
+    world.cut('h0', 's2')
+    world.cut('h1', 's0')
+    work(world, 1500)
+    assert.ok(world.oracle.promotions > 0, 'nobody was promoted')
+    world.heal()
+    work(world, 1500)
+    assert.ok(world.oracle.acknowledged.length > 0, 'no write is acknowledged')
+  }), { seed: 13, numRuns: 60, endOnFailure: true })
+})
