--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -132,7 +132,7 @@
     user: text('a user name'),
     password: z.string({ error: 'text' })
   }),
-  peers: z.strictObject({ ...tlsFields, seeds: z.array(addressText()).default([]) }).superRefine(allOrNone(tlsFields)),
+  peers: z.strictObject({ ...tlsFields, seeds: z.array(addressText(), { error: 'a list of addresses "ip:port"' }).default([]) }).superRefine(allOrNone(tlsFields)),
   limits: z.strictObject({
     max_statement_bytes: wholeNumber(1, maxStatementBytes).default(1_000_000),
     max_connections: wholeNumber(1, 1_000_000).default(10_000),
