Say until when a configuration is confirmed

Cause: the limits asked whether it is confirmed now and took that for a whole confirmation time from now on, up to twice as long as it holds. The decision now gives the end of the confirmation: that of the store, or of the oldest answer among the newest that make a majority; 'may serve keyed' is that time not yet passed. Also one of two equal fields that a merge left is gone.

--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -120,6 +120,17 @@
   }
 }
 
+/**
+ * Until when the host knows enough to do keyed work, if it hears of nothing.
+ * @param state - the state of the pipe
+ * @returns monotonic time in milliseconds; -Infinity where it does not know enough
+ */
+export function confirmedUntilMs (state: ConfigurationState): number {
+  if (state.accepted === undefined || isBehind(state)) return -Infinity
+  const byStoreAtMs = state.storeConfirmedAtMs ?? -Infinity
+  return Math.max(byStoreAtMs, majorityConfirmedAtMs(state)) + state.spec.confirmWithinMs
+}
+
 /**
  * Tells whether the host knows enough to do keyed work. Asked at each statement.
  * @param state - the state of the pipe
@@ -127,12 +138,7 @@
  * @returns false where the caller is to be told `unconfirmedConfiguration`
  */
 export function mayServeKeyed (state: ConfigurationState, nowMs: number): boolean {
-  if (state.accepted === undefined || isBehind(state)) return false
-  const sinceMs = nowMs - state.spec.confirmWithinMs
-  if (state.storeConfirmedAtMs !== undefined && state.storeConfirmedAtMs >= sinceMs) return true
-  const others = confirmers(state, sinceMs)
-  const own = state.settled && state.quorum.includes(state.spec.host) ? 1 : 0
-  return others > 0 && others + own >= majority(state.quorum)
+  return nowMs <= confirmedUntilMs(state)
 }
 
 /**
@@ -232,6 +238,18 @@
   return settled ? { ...state, settled } : state
 }
 
+// The time of the oldest answer among the newest ones that make a majority.
+// One other host at least must have answered.
+function majorityConfirmedAtMs (state: ConfigurationState): number {
+  const own = state.settled && state.quorum.includes(state.spec.host) ? 1 : 0
+  const needed = Math.max(1, majority(state.quorum) - own)
+  const answersAtMs = Object.values(state.peers)
+    .filter(peer => peer.generation > 0)
+    .map(peer => peer.askedAtMs)
+    .sort((a, b) => b - a)
+  return answersAtMs[needed - 1] ?? -Infinity
+}
+
 function confirmers (state: ConfigurationState, sinceMs: number): number {
   return Object.values(state.peers).filter(peer => peer.generation > 0 && peer.askedAtMs >= sinceMs).length
 }
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -2,7 +2,7 @@
 // stops without cutting off a request.
 
 import { randomUUID } from 'node:crypto'
-import { holdsKey, redirected, type Settings } from '../config/index.js'
+import { confirmedUntilMs, holdsKey, redirected, type Settings } from '../config/index.js'
 import type { ExecuteReply, ExecuteRequest, HostName, MemberState, PeerMethod, PeerParams, PeerResult, PrimaryView } from '../model/index.js'
 import { sleep, systemTimers, withTimeout } from '../pipe/index.js'
 import { requestPipe, type Attempt, type ConfigurationInForce, type OpenTransaction, type RequestServices } from '../request/index.js'
@@ -120,7 +120,6 @@
     platform,
     links,
     peers: () => members.view.get().live.map(member => member.host),
-    ownState: () => ownState(),
     watches: () => members.view.get().quorum.includes(settings.host.name),
     ownState: () => ownState(),
     decode: decodeAcceptedManifest,
@@ -137,7 +136,7 @@
     platform,
     links,
     // A finite time, so that a lapse during a pause is seen although the confirmation is fresh again.
-    confirmedUntilMs: () => configuration.mayServeKeyed() ? context.timers.nowMs() + settings.control.confirmWithinMs : -Infinity,
+    confirmedUntilMs: () => confirmedUntilMs(configuration.state.get()),
     decodeTable: decodeSeatTable
   })
   const ownState = (): MemberState => ({
--- a/test/config/configuration.test.ts
+++ b/test/config/configuration.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { configurationStep, confirmedGeneration, generationInForce, initialConfiguration, mayServeKeyed, storeConfirmedAgoMs, type ConfigurationEvent, type ConfigurationState } from '../../src/config/index.js'
+import { configurationStep, confirmedGeneration, confirmedUntilMs, generationInForce, initialConfiguration, mayServeKeyed, storeConfirmedAgoMs, type ConfigurationEvent, type ConfigurationState } from '../../src/config/index.js'
 import type { AcceptedManifest } from '../../src/model/index.js'
 import { manifestOf } from './fixtures.js'
 
@@ -60,6 +60,12 @@
   assert.equal(mayServeKeyed(two, 900 + confirmWithinMs + 1), false)
 })
 
+test('a confirmation holds until the oldest answer of its majority has grown too old', () => {
+  const state = stateOf([quorumOfFive, storeAnswered(1, 0), peerConfirmed('host-1', 1, 900), peerConfirmed('host-2', 1, 500), peerConfirmed('host-3', 1, 400)])
+  assert.equal(confirmedUntilMs(state), 500 + confirmWithinMs)
+  assert.equal(confirmedUntilMs(configurationStep(state, peerConfirmed('host-4', 2, 950)).state), -Infinity)
+})
+
 test('one peer passes the store\'s confirmation on with its age', () => {
   const state = stateOf([quorumOfFive, storeAnswered(1, 0), peerConfirmed('host-1', 1, 900, 200)])
   assert.equal(storeConfirmedAgoMs(state, 1_000), 300)
