--- /dev/null
+++ b/test/integration/tls.test.ts
@@ -0,0 +1,39 @@
+// Links between proxies under mutual TLS.
+
+import assert from 'node:assert/strict'
+import { connect } from 'node:net'
+import { test } from 'node:test'
+import { generate } from 'selfsigned'
+import { callerOf, localSet, proxyAt } from '../support/local-set.js'
+
+const keyBits = 2048
+
+type Certificates = { readonly cert_pem: string, readonly key_pem: string, readonly ca_pem: string }
+
+/** One certificate that all hosts of a set share and trust. */
+async function sharedCertificates (): Promise<Certificates> {
+  const pems = await generate([{ name: 'commonName', value: 'limpetmoor' }], { keySize: keyBits })
+  return { cert_pem: pems.cert, key_pem: pems.private, ca_pem: pems.cert }
+}
+
+/** What a plain TCP client hears after it sent a call; empty where the link was closed. */
+async function plainAnswer (ip: string, port: number): Promise<string> {
+  return await new Promise(resolve => {
+    const socket = connect(port, ip)
+    let heard = ''
+    socket.on('data', chunk => { heard += chunk.toString('latin1') })
+    socket.on('error', () => {})
+    socket.on('close', () => { resolve(heard) })
+    socket.write(JSON.stringify({ jsonrpc: '2.0', id: 1, method: 'listHosts', params: {} }) + '\n')
+  })
+}
+
+test('proxies work together under mutual TLS and answer nobody without a certificate', async t => {
+  const set = await localSet(t, { settings: { peers: { seeds: [], ...await sharedCertificates() } } })
+  for (const index of [0, 1, 2]) {
+    const caller = await callerOf(t, set, proxyAt(set, index))
+    assert.equal(await caller.changed(`INSERT INTO tills VALUES (${index + 1}, 'x', 1)`), 1)
+  }
+  const { ip, port } = proxyAt(set, 0).peer
+  assert.ok(!(await plainAnswer(ip, port)).includes('"result"'))
+})
