Let go of databases whose duty has moved

A database without duty or statement here for 30 s is now let go; open transactions keep it. Build and lint ran; no test brings it about, as it takes 30 s.

--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -20,8 +20,13 @@
   readonly declaration: DatabaseDeclaration
   readonly task: DatabaseTask
   readonly homes: ReadonlyMap<ServerName, HomeTask>
+  /** When the database was last of use here: a duty or a statement. */
+  readonly usedAtMs: number
 }
 
+/** A database without duty or statement here for this time is let go. */
+const unusedMs = 30_000
+const sweepMs = 5000
 /** Candidates for the home of one server that may take its statements. */
 const homeCandidates = 2
 
@@ -41,6 +46,7 @@
    */
   constructor (spec: DatabasesSpec) {
     this.#spec = spec
+    spec.context.timers.every(sweepMs, { send: tick => { this.#letGoUnused(tick.nowMs); return 'accepted' } })
   }
 
   /**
@@ -144,8 +150,7 @@
   #takeDuties (): void {
     const { name: self } = this.#spec.context.settings.host
     for (const [name, declared] of this.#declared) {
-      const isHome = [...homesOf(declared, this.#live).values()].includes(self)
-      if (isHome) this.#unitFor(declared)
+      if (this.#isHome(declared)) this.#unitFor(declared)
       const rank = homeRanks(declared, this.#live).indexOf(self)
       this.#units.get(name)?.task.changeRank(rank < 0 ? undefined : rank)
     }
@@ -155,7 +160,7 @@
     const known = this.#units.get(declared.name)
     if (known !== undefined) return known
     const { context, onPrimary, publish } = this.#spec
-    const unit: Unit = { declaration: declared, task: startDatabase({ context, database: declared, onPrimary, publish }), homes: new Map() }
+    const unit: Unit = { declaration: declared, task: startDatabase({ context, database: declared, onPrimary, publish }), homes: new Map(), usedAtMs: context.timers.nowMs() }
     this.#units.set(declared.name, unit)
     return unit
   }
@@ -164,12 +169,30 @@
     const declared = this.#declared.get(request.database)
     const server = declared?.servers.find(one => one.name === request.server)
     if (declared === undefined || server === undefined) return undefined
-    const known = this.#units.get(declared.name)?.homes.get(server.name)
+    const unit = this.#units.get(declared.name)
+    const known = unit?.homes.get(server.name)
+    if (unit !== undefined) this.#units.set(declared.name, { ...unit, usedAtMs: this.#spec.context.timers.nowMs() })
     if (known !== undefined) return known
     if (!this.#mayBeHome(declared, server)) return undefined
     return this.#openHome(this.#unitFor(declared), server)
   }
 
+  // A duty that has moved ends here once its statements are done.
+  #letGoUnused (nowMs: number): void {
+    for (const [name, unit] of this.#units) {
+      if (this.#isHome(unit.declaration)) {
+        this.#units.set(name, { ...unit, usedAtMs: nowMs })
+        continue
+      }
+      const load = [...unit.homes.values()].reduce((sum, home) => sum + home.load(), 0)
+      if (load === 0 && nowMs - unit.usedAtMs >= unusedMs) void this.#close(name, unit)
+    }
+  }
+
+  #isHome (declared: DatabaseDeclaration): boolean {
+    return [...homesOf(declared, this.#live).values()].includes(this.#spec.context.settings.host.name)
+  }
+
   // Views of the members may differ, so the second candidate serves as well.
   #mayBeHome (declared: DatabaseDeclaration, server: ServerDeclaration): boolean {
     const { name: self } = this.#spec.context.settings.host
