--- a/src/limits/lending.ts
+++ b/src/limits/lending.ts
@@ -36,8 +36,7 @@
     want: request.want
   }
   const asked = withTokens(withBorrower(before, key, borrower), returned)
-  const offer = offeredShare(asked, key, request, nowMs)
-  return granted(asked, key, borrower, offer, request, nowMs)
+  return granted(asked, key, borrower, offerFor(asked, key, request, nowMs), request, nowMs)
 }
 
 /**
@@ -47,11 +46,11 @@
  * @returns what stays covered, without what is lent
  */
 export function coveredShare (state: AccountLimit, nowMs: number): Share {
-  return minus(coverUntil(state, nowMs), lentShare(state, nowMs, () => true))
+  return minus(coverUntil(state, useValidMs, nowMs), lentShare(state, nowMs, () => true))
 }
 
-function coverUntil (state: AccountLimit, nowMs: number): Share {
-  return plus(ownShare(state, nowMs), borrowedShare(state, nowMs + useValidMs + lenderMarginMs))
+function coverUntil (state: AccountLimit, validMs: number, nowMs: number): Share {
+  return plus(ownShare(state, nowMs), borrowedShare(state, nowMs + validMs + lenderMarginMs))
 }
 
 // Tokens on their way back are covered by what was lent for them; without that they are void.
@@ -67,20 +66,31 @@
   return refreshed({ ...state, borrowers: new Map(state.borrowers).set(key, borrower) })
 }
 
-function offeredShare (state: AccountLimit, key: string, request: BorrowRequest, nowMs: number): Share {
+type Offer = { readonly share: Share, readonly validMs: number }
+
+function offerFor (state: AccountLimit, key: string, request: BorrowRequest, nowMs: number): Offer {
   switch (request.purpose) {
-    case 'collect': return offeredToHome(state, key, request, nowMs)
-    case 'use': return offeredForUse(state, key, request, nowMs)
+    case 'collect': return { share: offeredToHome(state, key, request, nowMs), validMs: collectValidMs }
+    case 'use': return useOffer(state, key, request, nowMs)
   }
 }
 
+// A short loan needs cover for a short time only, so it is still there for
+// requests that wait when owners are about to take their shares back.
+function useOffer (state: AccountLimit, key: string, request: BorrowRequest, nowMs: number): Offer {
+  const long = { share: offeredForUse(state, key, request, useValidMs, nowMs), validMs: useValidMs }
+  const isEnough = long.share.capacity - request.held.capacity >= Math.min(1, request.wantTokens)
+  if (request.want.ratePerS > 0 && (isEnough || !request.isUrgent)) return long
+  return { share: offeredForUse(state, key, request, tokenValidMs, nowMs), validMs: tokenValidMs }
+}
+
 function offeredToHome (state: AccountLimit, key: string, request: BorrowRequest, nowMs: number): Share {
   const lent = lentShare(state, nowMs, (_, other) => other !== key)
   return minus(minus(ownShare(state, nowMs), lent), keptShare(state, request.isUrgent, nowMs))
 }
 
-function offeredForUse (state: AccountLimit, key: string, request: BorrowRequest, nowMs: number): Share {
-  const cover = coverUntil(state, nowMs)
+function offeredForUse (state: AccountLimit, key: string, request: BorrowRequest, validMs: number, nowMs: number): Share {
+  const cover = coverUntil(state, validMs, nowMs)
   const kept = keptShare(state, request.isUrgent, nowMs)
   const part = fairPart(state, key, request, cover, kept)
   const lent = lentShare(state, nowMs, (_, other) => other !== key)
@@ -100,8 +110,7 @@
   return wantedPerS <= cover.ratePerS ? 1 : cover.ratePerS / wantedPerS
 }
 
-function granted (state: AccountLimit, key: string, borrower: Borrower, offer: Share, request: BorrowRequest, nowMs: number): Lending {
-  const validMs = validityOf(request)
+function granted (state: AccountLimit, key: string, borrower: Borrower, { share: offer, validMs }: Offer, request: BorrowRequest, nowMs: number): Lending {
   const loan = { ...offer, expiresMs: nowMs + validMs + lenderMarginMs }
   const lent: Borrower = { ...borrower, loans: withLoan(borrower.loans, loan, nowMs) }
   const after = refreshed({ ...state, borrowers: new Map(state.borrowers).set(key, lent) })
@@ -110,13 +119,6 @@
   return { state: { ...after, level }, grant: { ...offer, tokens, validMs } }
 }
 
-function validityOf (request: BorrowRequest): number {
-  switch (request.purpose) {
-    case 'collect': return collectValidMs
-    case 'use': return request.want.ratePerS > 0 ? useValidMs : tokenValidMs
-  }
-}
-
 // Tokens go with the capacity that is lent above what the borrower holds, so
 // that they never lie on top of tokens that it has already.
 function tokensFor (before: AccountLimit, after: AccountLimit, offer: Share, request: BorrowRequest, nowMs: number): number {
