--- a/src/daemon/configuration-task.ts
+++ b/src/daemon/configuration-task.ts
@@ -21,6 +21,8 @@
   readonly peers: () => readonly HostName[]
   /** True where this host is one of those that watch the store. */
   readonly watches: () => boolean
+  /** What this host says of itself when it asks a peer. */
+  readonly ownState: () => MemberState
   readonly onApply: (accepted: AcceptedManifest) => void
   readonly onRejected: (generation: Generation, errors: readonly string[]) => void
   readonly decode: (value: unknown) => AcceptedManifest | undefined
@@ -83,9 +85,7 @@
     inForce: () => published.get().accepted,
     told: () => ({ generation: confirmedGeneration(published.get()), storeConfirmedAgoMs: storeConfirmedAgoMs(published.get(), timers.nowMs()) }),
     offered: accepted => { task.port.send({ kind: 'peerOffered', accepted }) },
-    heard: (state, askedAtMs) => {
-      task.port.send({ kind: 'peerConfirmed', host: state.host, generation: state.generation, storeConfirmedAgoMs: state.storeConfirmedAgoMs, askedAtMs, nowMs: timers.nowMs() })
-    },
+    heard: (state, askedAtMs) => { task.port.send(confirmationOf(state, askedAtMs, timers.nowMs())) },
     quorumChanged: hosts => { task.port.send({ kind: 'quorumChanged', hosts }) },
     stop: async () => {
       stopping.now = true
@@ -99,6 +99,7 @@
     case 'apply': return spec.onApply(effect.accepted)
     case 'offer': return offer(spec, effect.accepted)
     case 'pull': return void pull(spec, effect.host, effect.above, port)
+    case 'askPeers': return askPeers(spec, effect.hosts, port)
     case 'relist': return void askStore(spec, port)
     case 'rejected': return spec.onRejected(effect.rejected.generation, effect.rejected.errors)
   }
@@ -121,6 +122,17 @@
   }
 }
 
+function askPeers (spec: ConfigurationTaskSpec, hosts: readonly HostName[], port: Port<ConfigurationEvent>): void {
+  const { timers, settings } = spec.context
+  const askedAtMs = timers.nowMs()
+  for (const host of hosts) {
+    spec.links.call(host, 'heartbeat', spec.ownState(), settings.control.pullMs).then(
+      from => { port.send(confirmationOf(from, askedAtMs, timers.nowMs())) },
+      () => {}
+    )
+  }
+}
+
 async function askStore (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>): Promise<void> {
   const { timers } = spec.context
   const askedAtMs = timers.nowMs()
@@ -141,6 +153,10 @@
   port.send({ kind: 'storeAnswered', accepted, askedAtMs })
 }
 
+function confirmationOf (from: MemberState, askedAtMs: number, nowMs: number): ConfigurationEvent {
+  return { kind: 'peerConfirmed', host: from.host, generation: from.generation, storeConfirmedAgoMs: from.storeConfirmedAgoMs, askedAtMs, nowMs }
+}
+
 // Watches have a deadline of their own, and a silent one costs nothing but
 // delay: the listing below goes on beside it.
 async function watchStore (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, stopping: { readonly now: boolean }): Promise<void> {
@@ -175,8 +191,12 @@
 // Heartbeats carry how long ago the store confirmed the sender, so a host that
 // does not watch asks the store only where that has not reached it.
 function needsStore (spec: ConfigurationTaskSpec, state: ConfigurationState): boolean {
-  const { timers, settings } = spec.context
   if (spec.watches()) return true
+  return isUnconfirmed(spec, state)
+}
+
+function isUnconfirmed (spec: ConfigurationTaskSpec, state: ConfigurationState): boolean {
+  const { timers, settings } = spec.context
   const agoMs = storeConfirmedAgoMs(state, timers.nowMs())
   return agoMs === undefined || agoMs > settings.control.confirmWithinMs / 2
 }
