--- a/standins/local.ts
+++ b/standins/local.ts
@@ -2,10 +2,16 @@
 // ordinary MySQL clients, and a report of what happened. Stays until a signal,
 // or ends after the workload with `--once`.
 
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { parseArgs } from 'node:util'
 import { connectCaller, errorNumber, type LocalCaller } from './set/caller.js'
-import { acceptManifest, serverStatus } from './set/controls.js'
+import { serverStatus } from './set/controls.js'
 import { startLocalSet, type LocalProxy, type LocalSet } from './set/local-set.js'
+import { builtProgram } from './set/process.js'
 
 const account = 'atelier'
 const route = 'ledger'
@@ -24,7 +30,7 @@
   const ended = untilSignal()
   const set = await startLocalSet({ acceptManifest: false })
   try {
-    console.log(`accepted the manifest under generation ${await acceptManifest(set.platform, set.manifest)}`)
+    await applyManifest(set)
     const first = await Promise.race([runWorkload(set), ended])
     if (values.once || first === 'signal') return 0
     printHowToConnect(set)
@@ -46,6 +52,21 @@
   })
 }
 
+/** Ships the manifest as an operator does, by the command line. */
+async function applyManifest (set: LocalSet): Promise<void> {
+  const folder = mkdtempSync(join(tmpdir(), 'limpetmoor-manifest-'))
+  try {
+    const file = join(folder, 'manifest.json')
+    writeFileSync(file, JSON.stringify(set.manifest))
+    const url = `http://${set.platformAddress.ip}:${set.platformAddress.port}`
+    const child = spawn(process.execPath, [builtProgram('src/cli/main.js'), 'apply', '--platform', url, '--manifest', file], { stdio: 'inherit' })
+    const [code] = await once(child, 'exit')
+    if (code !== 0) throw new Error(`limpetmoor apply ended with ${String(code)}`)
+  } finally {
+    rmSync(folder, { recursive: true, force: true })
+  }
+}
+
 async function runWorkload (set: LocalSet): Promise<'done'> {
   const key = set.keys.get(account) ?? ''
   const [first, ...others] = set.proxies
