End or move at once what waits for a primary that was replaced or fell silent

Cause: statements in flight or queued at a replaced primary waited for their whole deadline (10 s), because nothing ended or moved them once a new term was known; and where open connections to a live primary fell silent, statements on them waited as long, with their transactions' locks held at the server.

A home whose server leads no more turns its queued writes away (not run; the entry takes them to the next primary) and gives up its sessions. Where a watched connection was found silent and a fresh one works, idle sessions are given up at once and others after 200 ms more; a session that was lost is ended at the server by KILL. A write that a fenced primary refused as read-only is 'not run' and goes to the next one.

--- a/src/daemon/database-task.ts
+++ b/src/daemon/database-task.ts
@@ -23,6 +23,8 @@
   readonly context: DaemonContext
   readonly database: DatabaseDeclaration
   readonly onPrimary: (view: PrimaryView) => void
+  /** A watched connection had gone silent while fresh ones work; others to that server may be silent. */
+  readonly onWasSilent: (server: ServerName) => void
   /** Writes the view to the store; may fail. */
   readonly publish: (view: PrimaryView) => void
 }
@@ -82,7 +84,7 @@
   const { timers } = context
   const initial = initialState(context, database)
   const published = new Latest<DatabaseView>(viewOf(initial))
-  const watches = new Watches(context)
+  const watches = new Watches(context, spec.onWasSilent)
   const task = startTask<State, Message, Effect>({
     name: `database ${database.name}`,
     initial,
@@ -285,11 +287,13 @@
 /** The watches of one database's servers. */
 class Watches {
   readonly #context: DaemonContext
+  readonly #onWasSilent: (server: ServerName) => void
   readonly #watches = new Map<ServerName, ServerWatch>()
   #declared: readonly ServerDeclaration[] = []
 
-  constructor (context: DaemonContext) {
+  constructor (context: DaemonContext, onWasSilent: (server: ServerName) => void) {
     this.#context = context
+    this.#onWasSilent = onWasSilent
   }
 
   get (server: ServerName): ServerWatch | undefined {
@@ -334,6 +338,10 @@
           port.send({ kind: 'failover', event: { kind: 'connectionLost', server: server.name, nowMs } })
           break
         }
+        case 'wasSilent': {
+          this.#onWasSilent(server.name)
+          break
+        }
       }
     })
   }
--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -159,12 +159,24 @@
   #unitFor (declared: DatabaseDeclaration): Unit {
     const known = this.#units.get(declared.name)
     if (known !== undefined) return known
-    const { context, onPrimary, publish } = this.#spec
-    const unit: Unit = { declaration: declared, task: startDatabase({ context, database: declared, onPrimary, publish }), homes: new Map(), usedAtMs: context.timers.nowMs() }
+    const { context, publish } = this.#spec
+    const task = startDatabase({
+      context,
+      database: declared,
+      publish,
+      onPrimary: view => { this.#takePrimary(view) },
+      onWasSilent: server => { this.#units.get(declared.name)?.homes.get(server)?.giveUpSilent() }
+    })
+    const unit: Unit = { declaration: declared, task, homes: new Map(), usedAtMs: context.timers.nowMs() }
     this.#units.set(declared.name, unit)
     return unit
   }
 
+  #takePrimary (view: PrimaryView): void {
+    this.#spec.onPrimary(view)
+    for (const home of this.#units.get(view.database)?.homes.values() ?? []) home.primaryChanged(view)
+  }
+
   #homeFor (request: ExecuteRequest): HomeTask | undefined {
     const declared = this.#declared.get(request.database)
     const server = declared?.servers.find(one => one.name === request.server)
--- a/src/daemon/home-task.ts
+++ b/src/daemon/home-task.ts
@@ -4,7 +4,7 @@
 
 import { redirected } from '../config/index.js'
 import { homePipe, type HomeReply, type HomeRequest, type HomeServices, type HomeTransaction, type ServerCheck, type ServerSession, type TransactionTable, type Turn } from '../home/index.js'
-import { covers, type ExecuteRequest, type HostName, type ServerDeclaration } from '../model/index.js'
+import { covers, type ExecuteRequest, type HostName, type PrimaryView, type ServerDeclaration } from '../model/index.js'
 import { ask, Latest, runPipe, startTask, type Reply, type Snapshot, type Transition, withoutReplies } from '../pipe/index.js'
 import { fairQueueStep, initialFairQueue, replicaServesAge, type FairQueueEffect, type FairQueueEvent, type FairQueueState } from '../request/index.js'
 import type { DaemonContext } from './context.js'
@@ -24,6 +24,10 @@
   readonly execute: (request: ExecuteRequest) => Promise<HomeReply>
   /** Statements that run or wait, and open transactions. */
   readonly load: () => number
+  /** Ends what runs or waits here for the primary, where the server no longer is it. */
+  readonly primaryChanged: (view: PrimaryView) => void
+  /** Gives up sessions that may be silent: idle ones, and those whose answers do not come. */
+  readonly giveUpSilent: () => void
   /** Rolls back the transactions whose callers' hosts are gone. */
   readonly letGo: (silent: ReadonlySet<HostName>) => void
   readonly stop: () => Promise<void>
@@ -35,6 +39,8 @@
 const sharingHomes = 2
 /** A transaction without a statement for this time is rolled back. */
 const idleTransactionMs = 10_000
+/** Time that a session still has to answer once another one to the same server was found silent. */
+const answerGraceMs = 200
 /** Part of all open transactions on a server that one account may hold. */
 const accountShareOfTransactions = 0.5
 const sweepMs = 500
@@ -72,8 +78,22 @@
   }
   const pipe = homePipe(services)
   let running = 0
+  let wasPrimary = spec.database.view.get().primary.primary === server.name
   return {
     load: () => running + transactions.size,
+    giveUpSilent () {
+      pool.retireIdle()
+      const beforeMs = timers.nowMs()
+      timers.after(answerGraceMs, { send: () => { pool.giveUpStuck(beforeMs); return 'accepted' } })
+    },
+    primaryChanged (view) {
+      const leads = view.primary === server.name
+      if (wasPrimary && !leads) {
+        queue.refuseWrites()
+        pool.abandon()
+      }
+      wasPrimary = leads
+    },
     letGo: silent => { transactions.letGo(silent) },
     async execute (request) {
       running += 1
@@ -136,19 +156,26 @@
 
 type HomeRequestFloor = Extract<ExecuteRequest['mode'], { readonly kind: 'read' }>['floor']
 
-type QueueMessage = FairQueueEvent | { readonly kind: 'enter', readonly request: HomeRequest, readonly nowMs: number, readonly reply: Reply<Turn> }
+type QueueMessage = FairQueueEvent
+  /** The server leads no more: its waiting writes have to go elsewhere. */
+  | { readonly kind: 'refuseWrites', readonly nowMs: number }
+  | { readonly kind: 'enter', readonly request: HomeRequest, readonly nowMs: number, readonly reply: Reply<Turn> }
 
 type QueueEffect =
   | { readonly kind: 'answer', readonly reply: Reply<Turn>, readonly effect: FairQueueEffect }
+  | { readonly kind: 'turnAway', readonly reply: Reply<Turn> }
+
+type Waiting = { readonly reply: Reply<Turn>, readonly isRead: boolean }
 
 type QueueState = {
   readonly queue: FairQueueState
-  readonly replies: ReadonlyMap<string, Reply<Turn>>
+  readonly replies: ReadonlyMap<string, Waiting>
   readonly nextId: number
 }
 
 type QueueTask = {
   readonly enter: (request: HomeRequest) => Promise<Turn>
+  readonly refuseWrites: () => void
   readonly stop: () => Promise<void>
 }
 
@@ -166,9 +193,12 @@
       return transition
     },
     perform: (effect, port) => {
-      effect.reply(turnFor(effect.effect, timers.nowMs(), (id, tookMs) => {
-        port.send({ kind: 'finished', id, tookMs, nowMs: timers.nowMs() })
-      }, timers.nowMs))
+      switch (effect.kind) {
+        case 'turnAway': return effect.reply({ kind: 'refused', reason: 'noPrimary' })
+        case 'answer': return effect.reply(turnFor(effect.effect, timers.nowMs(), (id, tookMs) => {
+          port.send({ kind: 'finished', id, tookMs, nowMs: timers.nowMs() })
+        }, timers.nowMs))
+      }
     }
   })
   const cancel = timers.every(queueTickMs, {
@@ -176,6 +206,7 @@
   })
   return {
     enter: async request => await ask<QueueMessage, Turn>(task.port, reply => ({ kind: 'enter', request, nowMs: timers.nowMs(), reply }), { kind: 'refused', reason: 'queueFull' }),
+    refuseWrites: () => { task.port.send({ kind: 'refuseWrites', nowMs: timers.nowMs() }) },
     stop: async () => {
       cancel()
       await task.stop()
@@ -184,20 +215,31 @@
 }
 
 function queueStep (state: QueueState, message: QueueMessage): Transition<QueueState, QueueEffect> {
+  if (message.kind === 'refuseWrites') return refuseWrites(state, message.nowMs)
   if (message.kind !== 'enter') return answerAll(state, fairQueueStep(state.queue, message))
   const id = String(state.nextId)
   const { request, deadlineAtMs } = message.request
   const offered = fairQueueStep(state.queue, { kind: 'offered', id, account: request.account, weight: request.weight, deadlineAtMs, nowMs: message.nowMs })
-  const waiting = { ...state, nextId: state.nextId + 1, replies: new Map(state.replies).set(id, message.reply) }
+  const waiting = { ...state, nextId: state.nextId + 1, replies: new Map(state.replies).set(id, { reply: message.reply, isRead: request.mode.kind === 'read' }) }
   return answerAll(waiting, offered)
 }
 
+function refuseWrites (state: QueueState, nowMs: number): Transition<QueueState, QueueEffect> {
+  const writes = [...state.replies].filter(([, waiting]) => !waiting.isRead)
+  const turnedAway = writes.map(([, { reply }]): QueueEffect => ({ kind: 'turnAway', reply }))
+  const left = { ...state, replies: withoutReplies(state.replies, writes.map(([id]) => id)) }
+  return writes.reduce<Transition<QueueState, QueueEffect>>((done, [id]) => {
+    const after = answerAll(done.state, fairQueueStep(done.state.queue, { kind: 'cancelled', id, nowMs }))
+    return { state: after.state, effects: [...done.effects, ...after.effects] }
+  }, { state: left, effects: turnedAway })
+}
+
 function answerAll (state: QueueState, transition: Transition<FairQueueState, FairQueueEffect>): Transition<QueueState, QueueEffect> {
   const { state: queue, effects } = transition
   if (effects.length === 0) return { state: { ...state, queue }, effects: [] }
   const replies = withoutReplies(state.replies, effects.map(effect => effect.id))
   const answers = effects.flatMap((effect): readonly QueueEffect[] => {
-    const reply = state.replies.get(effect.id)
+    const reply = state.replies.get(effect.id)?.reply
     return reply === undefined ? [] : [{ kind: 'answer', reply, effect }]
   })
   return { state: { ...state, queue, replies }, effects: answers }
--- a/src/daemon/server-watch.ts
+++ b/src/daemon/server-watch.ts
@@ -12,6 +12,8 @@
   /** `askedAtMs` is the time before the question was sent. */
   | { readonly kind: 'status', readonly status: ServerStatus, readonly askedAtMs: number }
   | { readonly kind: 'connectionLost' }
+  /** A connection had gone silent and a fresh one works: others may be silent too. */
+  | { readonly kind: 'wasSilent' }
 
 /** A ledger call that changes a server's role. */
 export type LedgerCommand =
@@ -38,6 +40,7 @@
   #commands: Promise<DatabaseSession> | undefined
   #waiting: DatabaseSession | undefined
   #stopped = false
+  #silent = false
 
   /**
    * Starts the watch.
@@ -104,7 +107,7 @@
   async #watch (): Promise<void> {
     const { timers, random } = this.#context
     while (!this.#stopped) {
-      await this.#watchSession().catch(() => {})
+      await this.#watchSession().catch(error => { this.#silent ||= asWireError(error).failure === 'overdue' })
       this.#waiting?.close()
       if (this.#stopped) return
       this.#report({ kind: 'connectionLost' })
@@ -119,6 +122,8 @@
     const waitMs = this.#context.settings.control.probeMs / answersPerProbe
     let askedAtMs = nowMs()
     let status = await session.ledger.status(answerTimeoutMs)
+    if (this.#silent) this.#report({ kind: 'wasSilent' })
+    this.#silent = false
     while (!this.#stopped) {
       this.#report({ kind: 'status', status, askedAtMs })
       askedAtMs = nowMs()
--- a/src/daemon/session-pool.ts
+++ b/src/daemon/session-pool.ts
@@ -4,6 +4,7 @@
 
 import type { ServerSession, SessionPool } from '../home/index.js'
 import type { Address } from '../model/index.js'
+import { sleep } from '../pipe/index.js'
 import { asWireError, openSession, type DatabaseSession } from '../wire/index.js'
 import type { DaemonContext } from './context.js'
 
@@ -16,12 +17,17 @@
   readonly onFailure: (failure: string) => void
 }
 
+/** Attempts to end a lost session at its server. */
+const killAttempts = 5
+const killRetryMs = 300
+
 /** Sessions on one server, within a budget. */
 export class ServerPool implements SessionPool {
   readonly #context: DaemonContext
   readonly #spec: PoolSpec
   readonly #idle: DatabaseSession[] = []
-  readonly #open = new Set<ServerSession>()
+  /** Open sessions, and when each was taken last. */
+  readonly #open = new Map<ServerSession, number>()
   #opening = 0
   #closed = false
 
@@ -42,7 +48,7 @@
    */
   async acquire (timeoutMs: number): Promise<ServerSession | undefined> {
     for (let session = this.#idle.pop(); session !== undefined; session = this.#idle.pop()) {
-      if (session.usable()) return session
+      if (session.usable()) return this.#taken(session)
       this.#open.delete(session)
     }
     if (this.#closed || this.#open.size + this.#opening >= this.#spec.budget) return undefined
@@ -66,14 +72,57 @@
    * @param session - the session
    */
   discard (session: ServerSession): void {
+    const isNew = this.#open.delete(session)
+    const number = isNew ? (session as DatabaseSession).number() : undefined
+    const wasLost = !session.usable()
     session.close()
-    this.#open.delete(session)
+    if (wasLost && number !== undefined) void this.#kill(number)
+  }
+
+  /** Closes the idle sessions; the next statements open fresh ones. */
+  retireIdle (): void {
+    for (const session of this.#idle.splice(0)) this.discard(session)
+  }
+
+  /**
+   * Closes sessions in use whose answers do not come; they are ended at the server, too.
+   * @param beforeMs - those that were taken up to this time
+   */
+  giveUpStuck (beforeMs: number): void {
+    for (const [session, takenAtMs] of this.#open) {
+      if (takenAtMs <= beforeMs && !this.#idle.includes(session as DatabaseSession)) session.close()
+    }
+  }
+
+  /** Closes all sessions; statements that run on them are lost. */
+  abandon (): void {
+    this.retireIdle()
+    for (const session of this.#open.keys()) session.close()
+    this.#open.clear()
   }
 
   /** Closes the idle sessions; sessions in use are closed when they come back. */
   close (): void {
     this.#closed = true
-    for (const session of this.#idle.splice(0)) this.discard(session)
+    this.retireIdle()
+  }
+
+  #taken (session: DatabaseSession): ServerSession {
+    this.#open.set(session, this.#context.timers.nowMs())
+    return session
+  }
+
+  // A session whose connection was lost may live on at the server and hold locks.
+  async #kill (number: number): Promise<void> {
+    const { settings, timers } = this.#context
+    for (let attempt = 0; attempt < killAttempts; attempt++) {
+      const session = await openSession(this.#spec.address, settings.databaseLogin, timers, settings.limits.connectTimeoutMs).catch(() => undefined)
+      const result = await session?.kill(number, settings.limits.connectTimeoutMs)
+      session?.close()
+      // An unknown number is refused: the session has ended by itself.
+      if (result !== undefined && result.kind !== 'lost') return
+      await sleep(timers, killRetryMs)
+    }
   }
 
   async #openOne (timeoutMs: number): Promise<ServerSession | undefined> {
@@ -81,8 +130,7 @@
     this.#opening += 1
     try {
       const session = await openSession(this.#spec.address, settings.databaseLogin, timers, Math.min(timeoutMs, settings.limits.connectTimeoutMs))
-      this.#open.add(session)
-      return session
+      return this.#taken(session)
     } catch (error) {
       this.#spec.onFailure(asWireError(error).failure)
       return undefined
--- a/src/home/run.ts
+++ b/src/home/run.ts
@@ -22,7 +22,21 @@
  */
 export async function run (services: HomeServices, message: CheckedRequest): Promise<RanRequest> {
   const result = await runMode(services, message, message.request.mode)
-  return { ...message, ...result }
+  return { ...message, ...result, outcome: withoutReadOnlyError(result.outcome, message.request.mode) }
+}
+
+// A server that leads no more refuses writes as read-only. The statement surely
+// did not run, and the entry may take it to the next primary.
+function withoutReadOnlyError (outcome: Outcome, mode: ExecutionMode): Outcome {
+  if (outcome.kind !== 'refused' || outcome.errorNumber !== readOnlyErrorNumber) return outcome
+  switch (mode.kind) {
+    case 'write':
+    case 'begin': return notRun('noPrimary', 'the server is no longer the primary')
+    case 'inTransaction':
+    case 'commit': return notRun('transactionLost', 'the server is no longer the primary; the transaction is rolled back')
+    case 'read':
+    case 'rollback': return outcome
+  }
 }
 
 async function runMode (services: HomeServices, message: CheckedRequest, mode: ExecutionMode): Promise<RunResult> {
@@ -96,6 +110,8 @@
   }
 }
 
+/** MySQL's error number of a write to a read-only server. */
+const readOnlyErrorNumber = 1290
 /** MySQL's error number of a duplicate key. */
 const duplicateErrorNumber = 1062
 
--- a/src/home/server-session.ts
+++ b/src/home/server-session.ts
@@ -25,5 +25,11 @@
   /** Gives a session back; one that may be in a transaction must be closed instead. */
   readonly release: (session: ServerSession) => void
   readonly discard: (session: ServerSession) => void
+  /** Closes idle sessions: the way to the server may have lost track of them. */
+  readonly retireIdle: () => void
+  /** Closes the sessions that were taken before a time and not given back: their answers do not come. */
+  readonly giveUpStuck: (beforeMs: number) => void
+  /** Closes all sessions: what runs on them is of no use any more. */
+  readonly abandon: () => void
   readonly close: () => void
 }
--- a/src/wire/database-client.ts
+++ b/src/wire/database-client.ts
@@ -18,6 +18,10 @@
 /** A session with its ledger calls. */
 export type DatabaseSession = ServerSession & {
   readonly ledger: LedgerCalls
+  /** The server's number of the session; undefined before the login. */
+  readonly number: () => number | undefined
+  /** Ends another session, which may hold locks that nobody can release. */
+  readonly kill: (number: number, timeoutMs: number) => Promise<QueryResult>
 }
 
 /** A fence, promotion or follow that a server answered. */
@@ -70,14 +74,23 @@
 
 function sessionOver (connection: Connection, timers: TimerService): DatabaseSession {
   const state = { usable: true }
+  const running = new Set<(result: QueryResult) => void>()
   const close = (): void => {
     state.usable = false
+    for (const end of running) end({ kind: 'lost', failure: 'lost' })
     connection.destroy()
   }
+  const run = async (sql: string): Promise<QueryResult> => await new Promise(resolve => {
+    running.add(resolve)
+    void runQuery(connection, sql).then(result => {
+      running.delete(resolve)
+      resolve(result)
+    })
+  })
   connection.on('error', close)
   const query = async (sql: string, timeoutMs: number): Promise<QueryResult> => {
     if (!state.usable) return { kind: 'lost', failure: 'lost' }
-    const result = await withTimeout(timers, timeoutMs, runQuery(connection, sql))
+    const result = await withTimeout(timers, timeoutMs, run(sql))
     if (result.kind === 'done' && result.value.kind !== 'lost') return result.value
     close()
     return result.kind === 'done' ? result.value : { kind: 'lost', failure: 'overdue' }
@@ -87,7 +100,9 @@
     close()
     return undefined
   })
-  return { usable: () => state.usable, close, query, position, ledger }
+  const number = (): number | undefined => connection.threadId ?? undefined
+  const kill = async (other: number, timeoutMs: number): Promise<QueryResult> => await query(`KILL ${other}`, timeoutMs)
+  return { usable: () => state.usable, close, query, position, ledger, number, kill }
 }
 
 async function runQuery (connection: Connection, sql: string): Promise<QueryResult> {
