--- a/src/limits/seats.ts
+++ b/src/limits/seats.ts
@@ -180,6 +180,8 @@
   readonly self: SeatHolder
   readonly seats: number
   readonly hosts: readonly ListedHost[]
+  /** The own range of seats, by the live hosts. */
+  readonly range: SeatRange
   /** Since when a host that held a seat is missing in the list. */
   readonly absentSinceMs: ReadonlyMap<HostName, number>
   readonly listedMs: number | undefined
@@ -226,6 +228,7 @@
     self,
     seats: 0,
     hosts: [],
+    range: seatRange(self.host, [], 0),
     absentSinceMs: new Map(),
     listedMs: undefined,
     stopping: false,
@@ -248,8 +251,8 @@
  */
 export function seatsStep (state: SeatsState, event: SeatsEvent): Transition<SeatsState, SeatsEffect> {
   switch (event.kind) {
-    case 'manifestApplied': return plan({ ...state, seats: event.seats })
-    case 'hostsListed': return plan({ ...state, hosts: event.hosts, listedMs: event.nowMs, ...absence(state, event.hosts, event.nowMs) })
+    case 'manifestApplied': return plan(ranged({ ...state, seats: event.seats }))
+    case 'hostsListed': return plan(listHosts(state, event.hosts, event.nowMs))
     case 'tableRead': return tableRead(state, event.table, event.version, event.nowMs)
     case 'writeEnded': return read({ ...state, isWriting: false }, event.nowMs)
     case 'readFailed': return readAgain({ ...state, readSentMs: undefined }, event.nowMs)
@@ -262,16 +265,22 @@
   const periodMs = Math.max(readPeriodMs, state.hosts.length * readPeriodPerHostMs)
   if (state.seats === 0) return { state, effects: [] }
   if (state.readSentMs !== undefined) return { state: { ...state, mustReadAgain: true }, effects: [] }
-  return { state: { ...state, nextReadMs: nowMs + periodMs, readSentMs: nowMs, mustReadAgain: false }, effects: [{ kind: 'readTable', table: rangeOf(state).table }] }
+  return { state: { ...state, nextReadMs: nowMs + periodMs, readSentMs: nowMs, mustReadAgain: false }, effects: [{ kind: 'readTable', table: state.range.table }] }
 }
 
 function readAgain (state: SeatsState, nowMs: number): Transition<SeatsState, SeatsEffect> {
   return state.mustReadAgain ? read(state, nowMs) : { state, effects: [] }
 }
 
-function rangeOf (state: SeatsState): SeatRange {
+function listHosts (state: SeatsState, hosts: readonly ListedHost[], nowMs: number): SeatsState {
+  const listed = { ...state, hosts, listedMs: nowMs, ...absence(state, hosts, nowMs) }
+  const isSame = hosts.length === state.hosts.length && hosts.every(({ host, state: duty }, at) => host === state.hosts[at]?.host && duty === state.hosts[at]?.state)
+  return isSame ? listed : ranged(listed)
+}
+
+function ranged (state: SeatsState): SeatsState {
   const live = state.hosts.filter(host => host.state === 'live').map(({ host }) => host)
-  return seatRange(state.self.host, live, state.seats)
+  return { ...state, range: seatRange(state.self.host, live, state.seats) }
 }
 
 function absence (state: SeatsState, hosts: readonly ListedHost[], nowMs: number): Pick<SeatsState, 'absentSinceMs'> {
@@ -293,7 +302,7 @@
 function plan (state: SeatsState): Transition<SeatsState, SeatsEffect> {
   if (state.table === undefined || state.seats === 0) return { state, effects: [] }
   if (state.isWriting || state.listedMs === undefined) return { state, effects: [seatsChanged(state)] }
-  const range = rangeOf(state)
+  const { range } = state
   const table = resized(state.table, range.size)
   const sharing = state.stopping ? range.hosts.filter(host => host !== state.self.host) : range.hosts
   const { listedMs } = state
@@ -315,7 +324,7 @@
 }
 
 function seatsChanged (state: SeatsState): SeatsEffect {
-  const { firstSeat, size } = rangeOf(state)
+  const { firstSeat, size } = state.range
   const holders = new Map<number, HostName>()
   const held: number[] = []
   for (const [at, holder] of (state.table?.seats ?? []).slice(0, size).entries()) {
--- a/src/members/membership.ts
+++ b/src/members/membership.ts
@@ -132,7 +132,7 @@
  */
 export function membershipStep (state: MembershipState, event: MembershipEvent): Next {
   switch (event.kind) {
-    case 'hostsListed': return announce(listHosts(state, event.hosts, event.nowMs), event.nowMs)
+    case 'hostsListed': return isSameList(state.listed, event.hosts) ? { state, effects: [] } : announce(listHosts(state, event.hosts, event.nowMs), event.nowMs)
     case 'heartbeatAnswered': return heard(state, event.state, true, event.nowMs)
     case 'heartbeatReceived': return heard(state, event.state, false, event.nowMs)
     case 'linkFailed': return linkFailed(state, event.host, event.nowMs)
@@ -221,6 +221,14 @@
   return { ...state, listed: hosts, listedByName, observed, peers, sightings }
 }
 
+function isSameList (a: readonly ListedHost[], b: readonly ListedHost[]): boolean {
+  return a === b || (a.length === b.length && a.length > 0 && a.every((host, at) => isSameHost(host, b[at])))
+}
+
+function isSameHost (a: ListedHost, b: ListedHost | undefined): boolean {
+  return a.host === b?.host && a.state === b.state && a.ip === b.ip && a.port === b.port && a.failureDomain === b.failureDomain
+}
+
 function heard (state: MembershipState, from: MemberState, answered: boolean, nowMs: number): Next {
   if (!state.listedByName.has(from.host) || from.host === state.self.host) return { state, effects: [] }
   const peer = state.peers.get(from.host) ?? newPeer(nowMs)
