--- a/bench/measure-path.ts
+++ b/bench/measure-path.ts
@@ -2,7 +2,7 @@
 // database server in the same run, processor time for one statement in each
 // role, memory for one idle caller connection.
 
-import { createConnection, type Connection } from 'mysql2/promise'
+import { createConnection, type Connection, type RowDataPacket } from 'mysql2/promise'
 import { setTimeout as delay } from 'node:timers/promises'
 import type { Address } from '../src/model/index.js'
 import { serviceLogin } from '../standins/set/controls.js'
@@ -37,15 +37,18 @@
   /** The statement, with a number by which the servers' logs tell it from others. */
   readonly sql: (mark: number) => string
   readonly isRead: boolean
+  /** The callers show a session token from here on. */
+  readonly withToken: boolean
 }
 
 const selectMarked = (mark: number): string => `SELECT MAX(value) AS op_${mark} FROM ${factTable} WHERE register = 1`
 const select = selectMarked(0)
 const kinds: readonly Kind[] = [
-  { name: 'read of a stated age', hint: '/* limpetmoor max_age_ms=60000 */ ', sql: selectMarked, isRead: true },
-  { name: 'session read', hint: '', sql: selectMarked, isRead: true },
-  { name: 'latest read', hint: '/* limpetmoor latest */ ', sql: selectMarked, isRead: true },
-  { name: 'write', hint: '', sql: mark => `INSERT INTO ${factTable} (operation, part, register, value) VALUES (0, ${mark}, 0, 0)`, isRead: false }
+  { name: 'read of a stated age', hint: '/* limpetmoor max_age_ms=60000 */ ', sql: selectMarked, isRead: true, withToken: false },
+  { name: 'session read without a token', hint: '', sql: selectMarked, isRead: true, withToken: false },
+  { name: 'latest read', hint: '/* limpetmoor latest */ ', sql: selectMarked, isRead: true, withToken: false },
+  { name: 'session read with a token', hint: '', sql: selectMarked, isRead: true, withToken: true },
+  { name: 'write', hint: '', sql: mark => `INSERT INTO ${factTable} (operation, part, register, value) VALUES (0, ${mark}, 0, 0)`, isRead: false, withToken: true }
 ]
 
 /**
@@ -63,6 +66,7 @@
     figures: [...latency.figures, ...busy, ...memory],
     series: latency.probes.map(({ name, samples }) => ({ name, unit: 'ms', samples })),
     notes: [
+      'Three hosts, one database, no network delays, servers without service time or lag, whatever the deployment says.',
       'The direct write is answered before any replica has it; a write through a proxy waits for a majority.',
       'One hop: the caller\'s proxy is the home of the server that ran the statement, by the servers\' own logs. Two hops: it passes the statement to another proxy.'
     ]
@@ -76,6 +80,7 @@
   const probes: Probe[] = []
   for (const [at, kind] of kinds.entries()) {
     const markOf = (entry: number): number => firstMark + at * measuredEntries + entry
+    if (kind.withToken) await Promise.all(entries.map(showToken))
     const log = await collectServerLog(rig.set.servers, logPeriodMs)
     const [base = [], ...proxied] = await interleaved([
       [direct, kind.sql(0)],
@@ -96,6 +101,12 @@
   return { figures, probes }
 }
 
+async function showToken (connection: Connection): Promise<void> {
+  const [rows] = await connection.query<RowDataPacket[]>('SELECT @@limpetmoor_session')
+  const token = String(Object.values(rows[0] ?? {})[0])
+  await connection.query(`SET @@limpetmoor_session = '${token}'`)
+}
+
 /** One where the caller's proxy is the home of every server that ran the statement; two where it passed some on. */
 function hopsOf (rig: Rig, entry: number, kind: Kind, servers: readonly string[]): 1 | 2 {
   const own = rig.set.proxies[entry]?.failureDomain
