Count absence for seats between fresh host lists only

Cause: the seats were told of the host list whenever the members changed, also with an old list; absence counted from an old list may free the seat of a host that is there. Lists carry their age now, also where a watcher passes one on, and only a fresh one reaches the seats.

--- a/src/daemon/limits-task.ts
+++ b/src/daemon/limits-task.ts
@@ -28,7 +28,9 @@
   /** Answers another member that wants to borrow. */
   readonly lend: (params: PeerParams<'borrow'>) => Promise<PeerResult<'borrow'>>
   readonly takeManifest: (manifest: Manifest) => void
-  readonly takeMembers: (live: readonly Member[], listed: readonly ListedHost[]) => void
+  readonly takeMembers: (live: readonly Member[]) => void
+  /** Takes the platform's list; only a fresh one may tell who is absent. */
+  readonly takeList: (hosts: readonly ListedHost[]) => void
   /** Gives the seats back. */
   readonly leave: () => void
   readonly stop: () => Promise<void>
@@ -102,9 +104,11 @@
       tell({ kind: 'manifestApplied', manifest })
       seats.port.send({ kind: 'manifestApplied', seats: manifest.seats, nowMs: timers.nowMs() })
     },
-    takeMembers (live, listed) {
+    takeMembers (live) {
       tell({ kind: 'membersChanged', live })
-      seats.port.send({ kind: 'hostsListed', hosts: listed, nowMs: timers.nowMs() })
+    },
+    takeList (hosts) {
+      seats.port.send({ kind: 'hostsListed', hosts, nowMs: timers.nowMs() })
     },
     leave () {
       seats.port.send({ kind: 'stopping', nowMs: timers.nowMs() })
--- a/src/daemon/members-task.ts
+++ b/src/daemon/members-task.ts
@@ -2,7 +2,7 @@
 // list, exchanges heartbeats over the peer links and publishes who is live.
 
 import { initialMembership, membershipStep, quorumHosts, rumoursOf, silentHosts, type ListedHost, type Member, type MembershipEffect, type MembershipEvent, type MembershipState } from '../members/index.js'
-import type { HostName, MemberState } from '../model/index.js'
+import type { HostList, HostName, MemberState } from '../model/index.js'
 import { ask, Latest, startTask, tickPort, type Port, type Reply, type Snapshot } from '../pipe/index.js'
 import type { DaemonContext } from './context.js'
 import type { PeerLinks } from './peers.js'
@@ -23,7 +23,7 @@
   readonly view: Snapshot<MembersView>
   readonly tell: (event: MembershipEvent) => void
   /** The platform's list as this host has it; undefined: none yet. */
-  readonly listed: () => readonly ListedHost[] | undefined
+  readonly list: () => HostList | undefined
   /** Answers a heartbeat of another member. */
   readonly answerHeartbeat: (from: MemberState) => Promise<MemberState>
   readonly stop: () => Promise<void>
@@ -37,6 +37,8 @@
   /** What this host says of itself, without rumours. */
   readonly ownState: () => MemberState
   readonly onMembers: (view: MembersView) => void
+  /** Told of each list that the platform gave a moment ago, changed or not. */
+  readonly onFreshList: (hosts: readonly ListedHost[]) => void
   readonly onHeard: (state: MemberState, askedAtMs: number) => void
 }
 
@@ -52,6 +54,8 @@
 /** How often the platform's host list is read. */
 const listMs = 1000
 const listTimeoutMs = 500
+/** An older list says nothing of who is there now. */
+const freshListMs = 3000
 
 /**
  * Starts the members task.
@@ -73,13 +77,15 @@
     perform: (effect, port) => { perform(spec, effect, port, published) }
   })
   const tell = (event: MembershipEvent): void => { task.port.send({ kind: 'event', event }) }
-  let listed: readonly ListedHost[] | undefined
+  let known: { readonly hosts: readonly ListedHost[], readonly listedAtMs: number } | undefined
   const list = async (): Promise<void> => {
-    const hosts = await findHosts(spec, published.get())
-    if (hosts === undefined) return
-    listed = hosts
-    links.list(hosts)
-    tell({ kind: 'hostsListed', hosts, nowMs: timers.nowMs() })
+    const askedAtMs = timers.nowMs()
+    const found = await findHosts(spec, published.get())
+    if (found === undefined) return
+    known = { hosts: found.hosts, listedAtMs: askedAtMs - found.agoMs }
+    links.list(found.hosts)
+    tell({ kind: 'hostsListed', hosts: found.hosts, nowMs: timers.nowMs() })
+    if (found.agoMs <= freshListMs) spec.onFreshList(found.hosts)
   }
   const listNow = (): void => { void list().catch(context.onTaskError('members')) }
   return {
@@ -90,7 +96,7 @@
     },
     view: published,
     tell,
-    listed: () => listed,
+    list: () => known === undefined ? undefined : { hosts: known.hosts, agoMs: timers.nowMs() - known.listedAtMs },
     answerHeartbeat: async from => await ask<Message, MemberState>(task.port, reply => ({ kind: 'heartbeatOf', from, reply }), spec.ownState()),
     stop: task.stop
   }
@@ -112,24 +118,24 @@
 // watcher, and the platform only where none answers. So the store's calls grow
 // with the failure domains, and a host that starts while the store is out finds
 // the fleet through its seeds.
-async function findHosts (spec: MembersSpec, view: MembersView): Promise<readonly ListedHost[] | undefined> {
+async function findHosts (spec: MembersSpec, view: MembersView): Promise<HostList | undefined> {
   const { settings, random } = spec.context
   const watchers = view.quorum.filter(host => host !== settings.host.name && !view.silent.has(host))
   const isWatcher = view.quorum.includes(settings.host.name)
   const watcher = watchers[Math.floor(random() * watchers.length)]
-  const fromPlatform = async (): Promise<readonly ListedHost[] | undefined> => await spec.listHosts().catch(() => undefined)
-  const fromWatcher = async (): Promise<readonly ListedHost[] | undefined> => watcher === undefined ? undefined : await askHosts(async () => await spec.links.call(watcher, 'listHosts', {}, listTimeoutMs))
+  const fromPlatform = async (): Promise<HostList | undefined> => await spec.listHosts().then(hosts => ({ hosts, agoMs: 0 }), () => undefined)
+  const fromWatcher = async (): Promise<HostList | undefined> => watcher === undefined ? undefined : await askHosts(async () => await spec.links.call(watcher, 'listHosts', {}, listTimeoutMs))
   const sources = isWatcher || watcher === undefined ? [fromPlatform] : [fromWatcher, fromPlatform]
   const seeds = settings.seeds.map(seed => async () => await askHosts(async () => await spec.links.callAddress(seed, 'listHosts', {}, listTimeoutMs)))
   for (const source of view.listed.length === 0 ? [...sources, ...seeds] : sources) {
-    const hosts = await source()
-    if (hosts !== undefined) return hosts
+    const list = await source()
+    if (list !== undefined) return list
   }
   return undefined
 }
 
-async function askHosts (call: () => Promise<{ readonly hosts: readonly ListedHost[] | undefined }>): Promise<readonly ListedHost[] | undefined> {
-  return await call().then(answer => answer.hosts, () => undefined)
+async function askHosts (call: () => Promise<{ readonly list: HostList | undefined }>): Promise<HostList | undefined> {
+  return await call().then(answer => answer.list, () => undefined)
 }
 
 type Next = { readonly state: MembershipState, readonly effects: readonly Effect[] }
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -155,6 +155,7 @@
     links,
     listHosts: async () => (await platform.hosts()).map(decodeListedHost),
     ownState,
+    onFreshList: hosts => { limits.takeList(hosts) },
     onMembers: view => {
       takeMembers(view, { configuration, databases, routing, limits })
       reports.event('membersChanged', { live: view.live.length, listed: view.listed.length })
@@ -169,7 +170,7 @@
   to.configuration.quorumChanged(view.quorum)
   to.routing.takeMembers(view.live)
   to.databases.takeMembers(view.live, view.listed, view.silent)
-  to.limits.takeMembers(view.live, view.listed)
+  to.limits.takeMembers(view.live)
 }
 
 async function publishPrimary (context: DaemonContext, platform: PlatformClient, view: PrimaryView): Promise<void> {
@@ -197,7 +198,7 @@
       configuration.offered(accepted)
       return { generation: configuration.told().generation }
     },
-    listHosts: async () => ({ hosts: members.listed() }),
+    listHosts: async () => ({ list: members.list() }),
     borrow: async params => await limits.lend(params),
     report: async ({ report }) => ({ accepted: reports.gathered(report) })
   }
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -104,6 +104,12 @@
   readonly state: 'live' | 'leaving'
 }
 
+/** The platform's list and how long ago the platform gave it. */
+export type HostList = {
+  readonly hosts: readonly ListedMember[]
+  readonly agoMs: number
+}
+
 /** Parameters and results of each method. */
 export type PeerMethods = {
   readonly execute: { readonly params: ExecuteRequest, readonly result: ExecuteReply }
@@ -113,7 +119,7 @@
   readonly offerConfiguration: { readonly params: { readonly accepted: AcceptedManifest }, readonly result: { readonly generation: Generation } }
   readonly borrow: { readonly params: { readonly from: HostName, readonly incarnation: string, readonly request: BorrowRequest }, readonly result: { readonly grant: ShareGrant | undefined } }
   /** The platform's host list as the asked host has it; undefined: none yet. */
-  readonly listHosts: { readonly params: Readonly<Record<string, never>>, readonly result: { readonly hosts: readonly ListedMember[] | undefined } }
+  readonly listHosts: { readonly params: Readonly<Record<string, never>>, readonly result: { readonly list: HostList | undefined } }
   readonly report: { readonly params: { readonly report: HostReport }, readonly result: { readonly accepted: boolean } }
 }
 
