Ask for the newest position at the home that runs the read

The entry asked one home for the newest position and then another one to read. And a replica that was seen behind up to 200 ms ago was passed over, though its lag is shorter than that.

The home of the chosen replica now asks the majority itself, once the read has come in, and tells the position with a refusal, so the primary is not asked for it again. A replica that has received the floor gets 15 ms to apply it; a sighting counts for 30 ms. What a read has to cover is one union: a floor, the newest state, or an age.

--- a/docs/examples/embed-request-pipe.ts
+++ b/docs/examples/embed-request-pipe.ts
@@ -59,11 +59,10 @@
     sleep: async () => {},
     configuration: () => ({ manifest: exampleManifest, confirmed: true }),
     admit: async () => undefined,
-    openFloor: async () => ({ term: 1, index: 0 }),
     routing: database => ({ primary: { database, term: 1, primary: 's1' }, homes: new Map([['s1', 'here']]), applied: new Map() }),
     execute: async (_home, asked) => ({
       kind: 'replied',
-      reply: { outcome: executor.run(asked), transaction: undefined, primary: { database: asked.database, term: 1, primary: 's1' }, applied: undefined }
+      reply: { outcome: executor.run(asked), transaction: undefined, primary: { database: asked.database, term: 1, primary: 's1' }, newest: undefined, applied: undefined }
     }),
     sawApplied: () => {},
     random: () => 0,
--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -3,7 +3,7 @@
 
 import type { HomeReply } from '../home/index.js'
 import { homeRanks, homesOf, rendezvousOrder, type Member } from '../members/index.js'
-import { notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type Position, type PrimaryView, type ServerDeclaration, type ServerName } from '../model/index.js'
+import { notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PrimaryView, type ServerDeclaration, type ServerName } from '../model/index.js'
 import type { DaemonContext } from './context.js'
 import { startDatabase, type DatabaseTask } from './database-task.js'
 import { startHome, type HomeTask } from './home-task.js'
@@ -107,18 +107,6 @@
     return this.#askedAtMs
   }
 
-  /**
-   * Opens a floor.
-   * @param database - the database
-   * @returns the floor, where this host is a home and a majority answered, and who leads
-   */
-  async openFloor (database: DatabaseName): Promise<{ readonly floor: Position | undefined, readonly primary: PrimaryView }> {
-    const unit = this.#units.get(database)
-    if (unit === undefined) return { floor: undefined, primary: { database, term: 0, primary: undefined } }
-    const floor = await unit.task.openFloor()
-    return { floor, primary: unit.task.view.get().primary }
-  }
-
   /**
    * The tasks of all databases with a duty here, for reports.
    * @returns database and task
@@ -141,9 +129,9 @@
   }
 
   async #run (request: ExecuteRequest): Promise<HomeReply> {
-    if (this.#leaving && !goesOn(request)) return { outcome: notRun('stopping', 'this host is stopping'), transaction: undefined }
+    if (this.#leaving && !goesOn(request)) return { outcome: notRun('stopping', 'this host is stopping'), transaction: undefined, newest: undefined }
     const home = this.#homeFor(request)
-    if (home === undefined) return { outcome: notRun('wrongHome', 'this host is no home of the server'), transaction: undefined }
+    if (home === undefined) return { outcome: notRun('wrongHome', 'this host is no home of the server'), transaction: undefined, newest: undefined }
     return await home.execute(request)
   }
 
--- a/src/daemon/home-task.ts
+++ b/src/daemon/home-task.ts
@@ -4,8 +4,8 @@
 
 import { redirected } from '../config/index.js'
 import { homePipe, type HomeReply, type HomeRequest, type HomeServices, type HomeTransaction, type ServerCheck, type ServerSession, type TransactionTable, type Turn } from '../home/index.js'
-import { covers, type ExecuteRequest, type HostName, type PrimaryView, type ServerDeclaration } from '../model/index.js'
-import { ask, Latest, runPipe, startTask, type Reply, type Snapshot, type Transition, withoutReplies } from '../pipe/index.js'
+import { covers, type ExecuteRequest, type Freshness, type HostName, type Position, type PrimaryView, type ServerDeclaration } from '../model/index.js'
+import { ask, Latest, runPipe, sleep, startTask, type Reply, type Snapshot, type Transition, withoutReplies } from '../pipe/index.js'
 import { fairQueueStep, initialFairQueue, replicaServesAge, type FairQueueEffect, type FairQueueEvent, type FairQueueState } from '../request/index.js'
 import type { DaemonContext } from './context.js'
 import type { DatabaseTask, DatabaseView } from './database-task.js'
@@ -39,6 +39,9 @@
 const sharingHomes = 2
 /** A transaction without a statement for this time is rolled back. */
 const idleTransactionMs = 10_000
+/** Time that a replica has to apply what it has received. */
+const catchUpMs = 15
+const catchUpPollMs = 2
 /** Time that a session still has to answer once another one to the same server was found silent. */
 const answerGraceMs = 200
 /** Part of all open transactions on a server that one account may hold. */
@@ -67,7 +70,7 @@
     nowMs: timers.nowMs,
     pool,
     transactions,
-    check: async message => checkServer(message, server, spec.database.view, timers.nowMs()),
+    check: async message => await checkServer(spec, message),
     queue: async message => ownsSession(message) ? freeTurn : await queue.enter(message),
     confirm: async (position, deadlineAtMs) => {
       const latestAtMs = timers.nowMs() + context.settings.limits.confirmTimeoutMs
@@ -127,34 +130,69 @@
   }
 }
 
-function checkServer (message: HomeRequest, server: ServerDeclaration, view: Snapshot<DatabaseView>, nowMs: number): ServerCheck {
+async function checkServer (spec: HomeSpec, message: HomeRequest): Promise<ServerCheck> {
   const { mode } = message.request
-  const known = view.get()
-  const isPrimary = known.primary.primary === server.name
+  const { server, database } = spec
   switch (mode.kind) {
     case 'inTransaction':
     case 'commit':
     case 'rollback': return { kind: 'may', role: 'primary' }
     case 'write':
-    case 'begin': return isPrimary ? { kind: 'may', role: 'primary' } : { kind: 'mayNot', reason: 'noPrimary', detail: `${server.name} is not the primary` }
-    case 'read': return checkRead(mode.floor, mode.maxAgeMs, server, known, isPrimary, nowMs)
+    case 'begin': return leads(spec) ? { kind: 'may', role: 'primary' } : { kind: 'mayNot', reason: 'noPrimary', detail: `${server.name} is not the primary` }
+    case 'read': return await checkRead(spec, mode.freshness, database.view)
   }
 }
 
-function checkRead (floor: HomeRequestFloor, maxAgeMs: number | undefined, server: ServerDeclaration, known: DatabaseView, isPrimary: boolean, nowMs: number): ServerCheck {
-  const applied = known.statuses.get(server.name)?.applied
-  if (applied === undefined) return { kind: 'mayNot', reason: 'noServer', detail: `${server.name} has told no position yet` }
-  const role = isPrimary ? 'primary' : 'replica'
-  if (maxAgeMs !== undefined) {
-    const fresh = replicaServesAge(known.age, applied, maxAgeMs, nowMs)
-    return fresh ? { kind: 'may', role } : { kind: 'mayNot', reason: 'behind', detail: `${server.name} is older than ${maxAgeMs} ms` }
+async function checkRead (spec: HomeSpec, freshness: Freshness, view: Snapshot<DatabaseView>): Promise<ServerCheck> {
+  const { server, context } = spec
+  switch (freshness.kind) {
+    case 'floor': return await checkFloor(spec, freshness.position)
+    case 'age': {
+      const applied = appliedBy(spec)
+      const fresh = applied !== undefined && replicaServesAge(view.get().age, applied, freshness.maxAgeMs, context.timers.nowMs())
+      return fresh ? mayRead(spec) : { kind: 'mayNot', reason: 'behind', detail: `${server.name} is older than ${freshness.maxAgeMs} ms` }
+    }
+    case 'newest': {
+      const newest = await spec.database.openFloor()
+      if (newest === undefined) return { kind: 'mayNot', reason: 'noServer', detail: 'no majority of the servers told its position' }
+      const verdict = await checkFloor(spec, newest)
+      return verdict.kind === 'may' ? verdict : { ...verdict, newest }
+    }
+  }
+}
+
+// A replica that has received the floor gets a little time to apply it, which
+// costs less than the way to the primary.
+async function checkFloor (spec: HomeSpec, floor: Position): Promise<ServerCheck> {
+  const { timers } = spec.context
+  const untilMs = timers.nowMs() + catchUpMs
+  while (!coversFloor(spec, floor)) {
+    const received = spec.database.view.get().statuses.get(spec.server.name)?.received
+    const isComing = received !== undefined && covers(received, floor)
+    if (!isComing || timers.nowMs() >= untilMs) return { kind: 'mayNot', reason: 'behind', detail: `${spec.server.name} has not applied the session's floor` }
+    await sleep(timers, catchUpPollMs)
   }
-  // A primary holds everything up to its own term, whatever it told last.
-  const serves = isPrimary ? floor.term <= known.primary.term : covers(applied, floor)
-  return serves ? { kind: 'may', role } : { kind: 'mayNot', reason: 'behind', detail: `${server.name} has not applied the session's floor` }
+  return mayRead(spec)
+}
+
+// A primary holds everything up to its own term, whatever it told last.
+function coversFloor (spec: HomeSpec, floor: Position): boolean {
+  if (leads(spec)) return floor.term <= spec.database.view.get().primary.term
+  const applied = appliedBy(spec)
+  return applied !== undefined && covers(applied, floor)
+}
+
+function mayRead (spec: HomeSpec): ServerCheck {
+  return { kind: 'may', role: leads(spec) ? 'primary' : 'replica' }
 }
 
-type HomeRequestFloor = Extract<ExecuteRequest['mode'], { readonly kind: 'read' }>['floor']
+function leads (spec: HomeSpec): boolean {
+  return spec.database.view.get().primary.primary === spec.server.name
+}
+
+function appliedBy (spec: HomeSpec): Position | undefined {
+  return spec.database.view.get().statuses.get(spec.server.name)?.applied
+}
 
 type QueueMessage = FairQueueEvent
   /** The server leads no more: its waiting writes have to go elsewhere. */
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -32,7 +32,6 @@
 const publishDeadlineMs = 5000
 /** Longest deadline that a caller may ask for. */
 const maxDeadlineMs = 600_000
-const openFloorTimeoutMs = 1000
 const drainPollMs = 20
 /** A stopping host waits for this many heartbeat periods without a statement. */
 const quietHeartbeats = 2
@@ -188,7 +187,6 @@
   const { configuration, databases, members, limits, reports } = parts
   return {
     execute: async request => await databases.execute(request),
-    openFloor: async ({ database }) => await databases.openFloor(database),
     heartbeat: async from => await members.answerHeartbeat(from),
     pullConfiguration: async ({ above }) => {
       const accepted = configuration.inForce()
@@ -212,7 +210,6 @@
     sleep: async delayMs => { await sleep(timers, delayMs) },
     configuration,
     admit: limits.admit,
-    openFloor: async (database, deadlineAtMs) => await openFloor(parts, database, deadlineAtMs),
     routing: database => routing.view(database),
     execute: async (home, request) => await executeAt(parts, home, request),
     sawApplied: (server, applied) => { routing.sawApplied(server, applied, timers.nowMs()) },
@@ -245,22 +242,6 @@
   return reply.outcome.kind === 'notRun' && reply.outcome.reason === 'stopping'
 }
 
-// Any home of the database can open a floor; the next one is asked where one fails.
-async function openFloor (parts: Parts, database: string, deadlineAtMs: number): Promise<PeerResult<'openFloor'>['floor']> {
-  const { timers, random } = parts.context
-  while (timers.nowMs() < deadlineAtMs) {
-    for (const home of new Set(parts.routing.homes(database).values())) {
-      const timeoutMs = Math.max(1, Math.min(openFloorTimeoutMs, deadlineAtMs - timers.nowMs()))
-      const result = await callHost(parts, home, 'openFloor', { database }, timeoutMs).catch(() => undefined)
-      if (result === undefined) continue
-      parts.routing.sawPrimary(result.primary)
-      if (result.floor !== undefined) return result.floor
-    }
-    await sleep(timers, drainPollMs * (1 + random()))
-  }
-  return undefined
-}
-
 async function rollBack (parts: Parts, transaction: OpenTransaction): Promise<void> {
   const request: ExecuteRequest = {
     from: parts.context.settings.host.name,
--- a/src/home/message.ts
+++ b/src/home/message.ts
@@ -12,7 +12,7 @@
 /** Whether the server may run a statement now. */
 export type ServerCheck =
   | { readonly kind: 'may', readonly role: 'primary' | 'replica' }
-  | { readonly kind: 'mayNot', readonly reason: NotRunReason, readonly detail: string }
+  | { readonly kind: 'mayNot', readonly reason: NotRunReason, readonly detail: string, readonly newest?: Position | undefined }
 
 /** A statement that the server may run, as far as its home knows. */
 export type CheckedRequest = HomeRequest & {
@@ -65,4 +65,4 @@
 }
 
 /** What the home's pipe gives. */
-export type HomeReply = Omit<ExecuteReply, 'primary' | 'applied'>
+export type HomeReply = Pick<ExecuteReply, 'outcome' | 'transaction' | 'newest'>
--- a/src/home/pipe.ts
+++ b/src/home/pipe.ts
@@ -20,7 +20,7 @@
     const verdict = await services.check(message)
     switch (verdict.kind) {
       case 'may': return next({ ...message, role: verdict.role })
-      case 'mayNot': return end({ outcome: notRun(verdict.reason, verdict.detail), transaction: undefined })
+      case 'mayNot': return end({ outcome: notRun(verdict.reason, verdict.detail), transaction: undefined, newest: verdict.newest })
     }
   }
 }
@@ -30,7 +30,7 @@
 function queueAndRun (services: HomeServices): Filter<CheckedRequest, RanRequest, HomeReply> {
   return async message => {
     const turn = await services.queue(message)
-    if (turn.kind === 'refused') return end({ outcome: notRun(turn.reason, 'the statement waited for the server and was not started'), transaction: undefined })
+    if (turn.kind === 'refused') return end({ outcome: notRun(turn.reason, 'the statement waited for the server and was not started'), transaction: undefined, newest: undefined })
     try {
       return next(await run(services, message))
     } finally {
@@ -42,9 +42,9 @@
 function confirm (services: HomeServices): Filter<RanRequest, never, HomeReply> {
   return async message => {
     const { outcome, transaction } = message
-    if (message.confirm === undefined) return end({ outcome, transaction })
+    if (message.confirm === undefined) return end({ outcome, transaction, newest: undefined })
     const confirmed = await services.confirm(message.confirm, message.deadlineAtMs)
-    if (confirmed) return end({ outcome, transaction })
-    return end({ outcome: unknownOutcome('notConfirmed', 'no majority of the servers confirmed the position'), transaction: undefined })
+    if (confirmed) return end({ outcome, transaction, newest: undefined })
+    return end({ outcome: unknownOutcome('notConfirmed', 'no majority of the servers confirmed the position'), transaction: undefined, newest: undefined })
   }
 }
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -7,9 +7,16 @@
 import type { Position } from './position.js'
 import type { PrimaryView } from './database.js'
 
+/** What a read has to cover. */
+export type Freshness =
+  | { readonly kind: 'floor', readonly position: Position }
+  /** Every write acknowledged before the home took the read. */
+  | { readonly kind: 'newest' }
+  | { readonly kind: 'age', readonly maxAgeMs: number }
+
 /** How a statement runs on a server. */
 export type ExecutionMode =
-  | { readonly kind: 'read', readonly floor: Position, readonly maxAgeMs: number | undefined }
+  | { readonly kind: 'read', readonly freshness: Freshness }
   | { readonly kind: 'write', readonly requestId: string | undefined }
   | { readonly kind: 'begin', readonly requestId: string | undefined }
   | { readonly kind: 'inTransaction', readonly transaction: string }
@@ -36,6 +43,8 @@
   /** Set where `begin` opened a transaction. */
   readonly transaction: string | undefined
   readonly primary: PrimaryView
+  /** The position that a read of the newest state has to cover, where its home asked for it. */
+  readonly newest: Position | undefined
   /** Applied position of the server, as its home knew it. */
   readonly applied: Position | undefined
 }
@@ -113,7 +122,6 @@
 /** Parameters and results of each method. */
 export type PeerMethods = {
   readonly execute: { readonly params: ExecuteRequest, readonly result: ExecuteReply }
-  readonly openFloor: { readonly params: { readonly database: DatabaseName }, readonly result: { readonly floor: Position | undefined, readonly primary: PrimaryView } }
   readonly heartbeat: { readonly params: MemberState, readonly result: MemberState }
   readonly pullConfiguration: { readonly params: { readonly above: Generation }, readonly result: { readonly accepted: AcceptedManifest | undefined } }
   readonly offerConfiguration: { readonly params: { readonly accepted: AcceptedManifest }, readonly result: { readonly generation: Generation } }
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -1,10 +1,10 @@
 // Last filter: runs the statement at the home of a server, again and again
 // where that is safe, until there is an answer or the deadline passes.
 
-import { notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecutionMode, type NotRunReason, type Outcome, type ServerName } from '../model/index.js'
+import { notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecutionMode, type Freshness, type NotRunReason, type Outcome, type ServerName } from '../model/index.js'
 import { end, type Filter } from '../pipe/index.js'
 import { anonymousAccount } from './admit.js'
-import type { Floored, Served } from './message.js'
+import type { Fresh, Served } from './message.js'
 import { judgeAttempt, outOfTime, type Attempt, type Repeatable } from './retry.js'
 import { chooseRoute, type Route } from './route.js'
 import { raiseFloor, type OpenTransaction, type SessionState } from './session.js'
@@ -24,6 +24,7 @@
   readonly avoid: ReadonlySet<ServerName>
   readonly mayHaveRun: boolean
   readonly reason: NotRunReason
+  readonly freshness: Freshness
 }
 
 /**
@@ -32,7 +33,7 @@
  * @param bounds - where this host stands
  * @returns the filter, which always ends the pipe
  */
-export function execute (services: Services, bounds: RequestBounds): Filter<Floored, never, Served> {
+export function execute (services: Services, bounds: RequestBounds): Filter<Fresh, never, Served> {
   return async message => {
     const { transaction } = message.session
     if (transaction !== undefined) return end(await runInTransaction(services, bounds, message, transaction))
@@ -40,9 +41,9 @@
   }
 }
 
-async function runAlone (services: Services, bounds: RequestBounds, message: Floored): Promise<Served> {
+async function runAlone (services: Services, bounds: RequestBounds, message: Fresh): Promise<Served> {
   const repeatable: Repeatable = message.statement.statementClass.kind === 'read' && !message.statement.hints.once ? 'yes' : 'no'
-  let progress: Progress = { attempts: 0, avoid: new Set(), mayHaveRun: false, reason: 'deadlinePassed' }
+  let progress: Progress = { attempts: 0, avoid: new Set(), mayHaveRun: false, reason: 'deadlinePassed', freshness: message.freshness }
   for (;;) {
     if (services.nowMs() >= message.statement.deadlineAtMs) return giveUp(message, progress)
     const route = chooseRoute(routeRequest(services, bounds, message, progress), services.routing(message.database.name))
@@ -53,24 +54,25 @@
       attempts: progress.attempts + 1,
       avoid: verdict.avoidServer && route.kind === 'send' ? new Set([...progress.avoid, route.server]) : progress.avoid,
       mayHaveRun: progress.mayHaveRun || verdict.mayHaveRun,
-      reason: verdict.reason
+      reason: verdict.reason,
+      freshness: freshnessAfter(progress.freshness, attempt)
     }
     if (needsDelay(verdict.reason, progress)) await services.sleep(retryDelayMs(progress.attempts, services.random()))
   }
 }
 
-function giveUp (message: Floored, progress: Progress): Served {
+function giveUp (message: Fresh, progress: Progress): Served {
   return { outcome: outOfTime(progress.reason, progress.mayHaveRun), session: message.session }
 }
 
-function routeRequest (services: Services, bounds: RequestBounds, message: Floored, progress: Progress): Parameters<typeof chooseRoute>[0] {
-  const { statement, database, floor } = message
+function routeRequest (services: Services, bounds: RequestBounds, message: Fresh, progress: Progress): Parameters<typeof chooseRoute>[0] {
+  const { statement, database } = message
   // Once every server was tried, all may be tried again.
   const avoid = progress.avoid.size >= database.servers.length ? new Set<ServerName>() : progress.avoid
   return {
     database,
     statementClass: statement.statementClass,
-    floor,
+    freshness: progress.freshness,
     requestId: statement.hints.requestId,
     ownFailureDomain: bounds.ownFailureDomain,
     avoid,
@@ -79,7 +81,7 @@
   }
 }
 
-async function attemptOn (services: Services, bounds: RequestBounds, message: Floored, route: Route): Promise<Attempt> {
+async function attemptOn (services: Services, bounds: RequestBounds, message: Fresh, route: Route): Promise<Attempt> {
   if (route.kind === 'none') return { kind: 'noRoute', missing: route.missing }
   const attempt = await services.execute(route.home, {
     from: bounds.self,
@@ -95,7 +97,14 @@
   return attempt
 }
 
-function accountName (message: Floored): AccountName {
+// The newest position was asked after the statement came in, so whichever server
+// covers it will do; nobody has to ask again.
+function freshnessAfter (freshness: Freshness, attempt: Attempt): Freshness {
+  const newest = attempt.kind === 'replied' ? attempt.reply.newest : undefined
+  return newest === undefined || freshness.kind !== 'newest' ? freshness : { kind: 'floor', position: newest }
+}
+
+function accountName (message: Fresh): AccountName {
   return message.account?.name ?? anonymousAccount
 }
 
@@ -115,7 +124,7 @@
   return random * bound
 }
 
-function finish (message: Floored, outcome: Outcome, route: Route, attempt: Attempt): Served {
+function finish (message: Fresh, outcome: Outcome, route: Route, attempt: Attempt): Served {
   const raised = withPosition(message.session, message.database.name, message.statement.statementClass.kind === 'read' ? undefined : outcome)
   if (outcome.kind !== 'answered' || route.kind !== 'send' || attempt.kind !== 'replied') return { outcome, session: raised }
   const { transaction } = attempt.reply
@@ -129,7 +138,7 @@
   return raiseFloor(session, database, outcome.position)
 }
 
-async function runInTransaction (services: Services, bounds: RequestBounds, message: Floored, transaction: OpenTransaction): Promise<Served> {
+async function runInTransaction (services: Services, bounds: RequestBounds, message: Fresh, transaction: OpenTransaction): Promise<Served> {
   const { statementClass } = message.statement
   if (transaction.lost) return afterLostTransaction(message, statementClass.kind)
   if (statementClass.kind === 'begin') return { outcome: notRun('unsupported', 'a transaction is open already'), session: message.session }
@@ -139,7 +148,7 @@
   return settleInTransaction(message, transaction, mode, attempt)
 }
 
-function afterLostTransaction (message: Floored, kind: string): Served {
+function afterLostTransaction (message: Fresh, kind: string): Served {
   if (kind !== 'rollback' && kind !== 'commit') return { outcome: notRun('transactionLost', 'the transaction was lost and rolled back'), session: message.session }
   const session = { ...message.session, transaction: undefined }
   if (kind === 'commit') return { outcome: notRun('transactionLost', 'the transaction was lost and rolled back'), session }
@@ -154,7 +163,7 @@
   }
 }
 
-function settleInTransaction (message: Floored, transaction: OpenTransaction, mode: ExecutionMode, attempt: Attempt): Served {
+function settleInTransaction (message: Fresh, transaction: OpenTransaction, mode: ExecutionMode, attempt: Attempt): Served {
   const ended = { ...message.session, transaction: undefined }
   const lost = { ...message.session, transaction: { ...transaction, lost: true } }
   switch (attempt.kind) {
@@ -169,7 +178,7 @@
   }
 }
 
-function settleReply (message: Floored, transaction: OpenTransaction, mode: ExecutionMode, reply: ExecuteReply): Served {
+function settleReply (message: Fresh, transaction: OpenTransaction, mode: ExecutionMode, reply: ExecuteReply): Served {
   const { outcome } = reply
   const isEnd = mode.kind === 'commit' || mode.kind === 'rollback'
   const raised = withPosition(message.session, transaction.database, outcome)
--- /dev/null
+++ b/src/request/freshness.ts
@@ -0,0 +1,29 @@
+// Filter: finds what a read has to cover. A caller without a token may have
+// written through any other connection, a pooled one that was open all the
+// while included, so each of its session reads covers every write acknowledged
+// before it. A caller that carries a token brings its floors along. A read of a
+// stated age has its age and nothing else to keep.
+
+import { originPosition, type Freshness } from '../model/index.js'
+import { next, type Filter } from '../pipe/index.js'
+import type { Classified, Fresh, Served } from './message.js'
+
+/**
+ * Makes the filter.
+ * @returns the filter
+ */
+export function findFreshness (): Filter<Classified, Fresh, Served> {
+  return message => next({ ...message, freshness: freshnessOf(message) })
+}
+
+function freshnessOf (message: Classified): Freshness {
+  const { statement, session, database } = message
+  const floor: Freshness = { kind: 'floor', position: session.floors[database.name] ?? originPosition }
+  const { statementClass } = statement
+  if (statementClass.kind !== 'read') return floor
+  switch (statementClass.level.kind) {
+    case 'age': return { kind: 'age', maxAgeMs: statementClass.level.maxAgeMs }
+    case 'latest': return { kind: 'newest' }
+    case 'session': return session.hasToken ? floor : { kind: 'newest' }
+  }
+}
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,14 +1,14 @@
-// The request pipe: authorize > classify > answer locally > admit > open floor
-// > execute, one filter a file, and the decisions that the filters use.
+// The request pipe: authorize > classify > answer locally > admit > find
+// freshness > execute, one filter a file, and the decisions that the filters use.
 
 import { join, type Filter } from '../pipe/index.js'
 import { admit } from './admit.js'
 import { authorize } from './authorize.js'
 import { classifyFilter } from './classify-filter.js'
 import { execute } from './execute.js'
+import { findFreshness } from './freshness.js'
 import { answerLocally } from './local.js'
 import type { Incoming, Served } from './message.js'
-import { openFloor } from './open-floor.js'
 import type { RequestBounds, RequestServices } from './services.js'
 
 export * from './admit.js'
@@ -20,11 +20,11 @@
 export * from './execute.js'
 export * from './fair-queue.js'
 export * from './floor.js'
+export * from './freshness.js'
 export * from './hints.js'
 export * from './lexer.js'
 export * from './local.js'
 export * from './message.js'
-export * from './open-floor.js'
 export * from './retry.js'
 export * from './route.js'
 export * from './services.js'
@@ -39,5 +39,5 @@
 export function requestPipe (services: RequestServices, bounds: RequestBounds): Filter<Incoming, never, Served> {
   const checked = join(authorize(services.configuration), classifyFilter(bounds, services.holdsKey))
   const due = join(join(checked, answerLocally(services)), admit(services))
-  return join(join(due, openFloor(services)), execute(services, bounds))
+  return join(join(due, findFreshness()), execute(services, bounds))
 }
--- a/src/request/message.ts
+++ b/src/request/message.ts
@@ -1,7 +1,7 @@
 // The messages of the request pipe. Each filter takes one and gives the next,
 // which says what is known by then.
 
-import type { AccountDeclaration, ClassifiedStatement, DatabaseDeclaration, IncomingStatement, Outcome, Position } from '../model/index.js'
+import type { AccountDeclaration, ClassifiedStatement, DatabaseDeclaration, Freshness, IncomingStatement, Outcome } from '../model/index.js'
 import type { SessionState } from './session.js'
 
 /** A statement that came in on a session. */
@@ -22,9 +22,9 @@
   readonly statement: ClassifiedStatement
 }
 
-/** The floor that a read has to cover is known. */
-export type Floored = Classified & {
-  readonly floor: Position
+/** What a read has to cover is known. */
+export type Fresh = Classified & {
+  readonly freshness: Freshness
 }
 
 /** What the pipe gives: the answer, and the session for the next statement. */
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -3,7 +3,7 @@
 // failure domain first; where none is, to the primary. The home of the server
 // has the last word: it refuses a read that its server cannot serve.
 
-import { covers, type DatabaseDeclaration, type ExecutionMode, type FailureDomain, type HostName, type Position, type PrimaryView, type ServerDeclaration, type ServerName, type StatementClass } from '../model/index.js'
+import { covers, type DatabaseDeclaration, type ExecutionMode, type FailureDomain, type Freshness, type HostName, type Position, type PrimaryView, type ServerDeclaration, type ServerName, type StatementClass } from '../model/index.js'
 
 /** What this host last heard of a server's applied position. */
 export type AppliedSighting = {
@@ -22,7 +22,7 @@
 export type RouteRequest = {
   readonly database: DatabaseDeclaration
   readonly statementClass: StatementClass
-  readonly floor: Position
+  readonly freshness: Freshness
   readonly requestId: string | undefined
   readonly ownFailureDomain: FailureDomain
   /** Servers that failed for this statement already. */
@@ -38,7 +38,7 @@
   | { readonly kind: 'none', readonly missing: 'primary' }
 
 /** A sighting older than this says nothing about a replica any more. */
-const sightingValidMs = 200
+const sightingValidMs = 30
 
 /**
  * Chooses where a statement goes.
@@ -49,7 +49,7 @@
 export function chooseRoute (request: RouteRequest, view: RoutingView): Route {
   const { statementClass } = request
   switch (statementClass.kind) {
-    case 'read': return routeRead(request, view, statementClass.level.kind === 'age' ? statementClass.level.maxAgeMs : undefined)
+    case 'read': return routeRead(request, view)
     case 'begin': return toPrimary(view, request, { kind: 'begin', requestId: request.requestId })
     case 'write':
     case 'commit':
@@ -69,19 +69,19 @@
   return { kind: 'send', server, home, mode }
 }
 
-function routeRead (request: RouteRequest, view: RoutingView, maxAgeMs: number | undefined): Route {
-  const mode: ExecutionMode = { kind: 'read', floor: request.floor, maxAgeMs }
-  const replica = chooseReplica(request, view, maxAgeMs)
+function routeRead (request: RouteRequest, view: RoutingView): Route {
+  const mode: ExecutionMode = { kind: 'read', freshness: request.freshness }
+  const replica = chooseReplica(request, view)
   if (replica !== undefined) return { kind: 'send', server: replica.server, home: replica.home, mode }
   return toPrimary(view, request, mode)
 }
 
 type Candidate = { readonly server: ServerName, readonly home: HostName, readonly near: boolean }
 
-function chooseReplica (request: RouteRequest, view: RoutingView, maxAgeMs: number | undefined): Candidate | undefined {
+function chooseReplica (request: RouteRequest, view: RoutingView): Candidate | undefined {
   const candidates = request.database.servers
     .filter(server => server.state === 'active' && server.name !== view.primary.primary && !request.avoid.has(server.name))
-    .filter(server => maxAgeMs !== undefined || mayCover(request, view.applied.get(server.name)))
+    .filter(server => mayCover(request, view.applied.get(server.name)))
     .flatMap(server => candidate(request, view, server))
   const near = candidates.filter(one => one.near)
   const pool = near.length > 0 ? near : candidates
@@ -95,8 +95,11 @@
 }
 
 function mayCover (request: RouteRequest, sighting: AppliedSighting | undefined): boolean {
-  if (sighting === undefined || request.nowMs - sighting.seenAtMs > sightingValidMs) return true
-  return covers(sighting.applied, request.floor)
+  switch (request.freshness.kind) {
+    case 'age':
+    case 'newest': return true
+    case 'floor': return sighting === undefined || request.nowMs - sighting.seenAtMs > sightingValidMs || covers(sighting.applied, request.freshness.position)
+  }
 }
 
 function anyServer (request: RouteRequest, view: RoutingView, mode: ExecutionMode, missing: 'primary'): Route {
--- a/src/request/services.ts
+++ b/src/request/services.ts
@@ -20,8 +20,6 @@
   readonly configuration: () => ConfigurationInForce
   /** Takes one token of the account; gives the refusal where there is none. */
   readonly admit: (account: AccountName, deadlineAtMs: number) => Promise<Outcome | undefined>
-  /** A floor that covers every write acknowledged before the call. */
-  readonly openFloor: (database: DatabaseName, deadlineAtMs: number) => Promise<Position | undefined>
   readonly routing: (database: DatabaseName) => RoutingView
   readonly execute: (home: HostName, request: ExecuteRequest) => Promise<Attempt>
   /** Told what a reply says of a server's applied position. */
--- a/test/request/route.test.ts
+++ b/test/request/route.test.ts
@@ -26,7 +26,7 @@
   return {
     database: three,
     statementClass: { kind: 'read', level: { kind: 'session' } },
-    floor: { term: 3, index: 10 },
+    freshness: { kind: 'floor', position: { term: 3, index: 10 } },
     requestId: undefined,
     ownFailureDomain: 'b',
     avoid: new Set(),
@@ -74,7 +74,7 @@
 })
 
 function replied (outcome: Outcome): { readonly kind: 'replied', readonly reply: ExecuteReply } {
-  return { kind: 'replied', reply: { outcome, transaction: undefined, primary: { database: 'orders', term: 3, primary: 's1' }, applied: undefined } }
+  return { kind: 'replied', reply: { outcome, transaction: undefined, primary: { database: 'orders', term: 3, primary: 's1' }, newest: undefined, applied: undefined } }
 }
 
 const position: Position = { term: 3, index: 4 }
