--- a/src/model/statement.ts
+++ b/src/model/statement.ts
@@ -14,6 +14,8 @@
 export type StatementClass =
   | { readonly kind: 'read', readonly level: ReadLevel }
   | { readonly kind: 'write' }
+  /** A write to the schema, which would commit an open transaction. */
+  | { readonly kind: 'define' }
   | { readonly kind: 'begin' }
   | { readonly kind: 'commit' }
   | { readonly kind: 'rollback' }
--- a/src/request/classify.ts
+++ b/src/request/classify.ts
@@ -21,6 +21,9 @@
 /** Words that make a SELECT lock or write. */
 const effectWords: ReadonlySet<string> = new Set(['INTO', 'FOR', 'LOCK', 'PROCEDURE', 'NEXTVAL'])
 
+/** Statements that change the schema. */
+const definitionWords: ReadonlySet<string> = new Set(['ALTER', 'DROP', 'TRUNCATE', 'RENAME'])
+
 /** Statements that change the session or run others. */
 const sessionWords: ReadonlySet<string> = new Set(['USE', 'PREPARE', 'EXECUTE', 'DEALLOCATE', 'LOCK', 'UNLOCK', 'HANDLER', 'XA', 'KILL', 'SHUTDOWN', 'LOAD', 'CHANGE', 'RESET', 'FLUSH', 'GRANT', 'REVOKE'])
 
@@ -41,7 +44,7 @@
     case 'START': return words[1] === 'TRANSACTION' ? { kind: 'begin' } : { kind: 'unsupported', what: `START ${words[1] ?? ''}` }
     case 'COMMIT': return endOfTransaction('commit', words)
     case 'ROLLBACK': return words.includes('TO') ? { kind: 'write' } : endOfTransaction('rollback', words)
-    case 'CREATE': return words[1] === 'TEMPORARY' ? { kind: 'unsupported', what: 'a temporary table' } : { kind: 'write' }
+    case 'CREATE': return words[1] === 'TEMPORARY' ? { kind: 'unsupported', what: 'a temporary table' } : { kind: 'define' }
     case 'CALL': return (words[1] ?? '').startsWith('LEDGER_') ? { kind: 'unsupported', what: 'a ledger call' } : { kind: 'write' }
     case undefined: return tokens.length === 0 ? { kind: 'unsupported', what: 'an empty statement' } : { kind: 'write' }
     default: return classifyOther(words[0])
@@ -49,6 +52,7 @@
 }
 
 function classifyOther (first: string): StatementClass {
+  if (definitionWords.has(first)) return { kind: 'define' }
   return sessionWords.has(first) ? { kind: 'unsupported', what: first } : { kind: 'write' }
 }
 
--- a/src/request/local.ts
+++ b/src/request/local.ts
@@ -31,6 +31,10 @@
       }
       case 'commit':
       case 'rollback': return message.session.transaction === undefined ? end(served(message, byProxy(done))) : next(message)
+      case 'define': {
+        if (message.session.transaction === undefined) return next(message)
+        return end(served(message, notRun('unsupported', 'a change of the schema would commit the open transaction; it is not supported there')))
+      }
       case 'read':
       case 'write':
       case 'begin':
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -52,6 +52,7 @@
     case 'read': return routeRead(request, view)
     case 'begin': return toPrimary(view, request, { kind: 'begin', requestId: request.requestId })
     case 'write':
+    case 'define':
     case 'commit':
     case 'rollback':
     case 'readToken':
--- a/test/request/classify.test.ts
+++ b/test/request/classify.test.ts
@@ -40,6 +40,10 @@
   for (const sql of refused) assert.equal(kindOf(sql), 'unsupported', sql)
 })
 
+test('changes of the schema are told apart from other writes', () => {
+  for (const sql of ['CREATE TABLE t (a INT)', 'alter table t add b INT', 'DROP TABLE t', 'TRUNCATE t']) assert.equal(kindOf(sql), 'define', sql)
+})
+
 test('drivers may set what holds anyway', () => {
   assert.equal(kindOf('SET NAMES utf8mb4'), 'setDefault')
   assert.equal(kindOf('SET autocommit=1'), 'setDefault')
--- a/test/request/pipe.test.ts
+++ b/test/request/pipe.test.ts
@@ -77,6 +77,14 @@
   assert.deepEqual(asked.served.session.floors, { orders: position })
 })
 
+test('a change of the schema is refused inside a transaction, which it would commit', async () => {
+  const transaction = { id: 't1', database: 'orders', server: 's1', home: 'h1', account: 'a', lost: false }
+  const asked = await serve({ ...anybody, transaction }, 'CREATE TABLE u (a INT)', [])
+  assert.equal(asked.sent.length, 0)
+  assert.equal(asked.served.outcome.kind, 'notRun')
+  assert.equal((await serve(anybody, 'CREATE TABLE u (a INT)', [])).sent.length, 1)
+})
+
 test('a write whose connection was lost is not sent again', async () => {
   const asked = await serve(anybody, 'DELETE FROM t', [{ kind: 'lost' }])
   assert.equal(asked.sent.length, 1)
