--- /dev/null
+++ b/src/daemon/home-check.ts
@@ -0,0 +1,88 @@
+// Whether a server may run a statement now, as far as its home knows: it leads
+// for a write, and covers what a read asks for.
+
+import type { HomeRequest, ServerCheck } from '../home/index.js'
+import { covers, type Freshness, type Position, type ServerDeclaration } from '../model/index.js'
+import { sleep, type TimerService } from '../pipe/index.js'
+import { replicaServesAge } from '../request/index.js'
+import type { DatabaseTask } from './database-task.js'
+
+/** What the check looks at. */
+export type CheckSpec = {
+  readonly timers: TimerService
+  readonly server: ServerDeclaration
+  readonly database: DatabaseTask
+}
+
+/** Time that a replica has to apply what it has received. */
+const catchUpMs = 15
+const catchUpPollMs = 2
+
+/**
+ * Checks whether the server may run a statement now.
+ * @param spec - the server and its database
+ * @param message - the statement
+ * @returns its role, or why it may not
+ */
+export async function checkServer (spec: CheckSpec, message: HomeRequest): Promise<ServerCheck> {
+  const { mode } = message.request
+  switch (mode.kind) {
+    case 'inTransaction':
+    case 'commit':
+    case 'rollback': return { kind: 'may', role: 'primary' }
+    case 'write':
+    case 'begin': return leads(spec) ? { kind: 'may', role: 'primary' } : { kind: 'mayNot', reason: 'noPrimary', detail: `${spec.server.name} is not the primary` }
+    case 'read': return await checkRead(spec, mode.freshness)
+  }
+}
+
+async function checkRead (spec: CheckSpec, freshness: Freshness): Promise<ServerCheck> {
+  const { server, database, timers } = spec
+  switch (freshness.kind) {
+    case 'floor': return await checkFloor(spec, freshness.position)
+    case 'age': {
+      const applied = appliedBy(spec)
+      const fresh = applied !== undefined && replicaServesAge(database.view.get().age, applied, freshness.maxAgeMs, timers.nowMs())
+      return fresh ? mayRead(spec) : { kind: 'mayNot', reason: 'behind', detail: `${server.name} is older than ${freshness.maxAgeMs} ms` }
+    }
+    case 'newest': {
+      const newest = await database.openFloor()
+      if (newest === undefined) return { kind: 'mayNot', reason: 'noServer', detail: 'no majority of the servers told its position' }
+      const verdict = await checkFloor(spec, newest)
+      return verdict.kind === 'may' ? verdict : { ...verdict, newest }
+    }
+  }
+}
+
+// A replica that has received the floor gets a little time to apply it, which
+// costs less than the way to the primary.
+async function checkFloor (spec: CheckSpec, floor: Position): Promise<ServerCheck> {
+  const { timers } = spec
+  const untilMs = timers.nowMs() + catchUpMs
+  while (!coversFloor(spec, floor)) {
+    const received = spec.database.view.get().statuses.get(spec.server.name)?.received
+    const isComing = received !== undefined && covers(received, floor)
+    if (!isComing || timers.nowMs() >= untilMs) return { kind: 'mayNot', reason: 'behind', detail: `${spec.server.name} has not applied the session's floor` }
+    await sleep(timers, catchUpPollMs)
+  }
+  return mayRead(spec)
+}
+
+// A primary holds everything up to its own term, whatever it told last.
+function coversFloor (spec: CheckSpec, floor: Position): boolean {
+  if (leads(spec)) return floor.term <= spec.database.view.get().primary.term
+  const applied = appliedBy(spec)
+  return applied !== undefined && covers(applied, floor)
+}
+
+function mayRead (spec: CheckSpec): ServerCheck {
+  return { kind: 'may', role: leads(spec) ? 'primary' : 'replica' }
+}
+
+function leads (spec: CheckSpec): boolean {
+  return spec.database.view.get().primary.primary === spec.server.name
+}
+
+function appliedBy (spec: CheckSpec): Position | undefined {
+  return spec.database.view.get().statuses.get(spec.server.name)?.applied
+}
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -3,7 +3,7 @@
 
 import { randomUUID } from 'node:crypto'
 import { confirmedUntilMs, holdsKey, redirected, type Settings } from '../config/index.js'
-import type { ExecuteReply, ExecuteRequest, HostName, MemberState, PeerMethod, PeerParams, PeerResult, PrimaryView } from '../model/index.js'
+import type { ExecuteReply, ExecuteRequest, HostName, MemberState, PrimaryView } from '../model/index.js'
 import { sleep, systemTimers, withTimeout } from '../pipe/index.js'
 import { requestPipe, type Attempt, type ConfigurationInForce, type OpenTransaction, type RequestServices } from '../request/index.js'
 import { asWireError, decodeToken, encodeToken, listenForPeers, platformClient, updateObject, type PeerHandlers, type PlatformClient } from '../wire/index.js'
@@ -220,15 +220,9 @@
   }
 }
 
-// Calls a member, or this host itself without a link.
-async function callHost<M extends PeerMethod> (parts: Parts, host: HostName, method: M, params: PeerParams<M>, timeoutMs: number): Promise<PeerResult<M>> {
-  if (host !== parts.context.settings.host.name) return await parts.links.call(host, method, params, timeoutMs)
-  return await peerHandlers(parts)[method](params)
-}
-
 async function executeAt (parts: Parts, home: HostName, request: ExecuteRequest): Promise<Attempt> {
   try {
-    const reply: ExecuteReply = await callHost(parts, home, 'execute', request, request.remainingMs + answerMarginMs)
+    const reply = await callHome(parts, home, request)
     parts.routing.sawPrimary(reply.primary)
     if (isStopping(reply)) parts.members.tell({ kind: 'linkFailed', host: home, nowMs: parts.context.timers.nowMs() })
     return { kind: 'replied', reply }
@@ -237,6 +231,12 @@
   }
 }
 
+// This host may be the home itself, which takes no link.
+async function callHome (parts: Parts, home: HostName, request: ExecuteRequest): Promise<ExecuteReply> {
+  if (home === parts.context.settings.host.name) return await parts.databases.execute(request)
+  return await parts.links.call(home, 'execute', request, request.remainingMs + answerMarginMs)
+}
+
 // A heartbeat shows at once that the home stops, so that another one takes over.
 function isStopping (reply: ExecuteReply): boolean {
   return reply.outcome.kind === 'notRun' && reply.outcome.reason === 'stopping'
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -11,7 +11,7 @@
 // The time of an event has to be taken when the event is handled, not when it
 // was put into a mailbox: a host may have been paused in between.
 
-import type { AccountName, BorrowRequest, HostName, Manifest, Share, ShareGrant } from '../model/index.js'
+import { anonymousAccount, type AccountName, type BorrowRequest, type HostName, type Manifest, type Share, type ShareGrant } from '../model/index.js'
 import type { Transition } from '../pipe/index.js'
 import { accountHome, type Member } from '../members/index.js'
 import { advanced, hasToken, newAccount, ownFraction, refreshed, withoutToken, type AccountLimit, type OwnPart, type Placement, type WaitingRequest } from './account.js'
@@ -23,9 +23,6 @@
 import { sameDivision, seatFraction } from './seats.js'
 import { collectIdleMs, divisionSettleMs, maxWaiting, maxWaitMs, seatQuietMs } from './settings.js'
 
-/** The account that stands for all callers without a key. */
-export const anonymousAccount: AccountName = '(anonymous)'
-
 /** Owners are not known yet and the fleet is small: everybody is asked. */
 const smallFleet = 32
 /** An account with less demand than this needs no tick. */
--- a/src/model/ids.ts
+++ b/src/model/ids.ts
@@ -10,6 +10,9 @@
 /** Name of a client account. */
 export type AccountName = string
 
+/** The account that stands for all callers without a key. */
+export const anonymousAccount: AccountName = '(anonymous)'
+
 /** Name of a database: one group of servers that replicate one log. */
 export type DatabaseName = string
 
--- a/src/report/accounts.ts
+++ b/src/report/accounts.ts
@@ -11,8 +11,8 @@
 
 type AccountFigures = {
   readonly histogram: Histogram
-  admitted: number // eslint-disable-line no-restricted-syntax -- a counter owned by AccountFigureTable alone
-  refusedByRate: number // eslint-disable-line no-restricted-syntax -- a counter owned by AccountFigureTable alone
+  readonly admitted: number
+  readonly refusedByRate: number
 }
 
 /** Figures of all client accounts on this host. */
@@ -28,10 +28,10 @@
   note (account: AccountName, outcome: Outcome, tookMs: number): void {
     const figures = this.#figures(account)
     if (outcome.kind === 'notRun' && outcome.reason === 'rateExceeded') {
-      figures.refusedByRate += 1
+      this.#accounts.set(account, { ...figures, refusedByRate: figures.refusedByRate + 1 })
       return
     }
-    figures.admitted += 1
+    this.#accounts.set(account, { ...figures, admitted: figures.admitted + 1 })
     figures.histogram.recordValue(Math.min(highestUs, Math.max(1, Math.round(tookMs * usPerMs))))
   }
 
@@ -48,9 +48,8 @@
   #figures (account: AccountName): AccountFigures {
     const known = this.#accounts.get(account)
     if (known !== undefined) return known
-    const figures = { histogram: build({ highestTrackableValue: highestUs, numberOfSignificantValueDigits: significantDigits }), admitted: 0, refusedByRate: 0 }
-    this.#accounts.set(account, figures)
-    return figures
+    const histogram = build({ highestTrackableValue: highestUs, numberOfSignificantValueDigits: significantDigits })
+    return { histogram, admitted: 0, refusedByRate: 0 }
   }
 }
 
--- a/src/request/admit.ts
+++ b/src/request/admit.ts
@@ -2,13 +2,11 @@
 // transaction count too; COMMIT and ROLLBACK pass, so that an account at its
 // limit can still let go of what it holds.
 
+import { anonymousAccount } from '../model/index.js'
 import { end, next, type Filter } from '../pipe/index.js'
 import { served, type Classified, type Served } from './message.js'
 import type { RequestServices } from './services.js'
 
-/** Name under which callers without a key share one rate. */
-export const anonymousAccount = '(anonymous)'
-
 /**
  * Makes the filter.
  * @param services - takes tokens
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -1,9 +1,8 @@
 // Last filter: runs the statement at the home of a server, again and again
 // where that is safe, until there is an answer or the deadline passes.
 
-import { notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecutionMode, type Freshness, type NotRunReason, type Outcome, type ServerName } from '../model/index.js'
+import { anonymousAccount, notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecutionMode, type Freshness, type NotRunReason, type Outcome, type ServerName } from '../model/index.js'
 import { end, type Filter } from '../pipe/index.js'
-import { anonymousAccount } from './admit.js'
 import type { Fresh, Served } from './message.js'
 import { judgeAttempt, outOfTime, type Attempt, type Repeatable } from './retry.js'
 import { chooseRoute, type Route } from './route.js'
--- /dev/null
+++ b/src/wire/mysql-errors.ts
@@ -0,0 +1,56 @@
+// Outcomes as MySQL errors. The beginning of the message says which of three
+// things is true: refused by the database, not run, or unknown.
+
+import type { NotRunReason, Outcome } from '../model/index.js'
+
+/**
+ * MySQL's error number of an outcome.
+ * @param outcome - the outcome; not an answer
+ * @returns the number
+ */
+export function errorNumberOf (outcome: Outcome): number {
+  switch (outcome.kind) {
+    case 'refused': return outcome.errorNumber
+    case 'notRun': return notRunErrorNumber(outcome.reason)
+    case 'answered':
+    case 'unknown': return 1105
+  }
+}
+
+function notRunErrorNumber (reason: NotRunReason): number {
+  switch (reason) {
+    case 'badKey':
+    case 'keyWithdrawn': return 1045
+    case 'routeForbidden': return 1044
+    case 'routeUnknown': return 1049
+    case 'unsupported': return 1235
+    case 'rateExceeded': return 1226
+    case 'statementTooLong': return 1153
+    case 'stopping': return 1053
+    case 'hintMalformed':
+    case 'statementHoldsKey':
+    case 'queueFull':
+    case 'deadlinePassed':
+    case 'unconfirmedConfiguration':
+    case 'noPrimary':
+    case 'noServer':
+    case 'leaving':
+    case 'wrongHome':
+    case 'behind':
+    case 'transactionLost': return 1105
+  }
+}
+
+/**
+ * What a caller is told of an outcome.
+ * @param outcome - the outcome; not an answer
+ * @returns the message, without any key
+ */
+export function messageOf (outcome: Outcome): string {
+  switch (outcome.kind) {
+    case 'answered': return ''
+    case 'refused': return outcome.message
+    case 'notRun': return `not run (${outcome.reason}): ${outcome.detail}`
+    case 'unknown': return `outcome unknown (${outcome.reason}): ${outcome.detail}`
+  }
+}
--- a/src/wire/mysql-front.ts
+++ b/src/wire/mysql-front.ts
@@ -7,8 +7,9 @@
 import mysql from 'mysql2'
 import type net from 'node:net'
 import { Mailbox } from '../pipe/index.js'
-import type { Address, Answer, Caller, Column, NotRunReason, Outcome, RouteName } from '../model/index.js'
+import type { Address, Answer, Caller, Column, Outcome, RouteName } from '../model/index.js'
 import { WireError } from './errors.js'
+import { errorNumberOf, messageOf } from './mysql-errors.js'
 
 /** What a caller sends after its login. */
 export type CallerCommand =
@@ -280,45 +281,3 @@
     decimals: column.decimals
   }
 }
-
-function errorNumberOf (outcome: Outcome): number {
-  switch (outcome.kind) {
-    case 'refused': return outcome.errorNumber
-    case 'notRun': return notRunErrorNumber(outcome.reason)
-    case 'answered':
-    case 'unknown': return 1105
-  }
-}
-
-function notRunErrorNumber (reason: NotRunReason): number {
-  switch (reason) {
-    case 'badKey':
-    case 'keyWithdrawn': return 1045
-    case 'routeForbidden': return 1044
-    case 'routeUnknown': return 1049
-    case 'unsupported': return 1235
-    case 'rateExceeded': return 1226
-    case 'statementTooLong': return 1153
-    case 'stopping': return 1053
-    case 'hintMalformed':
-    case 'statementHoldsKey':
-    case 'queueFull':
-    case 'deadlinePassed':
-    case 'unconfirmedConfiguration':
-    case 'noPrimary':
-    case 'noServer':
-    case 'leaving':
-    case 'wrongHome':
-    case 'behind':
-    case 'transactionLost': return 1105
-  }
-}
-
-function messageOf (outcome: Outcome): string {
-  switch (outcome.kind) {
-    case 'answered': return ''
-    case 'refused': return outcome.message
-    case 'notRun': return `not run (${outcome.reason}): ${outcome.detail}`
-    case 'unknown': return `outcome unknown (${outcome.reason}): ${outcome.detail}`
-  }
-}
