--- a/src/request/floor.ts
+++ b/src/request/floor.ts
@@ -1,22 +1,22 @@
-// Opening floors: the position from which a session without a token reads.
-// It is the highest received position among the answers of a majority of the
-// servers, each asked after the session opened. Every write acknowledged
+// Floors for reads of the newest state, such as session reads without a token.
+// A floor is the highest received position among the answers of a majority of
+// the servers, each asked after the read came in. Every write acknowledged
 // before that was received by a majority, so one of the answers is at or above
 // it, whoever leads now and whatever this host knew before.
 //
-// One round of questions serves all sessions that wait when it starts. A
-// session that opens during a round waits for the next one: a server may have
-// answered the running round before a write that the session must see.
+// One round of questions serves all reads that wait when it starts. A read that
+// comes in during a round waits for the next one: a server may have answered
+// the running round before a write that the read must see.
 
 import { laterPosition, originPosition, type Position, type ServerName } from '../model/index.js'
 import { majorityOf } from '../failover/index.js'
 import { stay, type Transition } from '../pipe/index.js'
 
-/** Settings of opening floors. */
+/** Settings of these floors. */
 export type FloorSettings = {
   /** A round without a majority of answers ends after this time. */
   readonly roundTimeoutMs: number
-  /** How many sessions may wait for a round. */
+  /** How many reads may wait for a round. */
   readonly maxWaiting: number
 }
 
@@ -32,17 +32,17 @@
   readonly failed: readonly ServerName[]
 }
 
-/** Sessions that wait for a floor in one database. */
+/** Reads that wait for a floor in one database. */
 export type FloorState = {
   readonly settings: FloorSettings
   readonly servers: readonly ServerName[]
   readonly lastRound: number
   readonly running: FloorRound | undefined
-  /** Sessions that opened after the running round started. */
+  /** Reads that came in after the running round started. */
   readonly waiting: readonly string[]
 }
 
-/** What happens to opening floors. Times are monotonic. */
+/** What happens to the floors. Times are monotonic. */
 export type FloorEvent =
   | { readonly kind: 'asked', readonly id: string, readonly nowMs: number }
   | { readonly kind: 'roundAnswered', readonly round: number, readonly server: ServerName, readonly received: Position, readonly nowMs: number }
@@ -70,7 +70,7 @@
 }
 
 /**
- * The decision on opening floors.
+ * The decision on these floors.
  * @param state - who waits and what was answered
  * @param event - what happened
  * @returns the next state and what to do
--- a/test/integration/failover.test.ts
+++ b/test/integration/failover.test.ts
@@ -5,7 +5,7 @@
 import { onServer, serverStatus } from '../../standins/set/controls.js'
 import { linkName, type LocalServer, type LocalSet } from '../../standins/set/local-set.js'
 import { loginOf, startWriter, told, type Write, type Writer } from '../support/load.js'
-import { callerOf, localSet, proxyAt } from '../support/local-set.js'
+import { callerOf, localSet, proxyAt, quickControl } from '../support/local-set.js'
 import { primaryOf } from '../support/servers.js'
 import { until } from '../support/until.js'
 
@@ -84,6 +84,24 @@
     ((await set.platform.read('primary', 'ledger'))?.value as { readonly primary?: string } | undefined)?.primary === primary.name)
 })
 
+test('homes that all promote at once leave one primary a term and lose nothing', async t => {
+  // Homes do not wait for each other: each proposes as soon as it finds the primary dead.
+  const set = await localSet(t, { settings: { ...settings, control: { ...quickControl, promotion_delay_ms: 10 } } })
+  const load = startLoad(set)
+  await load.goOn('before', writesBefore)
+  for (const turn of ['first', 'second']) {
+    const old = await primaryOf(set)
+    old.process.pause()
+    await load.goOn(`under a new primary, ${turn} turn`, writesAfter)
+    old.process.resume()
+    await untilFollows(set, old)
+  }
+  await load.stop()
+  const statuses = await Promise.all(set.servers.map(async server => await serverStatus(server.address)))
+  assert.equal(statuses.filter(status => status.role === 'primary').length, 1)
+  await assertKept(set, load)
+})
+
 test('a primary that is cut off from everybody is replaced and joins again', async t => {
   const set = await localSet(t, { faultyLinks: true, settings })
   const old = await primaryOf(set)
