--- /dev/null
+++ b/src/daemon/parts.ts
@@ -0,0 +1,28 @@
+// The parts of one proxy process, as they are joined in proxy.ts.
+
+import type { MemberState } from '../model/index.js'
+import type { PlatformClient } from '../wire/index.js'
+import type { ConfigurationTask } from './configuration-task.js'
+import type { DaemonContext } from './context.js'
+import type { Databases } from './databases.js'
+import type { LimitsTask } from './limits-task.js'
+import type { MembersTask } from './members-task.js'
+import type { PeerLinks } from './peers.js'
+import type { Reports } from './reports.js'
+import type { RoutingTable } from './routing.js'
+
+/** The parts of a proxy, joined. */
+export type Parts = {
+  readonly context: DaemonContext
+  readonly reports: Reports
+  readonly platform: PlatformClient
+  readonly links: PeerLinks
+  readonly members: MembersTask
+  readonly configuration: ConfigurationTask
+  readonly databases: Databases
+  readonly routing: RoutingTable
+  readonly limits: LimitsTask
+  readonly stopping: () => boolean
+  /** What this host says of itself to other members. */
+  readonly ownState: () => MemberState
+}
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -4,19 +4,21 @@
 import { randomUUID } from 'node:crypto'
 import { confirmedUntilMs, holdsKey, redirected, type Settings } from '../config/index.js'
 import type { ExecuteReply, ExecuteRequest, HostName, MemberState, PrimaryView } from '../model/index.js'
-import { sleep, systemTimers, withTimeout } from '../pipe/index.js'
+import { sleep, systemTimers } from '../pipe/index.js'
 import { requestPipe, type Attempt, type ConfigurationInForce, type OpenTransaction, type RequestServices } from '../request/index.js'
 import { asWireError, decodeToken, encodeToken, listenForPeers, platformClient, updateObject, type PeerHandlers, type PlatformClient } from '../wire/index.js'
-import { startCallers, type Callers } from './callers.js'
-import { startConfiguration, type ConfigurationTask } from './configuration-task.js'
+import { startCallers } from './callers.js'
+import { startConfiguration } from './configuration-task.js'
 import type { DaemonContext } from './context.js'
 import { Databases } from './databases.js'
 import { decodeAcceptedManifest, decodeListedHost, decodePrimary, decodeSeatTable } from './decode.js'
-import { startLimits, type LimitsTask } from './limits-task.js'
+import { startLimits } from './limits-task.js'
 import { startMembers, type MembersTask, type MembersView } from './members-task.js'
+import type { Parts } from './parts.js'
 import { PeerLinks, tlsOf } from './peers.js'
-import { startReports, type Reports } from './reports.js'
+import { startReports } from './reports.js'
 import { RoutingTable } from './routing.js'
+import { stopParts } from './stop.js'
 
 /** A running proxy. */
 export type Proxy = {
@@ -32,25 +34,6 @@
 const publishDeadlineMs = 5000
 /** Longest deadline that a caller may ask for. */
 const maxDeadlineMs = 600_000
-const drainPollMs = 20
-/** A stopping host waits for this many heartbeat periods without a statement. */
-const quietHeartbeats = 2
-
-/** The parts of a proxy, joined. */
-type Parts = {
-  readonly context: DaemonContext
-  readonly reports: Reports
-  readonly platform: PlatformClient
-  readonly links: PeerLinks
-  readonly members: MembersTask
-  readonly configuration: ConfigurationTask
-  readonly databases: Databases
-  readonly routing: RoutingTable
-  readonly limits: LimitsTask
-  readonly stopping: () => boolean
-  /** What this host says of itself to other members. */
-  readonly ownState: () => MemberState
-}
 
 /**
  * Starts a proxy.
@@ -88,7 +71,7 @@
     peerPort: peers.port,
     stop: async () => {
       state.stopping = true
-      await stop(parts, callers)
+      await stopParts(parts, callers)
       peers.close()
     }
   }
@@ -255,44 +238,3 @@
   }
   await executeAt(parts, transaction.home, request)
 }
-
-// Callers finish first, while this host still works for others; then its
-// duties have moved, because its heartbeats say that it is stopping.
-async function stop (parts: Parts, callers: Callers): Promise<void> {
-  const { context, members, limits, databases, configuration, links, platform, reports } = parts
-  const { timers, settings } = context
-  const startedAtMs = timers.nowMs()
-  const leftMs = (): number => Math.max(1, settings.stop.graceMs - (timers.nowMs() - startedAtMs))
-  reports.event('stopping', { host: settings.host.name, callers: callers.count() })
-  members.tell({ kind: 'stopping', nowMs: timers.nowMs() })
-  await withTimeout(timers, leftMs(), callers.drain())
-  databases.leave()
-  await tellMembers(parts)
-  while (!isQuiet(parts) && leftMs() > 1) await sleep(timers, drainPollMs)
-  limits.leave()
-  if (callers.count() > 0) reports.event('stopOverdue', { host: settings.host.name, callers: callers.count() })
-  callers.close()
-  await reports.stop()
-  await Promise.all([databases.stop(), limits.stop(), members.stop(), configuration.stop()])
-  links.close()
-  platform.close()
-  reports.event('stopped', { host: settings.host.name })
-  timers.stop()
-}
-
-// The others learn at once that this host takes no new duties; who does not
-// answer learns it from the refusals of its statements.
-async function tellMembers (parts: Parts): Promise<void> {
-  const { settings } = parts.context
-  const others = parts.members.view.get().live.filter(member => member.host !== settings.host.name)
-  const told = others.map(async ({ host }) => await parts.links.call(host, 'heartbeat', parts.ownState(), settings.control.heartbeatMs))
-  await Promise.allSettled(told)
-}
-
-// Nothing runs, and nobody has sent a statement for a while: a statement that is
-// on its way when the links close would have an unknown outcome.
-function isQuiet (parts: Parts): boolean {
-  const { timers, settings } = parts.context
-  const quietMs = settings.control.heartbeatMs * quietHeartbeats
-  return parts.databases.load() === 0 && timers.nowMs() - parts.databases.askedAtMs() >= quietMs
-}
--- /dev/null
+++ b/src/daemon/stop.ts
@@ -0,0 +1,56 @@
+// A planned stop: callers finish, the other members take over, and links close
+// only once nobody sends work any more.
+
+import { sleep, withTimeout } from '../pipe/index.js'
+import type { Callers } from './callers.js'
+import type { Parts } from './parts.js'
+
+const drainPollMs = 20
+/** A stopping host waits for this many heartbeat periods without a statement. */
+const quietHeartbeats = 2
+
+// Callers finish first, while this host still works for others; then its
+// duties have moved, because its heartbeats say that it is stopping.
+/**
+ * Stops a proxy without cutting off a request, within the grace time.
+ * @param parts - the parts of the proxy
+ * @param callers - its callers
+ */
+export async function stopParts (parts: Parts, callers: Callers): Promise<void> {
+  const { context, members, limits, databases, configuration, links, platform, reports } = parts
+  const { timers, settings } = context
+  const startedAtMs = timers.nowMs()
+  const leftMs = (): number => Math.max(1, settings.stop.graceMs - (timers.nowMs() - startedAtMs))
+  reports.event('stopping', { host: settings.host.name, callers: callers.count() })
+  members.tell({ kind: 'stopping', nowMs: timers.nowMs() })
+  await withTimeout(timers, leftMs(), callers.drain())
+  databases.leave()
+  await tellMembers(parts)
+  while (!isQuiet(parts) && leftMs() > 1) await sleep(timers, drainPollMs)
+  limits.leave()
+  if (callers.count() > 0) reports.event('stopOverdue', { host: settings.host.name, callers: callers.count() })
+  callers.close()
+  await reports.stop()
+  await Promise.all([databases.stop(), limits.stop(), members.stop(), configuration.stop()])
+  links.close()
+  platform.close()
+  reports.event('stopped', { host: settings.host.name })
+  timers.stop()
+}
+
+// The others learn at once that this host takes no new duties; who does not
+// answer learns it from the refusals of its statements.
+async function tellMembers (parts: Parts): Promise<void> {
+  const { settings } = parts.context
+  const others = parts.members.view.get().live.filter(member => member.host !== settings.host.name)
+  const told = others.map(async ({ host }) => await parts.links.call(host, 'heartbeat', parts.ownState(), settings.control.heartbeatMs))
+  await Promise.allSettled(told)
+}
+
+// Nothing runs, and nobody has sent a statement for a while: a statement that is
+// on its way when the links close would have an unknown outcome.
+function isQuiet (parts: Parts): boolean {
+  const { timers, settings } = parts.context
+  const quietMs = settings.control.heartbeatMs * quietHeartbeats
+  return parts.databases.load() === 0 && timers.nowMs() - parts.databases.askedAtMs() >= quietMs
+}
--- a/src/request/floor.ts
+++ b/src/request/floor.ts
@@ -60,7 +60,7 @@
 type Next = Transition<FloorState, FloorEffect>
 
 /**
- * The state before any session opened.
+ * The state before any read came in.
  * @param servers - all servers of the database
  * @param settings - times and bounds
  * @returns the empty state
