--- a/bench/slopes-decisions.ts
+++ b/bench/slopes-decisions.ts
@@ -6,7 +6,7 @@
 import { defaultFailoverSettings, failoverStep, initialFailover, type FailoverState } from '../src/failover/index.js'
 import { accountHome, homeRanks, homesOf, ringNeighbours, watchersOf, type Member } from '../src/members/index.js'
 import type { AccountDeclaration, DatabaseDeclaration, Manifest, ServerStatus } from '../src/model/index.js'
-import { classify, readHints } from '../src/request/index.js'
+import { classify, readHints } from '../src/wire/sql/index.js'
 import { fairQueueStep, initialFairQueue, type FairQueueState } from '../src/request/fair-queue.js'
 import { meanUs, slopeTable, type MeasuredSlope } from './slope-report.js'
 
--- a/docs/examples/embed-request-pipe.ts
+++ b/docs/examples/embed-request-pipe.ts
@@ -1,7 +1,7 @@
 // Embeds the request pipe without any socket: a front end of its own (here a
 // function) asks, and an executor of its own (here a map) answers.
 
-import { request, runPipe, type ExecuteRequest, type KeyDeclaration, type Manifest, type Outcome, type Position } from '../../src/index.js'
+import { request, runPipe, type ExecuteRequest, type KeyDeclaration, type Manifest, type Outcome, type ParsedStatement, type Position } from '../../src/index.js'
 
 /** The key of the client account below. */
 export const exampleKey: KeyDeclaration = { id: 'k1', digest: '0'.repeat(40) }
@@ -34,7 +34,7 @@
    * @returns what became of it
    */
   run (asked: ExecuteRequest): Outcome {
-    if (asked.mode.kind === 'read') return this.#answer([[this.#values.get(asked.sql) ?? null]])
+    if (asked.mode.kind === 'read') return this.#answer([[this.#values.get(asked.statement.text) ?? null]])
     this.#index += 1
     const position: Position = { term: 1, index: this.#index }
     return { kind: 'answered', answer: { kind: 'done', affectedRows: 1, insertId: 0 }, position, servedBy: 'primary' }
@@ -48,12 +48,12 @@
 /**
  * Serves one statement of one caller.
  * @param session - the caller's session; the first one comes from `request.openSessionState`
- * @param sql - the statement
+ * @param statement - the statement, as the front end read it
  * @param executor - runs it
  * @param nowMs - the time
  * @returns the answer and the session for the next statement
  */
-export async function serveOne (session: request.SessionState, sql: string, executor: MapExecutor, nowMs: number): Promise<request.Served> {
+export async function serveOne (session: request.SessionState, statement: ParsedStatement, executor: MapExecutor, nowMs: number): Promise<request.Served> {
   const services: request.RequestServices = {
     nowMs: () => nowMs,
     sleep: async () => {},
@@ -70,7 +70,7 @@
     decodeToken: token => JSON.parse(token),
     holdsKey: () => false
   }
-  const bounds = { self: 'here', ownFailureDomain: 'a', defaultDeadlineMs: 1000, maxDeadlineMs: 1000 }
+  const bounds = { self: 'here', ownFailureDomain: 'a', defaultDeadlineMs: 1000, maxDeadlineMs: 1000, rules: request.statementRules }
   const pipe = request.requestPipe(services, bounds)
-  return await runPipe(pipe, { session, statement: { caller: session.caller, route: session.route, sql, receivedAtMs: nowMs } })
+  return await runPipe(pipe, { session, statement: { ...statement, caller: session.caller, route: session.route, receivedAtMs: nowMs } })
 }
--- a/src/cli/apply.ts
+++ b/src/cli/apply.ts
@@ -6,10 +6,10 @@
 import { hostname } from 'node:os'
 import { parseArgs } from 'node:util'
 import { z } from 'zod'
-import { manifestObject } from '../daemon/index.js'
 import type { Generation, Manifest } from '../model/index.js'
 import { systemTimers } from '../pipe/index.js'
-import { PlatformError, updateObject, type PlatformClient, type UpdateResult } from '../wire/index.js'
+import { StoreError, updateObject, type UpdateResult } from '../ports/index.js'
+import { manifestObject, type PlatformClient } from '../wire/index.js'
 import { readManifest } from './files.js'
 import { withPlatform } from './platform.js'
 import { done, failed, invalid, type CommandResult } from './result.js'
@@ -77,7 +77,7 @@
     })
     return told(result, application)
   } catch (error) {
-    if (!(error instanceof PlatformError)) throw error
+    if (!(error instanceof StoreError)) throw error
     return failed(`outcome unknown: ${error.message}`, 'apply again once the platform answers; where the manifest took effect, that changes nothing')
   }
 }
--- a/src/cli/platform.ts
+++ b/src/cli/platform.ts
@@ -1,6 +1,7 @@
 // What commands share that talk to the platform.
 
-import { platformClient, PlatformError, type PlatformClient } from '../wire/index.js'
+import { StoreError } from '../ports/index.js'
+import { platformClient, type PlatformClient } from '../wire/index.js'
 import { failed, invalid, type CommandResult } from './result.js'
 
 /** Longest wait for one answer of the platform. */
@@ -18,7 +19,7 @@
   try {
     return await use(client)
   } catch (error) {
-    if (error instanceof PlatformError) return failed(error.message)
+    if (error instanceof StoreError) return failed(error.message)
     throw error
   } finally {
     client.close()
--- a/src/cli/proxy.ts
+++ b/src/cli/proxy.ts
@@ -2,6 +2,7 @@
 
 import { parseArgs } from 'node:util'
 import { runProxy } from '../daemon/index.js'
+import { mysqlPorts } from '../wire/index.js'
 import { readSettings } from './files.js'
 import { invalid, type CommandResult } from './result.js'
 
@@ -15,7 +16,7 @@
   if (values.settings === undefined) return invalid('proxy needs --settings FILE')
   const read = readSettings(values.settings)
   switch (read.kind) {
-    case 'valid': return { kind: 'exited', exitCode: await runProxy(read.value) }
+    case 'valid': return { kind: 'exited', exitCode: await runProxy(read.value, mysqlPorts(read.value)) }
     case 'invalid': return read
   }
 }
--- a/src/cli/status.ts
+++ b/src/cli/status.ts
@@ -3,7 +3,7 @@
 
 import { parseArgs } from 'node:util'
 import { z } from 'zod'
-import { manifestObject } from '../daemon/index.js'
+import { manifestObject } from '../wire/index.js'
 import type { Generation, HostName, HostReport } from '../model/index.js'
 import type { ListedHost, PlatformClient } from '../wire/index.js'
 import { decodeStored } from './apply.js'
--- a/src/config/access.ts
+++ b/src/config/access.ts
@@ -4,16 +4,25 @@
 
 import { createHash } from 'node:crypto'
 import type { AccountDeclaration, AccountName, Caller, DatabaseDeclaration, DatabaseName, KeyDeclaration, Manifest, NotRunReason, RouteDeclaration, RouteName } from '../model/index.js'
-import { checkNativePassword } from './keys.js'
+import { checkNativePassword, digestOf } from './keys.js'
+
+/** How a caller shows its key. */
+export type Credential =
+  | {
+    readonly kind: 'nativePassword'
+    readonly user: string
+    /** The 20 bytes that the handshake sent. */
+    readonly nonce: Uint8Array
+    /** The native password proof; empty where the caller showed no key. */
+    readonly proof: Uint8Array
+  }
+  /** The key itself, which also names the account. */
+  | { readonly kind: 'key', readonly key: string | undefined }
 
 /** What a caller shows at its login. */
 export type Login = {
-  readonly user: string
-  /** The 20 bytes that the handshake sent. */
-  readonly nonce: Uint8Array
-  /** The native password proof; empty where the caller showed no key. */
-  readonly proof: Uint8Array
   readonly route: RouteName
+  readonly credential: Credential
 }
 
 /** What became of a login. */
@@ -23,12 +32,9 @@
 
 /** What a caller may do on a route now. */
 export type UseDecision =
-  | { readonly kind: 'allowed', readonly database: DatabaseName }
+  | { readonly kind: 'allowed', readonly route: RouteDeclaration }
   | { readonly kind: 'refused', readonly reason: NotRunReason & ('keyWithdrawn' | 'routeUnknown' | 'routeForbidden' | 'leaving') }
 
-/** Whether a statement begins work or goes on with a transaction that is open. */
-export type Work = 'new' | 'continued'
-
 /**
  * Decides who a caller is.
  * @param manifest - the manifest in force
@@ -37,12 +43,32 @@
  */
 export function keyDecision (manifest: Manifest, login: Login): KeyDecision {
   const index = indexOf(manifest)
-  const route = index.routes.get(login.route)
-  if (login.proof.length === 0 && route?.access.kind === 'open') return { kind: 'granted', caller: { kind: 'anonymous' } }
-  const key = provenKey(index.accounts.get(login.user), login)
+  switch (login.credential.kind) {
+    case 'nativePassword': return passwordDecision(index, login.route, login.credential)
+    case 'key': return bareKeyDecision(index, login.route, login.credential.key)
+  }
+}
+
+function passwordDecision (index: ManifestIndex, routeName: RouteName, credential: Extract<Credential, { readonly kind: 'nativePassword' }>): KeyDecision {
+  const route = index.routes.get(routeName)
+  if (credential.proof.length === 0 && route?.access.kind === 'open') return { kind: 'granted', caller: { kind: 'anonymous' } }
+  const key = provenKey(index.accounts.get(credential.user), credential)
   if (key === undefined) return { kind: 'refused', reason: 'badKey' }
   if (route === undefined) return { kind: 'refused', reason: 'routeUnknown' }
-  const caller: Caller = { kind: 'account', account: login.user, keyId: keyIdentity(key) }
+  return grantedOn(route, { kind: 'account', account: credential.user, keyId: keyIdentity(key) })
+}
+
+// On an open route the key says nothing, so it is not looked at.
+function bareKeyDecision (index: ManifestIndex, routeName: RouteName, key: string | undefined): KeyDecision {
+  const route = index.routes.get(routeName)
+  if (route === undefined) return { kind: 'refused', reason: 'routeUnknown' }
+  if (route.access.kind === 'open') return { kind: 'granted', caller: { kind: 'anonymous' } }
+  const holder = key === undefined ? undefined : index.holders.get(digestOf(key))
+  if (holder === undefined) return { kind: 'refused', reason: 'badKey' }
+  return grantedOn(route, holder)
+}
+
+function grantedOn (route: RouteDeclaration, caller: Caller): KeyDecision {
   return grants(route, caller) ? { kind: 'granted', caller } : { kind: 'refused', reason: 'routeForbidden' }
 }
 
@@ -51,18 +77,18 @@
  * @param manifest - the manifest in force
  * @param caller - who the login said the caller is
  * @param routeName - the route
- * @param work - new work is refused on a database that is leaving
- * @returns the route's database, or why the statement is not run
+ * @param open - the route of an open transaction, which goes on under it
+ * @returns the route, or why the statement is not run
  */
-export function mayUse (manifest: Manifest, caller: Caller, routeName: RouteName, work: Work = 'new'): UseDecision {
+export function mayUse (manifest: Manifest, caller: Caller, routeName: RouteName, open?: RouteDeclaration): UseDecision {
   const index = indexOf(manifest)
   if (!isInForce(index, caller)) return { kind: 'refused', reason: 'keyWithdrawn' }
-  const route = index.routes.get(routeName)
+  const route = open ?? index.routes.get(routeName)
   if (route === undefined) return { kind: 'refused', reason: 'routeUnknown' }
   if (!grants(route, caller)) return { kind: 'refused', reason: 'routeForbidden' }
   const leaving = index.databases.get(route.database)?.state !== 'active'
-  if (leaving && work === 'new') return { kind: 'refused', reason: 'leaving' }
-  return { kind: 'allowed', database: route.database }
+  if (leaving && open === undefined) return { kind: 'refused', reason: 'leaving' }
+  return { kind: 'allowed', route }
 }
 
 /**
@@ -88,6 +114,8 @@
 type ManifestIndex = {
   readonly accounts: ReadonlyMap<string, AccountDeclaration>
   readonly keyIds: ReadonlyMap<string, ReadonlySet<string>>
+  /** Callers by the digest of their key. */
+  readonly holders: ReadonlyMap<string, Caller>
   readonly routes: ReadonlyMap<RouteName, RouteDeclaration>
   readonly databases: ReadonlyMap<DatabaseName, DatabaseDeclaration>
 }
@@ -101,6 +129,7 @@
   const index: ManifestIndex = {
     accounts: new Map(manifest.accounts.map(account => [account.name, account])),
     keyIds: new Map(manifest.accounts.map(account => [account.name, new Set(account.keys.map(keyIdentity))])),
+    holders: new Map(manifest.accounts.flatMap(account => account.keys.map(key => [key.digest, { kind: 'account', account: account.name, keyId: keyIdentity(key) }] as const))),
     routes: new Map(manifest.routes.map(route => [route.name, route])),
     databases: new Map(manifest.databases.map(database => [database.name, database]))
   }
@@ -109,7 +138,7 @@
 }
 
 // All keys are tried, so that the time does not tell which one fits.
-function provenKey (account: AccountDeclaration | undefined, login: Login): KeyDeclaration | undefined {
+function provenKey (account: AccountDeclaration | undefined, login: { readonly nonce: Uint8Array, readonly proof: Uint8Array }): KeyDeclaration | undefined {
   const proven = (account?.keys ?? []).filter(key => checkNativePassword(key.digest, login.nonce, login.proof))
   return proven[0]
 }
@@ -137,6 +166,7 @@
 function grants (route: RouteDeclaration, caller: Caller): boolean {
   switch (route.access.kind) {
     case 'open': return true
+    case 'anyAccount': return caller.kind === 'account'
     case 'accounts': return caller.kind === 'account' && route.access.accounts.includes(caller.account)
   }
 }
--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -13,7 +13,7 @@
 
 import type { AcceptedManifest, Generation, HostName } from '../model/index.js'
 import { stay, type Transition } from '../pipe/index.js'
-import { checkManifest } from './manifest.js'
+import { checkManifest, type ManifestResult } from './manifest.js'
 
 /** What the decisions are told at the start. */
 export type ConfigurationSpec = {
@@ -23,6 +23,7 @@
   readonly confirmWithinMs: number
   /** Time after which an unanswered pull is asked again. */
   readonly pullMs: number
+  readonly check?: (manifest: unknown) => ManifestResult
 }
 
 /** What one peer confirmed last. */
@@ -189,7 +190,7 @@
 
 function consider (state: ConfigurationState, accepted: AcceptedManifest): Decision {
   if (accepted.generation <= handled(state)) return stay(state)
-  const checked = checkManifest(accepted.manifest)
+  const checked = (state.spec.check ?? checkManifest)(accepted.manifest)
   const heard = accepted.generation > state.heard.generation ? { generation: accepted.generation, from: undefined } : state.heard
   switch (checked.kind) {
     case 'valid': {
--- a/src/config/manifest.ts
+++ b/src/config/manifest.ts
@@ -17,6 +17,8 @@
 const maxWeight = 1_000
 const maxSlots = 10_000
 const maxSeats = 100_000
+const maxPriority = 1_000
+const dayMs = 86_400_000
 const digestPattern = /^[0-9a-f]{40}$/
 const digestAllowed = '40 hexadecimal digits in lower case (`limpetmoor keys digest`)'
 
@@ -51,13 +53,28 @@
 
 const accessSchema = z.discriminatedUnion('kind', [
   z.strictObject({ kind: z.literal('open') }),
+  z.strictObject({ kind: z.literal('anyAccount') }),
   z.strictObject({ kind: z.literal('accounts'), accounts: listOf(name()) })
-], { error: 'a table whose kind is "open" or "accounts"' })
+], { error: 'a table whose kind is "open", "anyAccount" or "accounts"' })
+
+const freshnessSchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('newest') }),
+  z.strictObject({ kind: z.literal('age'), maxAgeMs: wholeNumber(1, dayMs) }),
+  z.strictObject({ kind: z.literal('ownWrites'), maxAgeMs: wholeNumber(1, dayMs) })
+], { error: 'a table whose kind is "newest", "age" or "ownWrites"' })
+
+const policySchema = z.strictObject({
+  freshness: freshnessSchema,
+  timeoutMs: wholeNumber(1, dayMs),
+  goalMs: wholeNumber(1, dayMs),
+  priority: wholeNumber(0, maxPriority)
+})
 
 const routeSchema = z.strictObject({
   name: name(),
   database: name(),
-  access: accessSchema
+  access: accessSchema,
+  policy: policySchema.optional()
 })
 
 /** Shape of the manifest file, as `docs/CONFIGURATION.md` lists it. */
@@ -69,7 +86,8 @@
     ratePerS: positiveNumber(maxRatePerS),
     burst: positiveNumber(maxRatePerS)
   }, { error: 'a table' }),
-  seats: wholeNumber(1, maxSeats)
+  seats: wholeNumber(1, maxSeats),
+  idleTransactionMs: wholeNumber(1, dayMs).optional()
 }, { error: 'a table' })
 
 /** Fields whose value an error message must not repeat. */
@@ -182,7 +200,7 @@
   const accounts = new Set(parts.accountNames.map(account => account.value))
   return parts.routes.flatMap(({ place, value: route }) => {
     const access = route.access
-    const wanted = access.kind === 'open' ? [] : access.accounts
+    const wanted = access.kind === 'accounts' ? access.accounts : []
     const listed = wanted.map((account, at) => ({ place: `${place}.access.accounts[${at}]`, value: account }))
     return [
       ...databases.has(route.database) ? [] : [unknownName(`${place}.database`, route.database, 'database')],
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -14,13 +14,23 @@
   readonly name: HostName
   readonly failureDomain: FailureDomain
   readonly ip: string
-  readonly mysqlPort: number
   readonly peerPort: number
 }
 
+/** Where the process listens for others than its peers. */
+export type ListenSettings = {
+  readonly callers: Address
+  /** Tells whether this host wants new callers; undefined: nobody asks. */
+  readonly readiness: Address | undefined
+  /** Metrics as text; undefined: not served. */
+  readonly metrics: Address | undefined
+}
+
 /** Where the platform's object API is and how long its answers may take. */
 export type PlatformSettings = {
   readonly url: string
+  /** Where promotions are ordered, where the platform takes them. */
+  readonly promotionsUrl?: string | undefined
   readonly callTimeoutMs: number
   /** Longest wait of one watch call. */
   readonly watchMs: number
@@ -80,6 +90,7 @@
 /** Settings of one host. */
 export type Settings = {
   readonly host: HostSettings
+  readonly listen: ListenSettings
   readonly platform: PlatformSettings
   readonly databaseLogin: DatabaseLogin
   readonly peers: PeerTransport
@@ -119,11 +130,17 @@
     name: name(),
     failure_domain: name(),
     ip: ipText(),
-    mysql_port: portNumber(),
+    mysql_port: portNumber().optional(),
     peer_port: portNumber()
   }),
+  listen: z.strictObject({
+    callers: addressText().optional(),
+    readiness: addressText().optional(),
+    metrics: addressText().optional()
+  }),
   platform: z.strictObject({
     url: z.url({ protocol: /^https?$/, error: 'an http or https URL' }),
+    promotions_url: z.url({ protocol: /^https?$/, error: 'an http or https URL' }).optional(),
     call_timeout_ms: wholeNumber(10, dayMs).default(2_000),
     watch_ms: wholeNumber(100, dayMs).default(20_000),
     relist_ms: wholeNumber(100, dayMs).default(5_000)
@@ -162,7 +179,10 @@
   links: z.record(addressText(), addressText())
 }
 
-const settingsSchema = z.strictObject(settingsSections)
+const settingsSchema = z.strictObject(settingsSections).superRefine((sections, context) => {
+  if (sections.listen.callers !== undefined || sections.host.mysql_port !== undefined) return
+  context.addIssue({ code: 'custom', path: ['host', 'mysql_port'], message: 'a port number from 1 to 65535, or listen.callers' })
+})
 
 /** Fields whose value an error message must not repeat. */
 const secretFields = ['password', 'key_pem']
@@ -217,7 +237,8 @@
 
 function settingsOf (sections: z.infer<typeof settingsSchema>): Settings {
   return {
-    host: camelFields(sections.host),
+    host: { name: sections.host.name, failureDomain: sections.host.failure_domain, ip: sections.host.ip, peerPort: sections.host.peer_port },
+    listen: listenOf(sections),
     platform: camelFields(sections.platform),
     databaseLogin: sections.database_login,
     peers: transportOf(sections.peers),
@@ -231,6 +252,15 @@
   }
 }
 
+function listenOf ({ host, listen }: z.infer<typeof settingsSchema>): ListenSettings {
+  const address = (text: string | undefined): Address | undefined => text === undefined ? undefined : parseAddress(text)
+  return {
+    callers: address(listen.callers) ?? { ip: host.ip, port: host.mysql_port ?? 0 },
+    readiness: address(listen.readiness),
+    metrics: address(listen.metrics)
+  }
+}
+
 function transportOf (peers: z.infer<typeof settingsSections.peers>): PeerTransport {
   const { cert_pem: certPem, key_pem: keyPem, ca_pem: caPem } = peers
   if (certPem === undefined || keyPem === undefined || caPem === undefined) return { kind: 'plain' }
--- a/src/daemon/caller-task.ts
+++ b/src/daemon/caller-task.ts
@@ -3,16 +3,17 @@
 // each outcome before it takes the next command.
 
 import { mayUse } from '../config/index.js'
-import { notRun, type Caller, type Outcome } from '../model/index.js'
+import { notRun, type Caller, type Outcome, type ParsedStatement } from '../model/index.js'
 import { runPipe, type Filter } from '../pipe/index.js'
-import { byProxy, refusal, type ConfigurationInForce, type Incoming, type OpenTransaction, type Served, type SessionState } from '../request/index.js'
-import type { CallerCommand, CallerLink } from '../wire/index.js'
+import { byProxy, refusal, type ConfigurationInForce, type Incoming, type OpenTransaction, type Served, type SessionRules, type SessionState } from '../request/index.js'
+import type { CallerCommand, CallerLink, SessionStatus } from '../ports/index.js'
 
 /** What a caller's task needs. */
 export type CallerSpec = {
   readonly link: CallerLink
   readonly session: SessionState
   readonly pipe: Filter<Incoming, never, Served>
+  readonly rules: SessionRules
   readonly nowMs: () => number
   readonly configuration: () => ConfigurationInForce
   /** True once the process takes no new work. */
@@ -32,11 +33,15 @@
   for (;;) {
     const received = await spec.link.inbox.receive()
     if (received.kind === 'closed') break
-    if (received.message.kind === 'leave' && session.transaction !== undefined) continue
-    const result = await serveCommand(spec, session, received.message)
+    if (received.message.kind === 'leave') {
+      if (session.transaction !== undefined) continue
+      spec.link.leave()
+      break
+    }
+    const result = settled(spec, await serveCommand(spec, session, received.message))
     session = result.session
-    spec.link.write(result.outcome)
-    if (received.message.kind === 'leave' || (spec.stopping() && session.transaction === undefined)) {
+    spec.link.write(result.outcome, statusOf(result))
+    if (spec.stopping() && session.transaction === undefined) {
       spec.link.close()
       break
     }
@@ -44,11 +49,29 @@
   await letGo(spec, session)
 }
 
-async function serveCommand (spec: CallerSpec, session: SessionState, command: CallerCommand): Promise<Served> {
+// Where an error fails the transaction, its home lets go of it at once.
+function settled (spec: CallerSpec, result: Served): Served {
+  const { transaction } = result.session
+  if (transaction === undefined || transaction.lost || result.outcome.kind === 'answered') return result
+  switch (spec.rules.afterError) {
+    case 'goesOn': return result
+    case 'fails': {
+      void spec.rollBack(transaction)
+      return { ...result, session: { ...result.session, transaction: { ...transaction, lost: true } } }
+    }
+  }
+}
+
+function statusOf ({ outcome, session }: Served): SessionStatus {
+  const position = outcome.kind === 'answered' ? outcome.position : undefined
+  if (session.transaction === undefined) return { transaction: 'none', position }
+  return { transaction: session.transaction.lost ? 'failed' : 'open', position }
+}
+
+async function serveCommand (spec: CallerSpec, session: SessionState, command: Exclude<CallerCommand, { readonly kind: 'leave' }>): Promise<Served> {
   switch (command.kind) {
-    case 'query': return await serveStatement(spec, session, command.sql)
+    case 'query': return await serveStatement(spec, session, command.statement)
     case 'useRoute': return useRoute(spec, session, command.route)
-    case 'leave': return { outcome: notRun('stopping', 'this host is stopping'), session }
     case 'ping': return { outcome: byProxy(done), session }
     case 'reset': return await reset(spec, session)
     case 'tooLong': return { outcome: notRun('statementTooLong', `a statement may have ${command.maxBytes} bytes`), session }
@@ -58,9 +81,9 @@
 
 const done = { kind: 'done', affectedRows: 0, insertId: 0 } as const
 
-async function serveStatement (spec: CallerSpec, session: SessionState, sql: string): Promise<Served> {
+async function serveStatement (spec: CallerSpec, session: SessionState, parsed: ParsedStatement): Promise<Served> {
   const receivedAtMs = spec.nowMs()
-  const statement = { caller: session.caller, route: session.route, sql, receivedAtMs }
+  const statement = { ...parsed, caller: session.caller, route: session.route, receivedAtMs }
   const result = await runPipe(spec.pipe, { statement, session })
   spec.onServed(session.caller, result.outcome, spec.nowMs() - receivedAtMs)
   return result
@@ -77,9 +100,9 @@
 
 async function reset (spec: CallerSpec, session: SessionState): Promise<Served> {
   await letGo(spec, session)
-  return { outcome: byProxy(done), session: { ...session, transaction: undefined, floors: {}, hasToken: false } }
+  return { outcome: byProxy(done), session: { ...session, transaction: undefined, floors: {}, hasToken: false, values: {}, prepared: new Map() } }
 }
 
 async function letGo (spec: CallerSpec, session: SessionState): Promise<void> {
-  if (session.transaction !== undefined) await spec.rollBack(session.transaction)
+  if (session.transaction !== undefined && !session.transaction.lost) await spec.rollBack(session.transaction)
 }
--- a/src/daemon/callers.ts
+++ b/src/daemon/callers.ts
@@ -5,7 +5,8 @@
 import { notRun, type Caller, type Outcome } from '../model/index.js'
 import type { Filter } from '../pipe/index.js'
 import { openSessionState, type ConfigurationInForce, type Incoming, type OpenTransaction, type Served } from '../request/index.js'
-import { decodeToken, listenForCallers, type CallerLink, type CallerListener, type LoginRequest } from '../wire/index.js'
+import type { CallerLink, CallerListener, LoginRequest } from '../ports/index.js'
+import { decodeToken } from '../wire/session-token.js'
 import type { DaemonContext } from './context.js'
 import { serveCaller } from './caller-task.js'
 
@@ -17,6 +18,8 @@
   readonly context: DaemonContext
   readonly pipe: Filter<Incoming, never, Served>
   readonly configuration: () => ConfigurationInForce
+  /** Whether this host wants new callers. */
+  readonly isReady: () => boolean
   readonly rollBack: (transaction: OpenTransaction) => Promise<void>
   readonly onServed: (caller: Caller, outcome: Outcome, tookMs: number) => void
   readonly onLoginRefused: (user: string, outcome: Outcome) => void
@@ -38,7 +41,7 @@
  * @returns the running side; throws a `WireError` where the port is taken
  */
 export async function startCallers (spec: CallersSpec): Promise<Callers> {
-  const { settings, timers } = spec.context
+  const { settings, timers, ports } = spec.context
   const open = new Map<CallerLink, Promise<void>>()
   const state = { stopping: false }
   const onCaller = (link: CallerLink, caller: Caller): void => {
@@ -47,6 +50,7 @@
       link,
       session: openSessionState(caller, link.login.route, floors),
       pipe: spec.pipe,
+      rules: ports.front.rules,
       nowMs: timers.nowMs,
       configuration: spec.configuration,
       stopping: () => state.stopping,
@@ -60,10 +64,11 @@
     })
     if (state.stopping) link.inbox.send({ kind: 'leave' })
   }
-  const listener: CallerListener = await listenForCallers({
-    address: { ip: settings.host.ip, port: settings.host.mysqlPort },
+  const listener: CallerListener = await ports.front.listen({
+    address: settings.listen.callers,
     maxConnections: settings.limits.maxConnections,
     maxStatementBytes: settings.limits.maxStatementBytes,
+    isReady: spec.isReady,
     decideLogin: login => decideLogin(spec, login),
     onCaller
   })
@@ -88,7 +93,7 @@
 
 function decideLogin (spec: CallersSpec, login: LoginRequest): LoginVerdict {
   const verdict = judgeLogin(spec.configuration(), login)
-  if (verdict.kind === 'refused') spec.onLoginRefused(login.user, verdict.outcome)
+  if (verdict.kind === 'refused') spec.onLoginRefused(loginName(login), verdict.outcome)
   return verdict
 }
 
@@ -99,6 +104,13 @@
   const decision = keyDecision(configuration.manifest, login)
   switch (decision.kind) {
     case 'granted': return decision
-    case 'refused': return { kind: 'refused', outcome: notRun(decision.reason, `the login of ${withoutKeys(login.user)} is refused`) }
+    case 'refused': return { kind: 'refused', outcome: notRun(decision.reason, `the login of ${loginName(login)} is refused`) }
+  }
+}
+
+function loginName (login: LoginRequest): string {
+  switch (login.credential.kind) {
+    case 'nativePassword': return withoutKeys(login.credential.user)
+    case 'key': return '(key)'
   }
 }
--- a/src/daemon/configuration-task.ts
+++ b/src/daemon/configuration-task.ts
@@ -5,17 +5,15 @@
 import { confirmedGeneration, configurationStep, generationInForce, initialConfiguration, mayServeKeyed, storeConfirmedAgoMs, type ConfigurationEffect, type ConfigurationEvent, type ConfigurationState } from '../config/index.js'
 import type { AcceptedManifest, Generation, HostName, MemberState } from '../model/index.js'
 import { Latest, sleep, startTask, tickPort, type Port, type Snapshot } from '../pipe/index.js'
-import type { PlatformClient } from '../wire/index.js'
+import { StoreError, type ManifestSource, type ObjectStore } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import type { PeerLinks } from './peers.js'
 
-/** Kind and name of the accepted manifest in the store. */
-export const manifestObject = { kind: 'manifest', name: 'current' } as const
-
 /** What the task needs. */
 export type ConfigurationTaskSpec = {
   readonly context: DaemonContext
-  readonly platform: PlatformClient
+  readonly store: ObjectStore
+  readonly source: ManifestSource
   readonly links: PeerLinks
   /** Members to push to. */
   readonly peers: () => readonly HostName[]
@@ -25,7 +23,6 @@
   readonly ownState: () => MemberState
   readonly onApply: (accepted: AcceptedManifest) => void
   readonly onRejected: (generation: Generation, errors: readonly string[]) => void
-  readonly decode: (value: unknown) => AcceptedManifest | undefined
 }
 
 /** A running configuration task. */
@@ -58,7 +55,8 @@
     host: settings.host.name,
     startedAtMs: timers.nowMs(),
     confirmWithinMs: settings.control.confirmWithinMs,
-    pullMs: settings.control.pullMs
+    pullMs: settings.control.pullMs,
+    check: spec.source.check
   })
   const published = new Latest(initial)
   const task = startTask<ConfigurationState, ConfigurationEvent, ConfigurationEffect>({
@@ -137,7 +135,7 @@
   const { timers } = spec.context
   const askedAtMs = timers.nowMs()
   try {
-    const object = await spec.platform.getObject(manifestObject.kind, manifestObject.name)
+    const object = await spec.store.getObject(spec.source.kind, spec.source.name)
     tellStore(spec, port, object?.value, askedAtMs)
   } catch {
     port.send({ kind: 'storeFailed', nowMs: timers.nowMs() })
@@ -145,7 +143,7 @@
 }
 
 function tellStore (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, value: unknown, askedAtMs: number): void {
-  const accepted = value === undefined ? undefined : spec.decode(value)
+  const accepted = value === undefined ? undefined : spec.source.decode(value)
   if (value !== undefined && accepted === undefined) {
     spec.onRejected(0, ['the object in the store has no generation'])
     return
@@ -161,25 +159,33 @@
 // delay: the listing below goes on beside it.
 async function watchStore (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, stopping: { readonly now: boolean }): Promise<void> {
   const { timers, settings, random } = spec.context
-  let revision = 0
+  let revision: number | undefined
   while (!stopping.now) {
     if (!spec.watches()) {
       await sleep(timers, settings.control.pullMs)
       continue
     }
-    const askedAtMs = timers.nowMs()
     try {
-      const list = await spec.platform.watch(manifestObject.kind, revision, settings.platform.watchMs)
-      revision = list.revision
-      const current = list.objects.find(object => object.name === manifestObject.name)
-      if (current !== undefined) tellStore(spec, port, current.value, askedAtMs)
-    } catch {
+      revision = await watchOnce(spec, port, revision)
+    } catch (error) {
+      if (error instanceof StoreError && error.fault.kind === 'historyGone') revision = undefined
       port.send({ kind: 'storeFailed', nowMs: timers.nowMs() })
       await sleep(timers, settings.control.pullMs * random())
     }
   }
 }
 
+// Gives the revision to watch from next.
+async function watchOnce (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, revision: number | undefined): Promise<number> {
+  const { timers, settings } = spec.context
+  const { kind, name } = spec.source
+  const askedAtMs = timers.nowMs()
+  const list = revision === undefined ? await spec.store.listObjects(kind) : await spec.store.watch(kind, revision, settings.platform.watchMs)
+  const current = list.objects.find(object => object.name === name)
+  if (current !== undefined) tellStore(spec, port, current.value, askedAtMs)
+  return list.revision
+}
+
 async function relistLoop (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, state: Snapshot<ConfigurationState>, stopping: { readonly now: boolean }): Promise<void> {
   const { timers, settings, random } = spec.context
   while (!stopping.now) {
--- a/src/daemon/database-task.ts
+++ b/src/daemon/database-task.ts
@@ -4,10 +4,11 @@
 // calls; the decisions are the pure parts of src/failover and src/request.
 
 import { redirected } from '../config/index.js'
-import { defaultFailoverSettings, failoverStep, initialFailover, primaryView, proposerName, type FailoverEffect, type FailoverEvent, type FailoverState } from '../failover/index.js'
-import type { DatabaseDeclaration, Position, PrimaryView, ServerDeclaration, ServerName, ServerStatus } from '../model/index.js'
+import { defaultFailoverSettings, dutyFailoverSettings, failoverStep, initialFailover, primaryView, proposerName, type FailoverEffect, type FailoverEvent, type FailoverSettings, type FailoverState, type AppointmentKind } from '../failover/index.js'
+import type { DatabaseDeclaration, DatabaseName, Position, PrimaryView, ServerDeclaration, ServerName, ServerStatus } from '../model/index.js'
 import { ask, Latest, startTask, tickPort, type Port, type Reply, withoutReplies, type Snapshot, type Transition } from '../pipe/index.js'
 import { confirmStep, emptyAgeRecord, floorStep, initialConfirm, initialFloor, noteAnswer, withAgeServers, type AgeRecord, type ConfirmEffect, type ConfirmEvent, type ConfirmState, type FloorEffect, type FloorEvent, type FloorState } from '../request/index.js'
+import type { PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import { ServerWatch, type LedgerCommand } from './server-watch.js'
 
@@ -25,6 +26,8 @@
   readonly onPrimary: (view: PrimaryView) => void
   /** A watched connection had gone silent while fresh ones work; others to that server may be silent. */
   readonly onWasSilent: (server: ServerName) => void
+  /** Orders the platform to promote a server, where that is its task. */
+  readonly orderPromotion: (database: DatabaseName, server: ServerName) => Promise<PromotionResult>
   /** Writes the view to the store; may fail. */
   readonly publish: (view: PrimaryView) => void
 }
@@ -44,7 +47,7 @@
 type Message =
   | { readonly kind: 'status', readonly status: ServerStatus, readonly askedAtMs: number, readonly nowMs: number }
   | { readonly kind: 'failover', readonly event: FailoverEvent }
-  | { readonly kind: 'confirm', readonly position: Position, readonly deadlineAtMs: number, readonly reply: Reply<boolean> }
+  | { readonly kind: 'confirm', readonly position: Position, readonly deadlineAtMs: number, readonly nowMs: number, readonly reply: Reply<boolean> }
   | { readonly kind: 'openFloor', readonly nowMs: number, readonly reply: Reply<Position | undefined> }
   | { readonly kind: 'floor', readonly event: FloorEvent }
   | { readonly kind: 'manifest', readonly database: DatabaseDeclaration, readonly nowMs: number }
@@ -65,6 +68,10 @@
   readonly confirmReplies: ReadonlyMap<string, Reply<boolean>>
   readonly floorReplies: ReadonlyMap<string, Reply<Position | undefined>>
   readonly nextId: number
+  /** Servers tell their positions only when they are asked. */
+  readonly isPolled: boolean
+  /** A round of questions for the writes that wait is under way. */
+  readonly asking: boolean
 }
 
 type Next = Transition<State, Effect>
@@ -73,6 +80,8 @@
 const tickMs = 40
 const floorRoundTimeoutMs = 300
 const maxWaitingFloors = 4096
+/** Id of the round that writes wait for. */
+const confirmRound = 'confirm'
 
 /**
  * Starts the task of a database.
@@ -84,7 +93,7 @@
   const { timers } = context
   const initial = initialState(context, database)
   const published = new Latest<DatabaseView>(viewOf(initial))
-  const watches = new Watches(context, spec.onWasSilent)
+  const watches = new Watches(spec)
   const task = startTask<State, Message, Effect>({
     name: `database ${database.name}`,
     initial,
@@ -101,7 +110,7 @@
   watches.change(database.servers, task.port)
   return {
     view: published,
-    confirm: async (position, deadlineAtMs) => await ask<Message, boolean>(task.port, reply => ({ kind: 'confirm', position, deadlineAtMs, reply }), false),
+    confirm: async (position, deadlineAtMs) => await ask<Message, boolean>(task.port, reply => ({ kind: 'confirm', position, deadlineAtMs, nowMs: timers.nowMs(), reply }), false),
     openFloor: async () => await ask<Message, Position | undefined>(task.port, reply => ({ kind: 'openFloor', nowMs: timers.nowMs(), reply }), undefined),
     changeManifest: changed => { task.port.send({ kind: 'manifest', database: changed, nowMs: timers.nowMs() }) },
     changeRank: rank => { task.port.send({ kind: 'failover', event: { kind: 'ranksChanged', rank, nowMs: timers.nowMs() } }) },
@@ -116,15 +125,24 @@
 function initialState (context: DaemonContext, database: DatabaseDeclaration): State {
   const names = database.servers.map(server => server.name)
   const { control, host } = context.settings
-  const failoverSettings = { ...defaultFailoverSettings, probeEveryMs: control.probeMs, probeTimeoutMs: control.probeTimeoutMs, rankDelayMs: control.promotionDelayMs }
+  const failoverSettings = failoverSettingsFor(context.ports.appointment.kind, control)
   return {
     failover: initialFailover(database, proposerName(host.name, context.incarnation), failoverSettings),
-    confirm: initialConfirm(names),
+    confirm: initialConfirm(names, context.ports.appointment.kind === 'byDuty' ? 'passing' : 'lasting'),
     floor: initialFloor(names, { roundTimeoutMs: floorRoundTimeoutMs, maxWaiting: maxWaitingFloors }),
     age: emptyAgeRecord(names),
     confirmReplies: new Map(),
     floorReplies: new Map(),
-    nextId: 1
+    nextId: 1,
+    isPolled: context.ports.driver.statusDelivery === 'polled',
+    asking: false
+  }
+}
+
+function failoverSettingsFor (appointment: AppointmentKind, control: DaemonContext['settings']['control']): FailoverSettings {
+  switch (appointment) {
+    case 'byServers': return { ...defaultFailoverSettings, probeEveryMs: control.probeMs, probeTimeoutMs: control.probeTimeoutMs, rankDelayMs: control.promotionDelayMs }
+    case 'byDuty': return { ...dutyFailoverSettings, probeTimeoutMs: control.probeTimeoutMs }
   }
 }
 
@@ -187,7 +205,16 @@
 function waitForConfirm (state: State, message: Extract<Message, { readonly kind: 'confirm' }>): Next {
   const id = String(state.nextId)
   const waiting = { ...state, nextId: state.nextId + 1, confirmReplies: new Map(state.confirmReplies).set(id, message.reply) }
-  return withConfirm(waiting, { kind: 'waiting', id, position: message.position, deadlineAtMs: message.deadlineAtMs })
+  return chain(waiting, [
+    next => withConfirm(next, { kind: 'waiting', id, position: message.position, deadlineAtMs: message.deadlineAtMs }),
+    next => askForConfirm(next, message.nowMs)
+  ])
+}
+
+// Writes that wait share the rounds of questions of the floors.
+function askForConfirm (state: State, nowMs: number): Next {
+  if (!state.isPolled || state.asking || state.confirm.waiting.length === 0) return { state, effects: [] }
+  return withFloor({ ...state, asking: true }, { kind: 'asked', id: confirmRound, nowMs })
 }
 
 function withConfirm (state: State, event: ConfirmEvent): Next {
@@ -213,7 +240,9 @@
   if (effects.length === 0) return { state: { ...state, floor }, effects: [] }
   const answered = effects.flatMap(effect => effect.kind === 'startRound' ? [] : [effect.id])
   const floorReplies = withoutReplies(state.floorReplies, answered)
-  return { state: { ...state, floor, floorReplies }, effects: effects.flatMap(effect => answerFloor(state, effect)) }
+  const next: Next = { state: { ...state, floor, floorReplies }, effects: effects.flatMap(effect => answerFloor(state, effect)) }
+  if (!answered.includes(confirmRound)) return next
+  return chain({ ...next.state, asking: false }, [after => ({ state: after, effects: next.effects }), after => askForConfirm(after, event.nowMs)])
 }
 
 function answerFloor (state: State, effect: FloorEffect): readonly Effect[] {
@@ -226,7 +255,7 @@
   switch (effect.kind) {
     case 'probe': return void probe(spec.context, watches, effect.server, port)
     case 'fence': return void command(spec.context, watches, effect.server, { kind: 'fence', term: effect.term, proposer: effect.proposer }, port)
-    case 'promote': return void command(spec.context, watches, effect.server, { kind: 'promote', term: effect.term, proposer: effect.proposer }, port)
+    case 'promote': return promote(spec, watches, effect, port)
     case 'follow': return follow(spec.context, watches, effect, port)
     case 'publish': return spec.publish(effect.view)
     case 'primaryChanged': return spec.onPrimary(effect.view)
@@ -268,6 +297,21 @@
   }
 }
 
+function promote (spec: DatabaseSpec, watches: Watches, effect: Extract<Effect, { readonly kind: 'promote' }>, port: Port<Message>): void {
+  const { server, term, proposer } = effect
+  switch (spec.context.ports.appointment.kind) {
+    case 'byServers': return void command(spec.context, watches, server, { kind: 'promote', term, proposer }, port)
+    case 'byDuty': return void orderPromotion(spec, server, term, port)
+  }
+}
+
+// Whether an order took effect shows in the server's status.
+async function orderPromotion (spec: DatabaseSpec, server: ServerName, term: number, port: Port<Message>): Promise<void> {
+  const result = await spec.orderPromotion(spec.database.name, server)
+  if (result !== 'refused') return
+  port.send({ kind: 'failover', event: { kind: 'callFailed', call: 'promote', server, term, nowMs: spec.context.timers.nowMs() } })
+}
+
 function follow (context: DaemonContext, watches: Watches, effect: Extract<Effect, { readonly kind: 'follow' }>, port: Port<Message>): void {
   const primary = watches.declaredAddress(effect.primary)
   if (primary === undefined) return
@@ -275,10 +319,15 @@
 }
 
 function startRound (context: DaemonContext, watches: Watches, round: number, port: Port<Message>): void {
+  const askedAtMs = context.timers.nowMs()
   for (const watch of watches.all()) {
     const { server } = watch
-    watch.received().then(
-      received => { port.send({ kind: 'floor', event: { kind: 'roundAnswered', round, server, received, nowMs: context.timers.nowMs() } }) },
+    watch.status().then(
+      status => {
+        const nowMs = context.timers.nowMs()
+        port.send({ kind: 'status', status, askedAtMs, nowMs })
+        port.send({ kind: 'floor', event: { kind: 'roundAnswered', round, server, received: status.received, nowMs } })
+      },
       () => { port.send({ kind: 'floor', event: { kind: 'roundFailed', round, server, nowMs: context.timers.nowMs() } }) }
     )
   }
@@ -286,14 +335,12 @@
 
 /** The watches of one database's servers. */
 class Watches {
-  readonly #context: DaemonContext
-  readonly #onWasSilent: (server: ServerName) => void
+  readonly #spec: DatabaseSpec
   readonly #watches = new Map<ServerName, ServerWatch>()
   #declared: readonly ServerDeclaration[] = []
 
-  constructor (context: DaemonContext, onWasSilent: (server: ServerName) => void) {
-    this.#context = context
-    this.#onWasSilent = onWasSilent
+  constructor (spec: DatabaseSpec) {
+    this.#spec = spec
   }
 
   get (server: ServerName): ServerWatch | undefined {
@@ -312,7 +359,7 @@
     this.#declared = servers
     for (const [name, watch] of this.#watches) {
       const declared = servers.find(server => server.name === name)
-      if (declared !== undefined && sameAddress(watch, redirected(this.#context.settings.links, declared))) continue
+      if (declared !== undefined && sameAddress(watch, redirected(this.#spec.context.settings.links, declared))) continue
       watch.stop()
       this.#watches.delete(name)
     }
@@ -326,8 +373,9 @@
   }
 
   #start (server: ServerDeclaration, port: Port<Message>): ServerWatch {
-    const { timers, settings } = this.#context
-    return new ServerWatch(this.#context, server.name, redirected(settings.links, server), report => {
+    const { context, database, onWasSilent } = this.#spec
+    const { timers, settings } = context
+    return new ServerWatch(context, database.name, server.name, redirected(settings.links, server), report => {
       const nowMs = timers.nowMs()
       switch (report.kind) {
         case 'status': {
@@ -339,7 +387,11 @@
           break
         }
         case 'wasSilent': {
-          this.#onWasSilent(server.name)
+          onWasSilent(server.name)
+          break
+        }
+        case 'busy': {
+          port.send({ kind: 'failover', event: { kind: 'probeAnswered', server: server.name, nowMs } })
           break
         }
       }
--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -4,6 +4,7 @@
 import type { HomeReply } from '../home/index.js'
 import { homeRanks, homesOf, rendezvousOrder, type Member } from '../members/index.js'
 import { notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PrimaryView, type ServerDeclaration, type ServerName } from '../model/index.js'
+import type { PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import { startDatabase, type DatabaseTask } from './database-task.js'
 import { startHome, type HomeTask } from './home-task.js'
@@ -13,6 +14,7 @@
   readonly context: DaemonContext
   readonly onPrimary: (view: PrimaryView) => void
   readonly publish: (view: PrimaryView) => void
+  readonly orderPromotion: (database: DatabaseName, server: ServerName) => Promise<PromotionResult>
   readonly onFailure: (server: ServerName, failure: string) => void
 }
 
@@ -37,6 +39,8 @@
   #declared: ReadonlyMap<DatabaseName, DatabaseDeclaration> = new Map()
   #live: readonly Member[] = []
   #leaving = false
+  #holdsDuty = false
+  #idleTransactionMs: number | undefined
   #askedAtMs = -Infinity
   #listed: readonly Member[] = []
 
@@ -63,6 +67,27 @@
     this.#takeDuties()
   }
 
+  /**
+   * Takes whether this host holds the duty of promotions.
+   * @param holds - whether it does
+   */
+  takeDuty (holds: boolean): void {
+    if (holds === this.#holdsDuty) return
+    this.#holdsDuty = holds
+    this.#takeDuties()
+  }
+
+  /**
+   * Sets how long a transaction may rest.
+   * @param idleMs - the time; undefined for the default
+   */
+  restAtMost (idleMs: number | undefined): void {
+    this.#idleTransactionMs = idleMs
+    for (const { homes } of this.#units.values()) {
+      for (const home of homes.values()) home.restAtMost(idleMs)
+    }
+  }
+
   /**
    * Takes the members.
    * @param live - those that answer
@@ -136,22 +161,33 @@
   }
 
   #takeDuties (): void {
-    const { name: self } = this.#spec.context.settings.host
     for (const [name, declared] of this.#declared) {
-      if (this.#isHome(declared)) this.#unitFor(declared)
-      const rank = homeRanks(declared, this.#live).indexOf(self)
-      this.#units.get(name)?.task.changeRank(rank < 0 ? undefined : rank)
+      if (declared.servers.length === 0) continue
+      if (this.#isHome(declared) || this.#holdsDuty) this.#unitFor(declared)
+      this.#units.get(name)?.task.changeRank(this.#rankOf(declared))
+    }
+  }
+
+  #rankOf (declared: DatabaseDeclaration): number | undefined {
+    const { settings, ports } = this.#spec.context
+    switch (ports.appointment.kind) {
+      case 'byDuty': return this.#holdsDuty ? 0 : undefined
+      case 'byServers': {
+        const rank = homeRanks(declared, this.#live).indexOf(settings.host.name)
+        return rank < 0 ? undefined : rank
+      }
     }
   }
 
   #unitFor (declared: DatabaseDeclaration): Unit {
     const known = this.#units.get(declared.name)
     if (known !== undefined) return known
-    const { context, publish } = this.#spec
+    const { context, publish, orderPromotion } = this.#spec
     const task = startDatabase({
       context,
       database: declared,
       publish,
+      orderPromotion,
       onPrimary: view => { this.#takePrimary(view) },
       onWasSilent: server => { this.#units.get(declared.name)?.homes.get(server)?.giveUpSilent() }
     })
@@ -180,7 +216,7 @@
   // A duty that has moved ends here once its statements are done.
   #letGoUnused (nowMs: number): void {
     for (const [name, unit] of this.#units) {
-      if (this.#isHome(unit.declaration)) {
+      if (this.#isHome(unit.declaration) || this.#holdsDuty) {
         this.#units.set(name, { ...unit, usedAtMs: nowMs })
         continue
       }
@@ -205,10 +241,12 @@
   #openHome (unit: Unit, server: ServerDeclaration): HomeTask {
     const home = startHome({
       context: this.#spec.context,
+      databaseName: unit.declaration.name,
       server,
       database: unit.task,
       onFailure: failure => { this.#spec.onFailure(server.name, failure) }
     })
+    home.restAtMost(this.#idleTransactionMs)
     this.#units.set(unit.declaration.name, { ...unit, homes: new Map(unit.homes).set(server.name, home) })
     return home
   }
--- /dev/null
+++ b/src/daemon/duty-task.ts
@@ -0,0 +1,122 @@
+// The duty task: owns the lease of the promotion duty on this host, renews it in
+// the store and orders promotions while it is held.
+
+import { z } from 'zod'
+import { initialLease, leaseStep, release, tokenHeld, type LeaseEffect, type LeaseEvent, type LeaseRecord, type LeaseState } from '../duty/index.js'
+import type { DatabaseName, ServerName } from '../model/index.js'
+import { Latest, startTask, tickPort, type Port } from '../pipe/index.js'
+import { StoreError, type Appointment, type PromotionResult } from '../ports/index.js'
+import type { DaemonContext } from './context.js'
+
+/** What the task needs. */
+export type DutySpec = {
+  readonly context: DaemonContext
+  readonly order: Extract<Appointment, { readonly kind: 'byDuty' }>['order']
+  /** Told when this host gets the duty or loses it. */
+  readonly onDuty: (holds: boolean, token: number) => void
+  readonly onOrder: (database: DatabaseName, server: ServerName, token: number, result: PromotionResult) => void
+  readonly onStoreFailure: () => void
+}
+
+/** The running task. */
+export type DutyTask = {
+  readonly holds: () => boolean
+  /** Another member said that it holds the duty. */
+  readonly heard: () => void
+  readonly changeRank: (rank: number | undefined) => void
+  readonly orderPromotion: (database: DatabaseName, server: ServerName) => Promise<PromotionResult>
+  /** Gives the lease up. */
+  readonly leave: () => Promise<void>
+  readonly stop: () => Promise<void>
+}
+
+/** Kind and name of the lease in the store. */
+const leaseObject = { kind: 'duties', name: 'promotion' } as const
+const tickMs = 100
+const mailboxCapacity = 256
+/** An order is given up after this time; the lease holds longer than that. */
+const orderTimeoutMs = 450
+
+const recordSchema = z.object({ holder: z.string(), incarnation: z.string(), token: z.int(), renewal: z.int(), released: z.boolean() })
+
+/**
+ * Starts the task.
+ * @param spec - what it needs
+ * @returns the running task
+ */
+export function startDuty (spec: DutySpec): DutyTask {
+  const { context } = spec
+  const { timers, settings } = context
+  const initial = initialLease({ host: settings.host.name, incarnation: context.incarnation })
+  const published = new Latest(initial)
+  const task = startTask<LeaseState, LeaseEvent, LeaseEffect>({
+    name: 'duty',
+    initial,
+    capacity: mailboxCapacity,
+    onError: context.onTaskError('duty'),
+    step: (state, event) => {
+      const transition = leaseStep(state, event)
+      published.publish(transition.state)
+      tellChange(spec, state, transition.state)
+      return transition
+    },
+    perform: (effect, port) => { void perform(spec, effect, port) }
+  })
+  timers.every(tickMs, tickPort<LeaseEvent>(task.port, nowMs => ({ kind: 'tick', nowMs })))
+  const token = (): number | undefined => tokenHeld(published.get(), timers.nowMs())
+  return {
+    holds: () => token() !== undefined,
+    heard: () => { task.port.send({ kind: 'holderHeard', nowMs: timers.nowMs() }) },
+    changeRank: rank => { task.port.send({ kind: 'rankChanged', rank }) },
+    async orderPromotion (database, server) {
+      const held = token()
+      if (held === undefined) return 'refused'
+      const result = await spec.order({ database, server, holder: settings.host.name, token: held }, orderTimeoutMs)
+      spec.onOrder(database, server, held, result)
+      return result
+    },
+    async leave () {
+      task.port.send({ kind: 'rankChanged', rank: undefined })
+      const write = release(published.get())
+      if (write !== undefined) await context.ports.store.putObject(leaseObject.kind, leaseObject.name, write.version, write.record).catch(() => { spec.onStoreFailure() })
+    },
+    stop: task.stop
+  }
+}
+
+function tellChange (spec: DutySpec, before: LeaseState, after: LeaseState): void {
+  if ((before.held === undefined) === (after.held === undefined)) return
+  spec.onDuty(after.held !== undefined, after.held?.token ?? before.held?.token ?? 0)
+}
+
+async function perform (spec: DutySpec, effect: LeaseEffect, port: Port<LeaseEvent>): Promise<void> {
+  const { timers } = spec.context
+  try {
+    port.send(await carryOut(spec, effect))
+  } catch (error) {
+    if (!(error instanceof StoreError)) throw error
+    if (error.fault.kind !== 'conflict') spec.onStoreFailure()
+    port.send({ kind: 'callFailed', nowMs: timers.nowMs() })
+  }
+}
+
+async function carryOut (spec: DutySpec, effect: LeaseEffect): Promise<LeaseEvent> {
+  const { timers, ports: { store } } = spec.context
+  switch (effect.kind) {
+    case 'read': {
+      const object = await store.getObject(leaseObject.kind, leaseObject.name)
+      return { kind: 'read', record: recordOf(object?.value), version: object?.version ?? 0, nowMs: timers.nowMs() }
+    }
+    case 'write': {
+      const askedAtMs = timers.nowMs()
+      const { version } = await store.putObject(leaseObject.kind, leaseObject.name, effect.version, effect.record)
+      return { kind: 'written', record: effect.record, version, askedAtMs, nowMs: timers.nowMs() }
+    }
+  }
+}
+
+// A value of another form is treated as no lease; its version still guards the takeover.
+function recordOf (value: unknown): LeaseRecord | undefined {
+  const parsed = recordSchema.safeParse(value)
+  return parsed.success ? parsed.data : undefined
+}
--- /dev/null
+++ b/src/daemon/effective.ts
@@ -0,0 +1,63 @@
+// The manifest in force together with the servers that were found: what
+// statements are checked and routed by. Where the manifest declares the servers
+// itself, nothing is filled in.
+
+import { noServers, withFoundServers, type ServersState } from '../discovery/index.js'
+import type { Manifest } from '../model/index.js'
+
+/** The manifest in force with its servers. */
+export class Effective {
+  readonly #onChange: (manifest: Manifest) => void
+  #declared: Manifest | undefined
+  #servers: ServersState | undefined
+  #manifest: Manifest | undefined
+
+  /**
+   * Begins without a manifest.
+   * @param onChange - told of each change
+   */
+  constructor (onChange: (manifest: Manifest) => void) {
+    this.#onChange = onChange
+  }
+
+  /**
+   * The manifest with its servers.
+   * @returns the manifest, or undefined where none is in force
+   */
+  manifest (): Manifest | undefined {
+    return this.#manifest
+  }
+
+  /**
+   * Tells whether every database has a server.
+   * @returns false also where no manifest is in force
+   */
+  hasServers (): boolean {
+    return this.#manifest !== undefined && this.#manifest.databases.every(database => database.servers.length > 0)
+  }
+
+  /**
+   * Takes the manifest in force.
+   * @param manifest - the manifest
+   */
+  takeManifest (manifest: Manifest): void {
+    this.#declared = manifest
+    this.#join()
+  }
+
+  /**
+   * Takes the servers that were found.
+   * @param servers - the servers
+   */
+  takeServers (servers: ServersState): void {
+    this.#servers = servers
+    this.#join()
+  }
+
+  #join (): void {
+    if (this.#declared === undefined) return
+    const registered = this.#servers !== undefined || this.#declared.databases.some(database => database.maxConnections !== undefined)
+    this.#manifest = registered ? { ...this.#declared, databases: withFoundServers(this.#declared.databases, this.#servers ?? noServers) } : this.#declared
+    this.#onChange(this.#manifest)
+  }
+}
--- a/src/daemon/home-check.ts
+++ b/src/daemon/home-check.ts
@@ -2,9 +2,10 @@
 // for a write, and covers what a read asks for.
 
 import type { HomeRequest, ServerCheck } from '../home/index.js'
-import { covers, type Freshness, type Position, type ServerDeclaration } from '../model/index.js'
+import { covers, laterPosition, type Freshness, type Position, type ServerDeclaration } from '../model/index.js'
 import { sleep, type TimerService } from '../pipe/index.js'
-import { replicaServesAge } from '../request/index.js'
+import type { DatabaseDriver } from '../ports/index.js'
+import { oldestMark, replicaServesAge } from '../request/index.js'
 import type { DatabaseTask } from './database-task.js'
 
 /** What the check looks at. */
@@ -12,11 +13,14 @@
   readonly timers: TimerService
   readonly server: ServerDeclaration
   readonly database: DatabaseTask
+  readonly floorCheck: DatabaseDriver['floorCheck']
 }
 
 /** Time that a replica has to apply what it has received. */
 const catchUpMs = 15
 const catchUpPollMs = 2
+/** A replica that lags more than this will hardly catch up while a read is on its way to it. */
+const farBehindMs = 150
 
 /**
  * Checks whether the server may run a statement now.
@@ -29,16 +33,63 @@
   switch (mode.kind) {
     case 'inTransaction':
     case 'commit':
-    case 'rollback': return { kind: 'may', role: 'primary' }
-    case 'write':
-    case 'begin': return leads(spec) ? { kind: 'may', role: 'primary' } : { kind: 'mayNot', reason: 'noPrimary', detail: `${spec.server.name} is not the primary` }
+    case 'rollback': return { kind: 'may', role: 'primary', floor: undefined }
+    case 'begin': return await checkBegin(spec, mode)
+    case 'write': return leads(spec) ? { kind: 'may', role: 'primary', floor: undefined } : { kind: 'mayNot', reason: 'noPrimary', detail: `${spec.server.name} is not the primary` }
     case 'read': return await checkRead(spec, mode.freshness)
   }
 }
 
+type Begin = Extract<HomeRequest['request']['mode'], { readonly kind: 'begin' }>
+
+// Where servers check floors, one that was replaced refuses to begin.
+async function checkBegin (spec: CheckSpec, mode: Begin): Promise<ServerCheck> {
+  if (mode.access === 'write' && !leads(spec)) return { kind: 'mayNot', reason: 'noPrimary', detail: `${spec.server.name} is not the primary` }
+  if (mode.access === 'write' && spec.floorCheck === 'home') return { kind: 'may', role: 'primary', floor: undefined }
+  return await checkRead(spec, mode.freshness)
+}
+
 async function checkRead (spec: CheckSpec, freshness: Freshness): Promise<ServerCheck> {
+  switch (spec.floorCheck) {
+    case 'home': return await checkHere(spec, freshness)
+    case 'server': return await floorForServer(spec, freshness)
+  }
+}
+
+// Finds the floor that goes along with the read. A replica that was far behind
+// a moment ago is passed over without asking it.
+async function floorForServer (spec: CheckSpec, freshness: Freshness): Promise<ServerCheck> {
+  const floor = await floorOf(spec, freshness)
+  if (floor === undefined) return { kind: 'mayNot', reason: 'noServer', detail: 'no majority of the servers told its position' }
+  if (!leads(spec) && isFarBehind(spec, floor)) return { kind: 'mayNot', reason: 'behind', detail: `${spec.server.name} is far behind`, newest: freshness.kind === 'newest' ? floor : undefined }
+  return { ...mayRead(spec), floor }
+}
+
+async function floorOf (spec: CheckSpec, freshness: Freshness): Promise<Position | undefined> {
+  const { database, timers } = spec
+  switch (freshness.kind) {
+    case 'floor': return freshness.position
+    case 'newest': return await database.openFloor()
+    case 'age': return oldestMark(database.view.get().age, freshness.maxAgeMs, timers.nowMs()) ?? await database.openFloor()
+    case 'floorAndAge': {
+      const mark = oldestMark(database.view.get().age, freshness.maxAgeMs, timers.nowMs()) ?? await database.openFloor()
+      return mark === undefined ? undefined : laterPosition(mark, freshness.position)
+    }
+  }
+}
+
+function isFarBehind (spec: CheckSpec, floor: Position): boolean {
+  const status = spec.database.view.get().statuses.get(spec.server.name)
+  return status !== undefined && !covers(status.applied, floor) && (status.lagMs ?? 0) > farBehindMs
+}
+
+async function checkHere (spec: CheckSpec, freshness: Freshness): Promise<ServerCheck> {
   const { server, database, timers } = spec
   switch (freshness.kind) {
+    case 'floorAndAge': {
+      const young = await checkHere(spec, { kind: 'age', maxAgeMs: freshness.maxAgeMs })
+      return young.kind === 'may' ? await checkFloor(spec, freshness.position) : young
+    }
     case 'floor': return await checkFloor(spec, freshness.position)
     case 'age': {
       const applied = appliedBy(spec)
@@ -75,8 +126,8 @@
   return applied !== undefined && covers(applied, floor)
 }
 
-function mayRead (spec: CheckSpec): ServerCheck {
-  return { kind: 'may', role: leads(spec) ? 'primary' : 'replica' }
+function mayRead (spec: CheckSpec): Extract<ServerCheck, { readonly kind: 'may' }> {
+  return { kind: 'may', role: leads(spec) ? 'primary' : 'replica', floor: undefined }
 }
 
 function leads (spec: CheckSpec): boolean {
--- a/src/daemon/home-task.ts
+++ b/src/daemon/home-task.ts
@@ -4,8 +4,9 @@
 
 import { redirected } from '../config/index.js'
 import { homePipe, type HomeReply, type HomeRequest, type HomeServices, type Turn } from '../home/index.js'
-import type { ExecuteRequest, HostName, PrimaryView, ServerDeclaration } from '../model/index.js'
+import type { DatabaseName, ExecuteRequest, HostName, PrimaryView, ServerDeclaration } from '../model/index.js'
 import { runPipe } from '../pipe/index.js'
+import type { DatabaseDriver } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import type { DatabaseTask } from './database-task.js'
 import { checkServer } from './home-check.js'
@@ -16,6 +17,7 @@
 /** What a home needs. */
 export type HomeSpec = {
   readonly context: DaemonContext
+  readonly databaseName: DatabaseName
   readonly server: ServerDeclaration
   readonly database: DatabaseTask
   readonly onFailure: (failure: string) => void
@@ -32,6 +34,8 @@
   readonly giveUpSilent: () => void
   /** Rolls back the transactions whose callers' hosts are gone. */
   readonly letGo: (silent: ReadonlySet<HostName>) => void
+  /** Sets how long a transaction may rest. */
+  readonly restAtMost: (idleMs: number | undefined) => void
   readonly stop: () => Promise<void>
 }
 
@@ -52,6 +56,8 @@
   const budget = Math.max(1, Math.floor((server.maxConnections - controlSessions) / sharingHomes))
   const pool = new ServerPool(context, {
     address: redirected(context.settings.links, server),
+    database: spec.databaseName,
+    server: server.name,
     budget,
     onFailure: spec.onFailure
   })
@@ -62,8 +68,8 @@
     nowMs: timers.nowMs,
     pool,
     transactions,
-    check: async message => await checkServer({ timers, server, database: spec.database }, message),
-    queue: async message => ownsSession(message) ? freeTurn : await queue.enter(message),
+    check: async message => await checkServer({ timers, server, database: spec.database, floorCheck: context.ports.driver.floorCheck }, message),
+    queue: async message => ownsSession(message, context.ports.driver.locking) ? freeTurn : await queue.enter(message),
     confirm: async (position, deadlineAtMs) => {
       const latestAtMs = timers.nowMs() + context.settings.limits.confirmTimeoutMs
       return await spec.database.confirm(position, Math.min(deadlineAtMs, latestAtMs))
@@ -89,6 +95,7 @@
       }
       wasPrimary = leads
     },
+    restAtMost: idleMs => { transactions.restAtMost(idleMs) },
     letGo: silent => { transactions.letGo(silent) },
     async execute (request) {
       running += 1
@@ -108,13 +115,13 @@
 
 const freeTurn: Turn = { kind: 'turn', end: () => {} }
 
-// A statement of an open transaction never waits in the queue: others that wait
-// for its locks may hold all turns. BEGIN does wait, and the number of open
-// transactions is bounded for each account and as a whole.
-function ownsSession (message: HomeRequest): boolean {
+// Where transactions hold locks, a statement of an open one never waits in the
+// queue: others that wait for its locks may hold all turns. BEGIN does wait, and
+// the number of open transactions is bounded for each account and as a whole.
+function ownsSession (message: HomeRequest, locking: DatabaseDriver['locking']): boolean {
   switch (message.request.mode.kind) {
     case 'inTransaction':
-    case 'commit':
+    case 'commit': return locking === 'locks'
     case 'rollback': return true
     case 'read':
     case 'write':
--- a/src/daemon/limits-task.ts
+++ b/src/daemon/limits-task.ts
@@ -7,14 +7,14 @@
 import type { ListedHost, Member } from '../members/index.js'
 import { notRun, type AccountName, type Manifest, type Outcome, type PeerParams, type PeerResult } from '../model/index.js'
 import { ask, Latest, startTask, tickPort, withoutReplies, type Port, type Reply } from '../pipe/index.js'
-import { PlatformError, type PlatformClient } from '../wire/index.js'
+import { StoreError, type ObjectStore } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import type { PeerLinks } from './peers.js'
 
 /** What the tasks need. */
 export type LimitsTaskSpec = {
   readonly context: DaemonContext
-  readonly platform: PlatformClient
+  readonly store: ObjectStore
   readonly links: PeerLinks
   /** Until when the configuration is confirmed, by the monotonic clock. */
   readonly confirmedUntilMs: () => number
@@ -212,7 +212,7 @@
 async function readTable (spec: LimitsTaskSpec, table: string, port: Port<SeatsEvent>): Promise<void> {
   const { timers } = spec.context
   try {
-    const object = await spec.platform.getObject(seatsKind, table)
+    const object = await spec.store.getObject(seatsKind, table)
     port.send({ kind: 'tableRead', table: object === undefined ? undefined : spec.decodeTable(object.value), version: object?.version ?? 0, nowMs: timers.nowMs() })
   } catch {
     port.send({ kind: 'readFailed', nowMs: timers.nowMs() })
@@ -223,9 +223,9 @@
 async function writeTable (spec: LimitsTaskSpec, effect: Extract<SeatsEffect, { readonly kind: 'writeTable' }>, port: Port<SeatsEvent>): Promise<void> {
   const { timers, onTaskError } = spec.context
   try {
-    await spec.platform.putObject(seatsKind, effect.table, effect.version, effect.value)
+    await spec.store.putObject(seatsKind, effect.table, effect.version, effect.value)
   } catch (error) {
-    if (!(error instanceof PlatformError)) onTaskError('seats')(error as Error)
+    if (!(error instanceof StoreError)) onTaskError('seats')(error as Error)
   }
   port.send({ kind: 'writeEnded', nowMs: timers.nowMs() })
 }
--- a/src/daemon/parts.ts
+++ b/src/daemon/parts.ts
@@ -1,9 +1,13 @@
 // The parts of one proxy process, as they are joined in proxy.ts.
 
 import type { MemberState } from '../model/index.js'
-import type { PlatformClient } from '../wire/index.js'
+import type { ObjectStore } from '../ports/index.js'
 import type { ConfigurationTask } from './configuration-task.js'
 import type { DaemonContext } from './context.js'
+import type { DiscoveryTask } from './discovery-task.js'
+import type { DutyTask } from './duty-task.js'
+import type { Effective } from './effective.js'
+import type { Registry } from './registry-task.js'
 import type { Databases } from './databases.js'
 import type { LimitsTask } from './limits-task.js'
 import type { MembersTask } from './members-task.js'
@@ -15,13 +19,20 @@
 export type Parts = {
   readonly context: DaemonContext
   readonly reports: Reports
-  readonly platform: PlatformClient
+  readonly store: ObjectStore
   readonly links: PeerLinks
   readonly members: MembersTask
   readonly configuration: ConfigurationTask
   readonly databases: Databases
   readonly routing: RoutingTable
   readonly limits: LimitsTask
+  readonly effective: Effective
+  /** Set where the platform promotes on the order of one host. */
+  readonly duty: DutyTask | undefined
+  /** Set where servers register themselves. */
+  readonly discovery: DiscoveryTask | undefined
+  /** Set where hosts register themselves. */
+  readonly registry: Registry | undefined
   readonly stopping: () => boolean
   /** What this host says of itself to other members. */
   readonly ownState: () => MemberState
--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -4,7 +4,8 @@
 import { redirected } from '../config/index.js'
 import type { Address, HostName, PeerMethod, PeerParams, PeerResult } from '../model/index.js'
 import type { ListedHost } from '../members/index.js'
-import { peerClient, WireError, type PeerClient, type PeerTls } from '../wire/index.js'
+import { WireError } from '../ports/index.js'
+import { peerClient, type PeerClient, type PeerTls } from '../wire/peer-link.js'
 import type { DaemonContext } from './context.js'
 
 type KnownPeer = {
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -2,27 +2,33 @@
 // stops without cutting off a request.
 
 import { randomUUID } from 'node:crypto'
-import { confirmedUntilMs, holdsKey, redirected, type Settings } from '../config/index.js'
+import { confirmedUntilMs, holdsKey, type Settings } from '../config/index.js'
 import type { ExecuteReply, ExecuteRequest, HostName, MemberState, PrimaryView } from '../model/index.js'
 import { sleep, systemTimers } from '../pipe/index.js'
+import { asWireError, updateObject, type ObjectStore, type ProxyPorts } from '../ports/index.js'
 import { requestPipe, type Attempt, type ConfigurationInForce, type OpenTransaction, type RequestServices } from '../request/index.js'
-import { asWireError, decodeToken, encodeToken, listenForPeers, platformClient, updateObject, type PeerHandlers, type PlatformClient } from '../wire/index.js'
+import { listenForPeers, type PeerHandlers } from '../wire/peer-link.js'
+import { decodeToken, encodeToken } from '../wire/session-token.js'
 import { startCallers } from './callers.js'
 import { startConfiguration } from './configuration-task.js'
 import type { DaemonContext } from './context.js'
 import { Databases } from './databases.js'
-import { decodeAcceptedManifest, decodeListedHost, decodePrimary, decodeSeatTable } from './decode.js'
+import { decodePrimary, decodeSeatTable } from './decode.js'
+import { startDiscovery } from './discovery-task.js'
+import { startDuty, type DutyTask } from './duty-task.js'
+import { Effective } from './effective.js'
 import { startLimits } from './limits-task.js'
 import { startMembers, type MembersTask, type MembersView } from './members-task.js'
 import type { Parts } from './parts.js'
 import { PeerLinks, tlsOf } from './peers.js'
+import { startRegistry } from './registry-task.js'
 import { startReports } from './reports.js'
 import { RoutingTable } from './routing.js'
 import { stopParts } from './stop.js'
 
 /** A running proxy. */
 export type Proxy = {
-  readonly mysqlPort: number
+  readonly callerPort: number
   readonly peerPort: number
   /** Lets running work finish within the grace time, then ends everything. */
   readonly stop: () => Promise<void>
@@ -38,24 +44,27 @@
 /**
  * Starts a proxy.
  * @param settings - the settings of this host
+ * @param ports - what the proxy is joined with
  * @returns the running proxy; throws a `WireError` where a port is taken
  */
-export async function startProxy (settings: Settings): Promise<Proxy> {
+export async function startProxy (settings: Settings, ports: ProxyPorts): Promise<Proxy> {
   const state = { stopping: false }
-  const parts = joinParts(settings, () => state.stopping)
+  const parts = joinParts(settings, ports, () => state.stopping)
   const { context, reports } = parts
   const peers = await listenForPeers({ ip: settings.host.ip, port: settings.host.peerPort }, peerHandlers(parts), tlsOf(settings.peers))
-  const configuration = (): ConfigurationInForce => ({ manifest: parts.configuration.inForce()?.manifest, confirmed: parts.configuration.mayServeKeyed() })
+  const configuration = (): ConfigurationInForce => ({ manifest: parts.effective.manifest(), confirmed: parts.configuration.mayServeKeyed() })
   const pipe = requestPipe(requestServices(parts, configuration), {
     self: settings.host.name,
     ownFailureDomain: settings.host.failureDomain,
     defaultDeadlineMs: settings.limits.defaultDeadlineMs,
-    maxDeadlineMs
+    maxDeadlineMs,
+    rules: ports.front.rules
   })
   const callers = await startCallers({
     context,
     pipe,
     configuration,
+    isReady: () => !state.stopping && parts.configuration.mayServeKeyed() && parts.effective.hasServers(),
     rollBack: async transaction => { await rollBack(parts, transaction) },
     onServed: reports.served,
     onLoginRefused: (user, outcome) => { reports.event('loginRefused', { account: user, reason: outcome.kind === 'notRun' ? outcome.reason : outcome.kind }) }
@@ -65,9 +74,10 @@
   })
   parts.members.begin()
   parts.configuration.begin()
-  reports.event('started', { host: settings.host.name, mysqlPort: callers.port, peerPort: peers.port })
+  parts.discovery?.begin()
+  reports.event('started', { host: settings.host.name, callerPort: callers.port, peerPort: peers.port })
   return {
-    mysqlPort: callers.port,
+    callerPort: callers.port,
     peerPort: peers.port,
     stop: async () => {
       state.stopping = true
@@ -77,7 +87,7 @@
   }
 }
 
-function joinParts (settings: Settings, stopping: () => boolean): Parts {
+function joinParts (settings: Settings, ports: ProxyPorts, stopping: () => boolean): Parts {
   const timers = systemTimers()
   const incarnation = randomUUID()
   const random = Math.random
@@ -85,33 +95,40 @@
   const context: DaemonContext = {
     settings,
     timers,
+    ports,
     random,
     incarnation,
     onTaskError: task => error => { reports.event('taskFailed', { task, error: error.message }) }
   }
-  const platform = platformClient({ url: settings.platform.url, callTimeoutMs: settings.platform.callTimeoutMs, redirect: address => redirected(settings.links, address) })
+  const { store } = ports
   const routing = new RoutingTable()
   const links = new PeerLinks(context, host => { members.tell({ kind: 'linkFailed', host, nowMs: timers.nowMs() }) })
   const databases = new Databases({
     context,
     onPrimary: view => {
       routing.sawPrimary(view)
+      if (duty?.holds() === true) tellPrimary(context, members, links, view)
       reports.event('primaryChanged', { database: view.database, term: view.term, primary: view.primary ?? 'none' })
     },
-    publish: view => { void publishPrimary(context, platform, view).catch(() => { reports.event('storeUnreachable', { what: 'primary' }) }) },
+    publish: view => { void publishPrimary(context, store, view).catch(() => { reports.event('storeUnreachable', { what: 'primary' }) }) },
+    orderPromotion: async (database, server) => await duty?.orderPromotion(database, server) ?? 'refused',
     onFailure: (server, failure) => { reports.event('serverConnectionFailed', { server, failure }) }
   })
+  const effective = new Effective(manifest => {
+    routing.takeDatabases(manifest.databases)
+    databases.takeManifest(manifest.databases)
+    databases.restAtMost(manifest.idleTransactionMs)
+  })
   const configuration = startConfiguration({
     context,
-    platform,
+    store,
+    source: ports.manifest,
     links,
     peers: () => members.view.get().live.map(member => member.host),
     watches: () => members.view.get().quorum.includes(settings.host.name),
     ownState: () => ownState(),
-    decode: decodeAcceptedManifest,
     onApply: accepted => {
-      routing.takeDatabases(accepted.manifest.databases)
-      databases.takeManifest(accepted.manifest.databases)
+      effective.takeManifest(accepted.manifest)
       limits.takeManifest(accepted.manifest)
       reports.event('manifestApplied', { generation: accepted.generation })
     },
@@ -119,33 +136,99 @@
   })
   const limits = startLimits({
     context,
-    platform,
+    store,
     links,
     // A finite time, so that a lapse during a pause is seen although the confirmation is fresh again.
     confirmedUntilMs: () => confirmedUntilMs(configuration.state.get()),
     decodeTable: decodeSeatTable
   })
+  const duty = joinDuty(context, reports, holds => { databases.takeDuty(holds) })
+  const discovery = ports.servers.kind === 'declared'
+    ? undefined
+    : startDiscovery({
+      context,
+      source: ports.servers,
+      links,
+      peers: () => others(members, settings.host.name),
+      onServers: state => {
+        effective.takeServers(state)
+        reports.event('serversChanged', { servers: state.known.size })
+      },
+      onStoreFailure: () => { reports.event('storeUnreachable', { what: 'servers' }) }
+    })
+  const registry = ports.hosts.kind === 'listed'
+    ? undefined
+    : startRegistry({
+      context,
+      source: ports.hosts,
+      stopping,
+      silent: () => members.view.get().silent,
+      cleans: () => members.view.get().quorum[0] === settings.host.name,
+      onForgotten: host => { reports.event('hostForgotten', { forgotten: host }) }
+    })
   const ownState = (): MemberState => ({
     host: settings.host.name,
     failureDomain: settings.host.failureDomain,
     incarnation: context.incarnation,
     state: stopping() ? 'stopping' : 'serving',
+    ...(duty === undefined ? {} : { holdsDuty: duty.holds() }),
     ...configuration.told()
   })
   const members: MembersTask = startMembers({
     context,
     links,
-    listHosts: async () => (await platform.hosts()).map(decodeListedHost),
+    listHosts: ports.hosts.kind === 'listed' ? ports.hosts.list : async () => await registry?.list() ?? [],
     ownState,
-    onFreshList: hosts => { limits.takeList(hosts) },
+    onFreshList: hosts => {
+      limits.takeList(hosts)
+      registry?.seen(hosts)
+    },
     onMembers: view => {
       takeMembers(view, { configuration, databases, routing, limits })
+      duty?.changeRank(stopping() ? undefined : dutyRank(view, settings.host.name))
       reports.event('membersChanged', { live: view.live.length, listed: view.listed.length })
     },
-    onHeard: (from, askedAtMs) => { configuration.heard(from, askedAtMs) }
+    onHeard: (from, askedAtMs) => {
+      configuration.heard(from, askedAtMs)
+      if (from.holdsDuty === true) duty?.heard()
+    }
   })
-  reports.attach({ platform, members, configuration, databases, routing, links, stopping })
-  return { context, reports, platform, links, members, configuration, databases, routing, limits, stopping, ownState }
+  reports.attach({ store, members, configuration, databases, routing, links, stopping })
+  return { context, reports, store, links, members, configuration, databases, routing, limits, effective, duty, discovery, registry, stopping, ownState }
+}
+
+function joinDuty (context: DaemonContext, reports: Parts['reports'], takeDuty: (holds: boolean) => void): DutyTask | undefined {
+  const { appointment } = context.ports
+  if (appointment.kind === 'byServers') return undefined
+  return startDuty({
+    context,
+    order: appointment.order,
+    onDuty: (holds, token) => {
+      takeDuty(holds)
+      reports.event(holds ? 'dutyTaken' : 'dutyLost', { token })
+    },
+    onOrder: (database, server, token, result) => { reports.event('promotionOrdered', { database, server, token, result }) },
+    onStoreFailure: () => { reports.event('storeUnreachable', { what: 'duty' }) }
+  })
+}
+
+// The hosts that watch the store come first; all others follow them.
+function dutyRank (view: MembersView, self: HostName): number {
+  const at = view.quorum.indexOf(self)
+  return at < 0 ? view.quorum.length : at
+}
+
+function others (members: MembersTask, self: HostName): readonly HostName[] {
+  return members.view.get().live.map(member => member.host).filter(host => host !== self)
+}
+
+/** Time in which the others take in who leads; they learn it later by themselves. */
+const tellPrimaryTimeoutMs = 500
+
+function tellPrimary (context: DaemonContext, members: MembersTask, links: PeerLinks, view: PrimaryView): void {
+  for (const host of others(members, context.settings.host.name)) {
+    links.call(host, 'primaryChanged', { view }, tellPrimaryTimeoutMs).catch(() => {})
+  }
 }
 
 function takeMembers (view: MembersView, to: Pick<Parts, 'configuration' | 'databases' | 'routing' | 'limits'>): void {
@@ -155,9 +238,9 @@
   to.limits.takeMembers(view.live)
 }
 
-async function publishPrimary (context: DaemonContext, platform: PlatformClient, view: PrimaryView): Promise<void> {
+async function publishPrimary (context: DaemonContext, store: ObjectStore, view: PrimaryView): Promise<void> {
   const sources = { timers: context.timers, random: context.random, newWriteId: randomUUID }
-  await updateObject<PrimaryView>(platform, sources, {
+  await updateObject<PrimaryView>(store, sources, {
     kind: 'primary',
     name: view.database,
     decode: decodePrimary,
@@ -180,6 +263,11 @@
       return { generation: configuration.told().generation }
     },
     listHosts: async () => ({ list: members.list() }),
+    listServers: async () => ({ list: parts.discovery?.list() }),
+    primaryChanged: async ({ view }) => {
+      parts.routing.sawPrimary(view)
+      return { accepted: true }
+    },
     borrow: async params => await limits.lend(params),
     report: async ({ report }) => ({ accepted: reports.gathered(report) })
   }
@@ -232,7 +320,8 @@
     server: transaction.server,
     account: transaction.account,
     weight: 1,
-    sql: 'ROLLBACK',
+    statement: { id: undefined, text: 'ROLLBACK', prepared: undefined },
+    values: {},
     mode: { kind: 'rollback', transaction: transaction.id },
     remainingMs: rollBackTimeoutMs
   }
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -8,7 +8,7 @@
 import { anonymousAccount, type Caller, type DatabaseReport, type HostName, type HostReport, type Outcome } from '../model/index.js'
 import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
 import { AccountFigureTable, eventLog, gatherStep, initialGather, metricsTo, outcomeTag, type EventFields, type EventName, type GatherEffect, type GatherEvent, type GatherState, type Metrics } from '../report/index.js'
-import { updateObject, type PlatformClient } from '../wire/index.js'
+import { updateObject, type ObjectStore } from '../ports/index.js'
 import type { ConfigurationTask } from './configuration-task.js'
 import type { Databases } from './databases.js'
 import type { MembersTask } from './members-task.js'
@@ -25,7 +25,7 @@
 
 /** The parts that are reported on. */
 export type ReportedParts = {
-  readonly platform: PlatformClient
+  readonly store: ObjectStore
   readonly links: PeerLinks
   readonly members: MembersTask
   readonly configuration: ConfigurationTask
@@ -120,7 +120,7 @@
 
 async function writeReports (spec: ReportsSpec, parts: ReportedParts, effect: GatherEffect, port: Port<GatherEvent>): Promise<void> {
   const { settings, timers, random } = spec
-  const written = await updateObject<StoredReports>(parts.platform, { timers, random, newWriteId: randomUUID }, {
+  const written = await updateObject<StoredReports>(parts.store, { timers, random, newWriteId: randomUUID }, {
     kind: reportKind,
     name: settings.host.failureDomain,
     // Whatever stands there is replaced whole.
--- a/src/daemon/server-watch.ts
+++ b/src/daemon/server-watch.ts
@@ -2,9 +2,9 @@
 // and one for ledger calls. It reports what it learns and keeps trying; the
 // judgement is made elsewhere.
 
-import type { Address, Position, ServerName, ServerStatus } from '../model/index.js'
+import { originPosition, type Address, type DatabaseName, type ServerName, type ServerStatus } from '../model/index.js'
 import { sleep } from '../pipe/index.js'
-import { asWireError, openSession, type DatabaseSession, type LedgerAnswer } from '../wire/index.js'
+import { asWireError, type DatabaseSession, type LedgerAnswer, type SessionTarget } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 
 /** What a watch reports. */
@@ -12,6 +12,8 @@
   /** `askedAtMs` is the time before the question was sent. */
   | { readonly kind: 'status', readonly status: ServerStatus, readonly askedAtMs: number }
   | { readonly kind: 'connectionLost' }
+  /** The server answers, but has no time for a status. */
+  | { readonly kind: 'busy' }
   /** A connection had gone silent and a fresh one works: others may be silent too. */
   | { readonly kind: 'wasSilent' }
 
@@ -45,22 +47,23 @@
   /**
    * Starts the watch.
    * @param context - settings and time
+   * @param database - the database of the server
    * @param server - name of the server
    * @param address - where it listens
    * @param report - told of what is learned
    */
-  constructor (context: DaemonContext, readonly server: ServerName, readonly address: Address, report: (report: WatchReport) => void) {
+  constructor (context: DaemonContext, readonly database: DatabaseName, readonly server: ServerName, readonly address: Address, report: (report: WatchReport) => void) {
     this.#context = context
     this.#report = report
     void this.#watch()
   }
 
   /**
-   * Asks for the received position over a session that works.
-   * @returns the position; throws a `WireError`
+   * Asks for the status over a session that works.
+   * @returns the status; throws a `WireError`
    */
-  async received (): Promise<Position> {
-    return (await this.#call(async session => await session.ledger.status(callTimeoutMs))).received
+  async status (): Promise<ServerStatus> {
+    return await this.#call(async session => await session.ledger.status(callTimeoutMs))
   }
 
   /**
@@ -121,16 +124,24 @@
     const { nowMs } = this.#context.timers
     const waitMs = this.#context.settings.control.probeMs / answersPerProbe
     let askedAtMs = nowMs()
-    let status = await session.ledger.status(answerTimeoutMs)
+    let status = await this.#unlessBusy(session.ledger.status(answerTimeoutMs))
     if (this.#silent) this.#report({ kind: 'wasSilent' })
     this.#silent = false
     while (!this.#stopped) {
-      this.#report({ kind: 'status', status, askedAtMs })
+      this.#report(status === undefined ? { kind: 'busy' } : { kind: 'status', status, askedAtMs })
+      const known = status ?? unknownStatus(this.server)
       askedAtMs = nowMs()
-      status = await session.ledger.wait(status, waitMs, waitMs + answerTimeoutMs)
+      status = await this.#unlessBusy(session.ledger.wait(known, waitMs, waitMs + answerTimeoutMs))
     }
   }
 
+  async #unlessBusy (answer: Promise<ServerStatus>): Promise<ServerStatus | undefined> {
+    return await answer.catch(error => {
+      if (asWireError(error).failure === 'rejected') return undefined
+      throw error
+    })
+  }
+
   async #call<T> (use: (session: DatabaseSession) => Promise<T>): Promise<T> {
     this.#commands ??= this.#open(callTimeoutMs)
     const opened = this.#commands
@@ -138,6 +149,8 @@
       const session = await opened
       return await use(session)
     } catch (error) {
+      // A rejected call says nothing against its session.
+      if (asWireError(error).failure === 'rejected') throw error
       if (this.#commands === opened) this.#commands = undefined
       void opened.then(session => { session.close() }, () => {})
       throw error
@@ -145,7 +158,12 @@
   }
 
   async #open (timeoutMs: number): Promise<DatabaseSession> {
-    const { settings, timers } = this.#context
-    return await openSession(this.address, settings.databaseLogin, timers, timeoutMs)
+    const { timers, ports } = this.#context
+    const target: SessionTarget = { address: this.address, database: this.database, server: this.server, account: undefined }
+    return await ports.driver.openSession(target, timers, timeoutMs)
   }
 }
+
+function unknownStatus (server: ServerName): ServerStatus {
+  return { server, role: 'replica', fencedTerm: 0, proposer: '', received: originPosition, applied: originPosition }
+}
--- a/src/daemon/session-pool.ts
+++ b/src/daemon/session-pool.ts
@@ -1,16 +1,20 @@
-// The sessions of one home on one server. Idle sessions are kept for reuse,
-// the one used last first; a session that may hold anything of its last user
-// is closed, never kept. The number of open sessions stays within the budget.
+// The sessions of one home on one server. Idle sessions are kept for reuse: of
+// those that may serve the account, the one whose context is nearest to what the
+// caller has set, and of these the one used last. A session whose state is not
+// known is closed, never kept. The number of open sessions stays within the
+// budget; where it is used up, an idle session of another account makes room.
 
-import type { ServerSession, SessionPool } from '../home/index.js'
-import type { Address } from '../model/index.js'
+import { distance, type ServerSession, type SessionPool, type SessionWish } from '../home/index.js'
+import type { AccountName, Address, DatabaseName, ServerName } from '../model/index.js'
 import { sleep } from '../pipe/index.js'
-import { asWireError, openSession, type DatabaseSession } from '../wire/index.js'
+import { asWireError, type DatabaseSession } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 
 /** What a pool is made of. */
 export type PoolSpec = {
   readonly address: Address
+  readonly database: DatabaseName
+  readonly server: ServerName
   /** Sessions that may be open at a time. */
   readonly budget: number
   /** Told that a login failed. */
@@ -21,11 +25,17 @@
 const killAttempts = 5
 const killRetryMs = 300
 
+type IdleSession = {
+  readonly session: DatabaseSession
+  readonly account: AccountName
+}
+
 /** Sessions on one server, within a budget. */
 export class ServerPool implements SessionPool {
   readonly #context: DaemonContext
   readonly #spec: PoolSpec
-  readonly #idle: DatabaseSession[] = []
+  readonly #idle: IdleSession[] = []
+  readonly #accounts = new Map<ServerSession, AccountName>()
   /** Open sessions, and when each was taken last. */
   readonly #open = new Map<ServerSession, number>()
   #opening = 0
@@ -43,16 +53,16 @@
 
   /**
    * Takes an idle session or opens one.
+   * @param wish - whose statement is to run, and what it has set
    * @param timeoutMs - how long a login may take
    * @returns the session, or undefined where the server takes none or the budget is used up
    */
-  async acquire (timeoutMs: number): Promise<ServerSession | undefined> {
-    for (let session = this.#idle.pop(); session !== undefined; session = this.#idle.pop()) {
-      if (session.usable()) return this.#taken(session)
-      this.#open.delete(session)
-    }
-    if (this.#closed || this.#open.size + this.#opening >= this.#spec.budget) return undefined
-    return await this.#openOne(timeoutMs)
+  async acquire (wish: SessionWish, timeoutMs: number): Promise<ServerSession | undefined> {
+    const idle = this.#takeIdle(wish)
+    if (idle !== undefined) return this.#taken(idle)
+    if (this.#closed) return undefined
+    if (this.#open.size + this.#opening >= this.#spec.budget && !this.#makeRoom()) return undefined
+    return await this.#openOne(wish.account, timeoutMs)
   }
 
   /**
@@ -60,11 +70,12 @@
    * @param session - a session outside any transaction
    */
   release (session: ServerSession): void {
-    if (!session.usable() || this.#closed) {
+    const account = this.#accounts.get(session)
+    if (!session.usable() || this.#closed || account === undefined) {
       this.discard(session)
       return
     }
-    this.#idle.push(session as DatabaseSession)
+    this.#idle.push({ session: session as DatabaseSession, account })
   }
 
   /**
@@ -73,6 +84,7 @@
    */
   discard (session: ServerSession): void {
     const isNew = this.#open.delete(session)
+    this.#accounts.delete(session)
     const number = isNew ? (session as DatabaseSession).number() : undefined
     const wasLost = !session.usable()
     session.close()
@@ -81,7 +93,7 @@
 
   /** Closes the idle sessions; the next statements open fresh ones. */
   retireIdle (): void {
-    for (const session of this.#idle.splice(0)) this.discard(session)
+    for (const { session } of this.#idle.splice(0)) this.discard(session)
   }
 
   /**
@@ -90,7 +102,7 @@
    */
   giveUpStuck (beforeMs: number): void {
     for (const [session, takenAtMs] of this.#open) {
-      if (takenAtMs <= beforeMs && !this.#idle.includes(session as DatabaseSession)) session.close()
+      if (takenAtMs <= beforeMs && !this.#idle.some(idle => idle.session === session)) session.close()
     }
   }
 
@@ -99,6 +111,7 @@
     this.retireIdle()
     for (const session of this.#open.keys()) session.close()
     this.#open.clear()
+    this.#accounts.clear()
   }
 
   /** Closes the idle sessions; sessions in use are closed when they come back. */
@@ -107,6 +120,34 @@
     this.retireIdle()
   }
 
+  #takeIdle (wish: SessionWish): DatabaseSession | undefined {
+    this.#dropUnusable()
+    const isShared = this.#context.ports.driver.sharing === 'allAccounts'
+    const fitting = this.#idle.filter(({ account }) => isShared || account === wish.account)
+    const nearest = fitting.reduceRight<{ readonly idle: IdleSession, readonly steps: number } | undefined>((best, idle) => {
+      const steps = distance(idle.session.context(), wish.values)
+      return best !== undefined && best.steps <= steps ? best : { idle, steps }
+    }, undefined)
+    if (nearest === undefined) return undefined
+    this.#idle.splice(this.#idle.indexOf(nearest.idle), 1)
+    return nearest.idle.session
+  }
+
+  #dropUnusable (): void {
+    const unusable = this.#idle.filter(({ session }) => !session.usable())
+    for (const idle of unusable) {
+      this.#idle.splice(this.#idle.indexOf(idle), 1)
+      this.discard(idle.session)
+    }
+  }
+
+  #makeRoom (): boolean {
+    const oldest = this.#idle.shift()
+    if (oldest === undefined) return false
+    this.discard(oldest.session)
+    return true
+  }
+
   #taken (session: DatabaseSession): ServerSession {
     this.#open.set(session, this.#context.timers.nowMs())
     return session
@@ -114,9 +155,9 @@
 
   // A session whose connection was lost may live on at the server and hold locks.
   async #kill (number: number): Promise<void> {
-    const { settings, timers } = this.#context
+    const { settings, timers, ports } = this.#context
     for (let attempt = 0; attempt < killAttempts; attempt++) {
-      const session = await openSession(this.#spec.address, settings.databaseLogin, timers, settings.limits.connectTimeoutMs).catch(() => undefined)
+      const session = await ports.driver.openSession({ ...this.#spec, account: undefined }, timers, settings.limits.connectTimeoutMs).catch(() => undefined)
       const result = await session?.kill(number, settings.limits.connectTimeoutMs)
       session?.close()
       // An unknown number is refused: the session has ended by itself.
@@ -125,11 +166,12 @@
     }
   }
 
-  async #openOne (timeoutMs: number): Promise<ServerSession | undefined> {
-    const { settings, timers } = this.#context
+  async #openOne (account: AccountName, timeoutMs: number): Promise<ServerSession | undefined> {
+    const { settings, timers, ports } = this.#context
     this.#opening += 1
     try {
-      const session = await openSession(this.#spec.address, settings.databaseLogin, timers, Math.min(timeoutMs, settings.limits.connectTimeoutMs))
+      const session = await ports.driver.openSession({ ...this.#spec, account }, timers, Math.min(timeoutMs, settings.limits.connectTimeoutMs))
+      this.#accounts.set(session, account)
       return this.#taken(session)
     } catch (error) {
       this.#spec.onFailure(asWireError(error).failure)
--- a/src/daemon/stop.ts
+++ b/src/daemon/stop.ts
@@ -17,23 +17,25 @@
  * @param callers - its callers
  */
 export async function stopParts (parts: Parts, callers: Callers): Promise<void> {
-  const { context, members, limits, databases, configuration, links, platform, reports } = parts
+  const { context, duty, discovery, registry, members, limits, databases, configuration, links, store, reports } = parts
   const { timers, settings } = context
   const startedAtMs = timers.nowMs()
   const leftMs = (): number => Math.max(1, settings.stop.graceMs - (timers.nowMs() - startedAtMs))
   reports.event('stopping', { host: settings.host.name, callers: callers.count() })
   members.tell({ kind: 'stopping', nowMs: timers.nowMs() })
   await withTimeout(timers, leftMs(), callers.drain())
+  await duty?.leave()
   databases.leave()
   await tellMembers(parts)
   while (!isQuiet(parts) && leftMs() > 1) await sleep(timers, drainPollMs)
   limits.leave()
+  await registry?.leave()
   if (callers.count() > 0) reports.event('stopOverdue', { host: settings.host.name, callers: callers.count() })
   callers.close()
   await reports.stop()
-  await Promise.all([databases.stop(), limits.stop(), members.stop(), configuration.stop()])
+  await Promise.all([databases.stop(), limits.stop(), members.stop(), configuration.stop(), duty?.stop(), discovery?.stop()])
   links.close()
-  platform.close()
+  store.close()
   reports.event('stopped', { host: settings.host.name })
   timers.stop()
 }
--- a/src/daemon/transactions.ts
+++ b/src/daemon/transactions.ts
@@ -1,12 +1,12 @@
 // The open transactions of one server: each keeps its session to itself. One
 // that nobody uses any more is rolled back by closing its session.
 
-import type { HomeTransaction, ServerSession, TransactionTable } from '../home/index.js'
-import type { HostName } from '../model/index.js'
+import type { HomeTransaction, ServerSession, TransactionOwner, TransactionTable } from '../home/index.js'
+import type { Access, HostName } from '../model/index.js'
 import type { DaemonContext } from './context.js'
 
-/** A transaction without a statement for this time is rolled back. */
-const idleTransactionMs = 10_000
+/** A transaction without a statement for this time is rolled back, where the manifest sets no other. */
+const defaultIdleMs = 10_000
 /** Part of all open transactions on a server that one account may hold. */
 const accountShareOfTransactions = 0.5
 const sweepMs = 500
@@ -20,6 +20,7 @@
   readonly #discard: (session: ServerSession) => void
   readonly #held = new Map<string, HeldTransaction>()
   readonly #cancel: () => void
+  #idleMs = defaultIdleMs
   #nextId = 1
 
   /**
@@ -45,16 +46,16 @@
 
   /**
    * Keeps a session for a transaction.
-   * @param account - whose it is
-   * @param from - the host that the caller is connected to
+   * @param owner - whose it is
+   * @param access - whether it may write
    * @param session - the session, after BEGIN
    * @returns the id, or undefined where too many are open
    */
-  open (account: string, from: HostName, session: ServerSession): string | undefined {
+  open ({ account, from }: TransactionOwner, access: Access, session: ServerSession): string | undefined {
     if (this.#held.size >= this.#capacity || this.#heldBy(account) >= this.#capacity * accountShareOfTransactions) return undefined
     const id = `${this.#context.incarnation}.${this.#nextId}`
     this.#nextId += 1
-    this.#held.set(id, { id, account, from, session, usedAtMs: this.#context.timers.nowMs(), busy: false })
+    this.#held.set(id, { id, account, from, access, session, usedAtMs: this.#context.timers.nowMs(), busy: false })
     return id
   }
 
@@ -87,6 +88,14 @@
     this.#held.delete(transaction.id)
   }
 
+  /**
+   * Sets how long a transaction may rest.
+   * @param idleMs - the time; undefined for the default
+   */
+  restAtMost (idleMs: number | undefined): void {
+    this.#idleMs = idleMs ?? defaultIdleMs
+  }
+
   /** Rolls all back. */
   stop (): void {
     this.#cancel()
@@ -112,7 +121,7 @@
 
   #sweep (nowMs: number): void {
     for (const held of this.#held.values()) {
-      if (held.busy || nowMs - held.usedAtMs < idleTransactionMs) continue
+      if (held.busy || nowMs - held.usedAtMs < this.#idleMs) continue
       this.#held.delete(held.id)
       this.#discard(held.session)
     }
--- /dev/null
+++ b/src/duty/index.ts
@@ -0,0 +1,3 @@
+// Duties that one host at a time may carry.
+
+export * from './lease.js'
--- a/src/failover/failover.ts
+++ b/src/failover/failover.ts
@@ -53,7 +53,7 @@
 function observe (state: FailoverState, status: ServerStatus, nowMs: number): FailoverState {
   return {
     ...state,
-    group: learnStatus(state.group, status, nowMs),
+    group: learnStatus(state.group, status, nowMs, state.settings.appointment === 'byDuty' ? 'passing' : 'lasting'),
     health: signOfLife(state.health, status.server, nowMs)
   }
 }
@@ -126,7 +126,7 @@
 }
 
 function propose (state: FailoverState, cause: Cause, nowMs: number): Next {
-  const term = Math.max(state.group.highestTerm, state.lastProposedTerm) + 1
+  const term = nextTerm(state)
   const proposing = { ...state, lastProposedTerm: term, troubleSinceMs: undefined }
   const { primary } = primaryView(state.group)
   if (cause !== 'leaving' || primary === undefined) return startFencing(proposing, term, nowMs)
@@ -140,6 +140,17 @@
   }
 }
 
+function nextTerm (state: FailoverState): number {
+  const { group, lastProposedTerm } = state
+  switch (state.settings.appointment) {
+    case 'byServers': return Math.max(group.highestTerm, lastProposedTerm) + 1
+    case 'byDuty': {
+      const logTerms = Object.values(group.known).map(({ status }) => status.received.term)
+      return Math.max(group.leadership?.term ?? 0, ...logTerms) + 1
+    }
+  }
+}
+
 function startFencing (state: FailoverState, term: number, nowMs: number): Next {
   const proposal: Fencing = { kind: 'fencing', term, accepted: {}, refused: [], startedAtMs: nowMs, sentAtMs: nowMs, majorityAtMs: undefined }
   return { state: { ...state, proposal }, effects: fences(state, term, state.group.servers) }
--- a/src/failover/follow.ts
+++ b/src/failover/follow.ts
@@ -38,7 +38,7 @@
   const known = state.group.known[server]
   if (known === undefined || deadBy(state.health, server, state.settings) !== undefined) return false
   const { fencedTerm, received, role } = known.status
-  if (fencedTerm > term) return false
+  if (fencedTerm > term) return state.settings.appointment === 'byDuty'
   if (fencedTerm < term || received.term < term || role === 'primary') return true
   return stalled(state, known, state.group.known[primary], nowMs)
 }
--- a/src/failover/group-view.ts
+++ b/src/failover/group-view.ts
@@ -68,12 +68,13 @@
  * @param view - what was known
  * @param status - what a server said; unknown servers are passed over
  * @param nowMs - monotonic time
+ * @param fences - whether a fence lasts, or may be lifted or forgotten
  * @returns what is known now
  */
-export function learnStatus (view: GroupView, status: ServerStatus, nowMs: number): GroupView {
+export function learnStatus (view: GroupView, status: ServerStatus, nowMs: number, fences: 'lasting' | 'passing' = 'lasting'): GroupView {
   if (!view.servers.includes(status.server)) return view
   const before = view.known[status.server]
-  if (before !== undefined && status.fencedTerm < before.status.fencedTerm) return view
+  if (fences === 'lasting' && before !== undefined && status.fencedTerm < before.status.fencedTerm) return view
   const moved = before === undefined || comparePositions(before.status.received, status.received) !== 0
   const known = { status, learnedAtMs: nowMs, movedAtMs: moved ? nowMs : before.movedAtMs }
   const rises = status.fencedTerm > view.highestTerm
--- a/src/failover/judge.ts
+++ b/src/failover/judge.ts
@@ -18,7 +18,7 @@
   if (view.primary === undefined) return everyServerHeard(state) ? 'noPrimary' : undefined
   if (primaryDead(state, view.primary, view.term, nowMs)) return 'dead'
   if (steppedDown(state.group.known[view.primary], view.term)) return 'demoted'
-  if (fencedAbove(state.group, view.term).length > 0) return 'stranded'
+  if (state.settings.appointment === 'byServers' && fencedAbove(state.group, view.term).length > 0) return 'stranded'
   if (!state.active.includes(view.primary) && successorReachable(state, nowMs)) return 'leaving'
   return undefined
 }
@@ -66,6 +66,7 @@
 
 // A term above that of the last primary: another home may be about to promote.
 function rivalUnderWay (state: FailoverState): boolean {
+  if (state.settings.appointment === 'byDuty') return false
   const { highestTerm, leadership } = state.group
   return highestTerm > (leadership?.term ?? 0)
 }
--- a/src/failover/settings.ts
+++ b/src/failover/settings.ts
@@ -1,8 +1,18 @@
 // Settings of failover. The defaults aim at a gap in service well under a
 // second; every time is in milliseconds of the home's monotonic clock.
 
+/**
+ * Who orders promotions, and what a fence is worth then.
+ * `byServers`: a fence is conditional on the term, lasts, and only the proposer
+ * that fenced a majority can promote. `byDuty`: one host holds the duty, so no
+ * rival is feared; a fence pauses a replica until it is told to go on or
+ * restarts, and the term is the one after that of the log.
+ */
+export type AppointmentKind = 'byServers' | 'byDuty'
+
 /** Settings of failover. */
 export type FailoverSettings = {
+  readonly appointment: AppointmentKind
   /** A server that gave no sign of life for this time is probed. */
   readonly probeEveryMs: number
   /** A probe without an answer for this time is overdue. */
@@ -39,6 +49,7 @@
 
 /** Settings that keep the gap in service under a second. */
 export const defaultFailoverSettings: FailoverSettings = {
+  appointment: 'byServers',
   probeEveryMs: 100,
   probeTimeoutMs: 250,
   refusedUntilDead: 2,
@@ -56,3 +67,13 @@
   followEveryMs: 400,
   ownPauseMs: 400
 }
+
+/** Settings for a platform that promotes on the order of the duty's holder, some hundred milliseconds after the order. */
+export const dutyFailoverSettings: FailoverSettings = {
+  ...defaultFailoverSettings,
+  appointment: 'byDuty',
+  probeEveryMs: 500,
+  settleMs: 0,
+  stepTimeoutMs: 1500,
+  resendEveryMs: 600
+}
--- a/src/home/message.ts
+++ b/src/home/message.ts
@@ -1,6 +1,6 @@
 // Messages of the home's pipe, and what it asks of the tasks around it.
 
-import type { ExecuteReply, ExecuteRequest, HostName, NotRunReason, Outcome, Position, PrimaryView } from '../model/index.js'
+import type { Access, ExecuteReply, ExecuteRequest, HostName, NotRunReason, Outcome, Position, PrimaryView } from '../model/index.js'
 import type { ServerSession, SessionPool } from './server-session.js'
 
 /** A statement that came to the home of a server. */
@@ -11,12 +11,14 @@
 
 /** Whether the server may run a statement now. */
 export type ServerCheck =
-  | { readonly kind: 'may', readonly role: 'primary' | 'replica' }
+  /** `floor` goes to the server where it checks floors itself. */
+  | { readonly kind: 'may', readonly role: 'primary' | 'replica', readonly floor: Position | undefined }
   | { readonly kind: 'mayNot', readonly reason: NotRunReason, readonly detail: string, readonly newest?: Position | undefined }
 
 /** A statement that the server may run, as far as its home knows. */
 export type CheckedRequest = HomeRequest & {
   readonly role: 'primary' | 'replica'
+  readonly floor: Position | undefined
 }
 
 /** What ran, before a majority has confirmed it. */
@@ -39,12 +41,17 @@
   /** The host that the caller is connected to. */
   readonly from: HostName
   readonly session: ServerSession
+  /** Whether it may write. */
+  readonly access: Access
 }
 
+/** Whose transaction it is. */
+export type TransactionOwner = Pick<ExecuteRequest, 'account' | 'from'>
+
 /** The open transactions of one server. */
 export type TransactionTable = {
   /** Keeps a session for a transaction; undefined where too many are open. */
-  readonly open: (account: string, from: HostName, session: ServerSession) => string | undefined
+  readonly open: (owner: TransactionOwner, access: Access, session: ServerSession) => string | undefined
   /** Takes a transaction out while a statement of it runs; undefined where it is unknown or busy. */
   readonly take: (id: string, account: string) => HomeTransaction | undefined
   readonly putBack: (transaction: HomeTransaction) => void
--- a/src/home/pipe.ts
+++ b/src/home/pipe.ts
@@ -19,7 +19,7 @@
   return async message => {
     const verdict = await services.check(message)
     switch (verdict.kind) {
-      case 'may': return next({ ...message, role: verdict.role })
+      case 'may': return next({ ...message, role: verdict.role, floor: verdict.floor })
       case 'mayNot': return end({ outcome: notRun(verdict.reason, verdict.detail), transaction: undefined, newest: verdict.newest })
     }
   }
--- a/src/members/index.ts
+++ b/src/members/index.ts
@@ -2,3 +2,4 @@
 
 export * from './rendezvous.js'
 export * from './membership.js'
+export * from './registry.js'
--- a/src/model/database.ts
+++ b/src/model/database.ts
@@ -1,6 +1,7 @@
 // What is known of database servers.
 
 import type { DatabaseName, ServerName } from './ids.js'
+import type { ServerDeclaration } from './manifest.js'
 import type { Position } from './position.js'
 
 /** What a server says of itself. Received and applied differ by its lag. */
@@ -13,6 +14,13 @@
   readonly proposer: string
   readonly received: Position
   readonly applied: Position
+  /** How far the server says that it is behind in time; undefined where it does not tell. */
+  readonly lagMs?: number | undefined
+}
+
+/** A server that registered itself. */
+export type FoundServer = Omit<ServerDeclaration, 'maxConnections'> & {
+  readonly database: DatabaseName
 }
 
 /** Which server leads a database, as far as somebody knows. */
--- a/src/model/manifest.ts
+++ b/src/model/manifest.ts
@@ -35,20 +35,45 @@
 /** One database: a group of servers that replicate one log. */
 export type DatabaseDeclaration = {
   readonly name: DatabaseName
+  /** Empty where servers register themselves. */
   readonly servers: readonly ServerDeclaration[]
+  /** Bound of each server that registers itself. */
+  readonly maxConnections?: number | undefined
   readonly state: 'active' | 'leaving'
 }
 
 /** Who may use a route. */
 export type RouteAccess =
   | { readonly kind: 'open' }
+  | { readonly kind: 'anyAccount' }
   | { readonly kind: 'accounts', readonly accounts: readonly AccountName[] }
 
+/** What reads of a route have to cover. */
+export type RouteFreshness =
+  /** Every write acknowledged before the read came in. */
+  | { readonly kind: 'newest' }
+  | { readonly kind: 'age', readonly maxAgeMs: number }
+  /** The session's own writes, and all writes older than the age. */
+  | { readonly kind: 'ownWrites', readonly maxAgeMs: number }
+
+/** How statements of a route are treated. */
+export type RoutePolicy = {
+  readonly freshness: RouteFreshness
+  /** Longest time of one statement. */
+  readonly timeoutMs: number
+  /** Time in which a whole request should be answered. */
+  readonly goalMs: number
+  /** 0 is the most important. */
+  readonly priority: number
+}
+
 /** One route: the schema name that a caller asks for. */
 export type RouteDeclaration = {
   readonly name: RouteName
   readonly database: DatabaseName
   readonly access: RouteAccess
+  /** Undefined: the host's own deadline, and the read level that the caller asks for. */
+  readonly policy?: RoutePolicy | undefined
 }
 
 /** Everything that operators declare. */
@@ -60,6 +85,8 @@
   readonly anonymous: { readonly ratePerS: number, readonly burst: number }
   /** Seats among which every rate and burst is divided; at least one a host. */
   readonly seats: number
+  /** A transaction that is idle for this time is rolled back; undefined: the host's own bound. */
+  readonly idleTransactionMs?: number | undefined
 }
 
 /** A manifest under the generation that it was accepted with. */
--- a/src/model/outcome.ts
+++ b/src/model/outcome.ts
@@ -1,4 +1,4 @@
-// What became of a request. Exactly one of four things is said to the caller,
+// What became of a request. Exactly one of these is said to the caller,
 // and each is true: `notRun` is said only where no server can have run it.
 
 import type { Position } from './position.js'
@@ -20,6 +20,8 @@
 export type Answer =
   | { readonly kind: 'rows', readonly columns: readonly Column[], readonly rows: ReadonlyArray<readonly Cell[]> }
   | { readonly kind: 'done', readonly affectedRows: number, readonly insertId: number }
+  /** Rows in the server's own form, with the server's proof that it ran the statement. */
+  | { readonly kind: 'signed', readonly rows: readonly string[], readonly signature: string }
 
 /** Why a request surely did not run. */
 export type NotRunReason =
@@ -42,6 +44,9 @@
   | 'wrongHome'
   | 'behind'
   | 'transactionLost'
+  | 'transactionFailed'
+  | 'serverBusy'
+  | 'preparedUnknown'
 
 /** Why nobody can tell whether a request ran. */
 export type UnknownReason =
@@ -53,6 +58,8 @@
 export type Outcome =
   | { readonly kind: 'answered', readonly answer: Answer, readonly position: Position | undefined, readonly servedBy: 'primary' | 'replica' | 'proxy' }
   | { readonly kind: 'refused', readonly errorNumber: number, readonly sqlState: string, readonly message: string }
+  /** The server ran the statement and reports a failure; what it did is not known. */
+  | { readonly kind: 'failed', readonly detail: string }
   | { readonly kind: 'notRun', readonly reason: NotRunReason, readonly detail: string }
   | { readonly kind: 'unknown', readonly reason: UnknownReason, readonly detail: string }
 
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -5,7 +5,8 @@
 import type { AcceptedManifest } from './manifest.js'
 import type { Outcome } from './outcome.js'
 import type { Position } from './position.js'
-import type { PrimaryView } from './database.js'
+import type { Access, ServerStatement, SessionValues } from './statement.js'
+import type { FoundServer, PrimaryView } from './database.js'
 
 /** What a read has to cover. */
 export type Freshness =
@@ -13,12 +14,14 @@
   /** Every write acknowledged before the home took the read. */
   | { readonly kind: 'newest' }
   | { readonly kind: 'age', readonly maxAgeMs: number }
+  /** The position, and every write acknowledged longer ago than the age. */
+  | { readonly kind: 'floorAndAge', readonly position: Position, readonly maxAgeMs: number }
 
 /** How a statement runs on a server. */
 export type ExecutionMode =
   | { readonly kind: 'read', readonly freshness: Freshness }
   | { readonly kind: 'write', readonly requestId: string | undefined }
-  | { readonly kind: 'begin', readonly requestId: string | undefined }
+  | { readonly kind: 'begin', readonly requestId: string | undefined, readonly access: Access, readonly freshness: Freshness }
   | { readonly kind: 'inTransaction', readonly transaction: string }
   | { readonly kind: 'commit', readonly transaction: string }
   | { readonly kind: 'rollback', readonly transaction: string }
@@ -31,7 +34,9 @@
   readonly server: ServerName
   readonly account: AccountName
   readonly weight: number
-  readonly sql: string
+  readonly statement: ServerStatement
+  /** What the caller has set for its session. */
+  readonly values: SessionValues
   readonly mode: ExecutionMode
   /** Time left until the deadline; durations cross hosts, clock times do not. */
   readonly remainingMs: number
@@ -59,6 +64,8 @@
   readonly generation: Generation
   /** How long ago the store confirmed that generation; undefined: never. */
   readonly storeConfirmedAgoMs: number | undefined
+  /** Whether it holds the lease of the promotion duty. */
+  readonly holdsDuty?: boolean
   /** What observers in a large fleet saw of others; small fleets send none. */
   readonly rumours?: readonly MemberRumour[]
 }
@@ -119,6 +126,12 @@
   readonly agoMs: number
 }
 
+/** The servers that were found, and how long ago the store listed them. */
+export type ServerList = {
+  readonly servers: readonly FoundServer[]
+  readonly agoMs: number
+}
+
 /** Parameters and results of each method. */
 export type PeerMethods = {
   readonly execute: { readonly params: ExecuteRequest, readonly result: ExecuteReply }
@@ -128,6 +141,10 @@
   readonly borrow: { readonly params: { readonly from: HostName, readonly incarnation: string, readonly request: BorrowRequest }, readonly result: { readonly grant: ShareGrant | undefined } }
   /** The platform's host list as the asked host has it; undefined: none yet. */
   readonly listHosts: { readonly params: Readonly<Record<string, never>>, readonly result: { readonly list: HostList | undefined } }
+  /** Tells who leads a database, right after a change. */
+  readonly primaryChanged: { readonly params: { readonly view: PrimaryView }, readonly result: { readonly accepted: boolean } }
+  /** The servers that the asked host has found; undefined: none yet. */
+  readonly listServers: { readonly params: Readonly<Record<string, never>>, readonly result: { readonly list: ServerList | undefined } }
   readonly report: { readonly params: { readonly report: HostReport }, readonly result: { readonly accepted: boolean } }
 }
 
--- a/src/pipe/timer.ts
+++ b/src/pipe/timer.ts
@@ -1,6 +1,9 @@
 // The timer service. Parts subscribe and are told the time in a message; no
-// part reads a clock of its own. Times are monotonic milliseconds, so they go
-// on while a process is paused and never jump with the wall clock.
+// part reads a clock of its own. Times are monotonic milliseconds that go on
+// while a process is paused, and also while its host is suspended: the steady
+// clock stands still then, the time of day does not, so the larger advance of
+// the two counts. A time of day that is set back changes nothing; one that is
+// set forward makes leases and confirmations lapse early.
 
 import type { Port } from './mailbox.js'
 
@@ -25,13 +28,38 @@
   readonly stop: () => void
 }
 
+/** A larger advance of the time of day over the steady clock means that the host was suspended or its clock was set. */
+const suspendedMs = 100
+
+/**
+ * Makes a clock that never goes back and does not stand still while the host is suspended.
+ * @param steadyMs - the steady clock
+ * @param timeOfDayMs - the time of day
+ * @returns gives milliseconds
+ */
+export function elapsedClock (steadyMs: () => number, timeOfDayMs: () => number): () => number {
+  let lastSteadyMs = steadyMs()
+  let lastTimeOfDayMs = timeOfDayMs()
+  let skippedMs = 0
+  return () => {
+    const nowSteadyMs = steadyMs()
+    const nowTimeOfDayMs = timeOfDayMs()
+    const steadyAdvanceMs = nowSteadyMs - lastSteadyMs
+    const advanceMs = nowTimeOfDayMs - lastTimeOfDayMs
+    if (advanceMs - steadyAdvanceMs > suspendedMs) skippedMs += advanceMs - steadyAdvanceMs
+    lastSteadyMs = nowSteadyMs
+    lastTimeOfDayMs = nowTimeOfDayMs
+    return nowSteadyMs + skippedMs
+  }
+}
+
 /**
  * The timer service of a real process.
  * @returns the service; its timers keep no process alive
  */
 export function systemTimers (): TimerService {
   const live = new Set<NodeJS.Timeout>()
-  const nowMs = (): number => performance.now()
+  const nowMs = elapsedClock(() => performance.now(), () => Date.now())
   const cancel = (timer: NodeJS.Timeout): Unsubscribe => () => {
     clearTimeout(timer)
     live.delete(timer)
--- a/src/wire/errors.ts
+++ b/src/ports/errors.ts
@@ -32,3 +32,12 @@
 export function asError (thrown: unknown): Error {
   return thrown instanceof Error ? thrown : new Error(String(thrown))
 }
+
+/**
+ * Turns whatever was thrown into a `WireError`.
+ * @param thrown - what was thrown
+ * @returns the error
+ */
+export function asWireError (thrown: unknown): WireError {
+  return thrown instanceof WireError ? thrown : new WireError('lost', 'unexpected failure', asError(thrown))
+}
--- a/src/wire/platform-update.ts
+++ b/src/ports/store-update.ts
@@ -1,10 +1,10 @@
-// Conditional updates of objects in the platform's store. An answer can be
+// Conditional updates of objects in the store. An answer can be
 // lost after the write took effect, so every attempt carries an id of its own
 // inside the value, and a later read tells which attempt took effect.
 
 import { z } from 'zod'
 import { sleep, type TimerService } from '../pipe/index.js'
-import { PlatformError, type PlatformClient, type StoredObject } from './platform-client.js'
+import { StoreError, type ObjectStore, type StoredObject } from './store.js'
 
 /** What an update is made of. */
 export type UpdateSpec<V extends object> = {
@@ -44,9 +44,9 @@
  * @param client - the platform
  * @param sources - time, random numbers and ids
  * @param spec - the object and its change
- * @returns what took effect; rejects with a `PlatformError` where the deadline passed, which leaves open whether the last attempt takes effect
+ * @returns what took effect; rejects with a `StoreError` where the deadline passed, which leaves open whether the last attempt takes effect
  */
-export async function updateObject<V extends object> (client: PlatformClient, sources: UpdateSources, spec: UpdateSpec<V>): Promise<UpdateResult<V>> {
+export async function updateObject<V extends object> (client: ObjectStore, sources: UpdateSources, spec: UpdateSpec<V>): Promise<UpdateResult<V>> {
   const deadlineAtMs = sources.timers.nowMs() + spec.deadlineMs
   let attempts: Attempts<V> = new Map()
   for (let failures = 0; ; failures += 1) {
@@ -64,10 +64,10 @@
 
 type AttemptResult<V> =
   | { readonly kind: 'settled', readonly result: UpdateResult<V> }
-  | { readonly kind: 'failed', readonly error: PlatformError, readonly attempts: Attempts<V> }
+  | { readonly kind: 'failed', readonly error: StoreError, readonly attempts: Attempts<V> }
 
 async function attempt<V extends object> (
-  client: PlatformClient,
+  client: ObjectStore,
   sources: UpdateSources,
   spec: UpdateSpec<V>,
   earlier: Attempts<V>
@@ -90,13 +90,13 @@
 
 type Reached<T> =
   | { readonly kind: 'reached', readonly value: T }
-  | { readonly kind: 'failed', readonly error: PlatformError }
+  | { readonly kind: 'failed', readonly error: StoreError }
 
 async function reach<T> (call: Promise<T>): Promise<Reached<T>> {
   try {
     return { kind: 'reached', value: await call }
   } catch (error) {
-    if (error instanceof PlatformError) return { kind: 'failed', error }
+    if (error instanceof StoreError) return { kind: 'failed', error }
     throw error
   }
 }
--- a/src/report/events.ts
+++ b/src/report/events.ts
@@ -16,7 +16,7 @@
 
 /** All events by name. */
 export const eventCatalogue = {
-  started: entry(1001, 'info', 'The process listens for callers and for other proxies.', ['host', 'mysqlPort', 'peerPort']),
+  started: entry(1001, 'info', 'The process listens for callers and for other proxies.', ['host', 'callerPort', 'peerPort']),
   stopping: entry(1002, 'info', 'The process was told to stop; it takes no new callers and finishes running work.', ['host', 'callers']),
   stopped: entry(1003, 'info', 'The process has finished its work and ends.', ['host']),
   stopOverdue: entry(1004, 'warn', 'The grace time ended before all work was finished; the rest is cut off. Raise stop.grace_ms.', ['host', 'callers']),
@@ -28,7 +28,12 @@
   loginRefused: entry(3001, 'warn', 'A caller was refused at its login.', ['account', 'reason']),
   primaryChanged: entry(4001, 'warn', 'A database has another primary, or none that is known.', ['database', 'term', 'primary']),
   serverConnectionFailed: entry(4002, 'warn', 'A connection to a database server failed.', ['server', 'failure']),
+  promotionOrdered: entry(4003, 'warn', 'This host ordered the platform to promote a server; a refused order was not carried out, an unknown one may be.', ['database', 'server', 'token', 'result']),
+  serversChanged: entry(4004, 'info', 'The list of registered servers has changed.', ['servers']),
   membersChanged: entry(5001, 'info', 'The set of hosts that answer has changed.', ['live', 'listed']),
+  hostForgotten: entry(5002, 'info', 'The entry of a host that was silent for long was removed from the registry.', ['forgotten']),
+  dutyTaken: entry(5003, 'info', 'This host holds the lease of the promotion duty.', ['token']),
+  dutyLost: entry(5004, 'warn', 'This host no longer holds the lease of the promotion duty.', ['token']),
   storeUnreachable: entry(6001, 'warn', 'A call of the platform store failed; it is tried again.', ['what'])
 } as const satisfies Readonly<Record<string, EventEntry>>
 
--- a/src/report/metrics.ts
+++ b/src/report/metrics.ts
@@ -68,6 +68,7 @@
   switch (outcome.kind) {
     case 'answered':
     case 'refused':
+    case 'failed':
     case 'unknown': return outcome.kind
     case 'notRun': return outcome.reason
   }
--- a/src/request/age.ts
+++ b/src/request/age.ts
@@ -117,3 +117,14 @@
   const ageMs = ageOf(record, applied, nowMs)
   return ageMs !== undefined && ageMs <= maxAgeMs
 }
+
+/**
+ * Finds the lowest position that a read of a stated age has to cover.
+ * @param record - what is known
+ * @param maxAgeMs - the age that the caller accepts
+ * @param nowMs - monotonic time
+ * @returns the position of the oldest mark within the age, undefined where none is
+ */
+export function oldestMark (record: AgeRecord, maxAgeMs: number, nowMs: number): Position | undefined {
+  return record.marks.findLast(mark => nowMs - mark.askedAtMs <= maxAgeMs)?.position
+}
--- a/src/request/authorize.ts
+++ b/src/request/authorize.ts
@@ -20,12 +20,13 @@
     if (!confirmed && session.caller.kind === 'account') {
       return end(served(message, notRun('unconfirmedConfiguration', 'this host has not confirmed its configuration lately')))
     }
-    const use = mayUse(manifest, session.caller, session.route, session.transaction === undefined ? 'new' : 'continued')
+    const use = mayUse(manifest, session.caller, session.route, session.transaction?.route)
     if (use.kind === 'refused') return end(served(message, refusal(use)))
-    const database = databaseOf(manifest, use.database)
+    const { route } = use
+    const database = databaseOf(manifest, route.database)
     if (database === undefined) return end(served(message, notRun('routeUnknown', 'the route has no database')))
     const account = session.caller.kind === 'account' ? accountOf(manifest, session.caller.account) : undefined
-    return next({ ...message, database, account })
+    return next({ ...message, route, database, account })
   }
 }
 
--- /dev/null
+++ b/src/request/check.ts
@@ -0,0 +1,72 @@
+// Filter: refuses what cannot be served, finds what a prepared statement runs
+// and sets the deadline of the statement.
+
+import { notRun, type ClassifiedStatement, type ServerStatement, type StatementClass } from '../model/index.js'
+import { end, next, type Filter } from '../pipe/index.js'
+import { served, type Authorized, type Classified, type Served } from './message.js'
+import type { RequestBounds } from './services.js'
+import type { SessionState } from './session.js'
+
+/**
+ * Makes the filter.
+ * @param bounds - the deadlines
+ * @param holdsKey - tells a text that holds something shaped like a key
+ * @returns the filter
+ */
+export function checkStatement (bounds: RequestBounds, holdsKey: (text: string) => boolean): Filter<Authorized, Classified, Served> {
+  return message => {
+    const { statement, session } = message
+    if (holdsKey(statement.text)) return end(served(message, notRun('statementHoldsKey', 'the statement holds a key; no database may see one')))
+    if (session.transaction?.lost === true && !endsTransaction(statement.statementClass)) {
+      return end(served(message, notRun('transactionFailed', 'the transaction failed and is rolled back; end it first')))
+    }
+    const resolved = resolve(statement.statementClass, session)
+    switch (resolved.kind) {
+      case 'refused': return end(served(message, resolved.outcome))
+      case 'resolved': {
+        const classified: ClassifiedStatement = { ...statement, statementClass: resolved.statementClass, deadlineAtMs: statement.receivedAtMs + deadlineMs(message, bounds) }
+        return next({ ...message, statement: classified, prepared: resolved.prepared })
+      }
+    }
+  }
+}
+
+type Resolved =
+  | { readonly kind: 'resolved', readonly statementClass: StatementClass, readonly prepared: ServerStatement['prepared'] }
+  | { readonly kind: 'refused', readonly outcome: ReturnType<typeof notRun> }
+
+function resolve (statementClass: StatementClass, session: SessionState): Resolved {
+  switch (statementClass.kind) {
+    case 'unsupported': return { kind: 'refused', outcome: notRun('unsupported', `${statementClass.what} is not supported`) }
+    case 'malformed': return { kind: 'refused', outcome: notRun('hintMalformed', statementClass.detail) }
+    case 'executePrepared': return resolvePrepared(statementClass.name, statementClass.argument, session)
+    case 'read':
+    case 'write':
+    case 'define':
+    case 'begin':
+    case 'commit':
+    case 'rollback':
+    case 'readToken':
+    case 'setToken':
+    case 'setDefault':
+    case 'setValue':
+    case 'prepare':
+    case 'deallocate': return { kind: 'resolved', statementClass, prepared: undefined }
+  }
+}
+
+function resolvePrepared (name: string, argument: string, session: SessionState): Resolved {
+  const statement = session.prepared.get(name)
+  if (statement === undefined) return { kind: 'refused', outcome: notRun('preparedUnknown', 'the session has prepared nothing under this name') }
+  const statementClass: StatementClass = statement.access === 'read' ? { kind: 'read', level: { kind: 'route' } } : { kind: 'write' }
+  return { kind: 'resolved', statementClass, prepared: { statement, argument } }
+}
+
+function deadlineMs (message: Authorized, bounds: RequestBounds): number {
+  const byRoute = message.route.policy?.timeoutMs ?? bounds.defaultDeadlineMs
+  return Math.min(message.statement.hints.deadlineMs ?? byRoute, bounds.maxDeadlineMs)
+}
+
+function endsTransaction (statementClass: StatementClass): boolean {
+  return statementClass.kind === 'commit' || statementClass.kind === 'rollback'
+}
--- a/src/request/confirm.ts
+++ b/src/request/confirm.ts
@@ -47,6 +47,8 @@
 /** Writes that wait and what the servers of the database have received. */
 export type ConfirmState = {
   readonly servers: readonly ServerName[]
+  /** Whether a fence lasts; one that may be lifted makes no write hopeless. */
+  readonly fences: 'lasting' | 'passing'
   readonly receipts: Readonly<Record<ServerName, ServerReceipt>>
   readonly waiting: readonly WaitingWrite[]
 }
@@ -70,10 +72,11 @@
 /**
  * The state before any status came in.
  * @param servers - all servers of the database
+ * @param fences - whether a fence lasts
  * @returns the empty state
  */
-export function initialConfirm (servers: readonly ServerName[]): ConfirmState {
-  return { servers, receipts: {}, waiting: [] }
+export function initialConfirm (servers: readonly ServerName[], fences: ConfirmState['fences'] = 'lasting'): ConfirmState {
+  return { servers, fences, receipts: {}, waiting: [] }
 }
 
 /**
@@ -126,7 +129,7 @@
   const holders = state.servers.filter(server => holds(state.receipts[server], write.position))
   if (holders.length >= majority) return 'confirmed'
   const hopefuls = state.servers.filter(server =>
-    !holders.includes(server) && (state.receipts[server]?.fencedTerm ?? 0) <= write.position.term)
+    !holders.includes(server) && (state.fences === 'passing' || (state.receipts[server]?.fencedTerm ?? 0) <= write.position.term))
   const hopeless = holders.length + hopefuls.length < majority
   return hopeless || nowMs >= write.deadlineAtMs ? 'notConfirmed' : 'open'
 }
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -1,7 +1,7 @@
 // Last filter: runs the statement at the home of a server, again and again
 // where that is safe, until there is an answer or the deadline passes.
 
-import { anonymousAccount, notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecutionMode, type Freshness, type NotRunReason, type Outcome, type ServerName } from '../model/index.js'
+import { anonymousAccount, notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecutionMode, type Freshness, type NotRunReason, type Outcome, type ServerName, type StatementClass } from '../model/index.js'
 import { end, type Filter } from '../pipe/index.js'
 import type { Fresh, Served } from './message.js'
 import { judgeAttempt, outOfTime, type Attempt, type Repeatable } from './retry.js'
@@ -41,7 +41,7 @@
 }
 
 async function runAlone (services: Services, bounds: RequestBounds, message: Fresh): Promise<Served> {
-  const repeatable: Repeatable = message.statement.statementClass.kind === 'read' && !message.statement.hints.once ? 'yes' : 'no'
+  const repeatable: Repeatable = isHarmless(message.statement.statementClass) && !message.statement.hints.once ? 'yes' : 'no'
   let progress: Progress = { attempts: 0, avoid: new Set(), mayHaveRun: false, reason: 'deadlinePassed', freshness: message.freshness }
   for (;;) {
     if (services.nowMs() >= message.statement.deadlineAtMs) return giveUp(message, progress)
@@ -60,6 +60,11 @@
   }
 }
 
+// A transaction that began and was never used is rolled back by its home.
+function isHarmless (statementClass: StatementClass): boolean {
+  return statementClass.kind === 'read' || statementClass.kind === 'begin'
+}
+
 function giveUp (message: Fresh, progress: Progress): Served {
   return { outcome: outOfTime(progress.reason, progress.mayHaveRun), session: message.session }
 }
@@ -88,7 +93,8 @@
     server: route.server,
     account: accountName(message),
     weight: message.account?.weight ?? anonymousWeight,
-    sql: message.statement.sql,
+    statement: { id: message.statement.id, text: message.statement.text, prepared: message.prepared },
+    values: message.session.values,
     mode: route.mode,
     remainingMs: message.statement.deadlineAtMs - services.nowMs()
   })
@@ -128,7 +134,7 @@
   if (outcome.kind !== 'answered' || route.kind !== 'send' || attempt.kind !== 'replied') return { outcome, session: raised }
   const { transaction } = attempt.reply
   if (transaction === undefined) return { outcome, session: raised }
-  const open: OpenTransaction = { id: transaction, database: message.database.name, server: route.server, home: route.home, account: accountName(message), lost: false }
+  const open: OpenTransaction = { id: transaction, database: message.database.name, server: route.server, home: route.home, account: accountName(message), route: message.route, lost: false }
   return { outcome, session: { ...raised, transaction: open } }
 }
 
@@ -141,7 +147,7 @@
   const { statementClass } = message.statement
   if (transaction.lost) return afterLostTransaction(message, statementClass.kind)
   if (statementClass.kind === 'begin') return { outcome: notRun('unsupported', 'a transaction is open already'), session: message.session }
-  const mode = transactionMode(statementClass.kind, transaction)
+  const mode = transactionMode(statementClass, transaction)
   const route: Route = { kind: 'send', server: transaction.server, home: transaction.home, mode }
   const attempt = await attemptOn(services, bounds, message, route)
   return settleInTransaction(message, transaction, mode, attempt)
@@ -154,11 +160,23 @@
   return { outcome: { kind: 'answered', answer: { kind: 'done', affectedRows: 0, insertId: 0 }, position: undefined, servedBy: 'proxy' }, session }
 }
 
-function transactionMode (kind: string, transaction: OpenTransaction): ExecutionMode {
-  switch (kind) {
+function transactionMode (statementClass: StatementClass, transaction: OpenTransaction): ExecutionMode {
+  switch (statementClass.kind) {
     case 'commit': return { kind: 'commit', transaction: transaction.id }
     case 'rollback': return { kind: 'rollback', transaction: transaction.id }
-    default: return { kind: 'inTransaction', transaction: transaction.id }
+    case 'read':
+    case 'write':
+    case 'define':
+    case 'begin':
+    case 'readToken':
+    case 'setToken':
+    case 'setDefault':
+    case 'setValue':
+    case 'prepare':
+    case 'deallocate':
+    case 'executePrepared':
+    case 'malformed':
+    case 'unsupported': return { kind: 'inTransaction', transaction: transaction.id }
   }
 }
 
--- a/src/request/freshness.ts
+++ b/src/request/freshness.ts
@@ -4,7 +4,7 @@
 // before it. A caller that carries a token brings its floors along. A read of a
 // stated age has its age and nothing else to keep.
 
-import { originPosition, type Freshness } from '../model/index.js'
+import { originPosition, type Freshness, type Position, type RouteFreshness } from '../model/index.js'
 import { next, type Filter } from '../pipe/index.js'
 import type { Classified, Fresh, Served } from './message.js'
 
@@ -17,13 +17,27 @@
 }
 
 function freshnessOf (message: Classified): Freshness {
-  const { statement, session, database } = message
-  const floor: Freshness = { kind: 'floor', position: session.floors[database.name] ?? originPosition }
+  const { statement, session, database, route } = message
+  const position = session.floors[database.name] ?? originPosition
+  const floor: Freshness = { kind: 'floor', position }
   const { statementClass } = statement
+  if (statementClass.kind === 'begin') return route.policy === undefined ? floor : byRoute(route.policy.freshness, position)
   if (statementClass.kind !== 'read') return floor
   switch (statementClass.level.kind) {
     case 'age': return { kind: 'age', maxAgeMs: statementClass.level.maxAgeMs }
     case 'latest': return { kind: 'newest' }
-    case 'session': return session.hasToken ? floor : { kind: 'newest' }
+    case 'session':
+    case 'route': {
+      if (route.policy !== undefined) return byRoute(route.policy.freshness, position)
+      return session.hasToken ? floor : { kind: 'newest' }
+    }
+  }
+}
+
+function byRoute (freshness: RouteFreshness, position: Position): Freshness {
+  switch (freshness.kind) {
+    case 'newest': return { kind: 'newest' }
+    case 'age': return { kind: 'age', maxAgeMs: freshness.maxAgeMs }
+    case 'ownWrites': return { kind: 'floorAndAge', position, maxAgeMs: freshness.maxAgeMs }
   }
 }
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,10 +1,10 @@
-// The request pipe: authorize > classify > answer locally > admit > find
+// The request pipe: authorize > check > answer locally > admit > find
 // freshness > execute, one filter a file, and the decisions that the filters use.
 
 import { join, type Filter } from '../pipe/index.js'
 import { admit } from './admit.js'
 import { authorize } from './authorize.js'
-import { classifyFilter } from './classify-filter.js'
+import { checkStatement } from './check.js'
 import { execute } from './execute.js'
 import { findFreshness } from './freshness.js'
 import { answerLocally } from './local.js'
@@ -14,15 +14,12 @@
 export * from './admit.js'
 export * from './age.js'
 export * from './authorize.js'
-export * from './classify.js'
 export * from './confirm.js'
-export * from './classify-filter.js'
+export * from './check.js'
 export * from './execute.js'
 export * from './fair-queue.js'
 export * from './floor.js'
 export * from './freshness.js'
-export * from './hints.js'
-export * from './lexer.js'
 export * from './local.js'
 export * from './message.js'
 export * from './retry.js'
@@ -37,7 +34,7 @@
  * @returns the pipe, for `runPipe`
  */
 export function requestPipe (services: RequestServices, bounds: RequestBounds): Filter<Incoming, never, Served> {
-  const checked = join(authorize(services.configuration), classifyFilter(bounds, services.holdsKey))
-  const due = join(join(checked, answerLocally(services)), admit(services))
+  const checked = join(authorize(services.configuration), checkStatement(bounds, services.holdsKey))
+  const due = join(join(checked, answerLocally(services)), admit(services, bounds.rules))
   return join(join(due, findFreshness()), execute(services, bounds))
 }
--- a/src/request/local.ts
+++ b/src/request/local.ts
@@ -1,5 +1,5 @@
-// Filter: answers what the proxy knows by itself: the session token and
-// settings that hold anyway. Nothing of it reaches a database or costs a token
+// Filter: answers what the proxy knows by itself: the session token, values and
+// prepared names of the session, settings that hold anyway. Nothing of it reaches a database or costs a token
 // of the account's rate.
 
 import { notRun, type Answer, type Outcome } from '../model/index.js'
@@ -29,6 +29,19 @@
         if (floors === undefined) return end(served(message, notRun('hintMalformed', 'the session token is malformed')))
         return end({ outcome: byProxy(done), session: takeToken(message.session, floors) })
       }
+      case 'setValue': {
+        const values = { ...message.session.values, [statementClass.name]: statementClass.value }
+        return end({ outcome: byProxy(done), session: { ...message.session, values } })
+      }
+      case 'prepare': {
+        const prepared = new Map(message.session.prepared).set(statementClass.name, statementClass.prepared)
+        return end({ outcome: byProxy(done), session: { ...message.session, prepared } })
+      }
+      case 'deallocate': {
+        const prepared = new Map(message.session.prepared)
+        prepared.delete(statementClass.name)
+        return end({ outcome: byProxy(done), session: { ...message.session, prepared } })
+      }
       case 'commit':
       case 'rollback': return message.session.transaction === undefined ? end(served(message, byProxy(done))) : next(message)
       case 'define': {
@@ -38,6 +51,8 @@
       case 'read':
       case 'write':
       case 'begin':
+      case 'executePrepared':
+      case 'malformed':
       case 'unsupported': return next(message)
     }
   }
--- a/src/request/message.ts
+++ b/src/request/message.ts
@@ -1,7 +1,7 @@
 // The messages of the request pipe. Each filter takes one and gives the next,
 // which says what is known by then.
 
-import type { AccountDeclaration, ClassifiedStatement, DatabaseDeclaration, Freshness, IncomingStatement, Outcome } from '../model/index.js'
+import type { AccountDeclaration, ClassifiedStatement, DatabaseDeclaration, Freshness, IncomingStatement, Outcome, RouteDeclaration, ServerStatement } from '../model/index.js'
 import type { SessionState } from './session.js'
 
 /** A statement that came in on a session. */
@@ -12,14 +12,16 @@
 
 /** The caller may use the route now. */
 export type Authorized = Incoming & {
+  readonly route: RouteDeclaration
   readonly database: DatabaseDeclaration
   /** Undefined for a caller without a key on an open route. */
   readonly account: AccountDeclaration | undefined
 }
 
-/** Class, hints and deadline are known. */
+/** The deadline is known, and what a prepared statement runs. */
 export type Classified = Omit<Authorized, 'statement'> & {
   readonly statement: ClassifiedStatement
+  readonly prepared: ServerStatement['prepared']
 }
 
 /** What a read has to cover is known. */
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -40,7 +40,8 @@
 function judgeOutcome (outcome: Outcome, repeatable: Repeatable): Verdict {
   switch (outcome.kind) {
     case 'answered':
-    case 'refused': return { kind: 'answer', outcome }
+    case 'refused':
+    case 'failed': return { kind: 'answer', outcome }
     case 'unknown': return afterLoss(outcome, repeatable)
     case 'notRun': return judgeNotRun(outcome)
   }
@@ -57,6 +58,7 @@
     case 'noPrimary': return { kind: 'again', avoidServer: false, mayHaveRun: false, reason: outcome.reason }
     case 'noServer':
     case 'stopping':
+    case 'serverBusy':
     case 'behind': return { kind: 'again', avoidServer: true, mayHaveRun: false, reason: outcome.reason }
     case 'badKey':
     case 'keyWithdrawn':
@@ -71,6 +73,8 @@
     case 'deadlinePassed':
     case 'unconfirmedConfiguration':
     case 'leaving':
+    case 'transactionFailed':
+    case 'preparedUnknown':
     case 'transactionLost': return { kind: 'answer', outcome }
   }
 }
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -3,7 +3,7 @@
 // failure domain first; where none is, to the primary. The home of the server
 // has the last word: it refuses a read that its server cannot serve.
 
-import { covers, type DatabaseDeclaration, type ExecutionMode, type FailureDomain, type Freshness, type HostName, type Position, type PrimaryView, type ServerDeclaration, type ServerName, type StatementClass } from '../model/index.js'
+import { covers, type Access, type DatabaseDeclaration, type ExecutionMode, type FailureDomain, type Freshness, type HostName, type Position, type PrimaryView, type ServerDeclaration, type ServerName, type StatementClass } from '../model/index.js'
 
 /** What this host last heard of a server's applied position. */
 export type AppliedSighting = {
@@ -50,7 +50,7 @@
   const { statementClass } = request
   switch (statementClass.kind) {
     case 'read': return routeRead(request, view)
-    case 'begin': return toPrimary(view, request, { kind: 'begin', requestId: request.requestId })
+    case 'begin': return routeBegin(request, view, statementClass.access)
     case 'write':
     case 'define':
     case 'commit':
@@ -58,6 +58,11 @@
     case 'readToken':
     case 'setToken':
     case 'setDefault':
+    case 'setValue':
+    case 'prepare':
+    case 'deallocate':
+    case 'executePrepared':
+    case 'malformed':
     case 'unsupported': return toPrimary(view, request, { kind: 'write', requestId: request.requestId })
   }
 }
@@ -70,8 +75,16 @@
   return { kind: 'send', server, home, mode }
 }
 
+function routeBegin (request: RouteRequest, view: RoutingView, access: Access): Route {
+  const mode: ExecutionMode = { kind: 'begin', requestId: request.requestId, access, freshness: request.freshness }
+  return access === 'read' ? preferReplica(request, view, mode) : toPrimary(view, request, mode)
+}
+
 function routeRead (request: RouteRequest, view: RoutingView): Route {
-  const mode: ExecutionMode = { kind: 'read', freshness: request.freshness }
+  return preferReplica(request, view, { kind: 'read', freshness: request.freshness })
+}
+
+function preferReplica (request: RouteRequest, view: RoutingView, mode: ExecutionMode): Route {
   const replica = chooseReplica(request, view)
   if (replica !== undefined) return { kind: 'send', server: replica.server, home: replica.home, mode }
   return toPrimary(view, request, mode)
@@ -99,7 +112,8 @@
   switch (request.freshness.kind) {
     case 'age':
     case 'newest': return true
-    case 'floor': return sighting === undefined || request.nowMs - sighting.seenAtMs > sightingValidMs || covers(sighting.applied, request.freshness.position)
+    case 'floor':
+    case 'floorAndAge': return sighting === undefined || request.nowMs - sighting.seenAtMs > sightingValidMs || covers(sighting.applied, request.freshness.position)
   }
 }
 
--- a/src/request/services.ts
+++ b/src/request/services.ts
@@ -29,7 +29,7 @@
   readonly encodeToken: (floors: Floors) => string
   readonly decodeToken: (token: string) => Floors | undefined
   /** Tells a text that holds something shaped like a key. */
-  readonly holdsKey: (sql: string) => boolean
+  readonly holdsKey: (text: string) => boolean
 }
 
 /** Bounds of the request pipe. */
@@ -38,4 +38,16 @@
   readonly ownFailureDomain: string
   readonly defaultDeadlineMs: number
   readonly maxDeadlineMs: number
+  readonly rules: SessionRules
 }
+
+/** Rules of a front end's sessions. */
+export type SessionRules = {
+  /** What takes a token of the account's rate: each statement, or each transaction as a whole. */
+  readonly rateUnit: 'statement' | 'operation'
+  /** Whether a transaction goes on after a statement of it was not answered. */
+  readonly afterError: 'goesOn' | 'fails'
+}
+
+/** Sessions as in MySQL. */
+export const statementRules: SessionRules = { rateUnit: 'statement', afterError: 'goesOn' }
--- a/src/request/session.ts
+++ b/src/request/session.ts
@@ -2,7 +2,7 @@
 // next one. A session belongs to one connection; its floors can be carried to
 // another one by a token.
 
-import type { AccountName, Caller, DatabaseName, Floors, HostName, Position, RouteName, ServerName } from '../model/index.js'
+import type { AccountName, Caller, DatabaseName, Floors, HostName, Position, PreparedStatement, RouteDeclaration, RouteName, ServerName, SessionValues } from '../model/index.js'
 import { laterPosition } from '../model/index.js'
 
 /** An open transaction, at the home of the server that runs it. */
@@ -12,6 +12,8 @@
   readonly server: ServerName
   readonly home: HostName
   readonly account: AccountName
+  /** The route as it was when the transaction began; a change applies from the next one on. */
+  readonly route: RouteDeclaration
   /** Set once a statement was lost; only ROLLBACK helps then. */
   readonly lost: boolean
 }
@@ -24,6 +26,8 @@
   /** True once the caller showed a token: its floors then need no opening. */
   readonly hasToken: boolean
   readonly transaction: OpenTransaction | undefined
+  readonly values: SessionValues
+  readonly prepared: ReadonlyMap<string, PreparedStatement>
 }
 
 /**
@@ -34,7 +38,7 @@
  * @returns the session
  */
 export function openSessionState (caller: Caller, route: RouteName, floors: Floors | undefined): SessionState {
-  return { caller, route, floors: floors ?? {}, hasToken: floors !== undefined, transaction: undefined }
+  return { caller, route, floors: floors ?? {}, hasToken: floors !== undefined, transaction: undefined, values: {}, prepared: new Map() }
 }
 
 /**
--- a/src/wire/database-client.ts
+++ b/src/wire/database-client.ts
@@ -5,9 +5,9 @@
 
 import mysql, { type Connection, type FieldPacket, type QueryError, type ResultSetHeader } from 'mysql2'
 import type { Address, Answer, Cell, Column, Position, ServerName, ServerStatus } from '../model/index.js'
-import type { QueryResult, ServerSession } from '../home/index.js'
+import { emptyContext, type ControlCall, type QueryResult } from '../home/index.js'
 import { withTimeout, type TimerService } from '../pipe/index.js'
-import { asError, WireError } from './errors.js'
+import { WireError, type DatabaseSession, type LedgerAnswer, type LedgerCalls } from '../ports/index.js'
 
 /** How the proxy logs in to servers, with its own user and password. */
 export type DatabaseLogin = {
@@ -15,21 +15,6 @@
   readonly password: string
 }
 
-/** A session with its ledger calls. */
-export type DatabaseSession = ServerSession & {
-  readonly ledger: LedgerCalls
-  /** The server's number of the session; undefined before the login. */
-  readonly number: () => number | undefined
-  /** Ends another session, which may hold locks that nobody can release. */
-  readonly kill: (number: number, timeoutMs: number) => Promise<QueryResult>
-}
-
-/** A fence, promotion or follow that a server answered. */
-export type LedgerAnswer = {
-  readonly accepted: boolean
-  readonly status: ServerStatus
-}
-
 /** First error number of the server's own errors; others come from the client. */
 const connectionRefusedCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ENETUNREACH', 'EHOSTUNREACH', 'ECONNRESET'])
 
@@ -102,7 +87,28 @@
   })
   const number = (): number | undefined => connection.threadId ?? undefined
   const kill = async (other: number, timeoutMs: number): Promise<QueryResult> => await query(`KILL ${other}`, timeoutMs)
-  return { usable: () => state.usable, close, query, position, ledger, number, kill }
+  return {
+    usable: () => state.usable,
+    close,
+    query: async ({ text }, timeoutMs) => await query(text, timeoutMs),
+    control: async (call, timeoutMs) => await query(controlText(call), timeoutMs),
+    context: () => emptyContext,
+    position,
+    ledger,
+    number,
+    kill
+  }
+}
+
+function controlText (call: ControlCall): string {
+  switch (call.kind) {
+    case 'begin': return 'BEGIN'
+    case 'commit': return 'COMMIT'
+    case 'rollback': return 'ROLLBACK'
+    case 'reset':
+    case 'setValue':
+    case 'prepare': throw new RangeError(`the MySQL front refuses what would need ${call.kind}`)
+  }
 }
 
 async function runQuery (connection: Connection, sql: string): Promise<QueryResult> {
@@ -147,19 +153,7 @@
   }
 }
 
-/** The ledger calls of one server; each throws a `WireError`. */
-export type LedgerCalls = {
-  readonly status: (timeoutMs: number) => Promise<ServerStatus>
-  /** Answers when the status differs from `known`, or after `waitMs`. */
-  readonly wait: (known: ServerStatus, waitMs: number, timeoutMs: number) => Promise<ServerStatus>
-  readonly fence: (term: number, proposer: string, timeoutMs: number) => Promise<LedgerAnswer>
-  readonly promote: (term: number, proposer: string, timeoutMs: number) => Promise<LedgerAnswer>
-  readonly follow: (term: number, proposer: string, primary: Address, timeoutMs: number) => Promise<LedgerAnswer>
-  /** Position of the session's last commit, or of its last read's snapshot. */
-  readonly position: (timeoutMs: number) => Promise<Position>
-}
-
-type Query = ServerSession['query']
+type Query = (text: string, timeoutMs: number) => Promise<QueryResult>
 
 function ledgerCalls (query: Query): LedgerCalls {
   const call = async (sql: string, timeoutMs: number): Promise<Row> => await firstRow(query, sql, timeoutMs)
@@ -187,6 +181,8 @@
   switch (result.kind) {
     case 'lost': throw new WireError(result.failure, 'a ledger call got no answer')
     case 'refused': throw new WireError('rejected', `a ledger call was refused: ${result.message}`)
+    case 'failed':
+    case 'notRun': throw new WireError('rejected', `a ledger call was not run: ${result.detail}`)
     case 'answered': return rowOf(result.answer)
   }
 }
@@ -224,12 +220,3 @@
 export function quote (value: string): string {
   return mysql.escape(value)
 }
-
-/**
- * Turns whatever was thrown into a `WireError`.
- * @param thrown - what was thrown
- * @returns the error
- */
-export function asWireError (thrown: unknown): WireError {
-  return thrown instanceof WireError ? thrown : new WireError('lost', 'unexpected failure', asError(thrown))
-}
--- a/src/wire/mysql-errors.ts
+++ b/src/wire/mysql-errors.ts
@@ -13,6 +13,7 @@
     case 'refused': return outcome.errorNumber
     case 'notRun': return notRunErrorNumber(outcome.reason)
     case 'answered':
+    case 'failed':
     case 'unknown': return 1105
   }
 }
@@ -37,6 +38,9 @@
     case 'leaving':
     case 'wrongHome':
     case 'behind':
+    case 'serverBusy':
+    case 'preparedUnknown':
+    case 'transactionFailed':
     case 'transactionLost': return 1105
   }
 }
@@ -50,6 +54,7 @@
   switch (outcome.kind) {
     case 'answered': return ''
     case 'refused': return outcome.message
+    case 'failed': return `failed: ${outcome.detail}`
     case 'notRun': return `not run (${outcome.reason}): ${outcome.detail}`
     case 'unknown': return `outcome unknown (${outcome.reason}): ${outcome.detail}`
   }
--- a/src/wire/mysql-front.ts
+++ b/src/wire/mysql-front.ts
@@ -7,60 +7,10 @@
 import mysql from 'mysql2'
 import type net from 'node:net'
 import { Mailbox } from '../pipe/index.js'
-import type { Address, Answer, Caller, Column, Outcome, RouteName } from '../model/index.js'
-import { WireError } from './errors.js'
+import { notRun, type Answer, type Column, type Outcome } from '../model/index.js'
+import { WireError, type CallerCommand, type CallerListener, type FrontSpec, type LoginRequest } from '../ports/index.js'
 import { errorNumberOf, messageOf } from './mysql-errors.js'
-
-/** What a caller sends after its login. */
-export type CallerCommand =
-  | { readonly kind: 'query', readonly sql: string }
-  | { readonly kind: 'useRoute', readonly route: RouteName }
-  | { readonly kind: 'ping' }
-  | { readonly kind: 'reset' }
-  /** Sent by the host itself: answer, then close. */
-  | { readonly kind: 'leave' }
-  | { readonly kind: 'tooLong', readonly maxBytes: number }
-  | { readonly kind: 'unsupported', readonly what: string }
-
-/** What a caller shows at its login. */
-export type LoginRequest = {
-  readonly user: string
-  readonly route: RouteName
-  /** The random bytes that the proof was made with. */
-  readonly nonce: Buffer
-  readonly proof: Buffer
-  readonly attributes: Readonly<Record<string, string>>
-}
-
-/** A caller's connection after an accepted login. */
-export type CallerLink = {
-  readonly login: LoginRequest
-  /** Commands in the order in which they came; closed with the connection. */
-  readonly inbox: Mailbox<CallerCommand>
-  readonly write: (outcome: Outcome) => void
-  readonly close: () => void
-}
-
-/** Decides on a login. */
-export type LoginDecision = (login: LoginRequest) =>
-  | { readonly kind: 'granted', readonly caller: Caller }
-  | { readonly kind: 'refused', readonly outcome: Outcome }
-
-/** A running listener for callers. */
-export type CallerListener = {
-  readonly port: number
-  /** Accepts no further connection; open ones go on. */
-  readonly stopAccepting: () => void
-}
-
-/** What the front needs. */
-export type FrontSpec = {
-  readonly address: Address
-  readonly maxConnections: number
-  readonly maxStatementBytes: number
-  readonly decideLogin: LoginDecision
-  readonly onCaller: (link: CallerLink, caller: Caller) => void
-}
+import { parseSql } from './sql/index.js'
 
 /** Commands that may wait for one caller; a caller waits for each answer. */
 const inboxCapacity = 16
@@ -191,6 +141,10 @@
         login,
         inbox,
         write: outcome => { writeOutcome(connection, outcome) },
+        leave: () => {
+          writeOutcome(connection, notRun('stopping', 'this host is stopping'))
+          connection.stream.end()
+        },
         close: () => { connection.stream.end() }
       }, verdict.caller)
     }
@@ -199,10 +153,13 @@
 
 function loginOf (connection: ServerConnection, params: AuthParams): LoginRequest {
   return {
-    user: params.user,
     route: params.database ?? '',
-    nonce: Buffer.concat([params.authPluginData1, params.authPluginData2]).subarray(0, 20),
-    proof: params.authToken,
+    credential: {
+      kind: 'nativePassword',
+      user: params.user,
+      nonce: Buffer.concat([params.authPluginData1, params.authPluginData2]).subarray(0, 20),
+      proof: params.authToken
+    },
     attributes: connection.clientHelloReply?.connectAttributes ?? {}
   }
 }
@@ -220,7 +177,7 @@
     case commandCodes.statementClose: return undefined
     case commandCodes.query: {
       if (packet.length() > maxStatementBytes) return { kind: 'tooLong', maxBytes: maxStatementBytes }
-      return { kind: 'query', sql: packet.readString(undefined, 'utf8') }
+      return { kind: 'query', statement: parseSql(packet.readString(undefined, 'utf8')) }
     }
     case commandCodes.initDb: return { kind: 'useRoute', route: packet.readString(undefined, 'utf8') }
     case commandCodes.ping: return { kind: 'ping' }
@@ -240,6 +197,7 @@
       break
     }
     case 'refused':
+    case 'failed':
     case 'notRun':
     case 'unknown': {
       connection.writeError({ code: errorNumberOf(outcome), message: messageOf(outcome) })
@@ -255,6 +213,10 @@
       connection.writeOk({ affectedRows: answer.affectedRows, insertId: answer.insertId })
       break
     }
+    case 'signed': {
+      connection.writeError({ code: 1105, message: 'a signed answer has no form in MySQL' })
+      break
+    }
     case 'rows': {
       connection.stream.cork()
       connection.writeColumns(answer.columns.map(columnDefinition))
--- a/src/wire/peer-link.ts
+++ b/src/wire/peer-link.ts
@@ -10,8 +10,8 @@
 import tls from 'node:tls'
 import type { Address, PeerMethod, PeerParams, PeerResult } from '../model/index.js'
 import { withTimeout, type TimerService } from '../pipe/index.js'
-import { asError, WireError } from './errors.js'
-import { readLines, writeLine } from './json-lines.js'
+import { asError, WireError } from '../ports/index.js'
+import { readLines, writeLine } from './lines.js'
 
 /** Certificates for links between proxies, both sides checked. */
 export type PeerTls = {
--- a/src/request/classify.ts
+++ b/src/wire/sql/classify.ts
@@ -3,7 +3,7 @@
 // nothing. Everything else goes to the primary. Statements that would change
 // the state of a session are refused, because sessions on servers are shared.
 
-import type { Hints, ReadLevel, StatementClass } from '../model/index.js'
+import type { Hints, ReadLevel, StatementClass } from '../../model/index.js'
 import { tokensOf, type Token } from './lexer.js'
 
 /** The proxy's own variable: the token of the session. */
@@ -40,8 +40,8 @@
   switch (words[0]) {
     case 'SELECT': return classifySelect(tokens, hints)
     case 'SET': return classifySet(tokens, words)
-    case 'BEGIN': return words.length <= 2 ? { kind: 'begin' } : { kind: 'unsupported', what: 'a compound statement' }
-    case 'START': return words[1] === 'TRANSACTION' ? { kind: 'begin' } : { kind: 'unsupported', what: `START ${words[1] ?? ''}` }
+    case 'BEGIN': return words.length <= 2 ? { kind: 'begin', access: 'write' } : { kind: 'unsupported', what: 'a compound statement' }
+    case 'START': return words[1] === 'TRANSACTION' ? { kind: 'begin', access: 'write' } : { kind: 'unsupported', what: `START ${words[1] ?? ''}` }
     case 'COMMIT': return endOfTransaction('commit', words)
     case 'ROLLBACK': return words.includes('TO') ? { kind: 'write' } : endOfTransaction('rollback', words)
     case 'CREATE': return words[1] === 'TEMPORARY' ? { kind: 'unsupported', what: 'a temporary table' } : { kind: 'define' }
--- a/src/request/hints.ts
+++ b/src/wire/sql/hints.ts
@@ -2,7 +2,7 @@
 // malformed hint is an error, because a request that runs without the
 // protection that its caller asked for is worse than one that does not run.
 
-import { noHints, type Hints } from '../model/index.js'
+import { noHints, type Hints } from '../../model/index.js'
 
 /** Hints that were read, or what is wrong with them. */
 export type HintsResult =
--- a/test/config/settings.test.ts
+++ b/test/config/settings.test.ts
@@ -29,7 +29,8 @@
 
 test('host, platform and login are enough', () => {
   const settings = settingsOf(minimalToml)
-  assert.deepEqual(settings.host, { name: 'host-1', failureDomain: 'medina', ip: '127.0.0.1', mysqlPort: 3306, peerPort: 7000 })
+  assert.deepEqual(settings.host, { name: 'host-1', failureDomain: 'medina', ip: '127.0.0.1', peerPort: 7000 })
+  assert.deepEqual(settings.listen, { callers: { ip: '127.0.0.1', port: 3306 }, readiness: undefined, metrics: undefined })
   assert.deepEqual(settings.peers, { kind: 'plain' })
   assert.deepEqual(settings.metrics, { kind: 'off' })
   assert.equal(settings.limits.maxStatementBytes, 1_000_000)
--- a/test/wire/platform-update.test.ts
+++ b/test/ports/store-update.test.ts
@@ -2,8 +2,7 @@
 import { test } from 'node:test'
 import fc from 'fast-check'
 import type { TimerService } from '../../src/pipe/index.js'
-import { PlatformError, type PlatformClient, type StoredObject } from '../../src/wire/platform-client.js'
-import { updateObject, type UpdateResult, type UpdateSpec } from '../../src/wire/platform-update.js'
+import { StoreError, updateObject, type ObjectStore, type StoredObject, type UpdateResult, type UpdateSpec } from '../../src/ports/index.js'
 
 /** What the store does with one write. */
 type WriteFate = 'answered' | 'answerLost' | 'requestLost' | 'lostAndOvertaken' | 'late'
@@ -28,11 +27,11 @@
     store({ count: value.count + 1, by: [...value.by, 'other'], writeId: `other-${value.count}`, earlierWriteIds: [value.writeId, ...value.earlierWriteIds] })
   }
   const conditionally = (version: number, value: unknown): void => {
-    if ((stored?.version ?? 0) !== version) throw new PlatformError({ kind: 'conflict', version: stored?.version ?? 0 }, undefined, 'PUT')
+    if ((stored?.version ?? 0) !== version) throw new StoreError({ kind: 'conflict', version: stored?.version ?? 0 }, undefined, 'PUT')
     store(value)
   }
-  const overdue = () => new PlatformError({ kind: 'overdue', timeoutMs: 1 }, undefined, 'PUT')
-  const client: Pick<PlatformClient, 'getObject' | 'putObject'> = {
+  const overdue = () => new StoreError({ kind: 'overdue', timeoutMs: 1 }, undefined, 'PUT')
+  const client: Pick<ObjectStore, 'getObject' | 'putObject'> = {
     getObject: async () => stored,
     putObject: async (_kind, _name, version, value) => {
       const fate = fates[writes] ?? 'answered'
@@ -51,7 +50,7 @@
       return { version: stored?.version ?? 0, revision: 1 }
     }
   }
-  return { client: client as PlatformClient, value: () => stored === undefined ? undefined : decodeCounter(stored.value) }
+  return { client: client as ObjectStore, value: () => stored === undefined ? undefined : decodeCounter(stored.value) }
 }
 
 const instantTimers: TimerService = {
--- a/test/request/pipe.test.ts
+++ b/test/request/pipe.test.ts
@@ -2,7 +2,8 @@
 import { test } from 'node:test'
 import { runPipe } from '../../src/pipe/index.js'
 import { notRun, type ExecuteReply, type ExecuteRequest, type Manifest, type Outcome, type Position } from '../../src/model/index.js'
-import { openSessionState, requestPipe, takeToken, type Attempt, type RequestServices, type Served, type SessionState } from '../../src/request/index.js'
+import { parseSql } from '../../src/wire/sql/index.js'
+import { openSessionState, requestPipe, statementRules, takeToken, type Attempt, type RequestServices, type Served, type SessionState } from '../../src/request/index.js'
 
 const position: Position = { term: 2, index: 7 }
 const rows: Outcome = { kind: 'answered', answer: { kind: 'rows', columns: [], rows: [] }, position: undefined, servedBy: 'replica' }
@@ -45,8 +46,8 @@
     decodeToken: JSON.parse,
     holdsKey: () => false
   }
-  const pipe = requestPipe(services, { self: 'h9', ownFailureDomain: 'd1', defaultDeadlineMs: 1000, maxDeadlineMs: 1000 })
-  const served = await runPipe(pipe, { session, statement: { caller: session.caller, route: session.route, sql, receivedAtMs: 0 } })
+  const pipe = requestPipe(services, { self: 'h9', ownFailureDomain: 'd1', defaultDeadlineMs: 1000, maxDeadlineMs: 1000, rules: statementRules })
+  const served = await runPipe(pipe, { session, statement: { caller: session.caller, route: session.route, ...parseSql(sql), receivedAtMs: 0 } })
   return { sent, served }
 }
 
@@ -78,7 +79,7 @@
 })
 
 test('a change of the schema is refused inside a transaction, which it would commit', async () => {
-  const transaction = { id: 't1', database: 'orders', server: 's1', home: 'h1', account: 'a', lost: false }
+  const transaction = { id: 't1', database: 'orders', server: 's1', home: 'h1', account: 'a', route: { name: 'orders', database: 'orders', access: { kind: 'open' } }, lost: false } as const
   const asked = await serve({ ...anybody, transaction }, 'CREATE TABLE u (a INT)', [])
   assert.equal(asked.sent.length, 0)
   assert.equal(asked.served.outcome.kind, 'notRun')
--- a/test/wire/platform-client.test.ts
+++ b/test/wire/platform-client.test.ts
@@ -2,7 +2,8 @@
 import { createServer, type RequestListener, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { test } from 'node:test'
-import { PlatformError, platformClient, type PlatformClient, type PlatformFault } from '../../src/wire/platform-client.js'
+import { StoreError, type StoreFault } from '../../src/ports/index.js'
+import { platformClient, type PlatformClient } from '../../src/wire/platform-client.js'
 
 type Fixture = { readonly client: PlatformClient, readonly calls: readonly string[] }
 
@@ -33,9 +34,9 @@
   return (_request, response) => { response.writeHead(status).end(typeof body === 'string' ? body : JSON.stringify(body)) }
 }
 
-async function faultOf (call: Promise<unknown>): Promise<PlatformFault> {
+async function faultOf (call: Promise<unknown>): Promise<StoreFault> {
   const error = await call.then(() => assert.fail('the call went well'), (failure: unknown) => failure)
-  assert.ok(error instanceof PlatformError, String(error))
+  assert.ok(error instanceof StoreError, String(error))
   return error.fault
 }
 
--- a/test/request/classify.test.ts
+++ b/test/wire/sql/classify.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { noHints, type Hints } from '../../src/model/index.js'
-import { classify, readHints } from '../../src/request/index.js'
+import { noHints, type Hints } from '../../../src/model/index.js'
+import { classify, readHints } from '../../../src/wire/sql/index.js'
 
 function kindOf (sql: string, hints: Partial<Hints> = {}): string {
   return classify(sql, { ...noHints, ...hints }).kind
