--- a/docs/examples/embed-request-pipe.ts
+++ b/docs/examples/embed-request-pipe.ts
@@ -70,7 +70,7 @@
     decodeToken: token => JSON.parse(token),
     holdsKey: () => false
   }
-  const bounds = { self: 'here', ownFailureDomain: 'a', defaultDeadlineMs: 1000, maxDeadlineMs: 1000, rules: request.statementRules }
+  const bounds = { self: 'here', ownFailureDomain: 'a', defaultDeadlineMs: 1000, maxDeadlineMs: 1000, rules: request.statementRules, newestAt: 'anyServer' as const }
   const pipe = request.requestPipe(services, bounds)
   return await runPipe(pipe, { session, statement: { ...statement, caller: session.caller, route: session.route, receivedAtMs: nowMs } })
 }
--- a/src/config/manifest.ts
+++ b/src/config/manifest.ts
@@ -68,7 +68,7 @@
   timeoutMs: wholeNumber(1, dayMs),
   goalMs: wholeNumber(1, dayMs),
   priority: wholeNumber(0, maxPriority)
-})
+}, { error: 'a table with freshness, timeoutMs, goalMs and priority' })
 
 const routeSchema = z.strictObject({
   name: name(),
--- a/src/daemon/database-task.ts
+++ b/src/daemon/database-task.ts
@@ -4,19 +4,23 @@
 // calls; the decisions are the pure parts of src/failover and src/request.
 
 import { redirected } from '../config/index.js'
-import { defaultFailoverSettings, dutyFailoverSettings, failoverStep, initialFailover, primaryView, proposerName, type FailoverEffect, type FailoverEvent, type FailoverSettings, type FailoverState, type AppointmentKind } from '../failover/index.js'
-import type { DatabaseDeclaration, DatabaseName, Position, PrimaryView, ServerDeclaration, ServerName, ServerStatus } from '../model/index.js'
+import { defaultFailoverSettings, dutyFailoverSettings, failoverStep, initialFailover, majorityOf, primaryView, proposerName, type FailoverEffect, type FailoverEvent, type FailoverSettings, type FailoverState, type AppointmentKind } from '../failover/index.js'
+import { originPosition, type DatabaseDeclaration, type DatabaseName, type Observation, type Position, type PrimaryView, type ServerDeclaration, type ServerName, type ServerStatus } from '../model/index.js'
 import { ask, Latest, startTask, tickPort, type Port, type Reply, withoutReplies, type Snapshot, type Transition } from '../pipe/index.js'
-import { confirmStep, emptyAgeRecord, floorStep, initialConfirm, initialFloor, noteAnswer, withAgeServers, type AgeRecord, type ConfirmEffect, type ConfirmEvent, type ConfirmState, type FloorEffect, type FloorEvent, type FloorState } from '../request/index.js'
+import { confirmStep, emptyAgeRecord, floorStep, initialConfirm, initialFloor, noteAnswer, takeMark, withAgeServers, type AgeRecord, type ConfirmEffect, type ConfirmEvent, type ConfirmState, type FloorEffect, type FloorEvent, type FloorState } from '../request/index.js'
 import type { PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
-import { ServerWatch, type LedgerCommand } from './server-watch.js'
+import { ServerWatch, type LedgerCommand, type WatchHooks, type WatchReport } from './server-watch.js'
 
 /** What others see of a database. */
 export type DatabaseView = {
   readonly primary: PrimaryView
   readonly statuses: ReadonlyMap<ServerName, ServerStatus>
   readonly age: AgeRecord
+  /** When each server gave a sign of life last. */
+  readonly heardAtMs: ReadonlyMap<ServerName, number>
+  /** When another host told what it knows. */
+  readonly observedAtMs: number
 }
 
 /** What the task needs. */
@@ -26,6 +30,8 @@
   readonly onPrimary: (view: PrimaryView) => void
   /** A watched connection had gone silent while fresh ones work; others to that server may be silent. */
   readonly onWasSilent: (server: ServerName) => void
+  /** A connection to the server was lost. */
+  readonly onLost: (server: ServerName) => void
   /** Orders the platform to promote a server, where that is its task. */
   readonly orderPromotion: (database: DatabaseName, server: ServerName) => Promise<PromotionResult>
   /** Writes the view to the store; may fail. */
@@ -37,8 +43,19 @@
   readonly view: Snapshot<DatabaseView>
   /** True once a majority has received the position in its own term. */
   readonly confirm: (position: Position, deadlineAtMs: number) => Promise<boolean>
-  /** A floor that covers every write acknowledged before the call. */
-  readonly openFloor: () => Promise<Position | undefined>
+  /**
+   * A floor that covers every write acknowledged before the call. Where the read
+   * runs at a primary, that server's own log covers what it holds.
+   */
+  readonly openFloor: (runsAt: ServerName | undefined) => Promise<Position | undefined>
+  /** A statement was answered. */
+  readonly seen: (server: ServerName, position: Position, askedAtMs: number) => void
+  /** Another host, which watches the servers, told what it knows. */
+  readonly observed: (observation: Observation, askedAtMs: number) => void
+  /** What this host knows, for another one. */
+  readonly observation: () => Observation
+  /** Another host does not reach a server. */
+  readonly suspected: (server: ServerName) => void
   readonly changeManifest: (database: DatabaseDeclaration) => void
   readonly changeRank: (rank: number | undefined) => void
   readonly stop: () => Promise<void>
@@ -48,14 +65,21 @@
   | { readonly kind: 'status', readonly status: ServerStatus, readonly askedAtMs: number, readonly nowMs: number }
   | { readonly kind: 'failover', readonly event: FailoverEvent }
   | { readonly kind: 'confirm', readonly position: Position, readonly deadlineAtMs: number, readonly nowMs: number, readonly reply: Reply<boolean> }
-  | { readonly kind: 'openFloor', readonly nowMs: number, readonly reply: Reply<Position | undefined> }
+  | { readonly kind: 'seen', readonly server: ServerName, readonly position: Position, readonly askedAtMs: number, readonly nowMs: number }
+  | { readonly kind: 'observed', readonly observation: Observation, readonly askedAtMs: number, readonly nowMs: number }
+  | { readonly kind: 'openFloor', readonly runsAt: ServerName | undefined, readonly nowMs: number, readonly reply: Reply<Position | undefined> }
   | { readonly kind: 'floor', readonly event: FloorEvent }
+  /** A server answered a round. */
+  | { readonly kind: 'roundStatus', readonly round: number, readonly status: ServerStatus, readonly askedAtMs: number, readonly nowMs: number }
+  /** The round is not over yet: ask the others, too. */
+  | { readonly kind: 'askRest', readonly round: number, readonly servers: readonly ServerName[] }
   | { readonly kind: 'manifest', readonly database: DatabaseDeclaration, readonly nowMs: number }
   | { readonly kind: 'tick', readonly nowMs: number, readonly random: number }
 
 type Effect =
   | FailoverEffect
-  | { readonly kind: 'startRound', readonly round: number }
+  /** Ask servers for their positions; `own`: the read runs there, so its log need not be asked for. */
+  | { readonly kind: 'askRound', readonly round: number, readonly own: ServerName | undefined, readonly servers: readonly ServerName[], readonly rest: readonly ServerName[] }
   | { readonly kind: 'answerConfirm', readonly reply: Reply<boolean>, readonly confirmed: boolean }
   | { readonly kind: 'answerFloor', readonly reply: Reply<Position | undefined>, readonly floor: Position | undefined }
   | { readonly kind: 'changeServers', readonly servers: readonly ServerDeclaration[] }
@@ -67,11 +91,17 @@
   readonly age: AgeRecord
   readonly confirmReplies: ReadonlyMap<string, Reply<boolean>>
   readonly floorReplies: ReadonlyMap<string, Reply<Position | undefined>>
+  /** Where the reads run that wait for a floor. */
+  readonly runsAt: ReadonlyMap<string, ServerName | undefined>
   readonly nextId: number
   /** Servers tell their positions only when they are asked. */
   readonly isPolled: boolean
   /** A round of questions for the writes that wait is under way. */
   readonly asking: boolean
+  /** Rounds in a row that confirmed nothing; after some of them the next one waits for a tick. */
+  readonly fruitlessRounds: number
+  /** When another host told what it knows. */
+  readonly observedAtMs: number
 }
 
 type Next = Transition<State, Effect>
@@ -80,8 +110,18 @@
 const tickMs = 40
 const floorRoundTimeoutMs = 300
 const maxWaitingFloors = 4096
+/** A primary that was not heard for this time is asked for its status. */
+const quietPrimaryMs = 250
+/** The same for a replica. */
+const quietReplicaMs = 600
+/** How long another host's word spares questions of one's own. */
+const observedValidMs = 1000
 /** Id of the round that writes wait for. */
 const confirmRound = 'confirm'
+/** Rounds in a row that may follow each other at once without confirming anything. */
+const roundsAtOnce = 3
+/** Time until the servers that were spared at first are asked, too. */
+const askRestMs = 10
 
 /**
  * Starts the task of a database.
@@ -93,7 +133,7 @@
   const { timers } = context
   const initial = initialState(context, database)
   const published = new Latest<DatabaseView>(viewOf(initial))
-  const watches = new Watches(spec)
+  const watches = new Watches(spec, server => statusDueInMs(published.get(), server, timers.nowMs()))
   const task = startTask<State, Message, Effect>({
     name: `database ${database.name}`,
     initial,
@@ -111,7 +151,11 @@
   return {
     view: published,
     confirm: async (position, deadlineAtMs) => await ask<Message, boolean>(task.port, reply => ({ kind: 'confirm', position, deadlineAtMs, nowMs: timers.nowMs(), reply }), false),
-    openFloor: async () => await ask<Message, Position | undefined>(task.port, reply => ({ kind: 'openFloor', nowMs: timers.nowMs(), reply }), undefined),
+    openFloor: async runsAt => await ask<Message, Position | undefined>(task.port, reply => ({ kind: 'openFloor', runsAt, nowMs: timers.nowMs(), reply }), undefined),
+    seen: (server, position, askedAtMs) => { task.port.send({ kind: 'seen', server, position, askedAtMs, nowMs: timers.nowMs() }) },
+    observed: (observation, askedAtMs) => { task.port.send({ kind: 'observed', observation, askedAtMs, nowMs: timers.nowMs() }) },
+    observation: () => observationOf(published.get(), timers.nowMs()),
+    suspected: server => { task.port.send({ kind: 'failover', event: { kind: 'connectionLost', server, nowMs: timers.nowMs() } }) },
     changeManifest: changed => { task.port.send({ kind: 'manifest', database: changed, nowMs: timers.nowMs() }) },
     changeRank: rank => { task.port.send({ kind: 'failover', event: { kind: 'ranksChanged', rank, nowMs: timers.nowMs() } }) },
     stop: async () => {
@@ -133,12 +177,23 @@
     age: emptyAgeRecord(names),
     confirmReplies: new Map(),
     floorReplies: new Map(),
+    runsAt: new Map(),
     nextId: 1,
     isPolled: context.ports.driver.statusDelivery === 'polled',
-    asking: false
+    asking: false,
+    fruitlessRounds: 0,
+    observedAtMs: -Infinity
   }
 }
 
+// Another host's word spares a status, and so does any sign of life of the server.
+function statusDueInMs (view: DatabaseView, server: ServerName, nowMs: number): number {
+  const observedForMs = nowMs - view.observedAtMs
+  if (observedForMs < observedValidMs) return observedValidMs - observedForMs
+  const periodMs = server === view.primary.primary ? quietPrimaryMs : quietReplicaMs
+  return (view.heardAtMs.get(server) ?? -Infinity) + periodMs - nowMs
+}
+
 function failoverSettingsFor (appointment: AppointmentKind, control: DaemonContext['settings']['control']): FailoverSettings {
   switch (appointment) {
     case 'byServers': return { ...defaultFailoverSettings, probeEveryMs: control.probeMs, probeTimeoutMs: control.probeTimeoutMs, rankDelayMs: control.promotionDelayMs }
@@ -151,7 +206,17 @@
   return {
     primary: primaryView(state.failover.group),
     statuses: new Map(known.map(([server, { status }]) => [server, status])),
-    age: state.age
+    age: state.age,
+    heardAtMs: new Map(Object.entries(state.failover.health).flatMap(([server, { lastSignAtMs }]) => lastSignAtMs === undefined ? [] : [[server, lastSignAtMs] as const])),
+    observedAtMs: state.observedAtMs
+  }
+}
+
+function observationOf (view: DatabaseView, nowMs: number): Observation {
+  const mark = view.age.marks[0]
+  return {
+    servers: [...view.statuses].map(([server, status]) => ({ status, heardAgoMs: nowMs - (view.heardAtMs.get(server) ?? -Infinity) })),
+    mark: mark === undefined ? undefined : { position: mark.position, agoMs: nowMs - mark.askedAtMs }
   }
 }
 
@@ -160,13 +225,18 @@
     case 'status': return takeStatus(state, message)
     case 'failover': return withFailover(state, message.event)
     case 'confirm': return waitForConfirm(state, message)
+    case 'seen': return takeSeen(state, message)
+    case 'observed': return takeObserved(state, message)
     case 'openFloor': return waitForFloor(state, message)
     case 'floor': return withFloor(state, message.event)
+    case 'roundStatus': return takeRoundStatus(state, message)
+    case 'askRest': return askRest(state, message)
     case 'manifest': return takeManifest(state, message.database, message.nowMs)
     case 'tick': return chain(state, [
       next => withFailover(next, { kind: 'tick', nowMs: message.nowMs, random: message.random }),
       next => withConfirm(next, { kind: 'tick', nowMs: message.nowMs }),
-      next => withFloor(next, { kind: 'tick', nowMs: message.nowMs })
+      next => withFloor(next, { kind: 'tick', nowMs: message.nowMs }),
+      next => askForConfirm(next, message.nowMs)
     ])
   }
 }
@@ -187,6 +257,26 @@
   ])
 }
 
+// A primary has received what it has applied, so its answers count for
+// confirmations and ages like a status.
+function takeSeen (state: State, message: Extract<Message, { readonly kind: 'seen' }>): Next {
+  const { server, position, askedAtMs, nowMs } = message
+  const leads = state.failover.group.leadership?.server === server && state.failover.group.leadership.term === position.term
+  const observed = withFailover(state, { kind: 'answerSeen', server, position, nowMs })
+  const status = observed.state.failover.group.known[server]?.status
+  if (!leads || status === undefined) return observed
+  const noted = { ...observed.state, age: noteAnswer(observed.state.age, server, { received: position, askedAtMs }) }
+  return chain(noted, [next => ({ state: next, effects: observed.effects }), next => withConfirm(next, { kind: 'statusReceived', status })])
+}
+
+function takeObserved (state: State, message: Extract<Message, { readonly kind: 'observed' }>): Next {
+  const { observation, askedAtMs, nowMs } = message
+  const { mark } = observation
+  const age = mark === undefined ? state.age : takeMark(state.age, { position: mark.position, askedAtMs: askedAtMs - mark.agoMs })
+  return chain({ ...state, age, observedAtMs: askedAtMs }, observation.servers.map(({ status, heardAgoMs }) =>
+    next => withFailover(next, { kind: 'statusRelayed', status, heardAgoMs: heardAgoMs + nowMs - askedAtMs, nowMs })))
+}
+
 function takeManifest (state: State, database: DatabaseDeclaration, nowMs: number): Next {
   const servers = database.servers.map(server => server.name)
   const changed = chain({ ...state, age: withAgeServers(state.age, servers) }, [
@@ -231,7 +321,7 @@
 
 function waitForFloor (state: State, message: Extract<Message, { readonly kind: 'openFloor' }>): Next {
   const id = String(state.nextId)
-  const waiting = { ...state, nextId: state.nextId + 1, floorReplies: new Map(state.floorReplies).set(id, message.reply) }
+  const waiting = { ...state, nextId: state.nextId + 1, floorReplies: new Map(state.floorReplies).set(id, message.reply), runsAt: new Map(state.runsAt).set(id, message.runsAt) }
   return withFloor(waiting, { kind: 'asked', id, nowMs: message.nowMs })
 }
 
@@ -239,14 +329,56 @@
   const { state: floor, effects } = floorStep(state.floor, event)
   if (effects.length === 0) return { state: { ...state, floor }, effects: [] }
   const answered = effects.flatMap(effect => effect.kind === 'startRound' ? [] : [effect.id])
-  const floorReplies = withoutReplies(state.floorReplies, answered)
-  const next: Next = { state: { ...state, floor, floorReplies }, effects: effects.flatMap(effect => answerFloor(state, effect)) }
-  if (!answered.includes(confirmRound)) return next
-  return chain({ ...next.state, asking: false }, [after => ({ state: after, effects: next.effects }), after => askForConfirm(after, event.nowMs)])
+  const runsAt = withoutReplies(state.runsAt, answered)
+  const next: State = { ...state, floor, floorReplies: withoutReplies(state.floorReplies, answered), runsAt }
+  const told: Next = { state: next, effects: effects.flatMap(effect => effect.kind === 'startRound' ? [askRound(next, effect.round)] : answerFloor(state, effect)) }
+  return answered.includes(confirmRound) ? confirmRoundEnded(told, event.nowMs) : told
 }
 
-function answerFloor (state: State, effect: FloorEffect): readonly Effect[] {
-  if (effect.kind === 'startRound') return [effect]
+function confirmRoundEnded ({ state, effects }: Next, nowMs: number): Next {
+  const fruitlessRounds = state.confirm.waiting.length > 0 ? state.fruitlessRounds + 1 : 0
+  const ended: State = { ...state, asking: false, fruitlessRounds }
+  if (fruitlessRounds >= roundsAtOnce) return { state: ended, effects }
+  return chain(ended, [next => ({ state: next, effects }), next => askForConfirm(next, nowMs)])
+}
+
+// Where all reads of a round run at the primary, its own log need not be asked
+// for, and so many others as complete a majority are asked first.
+function askRound (state: State, round: number): Effect {
+  const { group, health } = state.failover
+  const own = state.isPolled ? commonServer(state) : undefined
+  if (own === undefined) return { kind: 'askRound', round, own, servers: group.servers, rest: [] }
+  const heardAtMs = (server: ServerName): number => health[server]?.failedInRow === 0 ? health[server]?.lastSignAtMs ?? 0 : 0
+  const others = group.servers.filter(server => server !== own).sort((a, b) => heardAtMs(b) - heardAtMs(a))
+  const needed = majorityOf(group.servers.length) - 1
+  return { kind: 'askRound', round, own, servers: others.slice(0, needed), rest: others.slice(needed) }
+}
+
+function commonServer (state: State): ServerName | undefined {
+  const primary = state.failover.group.leadership?.server
+  const ids = state.floor.running?.ids ?? []
+  return ids.every(id => id === confirmRound || state.runsAt.get(id) === primary) ? primary : undefined
+}
+
+// A server that is fenced above the primary's term shows that the primary may
+// have been replaced, so its answer completes no round that left the primary out.
+function takeRoundStatus (state: State, message: Extract<Message, { readonly kind: 'roundStatus' }>): Next {
+  const { round, status, askedAtMs, nowMs } = message
+  const isOwn = commonServer(state) !== undefined
+  const isAbove = status.fencedTerm > (state.failover.group.leadership?.term ?? 0)
+  const taken = takeStatus(state, { kind: 'status', status, askedAtMs, nowMs })
+  const event: FloorEvent = isOwn && isAbove
+    ? { kind: 'roundFailed', round, server: status.server, nowMs }
+    : { kind: 'roundAnswered', round, server: status.server, received: status.received, nowMs }
+  return chain(taken.state, [next => ({ state: next, effects: taken.effects }), next => withFloor(next, event)])
+}
+
+function askRest (state: State, message: Extract<Message, { readonly kind: 'askRest' }>): Next {
+  if (state.floor.running?.round !== message.round || message.servers.length === 0) return { state, effects: [] }
+  return { state, effects: [{ kind: 'askRound', round: message.round, own: undefined, servers: message.servers, rest: [] }] }
+}
+
+function answerFloor (state: State, effect: Exclude<FloorEffect, { readonly kind: 'startRound' }>): readonly Effect[] {
   const reply = state.floorReplies.get(effect.id)
   return reply === undefined ? [] : [{ kind: 'answerFloor', reply, floor: effect.kind === 'floor' ? effect.position : undefined }]
 }
@@ -259,7 +391,7 @@
     case 'follow': return follow(spec.context, watches, effect, port)
     case 'publish': return spec.publish(effect.view)
     case 'primaryChanged': return spec.onPrimary(effect.view)
-    case 'startRound': return startRound(spec.context, watches, effect.round, port)
+    case 'askRound': return askServers(spec.context, watches, effect, port)
     case 'answerConfirm': return effect.reply(effect.confirmed)
     case 'answerFloor': return effect.reply(effect.floor)
     case 'changeServers': return watches.change(effect.servers, port)
@@ -318,18 +450,17 @@
   void command(context, watches, effect.server, { kind: 'follow', term: effect.term, proposer: effect.proposer, primary }, port)
 }
 
-function startRound (context: DaemonContext, watches: Watches, round: number, port: Port<Message>): void {
-  const askedAtMs = context.timers.nowMs()
-  for (const watch of watches.all()) {
-    const { server } = watch
-    watch.status().then(
-      status => {
-        const nowMs = context.timers.nowMs()
-        port.send({ kind: 'status', status, askedAtMs, nowMs })
-        port.send({ kind: 'floor', event: { kind: 'roundAnswered', round, server, received: status.received, nowMs } })
-      },
-      () => { port.send({ kind: 'floor', event: { kind: 'roundFailed', round, server, nowMs: context.timers.nowMs() } }) }
-    )
+function askServers (context: DaemonContext, watches: Watches, effect: Extract<Effect, { readonly kind: 'askRound' }>, port: Port<Message>): void {
+  const { round, own, rest } = effect
+  const { timers } = context
+  if (own !== undefined) port.send({ kind: 'floor', event: { kind: 'roundAnswered', round, server: own, received: originPosition, nowMs: timers.nowMs() } })
+  if (rest.length > 0) timers.after(askRestMs, { send: () => port.send({ kind: 'askRest', round, servers: rest }) })
+  const askedAtMs = timers.nowMs()
+  for (const server of effect.servers) {
+    const failed = (): void => { port.send({ kind: 'floor', event: { kind: 'roundFailed', round, server, nowMs: timers.nowMs() } }) }
+    const watch = watches.get(server)
+    if (watch === undefined) failed()
+    else watch.status().then(status => { port.send({ kind: 'roundStatus', round, status, askedAtMs, nowMs: timers.nowMs() }) }, failed)
   }
 }
 
@@ -337,20 +468,18 @@
 class Watches {
   readonly #spec: DatabaseSpec
   readonly #watches = new Map<ServerName, ServerWatch>()
+  readonly #dueInMs: (server: ServerName) => number
   #declared: readonly ServerDeclaration[] = []
 
-  constructor (spec: DatabaseSpec) {
+  constructor (spec: DatabaseSpec, dueInMs: (server: ServerName) => number) {
     this.#spec = spec
+    this.#dueInMs = dueInMs
   }
 
   get (server: ServerName): ServerWatch | undefined {
     return this.#watches.get(server)
   }
 
-  all (): readonly ServerWatch[] {
-    return [...this.#watches.values()]
-  }
-
   declaredAddress (server: ServerName): ServerDeclaration | undefined {
     return this.#declared.find(one => one.name === server)
   }
@@ -375,7 +504,7 @@
   #start (server: ServerDeclaration, port: Port<Message>): ServerWatch {
     const { context, database, onWasSilent } = this.#spec
     const { timers, settings } = context
-    return new ServerWatch(context, database.name, server.name, redirected(settings.links, server), report => {
+    const report = (report: WatchReport): void => {
       const nowMs = timers.nowMs()
       switch (report.kind) {
         case 'status': {
@@ -384,6 +513,7 @@
         }
         case 'connectionLost': {
           port.send({ kind: 'failover', event: { kind: 'connectionLost', server: server.name, nowMs } })
+          this.#spec.onLost(server.name)
           break
         }
         case 'wasSilent': {
@@ -395,7 +525,9 @@
           break
         }
       }
-    })
+    }
+    const hooks: WatchHooks = { report, dueInMs: () => this.#dueInMs(server.name) }
+    return new ServerWatch(context, database.name, server.name, redirected(settings.links, server), hooks)
   }
 }
 
--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -16,6 +16,8 @@
   readonly publish: (view: PrimaryView) => void
   readonly orderPromotion: (database: DatabaseName, server: ServerName) => Promise<PromotionResult>
   readonly onFailure: (server: ServerName, failure: string) => void
+  /** A server does not answer this host. */
+  readonly onLost: (database: DatabaseName, server: ServerName) => void
 }
 
 type Unit = {
@@ -140,6 +142,15 @@
     return [...this.#units.values()]
   }
 
+  /**
+   * The task of a database.
+   * @param database - the database
+   * @returns the task, or undefined where this host has no duty for it
+   */
+  task (database: DatabaseName): DatabaseTask | undefined {
+    return this.#units.get(database)?.task
+  }
+
   /**
    * Statements and transactions that are under way.
    * @returns the count
@@ -188,6 +199,7 @@
       database: declared,
       publish,
       orderPromotion,
+      onLost: server => { this.#spec.onLost(declared.name, server) },
       onPrimary: view => { this.#takePrimary(view) },
       onWasSilent: server => { this.#units.get(declared.name)?.homes.get(server)?.giveUpSilent() }
     })
@@ -244,7 +256,10 @@
       databaseName: unit.declaration.name,
       server,
       database: unit.task,
-      onFailure: failure => { this.#spec.onFailure(server.name, failure) }
+      onFailure: failure => {
+        this.#spec.onFailure(server.name, failure)
+        this.#spec.onLost(unit.declaration.name, server.name)
+      }
     })
     home.restAtMost(this.#idleTransactionMs)
     this.#units.set(unit.declaration.name, { ...unit, homes: new Map(unit.homes).set(server.name, home) })
--- a/src/daemon/home-check.ts
+++ b/src/daemon/home-check.ts
@@ -61,7 +61,7 @@
 async function floorForServer (spec: CheckSpec, freshness: Freshness): Promise<ServerCheck> {
   const floor = await floorOf(spec, freshness)
   if (floor === undefined) return { kind: 'mayNot', reason: 'noServer', detail: 'no majority of the servers told its position' }
-  if (!leads(spec) && isFarBehind(spec, floor)) return { kind: 'mayNot', reason: 'behind', detail: `${spec.server.name} is far behind`, newest: freshness.kind === 'newest' ? floor : undefined }
+  if (!leads(spec) && isFarBehind(spec, floor)) return { kind: 'mayNot', reason: 'behind', detail: `${spec.server.name} is far behind`, newest: undefined }
   return { ...mayRead(spec), floor }
 }
 
@@ -69,10 +69,10 @@
   const { database, timers } = spec
   switch (freshness.kind) {
     case 'floor': return freshness.position
-    case 'newest': return await database.openFloor()
-    case 'age': return oldestMark(database.view.get().age, freshness.maxAgeMs, timers.nowMs()) ?? await database.openFloor()
+    case 'newest': return await database.openFloor(spec.server.name)
+    case 'age': return oldestMark(database.view.get().age, freshness.maxAgeMs, timers.nowMs()) ?? await database.openFloor(spec.server.name)
     case 'floorAndAge': {
-      const mark = oldestMark(database.view.get().age, freshness.maxAgeMs, timers.nowMs()) ?? await database.openFloor()
+      const mark = oldestMark(database.view.get().age, freshness.maxAgeMs, timers.nowMs()) ?? await database.openFloor(spec.server.name)
       return mark === undefined ? undefined : laterPosition(mark, freshness.position)
     }
   }
@@ -97,7 +97,7 @@
       return fresh ? mayRead(spec) : { kind: 'mayNot', reason: 'behind', detail: `${server.name} is older than ${freshness.maxAgeMs} ms` }
     }
     case 'newest': {
-      const newest = await database.openFloor()
+      const newest = await database.openFloor(undefined)
       if (newest === undefined) return { kind: 'mayNot', reason: 'noServer', detail: 'no majority of the servers told its position' }
       const verdict = await checkFloor(spec, newest)
       return verdict.kind === 'may' ? verdict : { ...verdict, newest }
--- a/src/daemon/home-task.ts
+++ b/src/daemon/home-task.ts
@@ -59,6 +59,7 @@
     database: spec.databaseName,
     server: server.name,
     budget,
+    onAnswer: (position, askedAtMs) => { spec.database.seen(server.name, position, askedAtMs) },
     onFailure: spec.onFailure
   })
   const transactions = new Transactions(context, Math.max(1, budget - server.slots), session => { pool.discard(session) })
--- a/src/daemon/parts.ts
+++ b/src/daemon/parts.ts
@@ -7,6 +7,7 @@
 import type { DiscoveryTask } from './discovery-task.js'
 import type { DutyTask } from './duty-task.js'
 import type { Effective } from './effective.js'
+import type { ObservingSpec } from './observing.js'
 import type { Registry } from './registry-task.js'
 import type { Databases } from './databases.js'
 import type { LimitsTask } from './limits-task.js'
@@ -33,6 +34,9 @@
   readonly discovery: DiscoveryTask | undefined
   /** Set where hosts register themselves. */
   readonly registry: Registry | undefined
+  readonly observing: ObservingSpec
+  /** Takes in whether another member holds the duty. */
+  readonly noteDuty: (from: MemberState) => void
   readonly stopping: () => boolean
   /** What this host says of itself to other members. */
   readonly ownState: () => MemberState
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -20,6 +20,7 @@
 import { startLimits } from './limits-task.js'
 import { startMembers, type MembersTask, type MembersView } from './members-task.js'
 import type { Parts } from './parts.js'
+import { observationOf, startObserving } from './observing.js'
 import { PeerLinks, tlsOf } from './peers.js'
 import { startRegistry } from './registry-task.js'
 import { startReports } from './reports.js'
@@ -58,7 +59,8 @@
     ownFailureDomain: settings.host.failureDomain,
     defaultDeadlineMs: settings.limits.defaultDeadlineMs,
     maxDeadlineMs,
-    rules: ports.front.rules
+    rules: ports.front.rules,
+    newestAt: ports.driver.statusDelivery === 'polled' ? 'primary' : 'anyServer'
   })
   const callers = await startCallers({
     context,
@@ -103,6 +105,7 @@
   const { store } = ports
   const routing = new RoutingTable()
   const links = new PeerLinks(context, host => { members.tell({ kind: 'linkFailed', host, nowMs: timers.nowMs() }) })
+  let dutyHolder: HostName | undefined
   const databases = new Databases({
     context,
     onPrimary: view => {
@@ -112,7 +115,11 @@
     },
     publish: view => { void publishPrimary(context, store, view).catch(() => { reports.event('storeUnreachable', { what: 'primary' }) }) },
     orderPromotion: async (database, server) => await duty?.orderPromotion(database, server) ?? 'refused',
-    onFailure: (server, failure) => { reports.event('serverConnectionFailed', { server, failure }) }
+    onFailure: (server, failure) => { reports.event('serverConnectionFailed', { server, failure }) },
+    onLost: (database, server) => {
+      if (dutyHolder === undefined || dutyHolder === settings.host.name) return
+      links.call(dutyHolder, 'suspect', { database, server }, tellPrimaryTimeoutMs).catch(() => {})
+    }
   })
   const effective = new Effective(manifest => {
     routing.takeDatabases(manifest.databases)
@@ -142,6 +149,11 @@
     confirmedUntilMs: () => confirmedUntilMs(configuration.state.get()),
     decodeTable: decodeSeatTable
   })
+  const noteDuty = (from: MemberState): void => {
+    if (from.holdsDuty !== true) return
+    dutyHolder = from.host
+    duty?.heard()
+  }
   const duty = joinDuty(context, reports, holds => { databases.takeDuty(holds) })
   const discovery = ports.servers.kind === 'declared'
     ? undefined
@@ -190,11 +202,13 @@
     },
     onHeard: (from, askedAtMs) => {
       configuration.heard(from, askedAtMs)
-      if (from.holdsDuty === true) duty?.heard()
+      noteDuty(from)
     }
   })
+  const observing = { context, links, databases, routing }
+  if (ports.driver.statusDelivery === 'polled') startObserving(observing)
   reports.attach({ store, members, configuration, databases, routing, links, stopping })
-  return { context, reports, store, links, members, configuration, databases, routing, limits, effective, duty, discovery, registry, stopping, ownState }
+  return { context, reports, store, links, members, configuration, databases, routing, limits, effective, duty, discovery, registry, observing, noteDuty, stopping, ownState }
 }
 
 function joinDuty (context: DaemonContext, reports: Parts['reports'], takeDuty: (holds: boolean) => void): DutyTask | undefined {
@@ -253,7 +267,10 @@
   const { configuration, databases, members, limits, reports } = parts
   return {
     execute: async request => await databases.execute(request),
-    heartbeat: async from => await members.answerHeartbeat(from),
+    heartbeat: async from => {
+      parts.noteDuty(from)
+      return await members.answerHeartbeat(from)
+    },
     pullConfiguration: async ({ above }) => {
       const accepted = configuration.inForce()
       return { accepted: accepted !== undefined && accepted.generation > above ? accepted : undefined }
@@ -263,6 +280,11 @@
       return { generation: configuration.told().generation }
     },
     listHosts: async () => ({ list: members.list() }),
+    observe: async ({ database }) => ({ observation: observationOf(parts.observing, database) }),
+    suspect: async ({ database, server }) => {
+      databases.task(database)?.suspected(server)
+      return { accepted: true }
+    },
     listServers: async () => ({ list: parts.discovery?.list() }),
     primaryChanged: async ({ view }) => {
       parts.routing.sawPrimary(view)
--- a/src/daemon/server-watch.ts
+++ b/src/daemon/server-watch.ts
@@ -17,6 +17,13 @@
   /** A connection had gone silent and a fresh one works: others may be silent too. */
   | { readonly kind: 'wasSilent' }
 
+/** What a watch tells and asks its owner. */
+export type WatchHooks = {
+  readonly report: (report: WatchReport) => void
+  /** Time until the server should be asked again, where it tells its status only when it is asked. */
+  readonly dueInMs: () => number
+}
+
 /** A ledger call that changes a server's role. */
 export type LedgerCommand =
   | { readonly kind: 'fence', readonly term: number, readonly proposer: string }
@@ -33,12 +40,16 @@
 /** An answer that is this late means that the connection is silent. */
 const answerTimeoutMs = 400
 const reconnectDelayMs = 100
+/** Bounds of the time between two looks at whether a status is due. */
+const shortestNapMs = 20
+const longestNapMs = 300
 const callTimeoutMs = 500
 
 /** Watches one server. */
 export class ServerWatch {
   readonly #context: DaemonContext
-  readonly #report: (report: WatchReport) => void
+  readonly #report: WatchHooks['report']
+  readonly #dueInMs: WatchHooks['dueInMs']
   #commands: Promise<DatabaseSession> | undefined
   #waiting: DatabaseSession | undefined
   #stopped = false
@@ -50,11 +61,12 @@
    * @param database - the database of the server
    * @param server - name of the server
    * @param address - where it listens
-   * @param report - told of what is learned
+   * @param hooks - told of what is learned, and asked when to look again
    */
-  constructor (context: DaemonContext, readonly database: DatabaseName, readonly server: ServerName, readonly address: Address, report: (report: WatchReport) => void) {
+  constructor (context: DaemonContext, readonly database: DatabaseName, readonly server: ServerName, readonly address: Address, hooks: WatchHooks) {
     this.#context = context
-    this.#report = report
+    this.#report = hooks.report
+    this.#dueInMs = hooks.dueInMs
     void this.#watch()
   }
 
@@ -130,8 +142,21 @@
     while (!this.#stopped) {
       this.#report(status === undefined ? { kind: 'busy' } : { kind: 'status', status, askedAtMs })
       const known = status ?? unknownStatus(this.server)
+      if (this.#context.ports.driver.statusDelivery === 'polled') await this.#untilDue()
+      if (this.#stopped) return
       askedAtMs = nowMs()
-      status = await this.#unlessBusy(session.ledger.wait(known, waitMs, waitMs + answerTimeoutMs))
+      const next = this.#context.ports.driver.statusDelivery === 'polled'
+        ? session.ledger.status(answerTimeoutMs)
+        : session.ledger.wait(known, waitMs, waitMs + answerTimeoutMs)
+      status = await this.#unlessBusy(next)
+    }
+  }
+
+  async #untilDue (): Promise<void> {
+    for (;;) {
+      const dueInMs = this.#dueInMs()
+      if (dueInMs <= 0 || this.#stopped) return
+      await sleep(this.#context.timers, Math.min(Math.max(dueInMs, shortestNapMs), longestNapMs))
     }
   }
 
--- a/src/daemon/session-pool.ts
+++ b/src/daemon/session-pool.ts
@@ -5,7 +5,7 @@
 // budget; where it is used up, an idle session of another account makes room.
 
 import { distance, type ServerSession, type SessionPool, type SessionWish } from '../home/index.js'
-import type { AccountName, Address, DatabaseName, ServerName } from '../model/index.js'
+import type { AccountName, Address, DatabaseName, Position, ServerName } from '../model/index.js'
 import { sleep } from '../pipe/index.js'
 import { asWireError, type DatabaseSession } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
@@ -17,6 +17,7 @@
   readonly server: ServerName
   /** Sessions that may be open at a time. */
   readonly budget: number
+  readonly onAnswer: (position: Position, askedAtMs: number) => void
   /** Told that a login failed. */
   readonly onFailure: (failure: string) => void
 }
--- a/src/failover/failover.ts
+++ b/src/failover/failover.ts
@@ -2,10 +2,10 @@
 // the primary, decide on a new one, have it done and told. The terms of the
 // servers decide; the store only publishes, so all of this works without it.
 
-import { covers, type DatabaseDeclaration, type ServerName, type ServerStatus } from '../model/index.js'
+import { covers, type DatabaseDeclaration, type Position, type ServerName, type ServerStatus } from '../model/index.js'
 import { stay, type Transition } from '../pipe/index.js'
 import { bringIntoLine } from './follow.js'
-import { learnStatus, primaryView, withServers } from './group-view.js'
+import { learnPosition, learnStatus, primaryView, withServers } from './group-view.js'
 import { dueProbes, forgetFailures, probeAnswered, probeFailed, probeSoon, probesSent, reachable, signOfLife } from './health.js'
 import { causeOf, mayPropose, publishes } from './judge.js'
 import { fenceAnswered, fencedEnough, idleProposal, nextPrimary, type Cause, type Draining, type Fencing, type Promoting } from './proposal.js'
@@ -37,6 +37,8 @@
 function handle (state: FailoverState, event: FailoverEvent): Next {
   switch (event.kind) {
     case 'statusReceived': return stay(observe(state, event.status, event.nowMs))
+    case 'answerSeen': return stay(observeAnswer(state, event.server, event.position, event.nowMs))
+    case 'statusRelayed': return stay(observeRelayed(state, event.status, event.heardAgoMs, event.nowMs))
     case 'connectionLost': return stay({ ...state, health: probeSoon(state.health, event.server) })
     case 'probeAnswered': return stay({ ...state, health: probeAnswered(state.health, event.server, event.nowMs) })
     case 'probeFailed': return stay({ ...state, health: probeFailed(state.health, event.server, event.how) })
@@ -58,6 +60,24 @@
   }
 }
 
+function observeAnswer (state: FailoverState, server: ServerName, position: Position, nowMs: number): FailoverState {
+  return {
+    ...state,
+    group: learnPosition(state.group, server, position, nowMs),
+    health: signOfLife(state.health, server, nowMs)
+  }
+}
+
+// A server that another host has not heard for a while is worth a look.
+function observeRelayed (state: FailoverState, status: ServerStatus, heardAgoMs: number, nowMs: number): FailoverState {
+  const group = learnStatus(state.group, status, nowMs, state.settings.appointment === 'byDuty' ? 'passing' : 'lasting')
+  const { server } = status
+  const lastSignAtMs = state.health[server]?.lastSignAtMs ?? -Infinity
+  if (heardAgoMs <= state.settings.reachableForMs && nowMs - heardAgoMs > lastSignAtMs) return { ...state, group, health: signOfLife(state.health, server, nowMs - heardAgoMs) }
+  const isQuiet = nowMs - lastSignAtMs > state.settings.reachableForMs
+  return { ...state, group, health: isQuiet ? probeSoon(state.health, server) : state.health }
+}
+
 function changeRank (state: FailoverState, rank: number | undefined): FailoverState {
   return { ...state, rank, proposal: rank === undefined ? idleProposal : state.proposal }
 }
--- a/src/failover/group-view.ts
+++ b/src/failover/group-view.ts
@@ -4,7 +4,7 @@
 // its only one. The view is built from these facts alone, so late statuses
 // never take it back to a lower term.
 
-import { comparePositions, type DatabaseName, type PrimaryView, type ServerName, type ServerStatus } from '../model/index.js'
+import { comparePositions, covers, laterPosition, type DatabaseName, type Position, type PrimaryView, type ServerName, type ServerStatus } from '../model/index.js'
 
 /** A status and when it was learned. */
 export type KnownStatus = {
@@ -87,6 +87,24 @@
   }
 }
 
+/**
+ * Takes in the position that an answer of a server showed. What a primary has
+ * applied it has also received.
+ * @param view - what was known
+ * @param server - who answered
+ * @param position - what it has applied
+ * @param nowMs - monotonic time
+ * @returns what is known now
+ */
+export function learnPosition (view: GroupView, server: ServerName, position: Position, nowMs: number): GroupView {
+  const before = view.known[server]
+  if (before === undefined || covers(before.status.applied, position)) return view
+  const received = laterPosition(before.status.received, position)
+  const moved = comparePositions(received, before.status.received) !== 0
+  const status = { ...before.status, applied: position, received }
+  return { ...view, known: { ...view.known, [server]: { ...before, status, movedAtMs: moved ? nowMs : before.movedAtMs } } }
+}
+
 function laterLeadership (known: Leadership | undefined, status: ServerStatus): Leadership | undefined {
   if (!leadsItsTerm(status)) return known
   if (known !== undefined && known.term >= status.fencedTerm) return known
--- a/src/failover/state.ts
+++ b/src/failover/state.ts
@@ -1,6 +1,6 @@
 // State, events and effects of the failover of one database at one home.
 
-import type { DatabaseDeclaration, DatabaseName, HostName, PrimaryView, ServerName, ServerStatus } from '../model/index.js'
+import type { DatabaseDeclaration, DatabaseName, HostName, Position, PrimaryView, ServerName, ServerStatus } from '../model/index.js'
 import { emptyGroupView, primaryView, type GroupView } from './group-view.js'
 import type { Health, ProbeFailure } from './health.js'
 import { idleProposal, type Proposal } from './proposal.js'
@@ -56,6 +56,10 @@
 export type FailoverEvent =
   | { readonly kind: 'statusReceived', readonly status: ServerStatus, readonly nowMs: number }
   | { readonly kind: 'connectionLost', readonly server: ServerName, readonly nowMs: number }
+  /** A statement was answered; the position is what the server has applied. */
+  | { readonly kind: 'answerSeen', readonly server: ServerName, readonly position: Position, readonly nowMs: number }
+  /** Another host told a status. */
+  | { readonly kind: 'statusRelayed', readonly status: ServerStatus, readonly heardAgoMs: number, readonly nowMs: number }
   | { readonly kind: 'probeAnswered', readonly server: ServerName, readonly nowMs: number }
   | { readonly kind: 'probeFailed', readonly server: ServerName, readonly how: ProbeFailure, readonly nowMs: number }
   | { readonly kind: 'ranksChanged', readonly rank: number | undefined, readonly nowMs: number }
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -6,7 +6,7 @@
 import type { Outcome } from './outcome.js'
 import type { Position } from './position.js'
 import type { Access, ServerStatement, SessionValues } from './statement.js'
-import type { FoundServer, PrimaryView } from './database.js'
+import type { FoundServer, PrimaryView, ServerStatus } from './database.js'
 
 /** What a read has to cover. */
 export type Freshness =
@@ -126,6 +126,20 @@
   readonly agoMs: number
 }
 
+/** What one host knows of a server. */
+export type ObservedServer = {
+  readonly status: ServerStatus
+  /** Since the server gave any sign of life. */
+  readonly heardAgoMs: number
+}
+
+/** What one host knows of a database's servers; others spare themselves the questions. */
+export type Observation = {
+  readonly servers: readonly ObservedServer[]
+  /** Everything acknowledged longer ago than this is at or below the position. */
+  readonly mark: { readonly position: Position, readonly agoMs: number } | undefined
+}
+
 /** The servers that were found, and how long ago the store listed them. */
 export type ServerList = {
   readonly servers: readonly FoundServer[]
@@ -141,6 +155,10 @@
   readonly borrow: { readonly params: { readonly from: HostName, readonly incarnation: string, readonly request: BorrowRequest }, readonly result: { readonly grant: ShareGrant | undefined } }
   /** The platform's host list as the asked host has it; undefined: none yet. */
   readonly listHosts: { readonly params: Readonly<Record<string, never>>, readonly result: { readonly list: HostList | undefined } }
+  /** What the asked host knows of a database's servers; undefined where it does not watch them. */
+  readonly observe: { readonly params: { readonly database: DatabaseName }, readonly result: { readonly observation: Observation | undefined } }
+  /** A server does not answer the sender, which runs its statements. */
+  readonly suspect: { readonly params: { readonly database: DatabaseName, readonly server: ServerName }, readonly result: { readonly accepted: boolean } }
   /** Tells who leads a database, right after a change. */
   readonly primaryChanged: { readonly params: { readonly view: PrimaryView }, readonly result: { readonly accepted: boolean } }
   /** The servers that the asked host has found; undefined: none yet. */
--- a/src/ports/database.ts
+++ b/src/ports/database.ts
@@ -40,6 +40,8 @@
   readonly server: ServerName
   /** Whose statements run on the session; undefined for the proxy's own calls. */
   readonly account: AccountName | undefined
+  /** Told of the position that an answer shows, and when the statement was sent. */
+  readonly onAnswer?: (position: Position, askedAtMs: number) => void
 }
 
 /** A database driver. */
--- a/src/ports/store.ts
+++ b/src/ports/store.ts
@@ -69,7 +69,7 @@
 
 function faultText (fault: StoreFault): string {
   switch (fault.kind) {
-    case 'unreachable': return 'the store is not reachable'
+    case 'unreachable': return 'the platform is not reachable'
     case 'overdue': return `no answer within ${fault.timeoutMs} ms`
     case 'conflict': return `the object is at version ${fault.version}`
     case 'historyGone': return 'the changes since then are no longer known'
--- a/src/request/age.ts
+++ b/src/request/age.ts
@@ -73,6 +73,16 @@
   return { position, askedAtMs: earliest.askedAtMs }
 }
 
+/**
+ * Takes in a mark that another home found.
+ * @param record - what was known
+ * @param mark - the mark, dated no later than it holds
+ * @returns what is known now
+ */
+export function takeMark (record: AgeRecord, mark: AgeMark): AgeRecord {
+  return { ...record, marks: withMark(record.marks, mark) }
+}
+
 function withMark (marks: readonly AgeMark[], mark: AgeMark): readonly AgeMark[] {
   const newest = marks[0]
   const second = marks[1]
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -79,6 +79,7 @@
     freshness: progress.freshness,
     requestId: statement.hints.requestId,
     ownFailureDomain: bounds.ownFailureDomain,
+    newestAt: bounds.newestAt,
     avoid,
     spread: Math.floor(services.random() * database.servers.length * 1000),
     nowMs: services.nowMs()
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -25,6 +25,7 @@
   readonly freshness: Freshness
   readonly requestId: string | undefined
   readonly ownFailureDomain: FailureDomain
+  readonly newestAt: 'anyServer' | 'primary'
   /** Servers that failed for this statement already. */
   readonly avoid: ReadonlySet<ServerName>
   /** A number that spreads equal choices. */
@@ -85,11 +86,16 @@
 }
 
 function preferReplica (request: RouteRequest, view: RoutingView, mode: ExecutionMode): Route {
+  if (request.freshness.kind === 'newest' && request.newestAt === 'primary' && !isAvoided(request, view)) return toPrimary(view, request, mode)
   const replica = chooseReplica(request, view)
   if (replica !== undefined) return { kind: 'send', server: replica.server, home: replica.home, mode }
   return toPrimary(view, request, mode)
 }
 
+function isAvoided (request: RouteRequest, view: RoutingView): boolean {
+  return view.primary.primary === undefined || request.avoid.has(view.primary.primary)
+}
+
 type Candidate = { readonly server: ServerName, readonly home: HostName, readonly near: boolean }
 
 function chooseReplica (request: RouteRequest, view: RoutingView): Candidate | undefined {
--- a/src/request/services.ts
+++ b/src/request/services.ts
@@ -39,6 +39,8 @@
   readonly defaultDeadlineMs: number
   readonly maxDeadlineMs: number
   readonly rules: SessionRules
+  /** Where reads of the newest state run: where servers tell their positions only when asked, the primary needs the fewest questions. */
+  readonly newestAt: 'anyServer' | 'primary'
 }
 
 /** Rules of a front end's sessions. */
--- a/test/request/pipe.test.ts
+++ b/test/request/pipe.test.ts
@@ -46,7 +46,7 @@
     decodeToken: JSON.parse,
     holdsKey: () => false
   }
-  const pipe = requestPipe(services, { self: 'h9', ownFailureDomain: 'd1', defaultDeadlineMs: 1000, maxDeadlineMs: 1000, rules: statementRules })
+  const pipe = requestPipe(services, { self: 'h9', ownFailureDomain: 'd1', defaultDeadlineMs: 1000, maxDeadlineMs: 1000, rules: statementRules, newestAt: 'anyServer' })
   const served = await runPipe(pipe, { session, statement: { caller: session.caller, route: session.route, ...parseSql(sql), receivedAtMs: 0 } })
   return { sent, served }
 }
--- a/test/request/route.test.ts
+++ b/test/request/route.test.ts
@@ -29,6 +29,7 @@
     freshness: { kind: 'floor', position: { term: 3, index: 10 } },
     requestId: undefined,
     ownFailureDomain: 'b',
+    newestAt: 'anyServer',
     avoid: new Set(),
     spread: 0,
     nowMs: 1000,
--- a/test/wire/platform-client.test.ts
+++ b/test/wire/platform-client.test.ts
@@ -43,9 +43,10 @@
 test('calls carry kind, name, version and times as agreed', async () => {
   await withPlatform(answering(200, { version: 4, revision: 9, objects: [], hosts: [] }), async ({ client, calls }) => {
     assert.deepEqual(await client.putObject('seats', 'table', 3, { a: 1 }), { version: 4, revision: 9 })
-    assert.deepEqual(await client.watch('manifest', 8, 50), { revision: 9, objects: [] })
+    assert.deepEqual(await client.watch('manifest', 8, 50), { revision: 9, objects: [], removed: [] })
+    await client.deleteObject('seats', 'table', 3)
     assert.deepEqual(await client.hosts(), [])
-    assert.deepEqual(calls, ['PUT /v1/objects/seats/table?version=3', 'GET /v1/watch/manifest?since=8&timeoutMs=50', 'GET /v1/hosts'])
+    assert.deepEqual(calls, ['PUT /v1/objects/seats/table?version=3', 'GET /v1/watch/manifest?since=8&timeoutMs=50', 'DELETE /v1/objects/seats/table?version=3', 'GET /v1/hosts'])
   })
 })
 
