--- a/src/daemon/configuration-task.ts
+++ b/src/daemon/configuration-task.ts
@@ -81,7 +81,7 @@
     state: published,
     mayServeKeyed: () => mayServeKeyed(published.get(), timers.nowMs()),
     inForce: () => published.get().accepted,
-    told: () => ({ generation: confirmedGeneration(published.get()), storeConfirmedAgoMs: storeConfirmedAgoMs(published.get(), timers.nowMs()) }),
+    told: () => ({ generation: confirmedGeneration(published.get()), storeConfirmedAgoMs: roundedUp(storeConfirmedAgoMs(published.get(), timers.nowMs())) }),
     offered: accepted => { task.port.send({ kind: 'peerOffered', accepted }) },
     heard: (state, askedAtMs) => { task.port.send(confirmationOf(state, askedAtMs, timers.nowMs())) },
     quorumChanged: hosts => { task.port.send({ kind: 'quorumChanged', hosts }) },
@@ -92,6 +92,11 @@
   }
 }
 
+// Fewer digits in each heartbeat; an age may only be told too old.
+function roundedUp (ageMs: number | undefined): number | undefined {
+  return ageMs === undefined ? undefined : Math.ceil(ageMs)
+}
+
 function perform (spec: ConfigurationTaskSpec, effect: ConfigurationEffect, port: Port<ConfigurationEvent>): void {
   switch (effect.kind) {
     case 'apply': return spec.onApply(effect.accepted)
--- a/src/daemon/database-task.ts
+++ b/src/daemon/database-task.ts
@@ -6,7 +6,7 @@
 import { redirected } from '../config/index.js'
 import { defaultFailoverSettings, dutyFailoverSettings, failoverStep, initialFailover, majorityOf, primaryView, proposerName, type FailoverEffect, type FailoverEvent, type FailoverSettings, type FailoverState, type AppointmentKind } from '../failover/index.js'
 import { originPosition, type DatabaseDeclaration, type DatabaseName, type Observation, type Position, type PrimaryView, type ServerDeclaration, type ServerName, type ServerStatus } from '../model/index.js'
-import { ask, Latest, startTask, tickPort, type Port, type Reply, withoutReplies, type Snapshot, type Transition } from '../pipe/index.js'
+import { ask, derived, Latest, pacedTicks, startTask, tickPort, type Port, type Reply, withoutReplies, type Snapshot, type Transition } from '../pipe/index.js'
 import { confirmStep, emptyAgeRecord, floorStep, initialConfirm, initialFloor, noteAnswer, takeMark, withAgeServers, type AgeRecord, type ConfirmEffect, type ConfirmEvent, type ConfirmState, type FloorEffect, type FloorEvent, type FloorState } from '../request/index.js'
 import type { PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
@@ -108,6 +108,8 @@
 
 const mailboxCapacity = 16384
 const tickMs = 40
+/** Period of the ticks while nothing waits and no failover is under way. */
+const restTickMs = 120
 const floorRoundTimeoutMs = 300
 const maxWaitingFloors = 4096
 /** A primary that was not heard for this time is asked for its status. */
@@ -132,8 +134,9 @@
   const { context, database } = spec
   const { timers } = context
   const initial = initialState(context, database)
-  const published = new Latest<DatabaseView>(viewOf(initial))
-  const watches = new Watches(spec, server => statusDueInMs(published.get(), server, timers.nowMs()))
+  const published = new Latest(initial)
+  const view = derived(published, viewOf)
+  const watches = new Watches(spec, server => statusDueInMs(view.get(), server, timers.nowMs()))
   const task = startTask<State, Message, Effect>({
     name: `database ${database.name}`,
     initial,
@@ -141,20 +144,20 @@
     onError: context.onTaskError(`database ${database.name}`),
     step: (state, message) => {
       const transition = step(state, message)
-      published.publish(viewOf(transition.state))
+      published.publish(transition.state)
       return transition
     },
     perform: (effect, port) => { perform(spec, watches, effect, port) }
   })
-  const cancel = timers.every(tickMs, tickPort<Message>(task.port, nowMs => ({ kind: 'tick', nowMs, random: context.random() })))
+  const cancel = pacedTicks(timers, () => isUrgent(published.get()) ? tickMs : restTickMs, tickPort<Message>(task.port, nowMs => ({ kind: 'tick', nowMs, random: context.random() })))
   watches.change(database.servers, task.port)
   return {
-    view: published,
+    view,
     confirm: async (position, deadlineAtMs) => await ask<Message, boolean>(task.port, reply => ({ kind: 'confirm', position, deadlineAtMs, nowMs: timers.nowMs(), reply }), false),
     openFloor: async runsAt => await ask<Message, Position | undefined>(task.port, reply => ({ kind: 'openFloor', runsAt, nowMs: timers.nowMs(), reply }), undefined),
     seen: (server, position, askedAtMs) => { task.port.send({ kind: 'seen', server, position, askedAtMs, nowMs: timers.nowMs() }) },
     observed: (observation, askedAtMs) => { task.port.send({ kind: 'observed', observation, askedAtMs, nowMs: timers.nowMs() }) },
-    observation: () => observationOf(published.get(), timers.nowMs()),
+    observation: () => observationOf(view.get(), timers.nowMs()),
     suspected: server => { task.port.send({ kind: 'failover', event: { kind: 'connectionLost', server, nowMs: timers.nowMs() } }) },
     changeManifest: changed => { task.port.send({ kind: 'manifest', database: changed, nowMs: timers.nowMs() }) },
     changeRank: rank => { task.port.send({ kind: 'failover', event: { kind: 'ranksChanged', rank, nowMs: timers.nowMs() } }) },
@@ -201,6 +204,12 @@
   }
 }
 
+function isUrgent (state: State): boolean {
+  const { failover, confirm, floor } = state
+  return failover.proposal.kind !== 'idle' || failover.troubleSinceMs !== undefined || confirm.waiting.length > 0 || floor.running !== undefined ||
+    Object.values(failover.health).some(({ probeNow, failedInRow }) => probeNow || failedInRow > 0)
+}
+
 function viewOf (state: State): DatabaseView {
   const known = Object.entries(state.failover.group.known)
   return {
--- a/src/daemon/discovery-task.ts
+++ b/src/daemon/discovery-task.ts
@@ -1,7 +1,9 @@
-// The discovery task: owns the list of servers that register in the store. It
-// watches the store and lists anew now and then, as a watch may have gone
-// silent; where the store does not answer, it asks another member.
+// The discovery task: owns the list of servers that register in the store. Some
+// hosts watch the store and list anew now and then, as a watch may have gone
+// silent. All others, and a watcher that the store does not answer, ask a
+// watcher.
 
+import { createHash } from 'node:crypto'
 import { noServers, serversStep, type ServersEvent, type ServersState } from '../discovery/index.js'
 import type { FoundServer, HostName, ServerList } from '../model/index.js'
 import { Latest, sleep, startTask, tickPort, type Port, type Snapshot } from '../pipe/index.js'
@@ -14,8 +16,10 @@
   readonly context: DaemonContext
   readonly source: Extract<ServerSource, { readonly kind: 'registered' }>
   readonly links: PeerLinks
-  /** Members to ask where the store does not answer. */
-  readonly peers: () => readonly HostName[]
+  /** True where this host is one of those that watch the store. */
+  readonly watches: () => boolean
+  /** The other members that watch the store. */
+  readonly watchers: () => readonly HostName[]
   readonly onServers: (state: ServersState) => void
   readonly onStoreFailure: () => void
 }
@@ -25,7 +29,7 @@
   readonly begin: () => void
   readonly state: Snapshot<ServersState>
   /** The servers, for another member; undefined: none yet. */
-  readonly list: () => ServerList | undefined
+  readonly list: (known: string) => ServerList | undefined
   readonly stop: () => Promise<void>
 }
 
@@ -35,9 +39,13 @@
 /** A watch that may have gone silent is made up for by a listing this often. */
 const relistMs = 10_000
 const retryMs = 300
+/** How often a host that does not watch asks one that does. */
+const askEveryMs = 1000
 const askTimeoutMs = 500
-/** A peer's list that is older than this is left alone. */
-const maxPeerListMs = 3000
+/** A watcher's list that is older than this is left alone; one answer of the store a watch period is usual. */
+const maxWatcherListMs = watchMs + 1500
+/** Characters of the digest that tells two lists apart. */
+const digestLength = 16
 
 /**
  * Starts the task.
@@ -63,11 +71,14 @@
   const stopping = { now: false }
   timers.every(tickMs, tickPort<ServersEvent>(task.port, nowMs => ({ kind: 'tick', nowMs })))
   return {
-    begin: () => { void watch(spec, task.port, stopping).catch(context.onTaskError('discovery')) },
+    begin: () => { void run(spec, task.port, published, stopping).catch(context.onTaskError('discovery')) },
     state: published,
-    list: () => {
-      const { known, answeredAtMs } = published.get()
-      return answeredAtMs === undefined ? undefined : { servers: [...known.values()].filter(each => each.missingSinceMs === undefined).map(each => each.server), agoMs: timers.nowMs() - answeredAtMs }
+    list: known => {
+      const { answeredAtMs } = published.get()
+      if (answeredAtMs === undefined) return undefined
+      const servers = present(published.get())
+      const digest = digestOf(servers)
+      return { servers: digest === known ? undefined : servers, digest, agoMs: timers.nowMs() - answeredAtMs }
     },
     stop: async () => {
       stopping.now = true
@@ -81,36 +92,54 @@
   return before.known !== after.known && shown(before) !== shown(after)
 }
 
-async function watch (spec: DiscoverySpec, port: Port<ServersEvent>, stopping: { readonly now: boolean }): Promise<void> {
-  const { timers, random, ports: { store } } = spec.context
-  const { objectKind } = spec.source
-  let revision: number | undefined
-  let listedAtMs = -Infinity
+function present (state: ServersState): readonly FoundServer[] {
+  return [...state.known.values()].filter(each => each.missingSinceMs === undefined).map(each => each.server)
+}
+
+function digestOf (servers: readonly FoundServer[]): string {
+  return createHash('sha256').update(JSON.stringify(servers)).digest('base64').slice(0, digestLength)
+}
+
+type Watching = { readonly revision: number | undefined, readonly listedAtMs: number }
+
+const notWatching: Watching = { revision: undefined, listedAtMs: -Infinity }
+
+async function run (spec: DiscoverySpec, port: Port<ServersEvent>, state: Snapshot<ServersState>, stopping: { readonly now: boolean }): Promise<void> {
+  const { timers, random } = spec.context
+  let watching = notWatching
   while (!stopping.now) {
+    if (!spec.watches() && await askWatcher(spec, port, state)) {
+      await sleep(timers, askEveryMs * (0.5 + random()))
+      continue
+    }
     try {
-      if (revision === undefined || timers.nowMs() - listedAtMs >= relistMs) {
-        const list = await store.listObjects(objectKind)
-        listedAtMs = timers.nowMs()
-        revision = list.revision
-        port.send({ kind: 'listed', servers: decoded(spec, list.objects), nowMs: listedAtMs })
-      }
-      const changes = await store.watch(objectKind, revision, watchMs)
-      revision = changes.revision
-      port.send(changed(spec, changes, timers.nowMs()))
+      watching = await watchOnce(spec, port, watching)
     } catch (error) {
       if (!(error instanceof StoreError)) throw error
-      if (error.fault.kind === 'historyGone') {
-        revision = undefined
-        continue
-      }
+      watching = notWatching
+      if (error.fault.kind === 'historyGone') continue
       spec.onStoreFailure()
-      revision = undefined
-      await askPeer(spec, port)
+      await askWatcher(spec, port, state)
       await sleep(timers, retryMs * (0.5 + random()))
     }
   }
 }
 
+async function watchOnce (spec: DiscoverySpec, port: Port<ServersEvent>, watching: Watching): Promise<Watching> {
+  const { timers, ports: { store } } = spec.context
+  const { objectKind } = spec.source
+  const { revision, listedAtMs } = watching
+  if (revision === undefined || timers.nowMs() - listedAtMs >= relistMs) {
+    const list = await store.listObjects(objectKind)
+    const nowMs = timers.nowMs()
+    port.send({ kind: 'listed', servers: decoded(spec, list.objects), nowMs })
+    return { revision: list.revision, listedAtMs: nowMs }
+  }
+  const changes = await store.watch(objectKind, revision, watchMs)
+  port.send(changed(spec, changes, timers.nowMs()))
+  return { revision: changes.revision, listedAtMs }
+}
+
 function decoded (spec: DiscoverySpec, objects: ReadonlyArray<{ readonly name: string, readonly value: unknown }>): readonly FoundServer[] {
   return objects.flatMap(({ name, value }) => spec.source.decode(name, value) ?? [])
 }
@@ -122,11 +151,15 @@
   return { kind: 'changed', servers, removed: [...changes.removed, ...unreadable], nowMs }
 }
 
-async function askPeer (spec: DiscoverySpec, port: Port<ServersEvent>): Promise<void> {
+// True where a watcher gave its list, and the list is not old.
+async function askWatcher (spec: DiscoverySpec, port: Port<ServersEvent>, state: Snapshot<ServersState>): Promise<boolean> {
   const { timers, random } = spec.context
-  const peers = spec.peers()
-  const peer = peers[Math.floor(random() * peers.length)]
-  if (peer === undefined) return
-  const { list } = await spec.links.call(peer, 'listServers', {}, askTimeoutMs).catch(() => ({ list: undefined }))
-  if (list !== undefined && list.agoMs <= maxPeerListMs) port.send({ kind: 'listed', servers: list.servers, nowMs: timers.nowMs() })
+  const watchers = spec.watchers()
+  const watcher = watchers[Math.floor(random() * watchers.length)]
+  if (watcher === undefined) return false
+  const own = present(state.get())
+  const { list } = await spec.links.call(watcher, 'listServers', { known: digestOf(own) }, askTimeoutMs).catch(() => ({ list: undefined }))
+  if (list === undefined || list.agoMs > maxWatcherListMs) return false
+  port.send({ kind: 'listed', servers: list.servers ?? own, nowMs: timers.nowMs() })
+  return true
 }
--- a/src/daemon/home-queue.ts
+++ b/src/daemon/home-queue.ts
@@ -3,11 +3,13 @@
 
 import type { HomeRequest, Turn } from '../home/index.js'
 import type { ServerDeclaration } from '../model/index.js'
-import { ask, Latest, startTask, withoutReplies, type Reply, type Transition } from '../pipe/index.js'
+import { ask, Latest, pacedTicks, startTask, withoutReplies, type Reply, type Transition } from '../pipe/index.js'
 import { fairQueueStep, initialFairQueue, type FairQueueEffect, type FairQueueEvent, type FairQueueState } from '../request/index.js'
 import type { DaemonContext } from './context.js'
 
 const queueTickMs = 10
+/** Period of the ticks while nobody waits. */
+const restTickMs = 50
 const mailboxCapacity = 65536
 
 type QueueMessage = FairQueueEvent
@@ -63,7 +65,7 @@
       }
     }
   })
-  const cancel = timers.every(queueTickMs, {
+  const cancel = pacedTicks(timers, () => isWaiting.get() ? queueTickMs : restTickMs, {
     send: tick => isWaiting.get() ? task.port.send(tick) : 'accepted'
   })
   return {
--- a/src/daemon/limits-task.ts
+++ b/src/daemon/limits-task.ts
@@ -6,7 +6,7 @@
 import { initialLimits, initialSeats, limitsStep, limitsTickMs, seatsStep, type LimitsEffect, type LimitsEvent, type LimitsState, type SeatsEffect, type SeatsEvent, type SeatsState, type SeatTable } from '../limits/index.js'
 import type { ListedHost, Member } from '../members/index.js'
 import { notRun, type AccountName, type Manifest, type Outcome, type PeerParams, type PeerResult } from '../model/index.js'
-import { ask, Latest, startTask, tickPort, withoutReplies, type Port, type Reply } from '../pipe/index.js'
+import { ask, Latest, pacedTicks, sleep, startTask, tickPort, withoutReplies, type Port, type Reply } from '../pipe/index.js'
 import { StoreError, type ObjectStore } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import type { PeerLinks } from './peers.js'
@@ -61,9 +61,13 @@
 const mailboxCapacity = 65536
 const seatsMailboxCapacity = 1024
 const seatsTickMs = 200
+/** Reads of the table by all hosts are spread over this time. */
+const readSpreadMs = 700
 /** How often a confirmation is taken in while it holds. */
 const renewalsPerConfirmation = 4
 const borrowTimeoutMs = 150
+/** Period of the ticks while nobody waits for a token. */
+const restTickMs = 60
 /** Kind of the seat tables in the store. */
 const seatsKind = 'seats'
 
@@ -75,7 +79,7 @@
 export function startLimits (spec: LimitsTaskSpec): LimitsTask {
   const { context } = spec
   const { timers, settings } = context
-  const isActive = new Latest(false)
+  const pace = new Latest<'idle' | 'active' | 'waiting'>('idle')
   const task = startTask<State, Message, Effect>({
     name: 'limits',
     initial: { limits: initialLimits(settings.host.name), admissions: new Map(), loans: new Map(), nextId: 1 },
@@ -83,15 +87,15 @@
     onError: context.onTaskError('limits'),
     step: (state, message) => {
       const transition = step(confirmed(state, spec.confirmedUntilMs(), timers.nowMs()), message, timers.nowMs())
-      isActive.publish(transition.state.limits.active.size > 0)
+      pace.publish(paceOf(transition.state))
       return transition
     },
     perform: (effect, port) => { perform(spec, effect, port) }
   })
   const tell = (event: Untimed<LimitsEvent>): void => { task.port.send({ kind: 'event', event }) }
   const seats = startSeats(spec, tell)
-  const cancelTicks = timers.every(limitsTickMs, {
-    send: () => isActive.get() ? task.port.send({ kind: 'event', event: { kind: 'tick' } }) : 'accepted'
+  const cancelTicks = pacedTicks(timers, () => pace.get() === 'waiting' ? limitsTickMs : restTickMs, {
+    send: () => pace.get() === 'idle' ? 'accepted' : task.port.send({ kind: 'event', event: { kind: 'tick' } })
   })
   // The confirmation is taken in with each message; without one it would lapse while nobody asks.
   const cancelRenewals = timers.every(settings.control.confirmWithinMs / renewalsPerConfirmation, {
@@ -187,6 +191,11 @@
   port.send({ kind: 'event', event: { kind: 'borrowAnswered', from: to, account: request.account, sequence: request.sequence, grant: answer.grant } })
 }
 
+function paceOf (state: State): 'idle' | 'active' | 'waiting' {
+  if (state.admissions.size > 0) return 'waiting'
+  return state.limits.active.size > 0 ? 'active' : 'idle'
+}
+
 function startSeats (spec: LimitsTaskSpec, tell: (event: Untimed<LimitsEvent>) => void): ReturnType<typeof startTask<SeatsState, SeatsEvent, SeatsEffect>> {
   const { context } = spec
   const task = startTask<SeatsState, SeatsEvent, SeatsEffect>({
@@ -209,8 +218,11 @@
   }
 }
 
+// All hosts have cause to change the table at the same moments, so each reads it
+// at a time of its own and writes right after.
 async function readTable (spec: LimitsTaskSpec, table: string, port: Port<SeatsEvent>): Promise<void> {
-  const { timers } = spec.context
+  const { timers, random } = spec.context
+  await sleep(timers, random() * readSpreadMs)
   try {
     const object = await spec.store.getObject(seatsKind, table)
     port.send({ kind: 'tableRead', table: object === undefined ? undefined : spec.decodeTable(object.value), version: object?.version ?? 0, nowMs: timers.nowMs() })
--- a/src/daemon/members-task.ts
+++ b/src/daemon/members-task.ts
@@ -50,7 +50,7 @@
   | { readonly kind: 'answer', readonly reply: Reply<MemberState>, readonly rumours: MemberState['rumours'] }
 
 const mailboxCapacity = 4096
-const tickMs = 50
+const tickMs = 100
 /** How often the platform's host list is read. */
 const listMs = 1000
 const listTimeoutMs = 500
@@ -185,17 +185,21 @@
       break
     }
     case 'answer': {
-      effect.reply({ ...spec.ownState(), rumours: effect.rumours ?? [] })
+      effect.reply({ ...spec.ownState(), ...withRumours(effect.rumours) })
       break
     }
   }
 }
 
+function withRumours (rumours: MemberState['rumours']): Pick<MemberState, 'rumours'> {
+  return rumours === undefined || rumours.length === 0 ? {} : { rumours }
+}
+
 async function sendHeartbeat (spec: MembersSpec, host: HostName, rumours: MemberState['rumours'], port: Port<Message>): Promise<void> {
   const { timers, settings } = spec.context
   const askedAtMs = timers.nowMs()
   try {
-    const state = await spec.links.call(host, 'heartbeat', { ...spec.ownState(), rumours: rumours ?? [] }, settings.control.heartbeatMs)
+    const state = await spec.links.call(host, 'heartbeat', { ...spec.ownState(), ...withRumours(rumours) }, settings.control.heartbeatMs)
     spec.onHeard(state, askedAtMs)
     port.send({ kind: 'event', event: { kind: 'heartbeatAnswered', state, nowMs: timers.nowMs() } })
   } catch {
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -1,7 +1,7 @@
 // One proxy process: joins the tasks, serves until it is told to stop, and
 // stops without cutting off a request.
 
-import { randomUUID } from 'node:crypto'
+import { randomBytes, randomUUID } from 'node:crypto'
 import { confirmedUntilMs, holdsKey, type Settings } from '../config/index.js'
 import type { ExecuteReply, ExecuteRequest, HostName, MemberState, PrimaryView } from '../model/index.js'
 import { sleep, systemTimers } from '../pipe/index.js'
@@ -39,6 +39,8 @@
 const answerMarginMs = 250
 const rollBackTimeoutMs = 1000
 const publishDeadlineMs = 5000
+/** Random bytes that tell two starts of a process apart; they stand in every heartbeat. */
+const incarnationBytes = 6
 /** Longest deadline that a caller may ask for. */
 const maxDeadlineMs = 600_000
 
@@ -91,7 +93,7 @@
 
 function joinParts (settings: Settings, ports: ProxyPorts, stopping: () => boolean): Parts {
   const timers = systemTimers()
-  const incarnation = randomUUID()
+  const incarnation = randomBytes(incarnationBytes).toString('hex')
   const random = Math.random
   const reports = startReports({ settings, timers, incarnation, random })
   const context: DaemonContext = {
@@ -161,7 +163,8 @@
       context,
       source: ports.servers,
       links,
-      peers: () => others(members, settings.host.name),
+      watches: () => members.view.get().quorum.includes(settings.host.name),
+      watchers: () => watchersBeside(members, settings.host.name),
       onServers: state => {
         effective.takeServers(state)
         reports.event('serversChanged', { servers: state.known.size })
@@ -236,6 +239,11 @@
   return members.view.get().live.map(member => member.host).filter(host => host !== self)
 }
 
+function watchersBeside (members: MembersTask, self: HostName): readonly HostName[] {
+  const { quorum, silent } = members.view.get()
+  return quorum.filter(host => host !== self && !silent.has(host))
+}
+
 /** Time in which the others take in who leads; they learn it later by themselves. */
 const tellPrimaryTimeoutMs = 500
 
@@ -285,7 +293,7 @@
       databases.task(database)?.suspected(server)
       return { accepted: true }
     },
-    listServers: async () => ({ list: parts.discovery?.list() }),
+    listServers: async ({ known }) => ({ list: parts.discovery?.list(known) }),
     primaryChanged: async ({ view }) => {
       parts.routing.sawPrimary(view)
       return { accepted: true }
--- a/src/daemon/registry-task.ts
+++ b/src/daemon/registry-task.ts
@@ -24,8 +24,6 @@
   readonly list: () => Promise<readonly ListedHost[]>
   /** Registers where a list from elsewhere lacks this host. */
   readonly seen: (hosts: readonly ListedHost[]) => void
-  /** Removes this host's entry. */
-  readonly leave: () => Promise<void>
 }
 
 const hostSchema = z.object({
@@ -84,11 +82,6 @@
       void store.getObject(source.objectKind, self.host)
         .then(async object => { await register(object?.version ?? 0) })
         .catch(ignoreStore)
-    },
-    async leave () {
-      const object = await store.getObject(source.objectKind, self.host).catch(ignoreStore)
-      if (object === undefined || decoded(object)[0]?.incarnation !== self.incarnation) return
-      await store.deleteObject(source.objectKind, self.host, object.version).catch(ignoreStore)
     }
   }
 }
--- a/src/daemon/stop.ts
+++ b/src/daemon/stop.ts
@@ -28,8 +28,8 @@
   databases.leave()
   await tellMembers(parts)
   while (!isQuiet(parts) && leftMs() > 1) await sleep(timers, drainPollMs)
-  limits.leave()
-  await registry?.leave()
+  // A host that registers itself keeps its entry and its seats for its next start, which follows soon; the others forget one that stays away.
+  if (registry === undefined) limits.leave()
   if (callers.count() > 0) reports.event('stopOverdue', { host: settings.host.name, callers: callers.count() })
   callers.close()
   await reports.stop()
--- a/src/discovery/servers.ts
+++ b/src/discovery/servers.ts
@@ -7,8 +7,8 @@
 
 /** How long a missing entry is kept while the store answers. */
 export const keepMissingMs = 4000
-/** Answers of the store that are further apart than this do not count as one stretch. */
-export const answerGapMs = 3000
+/** Answers of the store that are further apart than this do not count as one stretch; a quiet watch answers every 5 s. */
+export const answerGapMs = 7000
 
 /** A server that was found. */
 export type KnownServer = {
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -142,7 +142,9 @@
 
 /** The servers that were found, and how long ago the store listed them. */
 export type ServerList = {
-  readonly servers: readonly FoundServer[]
+  /** Undefined where the asker has them already. */
+  readonly servers: readonly FoundServer[] | undefined
+  readonly digest: string
   readonly agoMs: number
 }
 
@@ -161,8 +163,8 @@
   readonly suspect: { readonly params: { readonly database: DatabaseName, readonly server: ServerName }, readonly result: { readonly accepted: boolean } }
   /** Tells who leads a database, right after a change. */
   readonly primaryChanged: { readonly params: { readonly view: PrimaryView }, readonly result: { readonly accepted: boolean } }
-  /** The servers that the asked host has found; undefined: none yet. */
-  readonly listServers: { readonly params: Readonly<Record<string, never>>, readonly result: { readonly list: ServerList | undefined } }
+  /** The servers that the asked host has found; undefined: none yet. `known` is the digest of the list that the asker has. */
+  readonly listServers: { readonly params: { readonly known: string }, readonly result: { readonly list: ServerList | undefined } }
   readonly report: { readonly params: { readonly report: HostReport }, readonly result: { readonly accepted: boolean } }
 }
 
--- a/src/pipe/latest.ts
+++ b/src/pipe/latest.ts
@@ -36,3 +36,21 @@
     this.#value = value
   }
 }
+
+/**
+ * Makes a view of a snapshot that is worked out only when somebody asks, and
+ * once for each value.
+ * @param source - the snapshot
+ * @param view - makes the view of a value
+ * @returns the snapshot of the view
+ */
+export function derived<T extends object, V> (source: Snapshot<T>, view: (value: T) => V): Snapshot<V> {
+  let known: { readonly value: T, readonly view: V } | undefined
+  return {
+    get () {
+      const value = source.get()
+      if (known?.value !== value) known = { value, view: view(value) }
+      return known.view
+    }
+  }
+}
--- a/src/pipe/timer.ts
+++ b/src/pipe/timer.ts
@@ -106,3 +106,26 @@
     timers.after(delayMs, { send: () => { resolve(); return 'accepted' } })
   })
 }
+
+/**
+ * Sends ticks whose period is asked for anew each time, so that a part at rest
+ * wakes the process rarely.
+ * @param timers - the timer service
+ * @param periodMs - gives the time until the next tick
+ * @param port - told of the ticks
+ * @returns ends the subscription
+ */
+export function pacedTicks (timers: TimerService, periodMs: () => number, port: Port<Tick>): Unsubscribe {
+  let cancel = (): void => {}
+  const next = (): void => {
+    cancel = timers.after(periodMs(), {
+      send: tick => {
+        const result = port.send(tick)
+        next()
+        return result
+      }
+    })
+  }
+  next()
+  return () => { cancel() }
+}
--- a/src/ports/database.ts
+++ b/src/ports/database.ts
@@ -1,10 +1,9 @@
 // The port of a database driver: sessions on servers and the calls that change
 // a server's role.
 
-import type { ServerSession } from '../home/index.js'
+import type { QueryResult, ServerSession } from '../home/index.js'
 import type { AccountName, Address, DatabaseName, Position, ServerName, ServerStatus } from '../model/index.js'
 import type { TimerService } from '../pipe/index.js'
-import type { QueryResult } from '../home/index.js'
 
 /** A fence, promotion or follow that a server answered. */
 export type LedgerAnswer = {
--- /dev/null
+++ b/standins/fleet/ledger.ts
@@ -0,0 +1,166 @@
+// Stand-in of one group of line-protocol servers: a log with terms, replicas
+// that receive and apply it later, pauses, demotions and promotions. The state
+// that the servers of a group share; sockets stand in `server.ts`.
+
+/** One committed write. */
+export type Entry = { readonly term: number, readonly index: number, readonly item: string, readonly data: string, readonly id: string }
+
+/** Times of a group. */
+export type GroupTimes = {
+  /** Until a replica has received an entry. */
+  readonly receiveMs: number
+  /** Until it has applied what it received. */
+  readonly applyMs: number
+  /** Until an ordered promotion takes effect. */
+  readonly promoteMs: number
+}
+
+/** One server of a group. */
+export type Node = {
+  readonly id: string
+  role: 'primary' | 'replica' // eslint-disable-line no-restricted-syntax -- the state of a stand-in changes
+  term: number // eslint-disable-line no-restricted-syntax -- the state of a stand-in changes
+  pausedAt: number // eslint-disable-line no-restricted-syntax -- the state of a stand-in changes
+  log: readonly Entry[] // eslint-disable-line no-restricted-syntax -- the state of a stand-in changes
+  applied: number // eslint-disable-line no-restricted-syntax -- the state of a stand-in changes
+  isUp: boolean // eslint-disable-line no-restricted-syntax -- the state of a stand-in changes
+}
+
+/** A group of servers. */
+export class Group {
+  readonly nodes: readonly Node[]
+  readonly #times: GroupTimes
+  readonly #timers = new Set<NodeJS.Timeout>()
+
+  /**
+   * Makes a group whose first server leads term 1.
+   * @param ids - ids of its servers
+   * @param times - its times
+   */
+  constructor (ids: readonly string[], times: GroupTimes) {
+    this.#times = times
+    this.nodes = ids.map((id, at): Node => ({ id, role: at === 0 ? 'primary' : 'replica', term: 1, pausedAt: 0, log: [], applied: 0, isUp: true }))
+  }
+
+  /**
+   * Finds a server.
+   * @param id - its id
+   * @returns the server
+   */
+  node (id: string): Node {
+    const found = this.nodes.find(node => node.id === id)
+    if (found === undefined) throw new RangeError(`no server ${id}`)
+    return found
+  }
+
+  /**
+   * Commits writes at a server that leads.
+   * @param node - the server
+   * @param writes - the writes
+   */
+  commit (node: Node, writes: ReadonlyArray<Pick<Entry, 'item' | 'data' | 'id'>>): void {
+    for (const write of writes) node.log = [...node.log, { ...write, term: node.term, index: node.log.length + 1 }]
+    node.applied = node.log.length
+    if (writes.length > 0) this.#later(this.#times.receiveMs, () => { this.#replicate(node) })
+  }
+
+  /**
+   * Orders a promotion.
+   * @param id - the server that is to lead
+   * @returns false where it is not running
+   */
+  promote (id: string): boolean {
+    const next = this.node(id)
+    if (!next.isUp) return false
+    if (next.role === 'primary' && this.nodes.every(node => node.term <= next.term)) return true
+    this.#later(this.#times.promoteMs, () => {
+      if (!next.isUp) return
+      next.term = Math.max(...this.nodes.map(node => node.term)) + 1
+      next.role = 'primary'
+      next.pausedAt = 0
+      next.applied = next.log.length
+      this.#replicate(next)
+    })
+    return true
+  }
+
+  /**
+   * Makes a primary of a lower term a replica.
+   * @param node - the server
+   * @param term - the term
+   */
+  demote (node: Node, term: number): void {
+    if (node.role !== 'primary' || node.term >= term) return
+    node.role = 'replica'
+    this.resume(node)
+  }
+
+  /**
+   * Lets a replica receive again.
+   * @param node - the server
+   */
+  resume (node: Node): void {
+    node.pausedAt = 0
+    const leader = this.#leader()
+    if (leader !== undefined && leader !== node) this.#later(this.#times.receiveMs, () => { this.#replicate(leader) })
+  }
+
+  /** Ends all timers. */
+  stop (): void {
+    for (const timer of this.#timers) clearTimeout(timer)
+  }
+
+  #leader (): Node | undefined {
+    return this.nodes.filter(node => node.role === 'primary' && node.isUp).sort((a, b) => b.term - a.term)[0]
+  }
+
+  #replicate (from: Node): void {
+    if (!from.isUp || this.#leader() !== from) return
+    for (const node of this.nodes) {
+      if (node === from || node.role === 'primary' || !node.isUp || node.pausedAt > 0) continue
+      node.term = from.term
+      node.log = from.log
+      this.#later(this.#times.applyMs, () => { node.applied = node.log.length })
+    }
+  }
+
+  #later (delayMs: number, run: () => void): void {
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer)
+      run()
+    }, delayMs)
+    this.#timers.add(timer)
+  }
+}
+
+/**
+ * The position that a server has received.
+ * @param node - the server
+ * @returns term and number
+ */
+export function receivedText (node: Node): string {
+  const last = node.log.at(-1)
+  return `${node.role === 'primary' ? node.term : last?.term ?? node.term}.${node.log.length}`
+}
+
+/**
+ * The position that a server has applied.
+ * @param node - the server
+ * @returns term and number
+ */
+export function appliedText (node: Node): string {
+  const last = node.log[node.applied - 1]
+  return `${node.role === 'primary' ? node.term : last?.term ?? node.term}.${node.applied}`
+}
+
+/**
+ * Tells whether a server has applied a position.
+ * @param node - the server
+ * @param position - TERM.NUMBER
+ * @returns true where it has
+ */
+export function hasApplied (node: Node, position: string): boolean {
+  const [term = 0, index = 0] = position.split('.').map(Number)
+  const [ownTerm = 0, ownIndex = 0] = appliedText(node).split('.').map(Number)
+  return ownTerm > term || (ownTerm === term && ownIndex >= index)
+}
--- /dev/null
+++ b/standins/fleet/server.ts
@@ -0,0 +1,243 @@
+// Stand-in of one line-protocol server: sessions with values, prepared
+// statements and transactions over the log of its group.
+
+import net from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { readLines } from '../../src/wire/lines.js'
+import { appliedText, hasApplied, receivedText, type Entry, type Group, type Node } from './ledger.js'
+
+/** A statement that a server ran, as it saw it. */
+export type RunStatement = {
+  readonly server: string
+  readonly account: string
+  readonly id: string
+  readonly text: string
+  readonly values: Readonly<Record<string, string>>
+  /** Number of the server connection. */
+  readonly connection: number
+  readonly inTransaction: boolean
+}
+
+/** How a server behaves. */
+export type ServerBehaviour = {
+  readonly workMs: number
+  /** Codes that the next statements are answered with, in place of running. */
+  readonly errors: readonly string[]
+  /** Statements run and their answers are lost, the connection with them. */
+  readonly loseAnswers: number
+}
+
+type Session = {
+  account: string // eslint-disable-line no-restricted-syntax -- the state of a stand-in changes
+  values: Readonly<Record<string, string>> // eslint-disable-line no-restricted-syntax -- the state of a stand-in changes
+  prepared: ReadonlyMap<string, string> // eslint-disable-line no-restricted-syntax -- the state of a stand-in changes
+  transaction: { readonly access: 'read' | 'write', readonly term: number, readonly writes: readonly Write[], readonly failed: boolean } | undefined // eslint-disable-line no-restricted-syntax -- the state of a stand-in changes
+}
+
+type Write = Pick<Entry, 'item' | 'data' | 'id'>
+
+/** The running server. */
+export class LineServer {
+  #runs: readonly RunStatement[] = []
+  readonly #group: Group
+  readonly #node: Node
+  readonly #service: string
+  readonly #sockets = new Set<net.Socket>()
+  #behaviour: ServerBehaviour = { workMs: 1, errors: [], loseAnswers: 0 }
+  #connections = 0
+  #server: net.Server | undefined
+  #port = 0
+
+  /**
+   * Makes a server.
+   * @param service - name of its group
+   * @param group - its group
+   * @param id - its id
+   */
+  constructor (service: string, group: Group, id: string) {
+    this.#service = service
+    this.#group = group
+    this.#node = group.node(id)
+  }
+
+  get id (): string { return this.#node.id }
+  get port (): number { return this.#port }
+  get node (): Node { return this.#node }
+
+  /** Statements that it ran, in their order. */
+  get runs (): readonly RunStatement[] { return this.#runs }
+
+  /** Connections that are open. */
+  get connections (): number { return this.#sockets.size }
+
+  /** Starts to listen, at the same port as before. */
+  async start (): Promise<void> {
+    this.#node.isUp = true
+    const server = net.createServer({ noDelay: true }, socket => { this.#accept(socket) })
+    this.#server = server
+    await new Promise<void>(resolve => { server.listen(this.#port, '127.0.0.1', resolve) })
+    this.#port = (server.address() as AddressInfo).port
+  }
+
+  /** Ends as a crash does. */
+  async crash (): Promise<void> {
+    this.#node.isUp = false
+    for (const socket of this.#sockets) socket.destroy()
+    await new Promise(resolve => { this.#server?.close(resolve) })
+  }
+
+  /**
+   * Changes how the server behaves.
+   * @param behaviour - what differs
+   */
+  behave (behaviour: Partial<ServerBehaviour>): void {
+    this.#behaviour = { ...this.#behaviour, ...behaviour }
+  }
+
+  #accept (socket: net.Socket): void {
+    this.#sockets.add(socket)
+    this.#connections += 1
+    const connection = this.#connections
+    const session: Session = { account: '', values: {}, prepared: new Map(), transaction: undefined }
+    let last: Promise<void> = Promise.resolve()
+    socket.on('error', () => { socket.destroy() })
+    socket.on('close', () => { this.#sockets.delete(socket) })
+    readLines(socket, line => {
+      last = last.then(async () => { await this.#take(socket, session, connection, line.replace(/\r$/, '')) })
+    }, { encoding: 'latin1' })
+  }
+
+  async #take (socket: net.Socket, session: Session, connection: number, line: string): Promise<void> {
+    const [word, first = '', ...rest] = line.split(' ')
+    if (word === 'TERMINATE') return void socket.end()
+    if (word === 'STARTUP') return this.#start(socket, session, first, rest)
+    if (word !== 'QUERY') return void socket.destroy()
+    const reply = await this.#query(session, connection, first, rest.join(' '))
+    if (!socket.writable) return
+    if (reply === 'lost') return void socket.destroy()
+    socket.write(reply + this.#ready(session), 'latin1')
+  }
+
+  #start (socket: net.Socket, session: Session, service: string, [account = '', id]: readonly string[]): void {
+    if (service !== this.#service || (id !== undefined && id !== this.#node.id)) {
+      socket.end('ERROR MISROUTED another server\r\n')
+      return
+    }
+    session.account = account
+    socket.write(this.#ready(session))
+  }
+
+  #ready (session: Session): string {
+    const state = session.transaction === undefined ? 'I' : session.transaction.failed ? 'E' : 'T'
+    return `READY ${state} ${appliedText(this.#node)}\r\n`
+  }
+
+  async #query (session: Session, connection: number, id: string, query: string): Promise<string> {
+    const after = /^AFTER (\S+) (.*)$/.exec(query)
+    const text = after?.[2] ?? query
+    const [verb = '', ...args] = text.split(' ')
+    const control = this.#control(session, verb, args)
+    if (control !== undefined) return control
+    if (after !== null && !hasApplied(this.#node, after[1] ?? '')) return 'ERROR LAGGING behind\r\n'
+    if (session.transaction?.failed === true && verb !== 'COMMIT' && verb !== 'ROLLBACK') return 'ERROR MALFORMED the transaction failed\r\n'
+    return await this.#statement(session, connection, id, text, verb, args)
+  }
+
+  #control (session: Session, verb: string, args: readonly string[]): string | undefined {
+    const node = this.#node
+    switch (verb) {
+      case 'STATUS': return this.#status()
+      case 'PAUSE': {
+        if (node.role === 'replica') node.pausedAt = Number(args[0])
+        return this.#status()
+      }
+      case 'RESUME': {
+        this.#group.resume(node)
+        return this.#status()
+      }
+      case 'DEMOTE': {
+        this.#group.demote(node, Number(args[0]))
+        return this.#status()
+      }
+      case 'RESET': {
+        session.values = {}
+        session.prepared = new Map()
+        return 'COMPLETE -\r\n'
+      }
+      case 'SET': {
+        session.values = { ...session.values, [args[0] ?? '']: args.slice(1).join(' ') }
+        return 'COMPLETE -\r\n'
+      }
+      case 'PREPARE': {
+        session.prepared = new Map(session.prepared).set(args[0] ?? '', args.slice(1).join(' '))
+        return 'COMPLETE -\r\n'
+      }
+      default: return undefined
+    }
+  }
+
+  #status (): string {
+    const { role, term, pausedAt } = this.#node
+    return `ROW ${role} ${term} ${receivedText(this.#node)} ${pausedAt} 0 0 ${this.#sockets.size}\r\nCOMPLETE -\r\n`
+  }
+
+  async #statement (session: Session, connection: number, id: string, text: string, verb: string, args: readonly string[]): Promise<string> {
+    const [error, ...errors] = this.#behaviour.errors
+    if (error !== undefined && verb !== 'BEGIN' && verb !== 'ROLLBACK') {
+      this.#behaviour = { ...this.#behaviour, errors }
+      if (session.transaction !== undefined) session.transaction = { ...session.transaction, failed: true }
+      return `ERROR ${error} as told\r\n`
+    }
+    const definition = verb === 'EXECUTE' ? session.prepared.get(args[0] ?? '') : undefined
+    if (verb === 'EXECUTE' && definition === undefined) return 'ERROR NOSTMT no such name\r\n'
+    const isWrite = verb === 'WRITE' || definition?.startsWith('WRITE ') === true
+    const isPlain = session.transaction?.access === 'write'
+    if (this.#node.role === 'replica' && (isWrite || (verb === 'BEGIN' && args[0] !== 'READ') || isPlain)) return this.#refuse(session)
+    if (isPlain && session.transaction?.term !== this.#node.term) return this.#refuse(session)
+    const [item = '', ...data] = verb === 'EXECUTE' ? args.slice(1) : args
+    if (verb === 'BEGIN') {
+      session.transaction = { access: args[0] === 'READ' ? 'read' : 'write', term: this.#node.term, writes: [], failed: false }
+      return 'COMPLETE -\r\n'
+    }
+    await new Promise(resolve => { setTimeout(resolve, this.#behaviour.workMs) })
+    this.#runs = [...this.#runs, { server: this.id, account: session.account, id, text, values: session.values, connection, inTransaction: session.transaction !== undefined }]
+    const reply = this.#run(session, verb, { item, data: data.join(' '), id }, isWrite)
+    if (this.#behaviour.loseAnswers === 0) return reply
+    this.#behaviour = { ...this.#behaviour, loseAnswers: this.#behaviour.loseAnswers - 1 }
+    return 'lost'
+  }
+
+  #refuse (session: Session): string {
+    if (session.transaction !== undefined) session.transaction = { ...session.transaction, failed: true }
+    return `ERROR READONLY ${this.id}\r\n`
+  }
+
+  #run (session: Session, verb: string, write: Write, isWrite: boolean): string {
+    const { transaction } = session
+    switch (verb) {
+      case 'COMMIT': {
+        session.transaction = undefined
+        this.#group.commit(this.#node, transaction?.writes ?? [])
+        return `COMPLETE ${this.#signature(write.id)}\r\n`
+      }
+      case 'ROLLBACK': {
+        session.transaction = undefined
+        return 'COMPLETE -\r\n'
+      }
+      default: break
+    }
+    if (isWrite && transaction !== undefined) session.transaction = { ...transaction, writes: [...transaction.writes, write] }
+    else if (isWrite) this.#group.commit(this.#node, [write])
+    const row = isWrite ? '' : `ROW ${this.#value(transaction?.writes ?? [], write.item)}\r\n`
+    return `${row}COMPLETE ${this.#signature(write.id)}\r\n`
+  }
+
+  #value (writes: readonly Write[], item: string): string {
+    const applied = this.#node.log.slice(0, this.#node.applied)
+    return [...applied, ...writes].findLast(entry => entry.item === item)?.data ?? '-'
+  }
+
+  #signature (id: string): string {
+    return `${this.id}.${id}`
+  }
+}
--- /dev/null
+++ b/standins/fleet/set.ts
@@ -0,0 +1,201 @@
+// A local set on the users' platform: the store, one group of servers and the
+// call that promotes in this process, and proxies as real processes.
+
+import { createServer, type Server } from 'node:http'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import net, { type AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { createInterface } from 'node:readline'
+import { builtProgram } from '../set/process.js'
+import { Group, type GroupTimes } from './ledger.js'
+import { LineServer } from './server.js'
+import { FleetStore } from './store.js'
+
+/** A configuration as the operator writes it. */
+export type FleetConfiguration = {
+  readonly version: number
+  readonly keys: Readonly<Record<string, readonly string[]>>
+  readonly ratePerS: number
+  readonly burst: number
+}
+
+/** What a set is made of. */
+export type FleetOptions = {
+  readonly hosts: number
+  readonly times: GroupTimes
+  readonly configuration: FleetConfiguration
+}
+
+/** Three hosts, quick servers and one client account. */
+export const usualFleet: FleetOptions = {
+  hosts: 3,
+  times: { receiveMs: 2, applyMs: 5, promoteMs: 100 },
+  configuration: { version: 3, keys: { bindery: ['key-of-bindery'] }, ratePerS: 1000, burst: 1000 }
+}
+
+const zones = ['medina', 'plateau', 'hlm'] as const
+const service = 'ledger-group'
+const slots = 5
+const maxConnections = 60
+
+/** One order to promote. */
+export type OrderedPromotion = { readonly server: string, readonly holder: string, readonly token: number }
+
+/** A proxy of the set. */
+export type FleetProxy = {
+  readonly name: string
+  readonly port: number
+  readonly readinessPort: number
+  readonly process: ChildProcess
+  readonly output: () => readonly string[]
+}
+
+/** The running set. */
+export type Fleet = {
+  readonly store: FleetStore
+  readonly servers: readonly LineServer[]
+  readonly group: Group
+  readonly proxies: readonly FleetProxy[]
+  readonly promotions: () => readonly OrderedPromotion[]
+  readonly configure: (change: Partial<FleetConfiguration>) => void
+  readonly register: (server: LineServer, state: 'ready' | 'draining') => void
+  readonly stop: () => Promise<void>
+}
+
+/**
+ * Starts a set.
+ * @param changes - what differs from the usual one
+ * @returns the set; its proxies may not serve yet
+ */
+export async function startFleet (changes: Partial<FleetOptions> = {}): Promise<Fleet> {
+  const options = { ...usualFleet, ...changes }
+  const store = new FleetStore()
+  const storePort = await store.start()
+  const ids = ['i-a', 'i-b', 'i-c']
+  const group = new Group(ids, options.times)
+  const servers = ids.map(id => new LineServer(service, group, id))
+  await Promise.all(servers.map(async server => { await server.start() }))
+  const promotions: OrderedPromotion[] = []
+  const promoter = await startPromoter(group, order => { promotions.push(order) })
+  let configuration = options.configuration
+  const configure = (change: Partial<FleetConfiguration>): void => {
+    configuration = { ...configuration, version: configuration.version + 4, ...change }
+    store.put('config', 'main', configurationText(configuration))
+  }
+  store.put('config', 'main', configurationText(configuration))
+  const register = (server: LineServer, state: 'ready' | 'draining'): void => {
+    store.put('servers', server.id, { Service: service, Addr: `127.0.0.1:${server.port}`, Zone: zones[ids.indexOf(server.id)], Version: 'v1', Slots: slots, State: state, ColdLeftMs: 0, DbRole: server.node.role, Seq: 1 })
+  }
+  for (const server of servers) register(server, 'ready')
+  store.put('servers', 'i-broken', { Service: 7 })
+  const folder = mkdtempSync(join(tmpdir(), 'limpetmoor-fleet-'))
+  const ports = { store: storePort, promotions: (promoter.address() as AddressInfo).port }
+  const proxies = await Promise.all(Array.from({ length: options.hosts }, async (_, at) => await startFleetProxy(folder, at, ports)))
+  return {
+    store,
+    servers,
+    group,
+    proxies,
+    promotions: () => promotions,
+    configure,
+    register,
+    async stop () {
+      await Promise.all(proxies.map(async proxy => { await endProcess(proxy.process) }))
+      await Promise.all(servers.map(async server => { await server.crash() }))
+      group.stop()
+      promoter.closeAllConnections()
+      promoter.close()
+      await store.stop()
+      rmSync(folder, { recursive: true, force: true })
+    }
+  }
+}
+
+async function startPromoter (group: Group, onOrder: (order: OrderedPromotion) => void): Promise<Server> {
+  const server = createServer((request, response) => {
+    let text = ''
+    request.on('data', chunk => { text += String(chunk) })
+    request.on('end', () => {
+      const { Id: id } = JSON.parse(text) as { readonly Id: string }
+      onOrder({ server: id, holder: String(request.headers['limpetmoor-duty-holder']), token: Number(request.headers['limpetmoor-fencing-token']) })
+      response.writeHead(group.promote(id) ? 200 : 409).end('{}')
+    })
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  return server
+}
+
+async function startFleetProxy (folder: string, at: number, ports: { readonly store: number, readonly promotions: number }): Promise<FleetProxy> {
+  const name = `entry-${at + 1}`
+  const [peerPort = 0, callerPort = 0, readinessPort = 0] = await freePorts(3)
+  const file = join(folder, `${name}.toml`)
+  writeFileSync(file, `
+[host]
+name = "${name}"
+failure_domain = "${zones[at % zones.length] ?? ''}"
+ip = "127.0.0.1"
+peer_port = ${peerPort}
+
+[listen]
+callers = "127.0.0.1:${callerPort}"
+readiness = "127.0.0.1:${readinessPort}"
+
+[platform]
+url = "http://127.0.0.1:${ports.store}"
+promotions_url = "http://127.0.0.1:${ports.promotions}"
+call_timeout_ms = 500
+watch_ms = 1000
+
+[database_login]
+user = "limpetmoor"
+password = ""
+
+[control]
+heartbeat_ms = 200
+confirm_within_ms = 2000
+
+[stop]
+grace_ms = 4000
+`)
+  const process_ = spawn(process.execPath, [builtProgram('platform/main.js')], { env: { PATH: process.env['PATH'], LIMPETMOOR_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
+  const lines: string[] = []
+  for (const stream of [process_.stdout, process_.stderr]) createInterface(stream).on('line', line => { lines.push(line) })
+  return { name, port: callerPort, readinessPort, process: process_, output: () => lines }
+}
+
+async function endProcess (child: ChildProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return
+  const exited = once(child, 'exit')
+  child.kill('SIGKILL')
+  await exited
+}
+
+async function freePorts (count: number): Promise<readonly number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, async () => {
+    const server = net.createServer()
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    return server
+  }))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  for (const server of servers) server.close()
+  return ports
+}
+
+function configurationText (configuration: FleetConfiguration): unknown {
+  const route = { PathPrefix: '/', Service: service, MaxAttempts: 2, Public: false, TimeoutMs: 1500, LatencyGoalMs: 400 }
+  return {
+    Version: configuration.version,
+    Routes: [
+      { ...route, Name: 'r-1', Host: 'orders', Kind: 'primary', Priority: 1 },
+      { ...route, Name: 'r-2', Host: 'lookup', Kind: 'bounded_staleness', Priority: 2, MaxStalenessMs: 1500 },
+      { ...route, Name: 'r-3', Host: 'notes', Kind: 'read_your_writes', Priority: 2, MaxStalenessMs: 2500 },
+      { ...route, Name: 'r-4', Host: 'board', Kind: 'bounded_staleness', Priority: 2, MaxStalenessMs: 1500, Public: true }
+    ],
+    Services: [{ Name: service, HealthPath: '/health', MaxConns: maxConnections, Protocol: 'h1', Tls: false, SyncReplicas: 0 }],
+    Limits: { TxIdleMs: 1000 },
+    Tenants: Object.entries(configuration.keys).map(([name, keys]) => ({ Name: name, ApiKeys: keys, Priority: 1, RatePerS: configuration.ratePerS, Burst: configuration.burst }))
+  }
+}
--- /dev/null
+++ b/standins/fleet/store.ts
@@ -0,0 +1,224 @@
+// Stand-in of the users' metadata store: objects with revisions, conditional
+// updates and watches, over HTTP. In memory, in the process that starts it.
+
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+/** An object of the store. */
+export type FleetObject = {
+  readonly name: string
+  readonly revision: number
+  readonly created: number
+  readonly spec: unknown
+}
+
+/** Faults that a test switches on. */
+export type StoreFaults = {
+  /** Requests of these hosts' processes are refused; matched by the port of nobody: see `refuseAll`. */
+  readonly refuseAll: boolean
+  /** Requests are taken and never answered. */
+  readonly silent: boolean
+  /** So many updates take effect and are not answered. */
+  readonly dropAnswers: number
+  /** Every answer is late by this. */
+  readonly delayMs: number
+}
+
+const noFaults: StoreFaults = { refuseAll: false, silent: false, dropAnswers: 0, delayMs: 0 }
+
+type Change = { readonly kind: string, readonly revision: number, readonly object: FleetObject, readonly isDeleted: boolean }
+
+type Answer = { readonly status: number, readonly body?: unknown }
+
+/** The running store. */
+export class FleetStore {
+  readonly #objects = new Map<string, Map<string, FleetObject>>()
+  readonly #server = createServer((request, response) => { void this.#serve(request, response).catch(() => { response.destroy() }) })
+  readonly #waiting = new Set<() => void>()
+  readonly #calls = new Map<string, number>()
+  #changes: readonly Change[] = []
+  #oldestKnown = 0
+  #revision = 100
+  #faults = noFaults
+
+  /**
+   * Starts to listen.
+   * @returns the port
+   */
+  async start (): Promise<number> {
+    await new Promise<void>(resolve => { this.#server.listen(0, '127.0.0.1', resolve) })
+    return (this.#server.address() as AddressInfo).port
+  }
+
+  /** Ends all connections. */
+  async stop (): Promise<void> {
+    this.#server.closeAllConnections()
+    await new Promise(resolve => { this.#server.close(resolve) })
+  }
+
+  /**
+   * Switches faults on and off.
+   * @param faults - those that differ from none
+   */
+  misbehave (faults: Partial<StoreFaults>): void {
+    this.#faults = { ...noFaults, ...faults }
+  }
+
+  /** Forgets all changes so far; watches from before are answered 410. */
+  compact (): void {
+    this.#changes = []
+    this.#oldestKnown = this.#revision
+    for (const wake of [...this.#waiting]) wake()
+  }
+
+  /**
+   * Writes an object as the operator or a server does.
+   * @param kind - its kind
+   * @param name - its name
+   * @param spec - its value
+   */
+  put (kind: string, name: string, spec: unknown): void {
+    const before = this.#objects.get(kind)?.get(name)
+    if (before !== undefined && JSON.stringify(before.spec) === JSON.stringify(spec)) return
+    this.#revision += 1
+    this.#change(kind, { name, revision: this.#revision, created: before?.created ?? this.#revision, spec }, false)
+  }
+
+  /**
+   * Removes an object.
+   * @param kind - its kind
+   * @param name - its name
+   */
+  remove (kind: string, name: string): void {
+    const before = this.#objects.get(kind)?.get(name)
+    if (before === undefined) return
+    this.#revision += 1
+    this.#change(kind, { ...before, revision: this.#revision }, true)
+  }
+
+  /**
+   * Reads an object.
+   * @param kind - its kind
+   * @param name - its name
+   * @returns the object, or undefined
+   */
+  get (kind: string, name: string): FleetObject | undefined {
+    return this.#objects.get(kind)?.get(name)
+  }
+
+  /**
+   * Counts calls by method and kind.
+   * @returns the counts
+   */
+  calls (): ReadonlyMap<string, number> {
+    return this.#calls
+  }
+
+  #change (kind: string, object: FleetObject, isDeleted: boolean): void {
+    const objects = this.#objects.get(kind) ?? new Map<string, FleetObject>()
+    if (isDeleted) objects.delete(object.name)
+    else objects.set(object.name, object)
+    this.#objects.set(kind, objects)
+    this.#changes = [...this.#changes, { kind, revision: object.revision, object, isDeleted }]
+    for (const wake of [...this.#waiting]) wake()
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await bodyOf(request)
+    const url = new URL(request.url ?? '/', 'http://store')
+    const [, root, kind = '', name] = url.pathname.split('/').map(decodeURIComponent)
+    const { refuseAll, silent, delayMs } = this.#faults
+    const key = `${request.method ?? ''} ${kind}`
+    this.#calls.set(key, (this.#calls.get(key) ?? 0) + 1)
+    if (silent) return
+    const answer = refuseAll ? { status: 503 } : root === 'objects' ? await this.#answer(request.method ?? '', kind, name, url.searchParams, body) : { status: 404 }
+    const isUpdate = request.method !== 'GET' && answer.status < 300
+    if (isUpdate && this.#faults.dropAnswers > 0) {
+      this.#faults = { ...this.#faults, dropAnswers: this.#faults.dropAnswers - 1 }
+      response.destroy()
+      return
+    }
+    if (delayMs > 0) await new Promise(resolve => { setTimeout(resolve, delayMs) })
+    response.writeHead(answer.status, { 'content-type': 'application/json' }).end(answer.body === undefined ? '' : JSON.stringify(answer.body))
+  }
+
+  async #answer (method: string, kind: string, name: string | undefined, query: URLSearchParams, body: unknown): Promise<Answer> {
+    switch (method) {
+      case 'GET': {
+        const watched = query.get('Watch')
+        if (watched !== null) return await this.#watch(kind, Number(watched), Number(query.get('WaitMs') ?? 0))
+        return name === undefined ? this.#list(kind) : this.#read(kind, name)
+      }
+      case 'POST': return this.#create(kind, body)
+      case 'PUT': return this.#replace(kind, name ?? '', body)
+      case 'DELETE': return this.#delete(kind, name ?? '', query.get('Revision'))
+      default: return { status: 405 }
+    }
+  }
+
+  #list (kind: string): Answer {
+    const items = [...(this.#objects.get(kind)?.values() ?? [])].map(shown)
+    return { status: 200, body: { items, More: false, AsOf: this.#revision } }
+  }
+
+  #read (kind: string, name: string): Answer {
+    const object = this.get(kind, name)
+    return object === undefined ? { status: 404 } : { status: 200, body: shown(object) }
+  }
+
+  #create (kind: string, body: unknown): Answer {
+    const { meta, spec } = body as { readonly meta: { readonly Name: string }, readonly spec: unknown }
+    const known = this.get(kind, meta.Name)
+    if (known !== undefined) return { status: 409, body: shown(known) }
+    this.put(kind, meta.Name, spec)
+    return this.#read(kind, meta.Name)
+  }
+
+  #replace (kind: string, name: string, body: unknown): Answer {
+    const { meta, spec } = body as { readonly meta: { readonly Revision?: number }, readonly spec: unknown }
+    const known = this.get(kind, name)
+    if (known === undefined) return { status: 404 }
+    if (meta.Revision !== undefined && meta.Revision !== known.revision) return { status: 409, body: shown(known) }
+    this.put(kind, name, spec)
+    return this.#read(kind, name)
+  }
+
+  #delete (kind: string, name: string, revision: string | null): Answer {
+    const known = this.get(kind, name)
+    if (known === undefined) return { status: 404 }
+    if (revision !== null && Number(revision) !== known.revision) return { status: 409, body: shown(known) }
+    this.remove(kind, name)
+    return { status: 200, body: shown(known) }
+  }
+
+  async #watch (kind: string, since: number, waitMs: number): Promise<Answer> {
+    const events = (): readonly Change[] => this.#changes.filter(change => change.kind === kind && change.revision > since)
+    if (events().length === 0 && since >= this.#oldestKnown) await this.#changeOr(waitMs, () => events().length > 0 || since < this.#oldestKnown)
+    if (since < this.#oldestKnown) return { status: 410 }
+    return { status: 200, body: { events: events().map(({ object, isDeleted }) => ({ Object: shown(object), Deleted: isDeleted })), AsOf: this.#revision } }
+  }
+
+  async #changeOr (waitMs: number, isDone: () => boolean): Promise<void> {
+    await new Promise<void>(resolve => {
+      const end = (): void => {
+        clearTimeout(timer)
+        this.#waiting.delete(wake)
+        resolve()
+      }
+      const wake = (): void => { if (isDone()) end() }
+      const timer = setTimeout(end, waitMs)
+      this.#waiting.add(wake)
+    })
+  }
+}
+
+function shown (object: FleetObject): unknown {
+  return { meta: { Name: object.name, Revision: object.revision, Created: object.created, Finalizers: [], Deleting: false }, spec: object.spec, status: null }
+}
+
+async function bodyOf (request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = []
+  for await (const chunk of request) chunks.push(chunk as Buffer)
+  const text = Buffer.concat(chunks).toString('utf8')
+  return text === '' ? undefined : JSON.parse(text)
+}
--- /dev/null
+++ b/test/platform/fleet.test.ts
@@ -0,0 +1,129 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { callerAt, fleetOf, untilServed, usualKey } from '../support/fleet.js'
+import { until } from '../support/until.js'
+
+test('statements pass with id and text unchanged, and the answer is the server\'s', async t => {
+  const fleet = await fleetOf(t)
+  const caller = await callerAt(fleet, 0)
+  const written = await caller.query('WRITE folio-1 resewn twice', 'id-1')
+  assert.equal(written.signature?.endsWith('.id-1'), true)
+  const read = await caller.query('READ folio-1', 'id-2')
+  assert.deepEqual(read.rows, ['resewn twice'])
+  const runs = fleet.servers.flatMap(server => server.runs).filter(run => run.id === 'id-1' || run.id === 'id-2')
+  assert.deepEqual(runs.map(run => [run.text, run.account]), [['WRITE folio-1 resewn twice', 'bindery'], ['READ folio-1', 'bindery']])
+})
+
+test('values and prepared names follow a session over pooled connections', async t => {
+  const fleet = await fleetOf(t)
+  const [first, second] = [await callerAt(fleet, 0), await callerAt(fleet, 1)]
+  await first.query('SET tone warm')
+  await first.query('PREPARE s1 WRITE shape-a')
+  await second.query('PREPARE s1 READ shape-b')
+  assert.notEqual((await first.query('EXECUTE s1 folio-2 first', 'e1')).signature, undefined)
+  assert.notEqual((await second.query('EXECUTE s1 folio-2', 'e2')).signature, undefined)
+  assert.equal((await second.query('EXECUTE s9 folio-2', 'e3')).code, 'NOSTMT')
+  const runs = fleet.servers.flatMap(server => server.runs)
+  assert.deepEqual(runs.find(run => run.id === 'e1')?.values, { tone: 'warm' })
+  assert.deepEqual(runs.find(run => run.id === 'e2')?.values, {})
+})
+
+test('a transaction keeps one server connection, and another caller runs beside it', async t => {
+  const fleet = await fleetOf(t)
+  const [inside, outside] = [await callerAt(fleet, 0), await callerAt(fleet, 1)]
+  assert.equal((await inside.query('BEGIN')).state, 'T')
+  await inside.query('WRITE a 1', 't1')
+  await outside.query('WRITE b 1', 'o1')
+  await inside.query('READ a', 't2')
+  assert.equal((await inside.query('COMMIT', 't3')).state, 'I')
+  const runs = fleet.servers.flatMap(server => server.runs)
+  const connections = new Set(['t1', 't2', 't3'].map(id => runs.find(run => run.id === id)?.connection))
+  assert.equal(connections.size, 1)
+  assert.equal(connections.has(runs.find(run => run.id === 'o1')?.connection), false)
+})
+
+test('an error fails the transaction, and ending it rolls back', async t => {
+  const fleet = await fleetOf(t)
+  const caller = await callerAt(fleet, 0)
+  await caller.query('BEGIN')
+  await caller.query('WRITE c 1')
+  for (const server of fleet.servers) server.behave({ errors: ['BUSY'] })
+  const refused = await caller.query('WRITE c 2')
+  assert.deepEqual([refused.code, refused.state], ['BUSY', 'E'])
+  assert.equal((await caller.query('READ c')).code, 'MALFORMED')
+  assert.equal((await caller.query('ROLLBACK')).state, 'I')
+  for (const server of fleet.servers) server.behave({ errors: [] })
+  assert.deepEqual((await caller.query('READ c')).rows, ['-'])
+})
+
+test('an unknown key and an unknown database are refused; an open database needs no key', async t => {
+  const fleet = await fleetOf(t)
+  await assert.rejects(callerAt(fleet, 0, 'orders', 'wrong'), /UNAUTH/)
+  await assert.rejects(callerAt(fleet, 0, 'nowhere'), /NODB/)
+  const anybody = await callerAt(fleet, 0, 'board', 'wrong')
+  assert.notEqual((await anybody.query('READ folio-1')).signature, undefined)
+  assert.equal(fleet.servers.flatMap(server => server.runs).some(run => run.account === usualKey || run.account === 'wrong'), false)
+})
+
+test('a key that is withdrawn stops working on open sessions, also while the store refuses calls', async t => {
+  const fleet = await fleetOf(t)
+  const caller = await callerAt(fleet, 0)
+  fleet.configure({ keys: { bindery: ['another-key'] } })
+  await until('the key is refused', async () => (await caller.query('READ folio-1')).code === 'UNAUTH' ? true : undefined)
+})
+
+test('a primary that crashes is replaced by order of one holder, and no acknowledged write is lost', async t => {
+  const fleet = await fleetOf(t)
+  const caller = await callerAt(fleet, 0)
+  const before = await caller.query('WRITE kept yes')
+  assert.notEqual(before.signature, undefined)
+  const old = fleet.servers.find(server => server.node.role === 'primary')
+  await old?.crash()
+  await untilServed(fleet, 1, 'WRITE after crash')
+  assert.deepEqual((await untilServed(fleet, 2, 'READ kept')).rows, ['yes'])
+  const promotions = fleet.promotions()
+  assert.equal(new Set(promotions.map(each => each.holder)).size, 1)
+  await old?.start()
+  await until('the old primary follows', async () => old?.node.role === 'replica' && old.node.pausedAt === 0 ? true : undefined)
+})
+
+test('while the store is down statements are served', async t => {
+  const fleet = await fleetOf(t)
+  const caller = await callerAt(fleet, 0, 'notes')
+  fleet.store.misbehave({ silent: true })
+  const untilMs = Date.now() + 5000
+  while (Date.now() < untilMs) assert.notEqual((await caller.query('WRITE outage served')).signature, undefined)
+  fleet.store.misbehave({})
+})
+
+test('a write whose answer was lost is not run again', async t => {
+  const fleet = await fleetOf(t)
+  const caller = await callerAt(fleet, 0)
+  const primary = fleet.servers.find(server => server.node.role === 'primary')
+  primary?.behave({ loseAnswers: 1 })
+  const lost = await caller.query('WRITE once 1', 'lost-1')
+  assert.equal(lost.code, 'INDOUBT')
+  assert.equal(primary?.runs.filter(run => run.id === 'lost-1').length, 1)
+})
+
+test('broken lines and oversized messages end their own session only', async t => {
+  const fleet = await fleetOf(t)
+  const [good, bad, long] = [await callerAt(fleet, 0), await callerAt(fleet, 0), await callerAt(fleet, 0)]
+  bad.raw('\u0000\u0001 nonsense\r\n')
+  long.raw(`QUERY q1 READ ${'x'.repeat(2 * 1024 * 1024)}\r\n`)
+  await Promise.all([bad.closed(), long.closed()])
+  assert.equal((await good.query('DANCE')).code, 'MALFORMED')
+  assert.notEqual((await good.query('READ folio-1')).signature, undefined)
+})
+
+test('SIGTERM lets an open transaction end and exits within the grace time', async t => {
+  const fleet = await fleetOf(t)
+  const caller = await callerAt(fleet, 0)
+  await caller.query('BEGIN')
+  const { process: child } = fleet.proxies[0] ?? assert.fail()
+  const ended = new Promise<number | null>(resolve => { child.once('exit', code => { resolve(code) }) })
+  child.kill('SIGTERM')
+  assert.notEqual((await caller.query('WRITE last 1')).signature, undefined)
+  assert.notEqual((await caller.query('COMMIT')).signature, undefined)
+  assert.equal(await ended, 0)
+})
