--- a/src/daemon/database-task.ts
+++ b/src/daemon/database-task.ts
@@ -270,7 +270,8 @@
 // confirmations and ages like a status.
 function takeSeen (state: State, message: Extract<Message, { readonly kind: 'seen' }>): Next {
   const { server, position, askedAtMs, nowMs } = message
-  const leads = state.failover.group.leadership?.server === server && state.failover.group.leadership.term === position.term
+  const { leadership } = state.failover.group
+  const leads = leadership?.server === server && position.term <= leadership.term
   const observed = withFailover(state, { kind: 'answerSeen', server, position, nowMs })
   const status = observed.state.failover.group.known[server]?.status
   if (!leads || status === undefined) return observed
--- a/src/failover/failover.ts
+++ b/src/failover/failover.ts
@@ -165,8 +165,8 @@
   switch (state.settings.appointment) {
     case 'byServers': return Math.max(group.highestTerm, lastProposedTerm) + 1
     case 'byDuty': {
-      const logTerms = Object.values(group.known).map(({ status }) => status.received.term)
-      return Math.max(group.leadership?.term ?? 0, ...logTerms) + 1
+      const terms = Object.values(group.known).map(({ status }) => status.term ?? status.received.term)
+      return Math.max(group.leadership?.term ?? 0, ...terms) + 1
     }
   }
 }
--- a/src/failover/follow.ts
+++ b/src/failover/follow.ts
@@ -37,13 +37,19 @@
 function isStray (state: FailoverState, server: ServerName, primary: ServerName, term: number, nowMs: number): boolean {
   const known = state.group.known[server]
   if (known === undefined || deadBy(state.health, server, state.settings) !== undefined) return false
-  const { fencedTerm, received, role } = known.status
-  if (fencedTerm > term) return state.settings.appointment === 'byDuty'
-  if (fencedTerm < term || received.term < term || role === 'primary') return true
-  return stalled(state, known, state.group.known[primary], nowMs)
+  switch (state.settings.appointment) {
+    case 'byDuty': return known.status.isPaused === true || known.status.role === 'primary'
+    case 'byServers': return isBehindTerm(known, term) || stalled(state, known, state.group.known[primary], nowMs)
+  }
+}
+
+function isBehindTerm ({ status }: KnownStatus, term: number): boolean {
+  const { fencedTerm, received, role } = status
+  return fencedTerm <= term && (fencedTerm < term || received.term < term || role === 'primary')
 }
 
 function stalled (state: FailoverState, known: KnownStatus, primary: KnownStatus | undefined, nowMs: number): boolean {
+  if (known.status.fencedTerm > (state.group.leadership?.term ?? 0)) return false
   if (primary === undefined || covers(known.status.received, primary.status.received)) return false
   return nowMs - known.movedAtMs >= stalledPeriods * state.settings.followEveryMs
 }
--- a/src/failover/group-view.ts
+++ b/src/failover/group-view.ts
@@ -54,13 +54,14 @@
 }
 
 /**
- * Tells whether a status is that of a working primary. A promoted server has
- * written an entry in the term that it was fenced for; a replaced one has not.
+ * Tells whether a status is that of a working primary: it stands in the term
+ * that it was fenced for. Where a server does not tell its term, a promoted one
+ * has written an entry in it, and a replaced one has not.
  * @param status - what the server said
  * @returns true where the server leads the term of its fence
  */
 export function leadsItsTerm (status: ServerStatus): boolean {
-  return status.role === 'primary' && status.received.term === status.fencedTerm
+  return status.role === 'primary' && (status.term ?? status.received.term) === status.fencedTerm
 }
 
 /**
--- a/src/failover/judge.ts
+++ b/src/failover/judge.ts
@@ -42,7 +42,7 @@
 }
 
 function steppedDown (known: KnownStatus | undefined, term: number): boolean {
-  return known !== undefined && known.status.role === 'replica' && known.status.received.term === term
+  return known !== undefined && known.status.role === 'replica' && (known.status.term ?? known.status.received.term) === term
 }
 
 function successorReachable (state: FailoverState, nowMs: number): boolean {
--- a/src/model/database.ts
+++ b/src/model/database.ts
@@ -14,6 +14,10 @@
   readonly proposer: string
   readonly received: Position
   readonly applied: Position
+  /** The term that it stands in, where it tells one: a promoted primary may have no entry of its term yet. */
+  readonly term?: number | undefined
+  /** Whether it was told to receive nothing, where it tells so. */
+  readonly isPaused?: boolean | undefined
   /** How far the server says that it is behind in time; undefined where it does not tell. */
   readonly lagMs?: number | undefined
 }
--- a/standins/fleet/caller.ts
+++ b/standins/fleet/caller.ts
@@ -28,7 +28,11 @@
     this.#closed = new Promise(resolve => { socket.once('close', () => { resolve() }) })
     readLines(socket, line => { this.#take(line.replace(/\r$/, '')) }, { encoding: 'latin1' })
     socket.on('error', () => { socket.destroy() })
-    socket.on('close', () => { this.#waiting?.reject(new Error('the connection was closed')) })
+    // A refused session is closed after its error, without READY.
+    socket.on('close', () => {
+      if (this.#code !== undefined) this.#settle('closed')
+      else this.#waiting?.reject(new Error('the connection was closed'))
+    })
   }
 
   /**
@@ -96,7 +100,6 @@
       }
       case 'ERROR': {
         this.#code = first
-        if (this.#signature === undefined) setImmediate(() => { this.#settleLoneError() })
         return
       }
       case 'READY': return this.#settle(first)
@@ -104,11 +107,6 @@
     }
   }
 
-  // A refused session is closed after its error, without READY.
-  #settleLoneError (): void {
-    this.#socket.once('close', () => { this.#settle('closed') })
-  }
-
   #settle (state: string): void {
     const waiting = this.#waiting
     this.#waiting = undefined
--- a/standins/fleet/ledger.ts
+++ b/standins/fleet/ledger.ts
@@ -140,7 +140,7 @@
  */
 export function receivedText (node: Node): string {
   const last = node.log.at(-1)
-  return `${node.role === 'primary' ? node.term : last?.term ?? node.term}.${node.log.length}`
+  return `${last?.term ?? 1}.${node.log.length}`
 }
 
 /**
@@ -150,7 +150,7 @@
  */
 export function appliedText (node: Node): string {
   const last = node.log[node.applied - 1]
-  return `${node.role === 'primary' ? node.term : last?.term ?? node.term}.${node.applied}`
+  return `${last?.term ?? 1}.${node.applied}`
 }
 
 /**
