--- a/bench/slopes-members.ts
+++ b/bench/slopes-members.ts
@@ -104,9 +104,9 @@
     { kind: 'confirmationChanged', confirmedUntilMs: Infinity, nowMs: 0 },
     { kind: 'membersChanged', live: hosts, nowMs: 0 },
     { kind: 'manifestApplied', manifest: manifestOf(seats), nowMs: 0 },
-    { kind: 'seatsChanged', held, holders: new Map(), tableOfMs: 0, nowMs: 0 }
+    { kind: 'seatsChanged', held, regained: new Set(), holders: new Map(), tableOfMs: 0, nowMs: 0 }
   ]
-  const start = (): LimitsState => events.reduce((state, event) => limitsStep(state, event).state, initialLimits('host-0'))
+  const start = (): LimitsState => events.reduce((state, event) => limitsStep(state, event).state, initialLimits('host-0', 0))
   let state = start()
   return {
     accounts: accountCount,
--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -114,7 +114,7 @@
   switch (event.kind) {
     case 'storeAnswered': return onStoreAnswer(state, event.accepted, event.askedAtMs)
     case 'storeFailed': return catchUp(state, event.nowMs)
-    case 'peerOffered': return consider(state, event.accepted)
+    case 'peerOffered': return consider(state, event.accepted, 'peer')
     case 'peerConfirmed': return onPeer(state, event)
     case 'quorumChanged': return stay(settle({ ...state, quorum: event.hosts, peers: only(state.peers, event.hosts) }))
     case 'tick': return askWhereOld(catchUp(state, event.nowMs), event.nowMs)
@@ -171,7 +171,7 @@
 }
 
 function onStoreAnswer (state: ConfigurationState, accepted: AcceptedManifest | undefined, askedAtMs: number): Decision {
-  const decision = accepted === undefined ? stay<ConfigurationState, ConfigurationEffect>(state) : consider(state, accepted)
+  const decision = accepted === undefined ? stay<ConfigurationState, ConfigurationEffect>(state) : consider(state, accepted, 'store')
   // A store that shows less than what is in force gave an old answer.
   if ((accepted?.generation ?? 0) < generationInForce(state)) return decision
   return { ...decision, state: storeConfirmed(decision.state, askedAtMs) }
@@ -188,7 +188,9 @@
   return stay(agoMs === undefined ? settle(told) : storeConfirmed(told, askedAtMs - agoMs))
 }
 
-function consider (state: ConfigurationState, accepted: AcceptedManifest): Decision {
+// What came from a peer is not pushed on: whoever asked the store pushes it, and
+// heartbeats tell of it.
+function consider (state: ConfigurationState, accepted: AcceptedManifest, from: 'store' | 'peer'): Decision {
   if (accepted.generation <= handled(state)) return stay(state)
   const checked = (state.spec.check ?? checkManifest)(accepted.manifest)
   const heard = accepted.generation > state.heard.generation ? { generation: accepted.generation, from: undefined } : state.heard
@@ -196,7 +198,8 @@
     case 'valid': {
       const taken = { generation: accepted.generation, manifest: checked.manifest }
       const next = { ...state, accepted: taken, rejected: undefined, heard, pulledAtMs: undefined }
-      return { state: settle(next), effects: [{ kind: 'apply', accepted: taken }, { kind: 'offer', accepted: taken }] }
+      const offers: readonly ConfigurationEffect[] = from === 'store' ? [{ kind: 'offer', accepted: taken }] : []
+      return { state: settle(next), effects: [{ kind: 'apply', accepted: taken }, ...offers] }
     }
     case 'invalid': {
       const rejected = { generation: accepted.generation, errors: checked.errors }
--- a/src/daemon/configuration-task.ts
+++ b/src/daemon/configuration-task.ts
@@ -15,7 +15,7 @@
   readonly store: ObjectStore
   readonly source: ManifestSource
   readonly links: PeerLinks
-  /** Members to push to. */
+  /** Members to push to: those of the own failure domain, as each domain has hosts that ask the store. */
   readonly peers: () => readonly HostName[]
   /** True where this host is one of those that watch the store. */
   readonly watches: () => boolean
--- a/src/daemon/discovery-task.ts
+++ b/src/daemon/discovery-task.ts
@@ -3,12 +3,12 @@
 // silent. All others, and a watcher that the store does not answer, ask a
 // watcher.
 
-import { createHash } from 'node:crypto'
 import { noServers, serversStep, type ServersEvent, type ServersState } from '../discovery/index.js'
 import type { FoundServer, HostName, ServerList } from '../model/index.js'
 import { Latest, sleep, startTask, tickPort, type Port, type Snapshot } from '../pipe/index.js'
 import { StoreError, type ServerSource } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
+import { listDigest } from './list-digest.js'
 import type { PeerLinks } from './peers.js'
 
 /** What the task needs. */
@@ -44,8 +44,6 @@
 const askTimeoutMs = 500
 /** A watcher's list that is older than this is left alone; one answer of the store a watch period is usual. */
 const maxWatcherListMs = watchMs + 1500
-/** Characters of the digest that tells two lists apart. */
-const digestLength = 16
 
 /**
  * Starts the task.
@@ -77,7 +75,7 @@
       const { answeredAtMs } = published.get()
       if (answeredAtMs === undefined) return undefined
       const servers = present(published.get())
-      const digest = digestOf(servers)
+      const digest = listDigest(servers)
       return { servers: digest === known ? undefined : servers, digest, agoMs: timers.nowMs() - answeredAtMs }
     },
     stop: async () => {
@@ -96,10 +94,6 @@
   return [...state.known.values()].filter(each => each.missingSinceMs === undefined).map(each => each.server)
 }
 
-function digestOf (servers: readonly FoundServer[]): string {
-  return createHash('sha256').update(JSON.stringify(servers)).digest('base64').slice(0, digestLength)
-}
-
 type Watching = { readonly revision: number | undefined, readonly listedAtMs: number }
 
 const notWatching: Watching = { revision: undefined, listedAtMs: -Infinity }
@@ -158,7 +152,7 @@
   const watcher = watchers[Math.floor(random() * watchers.length)]
   if (watcher === undefined) return false
   const own = present(state.get())
-  const { list } = await spec.links.call(watcher, 'listServers', { known: digestOf(own) }, askTimeoutMs).catch(() => ({ list: undefined }))
+  const { list } = await spec.links.call(watcher, 'listServers', { known: listDigest(own) }, askTimeoutMs).catch(() => ({ list: undefined }))
   if (list === undefined || list.agoMs > maxWatcherListMs) return false
   port.send({ kind: 'listed', servers: list.servers ?? own, nowMs: timers.nowMs() })
   return true
--- a/src/daemon/limits-task.ts
+++ b/src/daemon/limits-task.ts
@@ -62,10 +62,12 @@
 const seatsMailboxCapacity = 1024
 const seatsTickMs = 200
 /** Reads of the table by all hosts are spread over this time. */
-const readSpreadMs = 700
+const readSpreadMs = 400
 /** How often a confirmation is taken in while it holds. */
 const renewalsPerConfirmation = 4
 const borrowTimeoutMs = 150
+/** The timer service counts from the start of the process. */
+const processStartMs = 0
 /** Period of the ticks while nobody waits for a token. */
 const restTickMs = 60
 /** Kind of the seat tables in the store. */
@@ -82,7 +84,7 @@
   const pace = new Latest<'idle' | 'active' | 'waiting'>('idle')
   const task = startTask<State, Message, Effect>({
     name: 'limits',
-    initial: { limits: initialLimits(settings.host.name), admissions: new Map(), loans: new Map(), nextId: 1 },
+    initial: { limits: initialLimits(settings.host.name, processStartMs), admissions: new Map(), loans: new Map(), nextId: 1 },
     capacity: mailboxCapacity,
     onError: context.onTaskError('limits'),
     step: (state, message) => {
--- a/src/daemon/members-task.ts
+++ b/src/daemon/members-task.ts
@@ -2,9 +2,10 @@
 // list, exchanges heartbeats over the peer links and publishes who is live.
 
 import { initialMembership, membershipStep, quorumHosts, rumoursOf, silentHosts, type ListedHost, type Member, type MembershipEffect, type MembershipEvent, type MembershipState } from '../members/index.js'
-import type { HostList, HostName, MemberState } from '../model/index.js'
+import type { HostAnswer, HostList, HostName, MemberState } from '../model/index.js'
 import { ask, Latest, startTask, tickPort, type Port, type Reply, type Snapshot } from '../pipe/index.js'
 import type { DaemonContext } from './context.js'
+import { listDigest } from './list-digest.js'
 import type { PeerLinks } from './peers.js'
 
 /** What others see of the fleet. */
@@ -22,8 +23,8 @@
   readonly begin: () => void
   readonly view: Snapshot<MembersView>
   readonly tell: (event: MembershipEvent) => void
-  /** The platform's list as this host has it; undefined: none yet. */
-  readonly list: () => HostList | undefined
+  /** The list of hosts as this host has it, for one that knows a digest; undefined: none yet. */
+  readonly list: (known: string) => HostAnswer | undefined
   /** Answers a heartbeat of another member. */
   readonly answerHeartbeat: (from: MemberState) => Promise<MemberState>
   readonly stop: () => Promise<void>
@@ -80,7 +81,7 @@
   let known: { readonly hosts: readonly ListedHost[], readonly listedAtMs: number } | undefined
   const list = async (): Promise<void> => {
     const askedAtMs = timers.nowMs()
-    const found = await findHosts(spec, published.get())
+    const found = await findHosts(spec, published.get(), known?.hosts ?? [])
     if (found === undefined) return
     known = { hosts: found.hosts, listedAtMs: askedAtMs - found.agoMs }
     links.list(found.hosts)
@@ -96,7 +97,7 @@
     },
     view: published,
     tell,
-    list: () => known === undefined ? undefined : { hosts: known.hosts, agoMs: timers.nowMs() - known.listedAtMs },
+    list: digest => known === undefined ? undefined : answerFor(known, digest, timers.nowMs()),
     answerHeartbeat: async from => await ask<Message, MemberState>(task.port, reply => ({ kind: 'heartbeatOf', from, reply }), spec.ownState()),
     stop: task.stop
   }
@@ -118,15 +119,15 @@
 // watcher, and the platform only where none answers. So the store's calls grow
 // with the failure domains, and a host that starts while the store is out finds
 // the fleet through its seeds.
-async function findHosts (spec: MembersSpec, view: MembersView): Promise<HostList | undefined> {
+async function findHosts (spec: MembersSpec, view: MembersView, own: readonly ListedHost[]): Promise<HostList | undefined> {
   const { settings, random } = spec.context
   const watchers = view.quorum.filter(host => host !== settings.host.name && !view.silent.has(host))
   const isWatcher = view.quorum.includes(settings.host.name)
   const watcher = watchers[Math.floor(random() * watchers.length)]
   const fromPlatform = async (): Promise<HostList | undefined> => await spec.listHosts().then(hosts => ({ hosts, agoMs: 0 }), () => undefined)
-  const fromWatcher = async (): Promise<HostList | undefined> => watcher === undefined ? undefined : await askHosts(async () => await spec.links.call(watcher, 'listHosts', {}, listTimeoutMs))
+  const fromWatcher = async (): Promise<HostList | undefined> => watcher === undefined ? undefined : await askHosts(own, async known => await spec.links.call(watcher, 'listHosts', { known }, listTimeoutMs))
   const sources = isWatcher || watcher === undefined ? [fromPlatform] : [fromWatcher, fromPlatform]
-  const seeds = settings.seeds.map(seed => async () => await askHosts(async () => await spec.links.callAddress(seed, 'listHosts', {}, listTimeoutMs)))
+  const seeds = settings.seeds.map(seed => async () => await askHosts(own, async known => await spec.links.callAddress(seed, 'listHosts', { known }, listTimeoutMs)))
   for (const source of view.listed.length === 0 ? [...sources, ...seeds] : sources) {
     const list = await source()
     if (list !== undefined) return list
@@ -134,8 +135,14 @@
   return undefined
 }
 
-async function askHosts (call: () => Promise<{ readonly list: HostList | undefined }>): Promise<HostList | undefined> {
-  return await call().then(answer => answer.list, () => undefined)
+async function askHosts (own: readonly ListedHost[], call: (known: string) => Promise<{ readonly list: HostAnswer | undefined }>): Promise<HostList | undefined> {
+  const { list } = await call(listDigest(own)).catch(() => ({ list: undefined }))
+  return list === undefined ? undefined : { hosts: list.hosts ?? own, agoMs: list.agoMs }
+}
+
+function answerFor (known: { readonly hosts: readonly ListedHost[], readonly listedAtMs: number }, digest: string, nowMs: number): HostAnswer {
+  const own = listDigest(known.hosts)
+  return { hosts: own === digest ? undefined : known.hosts, digest: own, agoMs: nowMs - known.listedAtMs }
 }
 
 type Next = { readonly state: MembershipState, readonly effects: readonly Effect[] }
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -133,7 +133,7 @@
     store,
     source: ports.manifest,
     links,
-    peers: () => members.view.get().live.map(member => member.host),
+    peers: () => members.view.get().live.filter(member => member.failureDomain === settings.host.failureDomain).map(member => member.host),
     watches: () => members.view.get().quorum.includes(settings.host.name),
     ownState: () => ownState(),
     onApply: accepted => {
@@ -287,7 +287,7 @@
       configuration.offered(accepted)
       return { generation: configuration.told().generation }
     },
-    listHosts: async () => ({ list: members.list() }),
+    listHosts: async ({ known }) => ({ list: members.list(known) }),
     observe: async ({ database }) => ({ observation: observationOf(parts.observing, database) }),
     suspect: async ({ database, server }) => {
       databases.task(database)?.suspected(server)
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -33,6 +33,8 @@
 /** What a host knows of all limits. */
 export type LimitsState = {
   readonly self: HostName
+  /** When this process started; the one before it on this host had ended by then. */
+  readonly startedAtMs: number
   readonly accounts: Accounts
   /** Accounts that need ticks. */
   readonly active: ReadonlySet<AccountName>
@@ -54,7 +56,7 @@
 /** What happens to the limits. */
 export type LimitsEvent =
   | { readonly kind: 'manifestApplied', readonly manifest: Manifest, readonly nowMs: number }
-  | { readonly kind: 'seatsChanged', readonly held: readonly number[], readonly holders: ReadonlyMap<number, HostName>, readonly tableOfMs: number, readonly nowMs: number }
+  | { readonly kind: 'seatsChanged', readonly held: readonly number[], readonly regained: ReadonlySet<number>, readonly holders: ReadonlyMap<number, HostName>, readonly tableOfMs: number, readonly nowMs: number }
   | { readonly kind: 'membersChanged', readonly live: readonly Member[], readonly nowMs: number }
   | { readonly kind: 'confirmationChanged', readonly confirmedUntilMs: number, readonly nowMs: number }
   | { readonly kind: 'admit', readonly account: AccountName, readonly id: string, readonly deadlineMs: number, readonly nowMs: number }
@@ -76,11 +78,13 @@
 /**
  * The limits of a host that has just started: it admits nothing yet.
  * @param self - the host
+ * @param startedAtMs - when its process started
  * @returns the state
  */
-export function initialLimits (self: HostName): LimitsState {
+export function initialLimits (self: HostName, startedAtMs: number): LimitsState {
   return {
     self,
+    startedAtMs,
     accounts: noAccounts,
     active: new Set(),
     seats: 0,
@@ -105,7 +109,7 @@
     case 'manifestApplied': return manifestApplied(state, event.manifest, event.nowMs)
     case 'seatsChanged': {
       const held = event.tableOfMs < state.lapsedMs ? [] : event.held
-      return { state: seatsChanged(state, held, event.holders, event.nowMs), effects: [] }
+      return { state: seatsChanged(state, { held, regained: event.regained }, event.holders, event.nowMs), effects: [] }
     }
     case 'membersChanged': return { state: { ...state, members: event.live }, effects: [] }
     case 'confirmationChanged': return { state: confirmationChanged(state, event.confirmedUntilMs, event.nowMs), effects: [] }
@@ -152,10 +156,13 @@
   return [...byTime].map(([fromMs, fraction]) => ({ fromMs, fraction }))
 }
 
-function seatsChanged (state: LimitsState, seats: readonly number[], holders: ReadonlyMap<number, HostName>, nowMs: number): LimitsState {
+type SeatChange = { readonly held: readonly number[], readonly regained: ReadonlySet<number> }
+
+function seatsChanged (state: LimitsState, { held: seats, regained }: SeatChange, holders: ReadonlyMap<number, HostName>, nowMs: number): LimitsState {
   const isSame = seats.length === state.held.size && seats.every(seat => state.held.has(seat))
   if (isSame) return { ...state, holders }
-  const held = new Map(seats.map(seat => [seat, state.held.get(seat) ?? nowMs + seatQuietMs]))
+  const quietSinceMs = (seat: number): number => regained.has(seat) && state.lapsedMs === -Infinity ? state.startedAtMs : nowMs
+  const held = new Map(seats.map(seat => [seat, state.held.get(seat) ?? Math.max(nowMs, quietSinceMs(seat) + seatQuietMs)]))
   let accounts = state.accounts
   for (const account of allAccounts(state.accounts)) {
     const own = ownParts(held, account.account, account.limit.ratePerS, state.seats)
@@ -169,7 +176,7 @@
   const isLapsed = state.wasConfirmed && (nowMs >= state.confirmedUntilMs || confirmedUntilMs <= nowMs)
   if (!isLapsed) return { ...state, confirmedUntilMs, wasConfirmed }
   const lapsed = { ...state, confirmedUntilMs, wasConfirmed: confirmedUntilMs > nowMs, lapsedMs: nowMs }
-  return seatsChanged(lapsed, [], state.holders, nowMs)
+  return seatsChanged(lapsed, { held: [], regained: new Set() }, state.holders, nowMs)
 }
 
 function refusal (account: AccountLimit, id: string): LimitsEffect {
--- a/src/limits/seats.ts
+++ b/src/limits/seats.ts
@@ -7,6 +7,9 @@
 // list dropped are freed after a margin; during a store outage nobody can
 // change the table, and everybody goes on with the seats it has.
 //
+// A process that takes over the seats of the one before it on its host counts
+// the quiet time from its own start: the one before has lent nothing since.
+//
 // A write whose answer was lost may take effect late. A seat that was to be
 // released is therefore not used again before the table has a newer version.
 //
@@ -189,6 +192,8 @@
   readonly table: SeatTable | undefined
   readonly version: number
   /** Seats given up in a write on top of `version`; unused until a newer one. */
+  /** Own seats that the process before this one held. */
+  readonly regained: ReadonlySet<number>
   readonly giving: { readonly seats: ReadonlySet<number>, readonly version: number }
   readonly isWriting: boolean
   /** When the read that is under way was sent. */
@@ -214,7 +219,7 @@
 
 /** What the seats want done, in this order. */
 export type SeatsEffect =
-  | { readonly kind: 'seatsChanged', readonly held: readonly number[], readonly holders: ReadonlyMap<number, HostName>, readonly tableOfMs: number }
+  | { readonly kind: 'seatsChanged', readonly held: readonly number[], readonly regained: ReadonlySet<number>, readonly holders: ReadonlyMap<number, HostName>, readonly tableOfMs: number }
   | { readonly kind: 'readTable', readonly table: string }
   | { readonly kind: 'writeTable', readonly table: string, readonly value: SeatTable, readonly version: number }
 
@@ -234,6 +239,7 @@
     stopping: false,
     table: undefined,
     version: -1,
+    regained: new Set(),
     giving: { seats: new Set(), version: -1 },
     isWriting: false,
     readSentMs: undefined,
@@ -314,11 +320,17 @@
   const isEmpty = changes.release.length + changes.take.length + changes.free.length === 0 && !isGiving
   if (isEmpty) return { state, effects: [seatsChanged(state)] }
   const giving = { seats: new Set([...state.giving.seats, ...changes.release]), version: state.version }
-  const next = { ...state, giving, isWriting: true }
+  const next = { ...state, giving, regained: regainedSeats(state, table, changes.take), isWriting: true }
   const value = plannedTable(table, changes, state.self)
   return { state: next, effects: [seatsChanged(next), { kind: 'writeTable', table: range.table, value, version: state.version }] }
 }
 
+// Counted from the range's first seat, like the seats of the table.
+function regainedSeats (state: SeatsState, table: SeatTable, taken: readonly number[]): ReadonlySet<number> {
+  const own = taken.filter(seat => table.seats[seat]?.host === state.self.host).map(seat => state.range.firstSeat + seat)
+  return own.length === 0 ? state.regained : new Set([...state.regained, ...own])
+}
+
 function resized (table: SeatTable, size: number): SeatTable {
   return { seats: Array.from({ length: size }, (_, seat) => table.seats[seat] ?? null) }
 }
@@ -333,5 +345,5 @@
     const isMine = holder.host === state.self.host && holder.incarnation === state.self.incarnation
     if (isMine && !state.giving.seats.has(at)) held.push(firstSeat + at)
   }
-  return { kind: 'seatsChanged', held, holders, tableOfMs: state.tableOfMs }
+  return { kind: 'seatsChanged', held, regained: state.regained, holders, tableOfMs: state.tableOfMs }
 }
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -126,6 +126,14 @@
   readonly agoMs: number
 }
 
+/** A list of hosts for one that may have it already. */
+export type HostAnswer = {
+  /** Undefined where the asker has them. */
+  readonly hosts: readonly ListedMember[] | undefined
+  readonly digest: string
+  readonly agoMs: number
+}
+
 /** What one host knows of a server. */
 export type ObservedServer = {
   readonly status: ServerStatus
@@ -155,8 +163,8 @@
   readonly pullConfiguration: { readonly params: { readonly above: Generation }, readonly result: { readonly accepted: AcceptedManifest | undefined } }
   readonly offerConfiguration: { readonly params: { readonly accepted: AcceptedManifest }, readonly result: { readonly generation: Generation } }
   readonly borrow: { readonly params: { readonly from: HostName, readonly incarnation: string, readonly request: BorrowRequest }, readonly result: { readonly grant: ShareGrant | undefined } }
-  /** The platform's host list as the asked host has it; undefined: none yet. */
-  readonly listHosts: { readonly params: Readonly<Record<string, never>>, readonly result: { readonly list: HostList | undefined } }
+  /** The list of hosts as the asked host has it; undefined: none yet. `known` is the digest of the list that the asker has. */
+  readonly listHosts: { readonly params: { readonly known: string }, readonly result: { readonly list: HostAnswer | undefined } }
   /** What the asked host knows of a database's servers; undefined where it does not watch them. */
   readonly observe: { readonly params: { readonly database: DatabaseName }, readonly result: { readonly observation: Observation | undefined } }
   /** A server does not answer the sender, which runs its statements. */
--- a/src/wire/peer-link.ts
+++ b/src/wire/peer-link.ts
@@ -12,6 +12,7 @@
 import { withTimeout, type TimerService } from '../pipe/index.js'
 import { asError, WireError } from '../ports/index.js'
 import { readLines, writeLine } from './lines.js'
+import { restore, shorten } from './peer-codec.js'
 
 /** Certificates for links between proxies, both sides checked. */
 export type PeerTls = {
@@ -92,9 +93,9 @@
       open ??= connect()
       const link = open
       link.sending()
-      const answer = await withTimeout(timers, timeoutMs, Promise.resolve(link.rpc.request(method, params)))
+      const answer = await withTimeout(timers, timeoutMs, Promise.resolve(link.rpc.request(method, shorten(params))))
         .catch(error => { throw new WireError(link.connected() ? 'lost' : 'refused', `the link to ${address.ip}:${address.port} was lost`, asError(error)) })
-      if (answer.kind === 'done') return answer.value
+      if (answer.kind === 'done') return restore(answer.value) as PeerResult<typeof method>
       if (link.silentMs() >= silentLinkMs) drop(link, new Error('link silent'))
       throw new WireError(link.connected() ? 'overdue' : 'refused', `${address.ip}:${address.port} did not answer ${method} in ${timeoutMs} ms`)
     },
@@ -165,7 +166,7 @@
 }
 
 function addMethod<M extends PeerMethod> (rpc: JSONRPCServer, handlers: PeerHandlers, method: M): void {
-  rpc.addMethod(method, async (params: PeerParams<M>) => await handlers[method](params))
+  rpc.addMethod(method, async (params: unknown) => shorten(await handlers[method](restore(params) as PeerParams<M>)))
 }
 
 function receive (line: string, onValue: (value: never) => void, onGarbage: () => void): void {
--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -123,7 +123,7 @@
 })
 
 test('a host whose confirmation lapsed uses no seat of an older table', () => {
-  const event = (kind: 'old' | 'new'): LimitsEvent => ({ kind: 'seatsChanged', held: [0, 1, 2, 3], holders: new Map(), tableOfMs: kind === 'old' ? laterMs : laterMs + 30_000, nowMs: laterMs + 30_000 })
+  const event = (kind: 'old' | 'new'): LimitsEvent => ({ kind: 'seatsChanged', held: [0, 1, 2, 3], regained: new Set(), holders: new Map(), tableOfMs: kind === 'old' ? laterMs : laterMs + 30_000, nowMs: laterMs + 30_000 })
   const confirmed = limitsStep(owner(), { kind: 'confirmationChanged', confirmedUntilMs: laterMs + 5000, nowMs: laterMs }).state
   const lapsed = limitsStep(confirmed, { kind: 'confirmationChanged', confirmedUntilMs: laterMs + 40_000, nowMs: laterMs + 20_000 }).state
   assert.equal(limitsStep(lapsed, event('old')).state.held.size, 0)
--- a/test/support/limit-fleet.ts
+++ b/test/support/limit-fleet.ts
@@ -185,7 +185,7 @@
   }
 
   function start (host: HostName, incarnation: number): void {
-    nodes.set(host, { state: initialLimits(host), incarnation, isUp: true, isPaused: false, backlog: [] })
+    nodes.set(host, { state: initialLimits(host, clock(host)), incarnation, isUp: true, isPaused: false, backlog: [] })
     if (isConfirmed) step(host, { kind: 'confirmationChanged', confirmedUntilMs: Infinity, nowMs: clock(host) })
     step(host, { kind: 'membersChanged', live: members, nowMs: clock(host) })
     step(host, { kind: 'manifestApplied', manifest, nowMs: clock(host) })
@@ -198,7 +198,7 @@
   }
 
   function setSeats (host: HostName, held: readonly number[]): void {
-    whenRunning(host, () => step(host, { kind: 'seatsChanged', held, holders: new Map(), tableOfMs: clock(host), nowMs: clock(host) }))
+    whenRunning(host, () => step(host, { kind: 'seatsChanged', held, regained: new Set(), holders: new Map(), tableOfMs: clock(host), nowMs: clock(host) }))
   }
 
   function tick (): void {
