--- a/src/daemon/caller-task.ts
+++ b/src/daemon/caller-task.ts
@@ -3,7 +3,7 @@
 // each outcome before it takes the next command.
 
 import { mayUse } from '../config/index.js'
-import { notRun, type Caller, type Outcome, type ParsedStatement } from '../model/index.js'
+import { notRun, type IncomingStatement, type Outcome, type ParsedStatement } from '../model/index.js'
 import { runPipe, type Filter } from '../pipe/index.js'
 import { byProxy, refusal, type ConfigurationInForce, type Incoming, type OpenTransaction, type Served, type SessionRules, type SessionState } from '../request/index.js'
 import type { CallerCommand, CallerLink, SessionStatus } from '../ports/index.js'
@@ -21,7 +21,7 @@
   /** Rolls back at the home; a lost message is made up for by the home's idle timeout. */
   readonly rollBack: (transaction: OpenTransaction) => Promise<void>
   /** Told of each statement that was answered. */
-  readonly onServed: (caller: Caller, outcome: Outcome, tookMs: number) => void
+  readonly onServed: (statement: IncomingStatement, outcome: Outcome, tookMs: number) => void
 }
 
 /**
@@ -85,7 +85,7 @@
   const receivedAtMs = spec.nowMs()
   const statement = { ...parsed, caller: session.caller, route: session.route, receivedAtMs }
   const result = await runPipe(spec.pipe, { statement, session })
-  spec.onServed(session.caller, result.outcome, spec.nowMs() - receivedAtMs)
+  spec.onServed(statement, result.outcome, spec.nowMs() - receivedAtMs)
   return result
 }
 
--- a/src/daemon/callers.ts
+++ b/src/daemon/callers.ts
@@ -2,7 +2,7 @@
 // connection.
 
 import { keyDecision, withoutKeys } from '../config/index.js'
-import { notRun, type Caller, type Outcome } from '../model/index.js'
+import { notRun, type Caller, type IncomingStatement, type Outcome, type RouteName } from '../model/index.js'
 import type { Filter } from '../pipe/index.js'
 import { openSessionState, type ConfigurationInForce, type Incoming, type OpenTransaction, type Served } from '../request/index.js'
 import type { CallerLink, CallerListener, LoginRequest } from '../ports/index.js'
@@ -21,8 +21,8 @@
   /** Whether this host wants new callers. */
   readonly isReady: () => boolean
   readonly rollBack: (transaction: OpenTransaction) => Promise<void>
-  readonly onServed: (caller: Caller, outcome: Outcome, tookMs: number) => void
-  readonly onLoginRefused: (user: string, outcome: Outcome) => void
+  readonly onServed: (statement: IncomingStatement, outcome: Outcome, tookMs: number) => void
+  readonly onLoginRefused: (user: string, route: RouteName, outcome: Outcome) => void
 }
 
 /** The running callers' side. */
@@ -93,7 +93,7 @@
 
 function decideLogin (spec: CallersSpec, login: LoginRequest): LoginVerdict {
   const verdict = judgeLogin(spec.configuration(), login)
-  if (verdict.kind === 'refused') spec.onLoginRefused(loginName(login), verdict.outcome)
+  if (verdict.kind === 'refused') spec.onLoginRefused(loginName(login), login.route, verdict.outcome)
   return verdict
 }
 
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -56,6 +56,7 @@
   const { context, reports } = parts
   const peers = await listenForPeers({ ip: settings.host.ip, port: settings.host.peerPort }, peerHandlers(parts), tlsOf(settings.peers))
   const configuration = (): ConfigurationInForce => ({ manifest: parts.effective.manifest(), confirmed: parts.configuration.mayServeKeyed() })
+  const generation = (): number => parts.configuration.inForce()?.generation ?? 0
   const pipe = requestPipe(requestServices(parts, configuration), {
     self: settings.host.name,
     ownFailureDomain: settings.host.failureDomain,
@@ -70,8 +71,8 @@
     configuration,
     isReady: () => !state.stopping && parts.configuration.mayServeKeyed() && parts.effective.hasServers(),
     rollBack: async transaction => { await rollBack(parts, transaction) },
-    onServed: reports.served,
-    onLoginRefused: (user, outcome) => { reports.event('loginRefused', { account: user, reason: outcome.kind === 'notRun' ? outcome.reason : outcome.kind }) }
+    onServed: (statement, outcome, tookMs) => { reports.served(statement, outcome, tookMs, generation()) },
+    onLoginRefused: (user, route, outcome) => { reports.event('loginRefused', { account: user, route, reason: outcome.kind === 'notRun' ? outcome.reason : outcome.kind, generation: generation() }) }
   }).catch(error => {
     peers.close()
     throw error
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from 'node:crypto'
 import type { Settings } from '../config/index.js'
 import { watchersOf } from '../members/index.js'
-import { anonymousAccount, type Caller, type DatabaseReport, type HostName, type HostReport, type Outcome } from '../model/index.js'
+import { anonymousAccount, type DatabaseReport, type HostName, type HostReport, type IncomingStatement, type Outcome } from '../model/index.js'
 import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
 import { AccountFigureTable, eventLog, gatherStep, initialGather, metricsTo, outcomeTag, type EventFields, type EventName, type GatherEffect, type GatherEvent, type GatherState, type Metrics } from '../report/index.js'
 import { updateObject, type ObjectStore } from '../ports/index.js'
@@ -37,7 +37,7 @@
 /** The running reports. */
 export type Reports = {
   readonly event: <N extends EventName>(name: N, fields: EventFields<N>) => void
-  readonly served: (caller: Caller, outcome: Outcome, tookMs: number) => void
+  readonly served: (statement: IncomingStatement, outcome: Outcome, tookMs: number, generation: number) => void
   /** Takes the report of another host of the failure domain. */
   readonly gathered: (report: HostReport) => boolean
   /** Begins to report on the parts. */
@@ -63,14 +63,16 @@
  */
 export function startReports (spec: ReportsSpec): Reports {
   const { settings, timers } = spec
-  const log = eventLog({ host: settings.host.name, ...settings.log, writeLine: line => { process.stderr.write(line + '\n') } })
+  const log = eventLog({ host: settings.host.name, ...settings.log, writeLine: line => { process.stdout.write(line + '\n') }, waitingBytes: () => process.stdout.writableLength, nowMs: timers.nowMs })
   const metrics = metricsTo(settings.metrics.kind === 'statsd' ? settings.metrics.address : undefined, settings.host.name)
   const figures = new AccountFigureTable()
   let gather: Task<GatherEvent> | undefined
   return {
     event: log.write,
-    served (caller, outcome, tookMs) {
+    served (statement, outcome, tookMs, generation) {
+      const { caller } = statement
       const account = caller.kind === 'account' ? caller.account : anonymousAccount
+      if (outcome.kind !== 'answered') log.write('statementNotServed', { ...notServed(statement, outcome), account, tookMs: Math.round(tookMs), generation })
       figures.note(account, outcome, tookMs)
       countServed(metrics, account, outcome, tookMs)
     },
@@ -98,6 +100,16 @@
   }
 }
 
+function notServed (statement: IncomingStatement, outcome: Exclude<Outcome, { readonly kind: 'answered' }>): Omit<EventFields<'statementNotServed'>, 'account' | 'tookMs' | 'generation'> {
+  const told = { request: statement.id ?? '', route: statement.route, statement: statement.statementClass.kind, outcome: outcome.kind }
+  switch (outcome.kind) {
+    case 'notRun':
+    case 'unknown': return { ...told, reason: outcome.reason, detail: outcome.detail }
+    case 'failed': return { ...told, reason: 'failed', detail: outcome.detail }
+    case 'refused': return { ...told, reason: String(outcome.errorNumber), detail: outcome.sqlState }
+  }
+}
+
 function countServed (metrics: Metrics, account: string, outcome: Outcome, tookMs: number): void {
   metrics.count('statement.count', { account, outcome: outcomeTag(outcome) })
   metrics.time('statement.ms', tookMs, { account })
--- a/src/report/index.ts
+++ b/src/report/index.ts
@@ -4,5 +4,6 @@
 export * from './accounts.js'
 export * from './events.js'
 export * from './gather.js'
+export * from './line-budget.js'
 export * from './log.js'
 export * from './metrics.js'
--- a/src/report/log.ts
+++ b/src/report/log.ts
@@ -1,7 +1,8 @@
-// Writes events through tslog: one line an event, to the standard error.
+// Writes events through tslog: one line an event, within a budget of lines.
 
 import { Logger } from 'tslog'
 import { withoutKeys } from '../config/index.js'
+import { freshBudget, judgeLine } from './line-budget.js'
 import { eventCatalogue, type EventFields, type EventLevel, type EventName } from './events.js'
 
 /** Writes events. */
@@ -16,6 +17,9 @@
   readonly format: 'json' | 'text'
   /** Takes each finished line. */
   readonly writeLine: (line: string) => void
+  /** Bytes of earlier lines that nobody has read yet. */
+  readonly waitingBytes: () => number
+  readonly nowMs: () => number
 }
 
 /** tslog's numbers of the levels. */
@@ -29,10 +33,17 @@
 export function eventLog (spec: EventLogSpec): EventLog {
   const logger = new Logger<Readonly<Record<string, unknown>>>({ type: 'hidden', minLevel: levelNumbers[spec.level], name: spec.host })
   logger.attachTransport(record => { spec.writeLine(withoutKeys(lineOf(spec, record as unknown as LogRecord))) })
+  let budget = freshBudget
+  const writeNow = (name: EventName, fields: object): void => {
+    const { number, level } = eventCatalogue[name]
+    logger.log(levelNumbers[level], level.toUpperCase(), { event: number, name, ...fields })
+  }
   return {
     write (name, fields) {
-      const { number, level } = eventCatalogue[name]
-      logger.log(levelNumbers[level], level.toUpperCase(), { event: number, name, ...fields })
+      const verdict = judgeLine(budget, name, spec.waitingBytes(), spec.nowMs())
+      budget = verdict.budget
+      for (const [left, lines] of verdict.leftOut) writeNow('linesLeftOut', { left, lines })
+      if (verdict.isWritten) writeNow(name, fields)
     }
   }
 }
--- a/test/report/report.test.ts
+++ b/test/report/report.test.ts
@@ -52,7 +52,7 @@
 
 test('an event is one line with its number, and lower levels are left out', () => {
   const lines: string[] = []
-  const log = eventLog({ host: 'h1', level: 'warn', format: 'json', writeLine: line => lines.push(line) })
+  const log = eventLog({ host: 'h1', level: 'warn', format: 'json', writeLine: line => lines.push(line), waitingBytes: () => 0, nowMs: () => 0 })
   log.write('manifestApplied', { generation: 3 })
   log.write('manifestRejected', { generation: 4, errors: 'accounts[0].name: found nothing' })
   assert.equal(lines.length, 1)
