--- a/eslint.config.js
+++ b/eslint.config.js
@@ -28,7 +28,7 @@
 ]
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**'] },
+  { ignores: ['dist/**', 'target/**', 'node_modules/**'] },
   ...neostandard({ ts: true }),
   {
     files: ['**/*.ts'],
@@ -66,5 +66,12 @@
       'jsdoc/require-returns': 'error',
       'jsdoc/require-returns-description': 'error'
     }
+  },
+  {
+    // The platform's names stay in its folder.
+    files: ['src/**/*.ts'],
+    rules: {
+      'no-restricted-imports': ['error', { patterns: [{ group: ['**/platform/*', '**/standins/**', '**/test/**', '**/bench/**'], message: 'src knows no platform, stand-in, test or bench.' }] }]
+    }
   }
 ]
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -7,7 +7,7 @@
 import { watchersOf } from '../members/index.js'
 import { anonymousAccount, type DatabaseReport, type HostName, type HostReport, type IncomingStatement, type Outcome } from '../model/index.js'
 import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
-import { AccountFigureTable, eventLog, gatherStep, initialGather, metricsTo, outcomeTag, type EventFields, type EventName, type GatherEffect, type GatherEvent, type GatherState, type Metrics } from '../report/index.js'
+import { AccountFigureTable, eventLog, gatherStep, initialGather, metricsToAll, noMetrics, outcomeTag, type EventFields, type EventName, type GatherEffect, type GatherEvent, type GatherState, type Metrics } from '../report/index.js'
 import { updateObject, type ObjectStore } from '../ports/index.js'
 import type { ConfigurationTask } from './configuration-task.js'
 import type { Databases } from './databases.js'
@@ -64,7 +64,8 @@
 export function startReports (spec: ReportsSpec): Reports {
   const { settings, timers } = spec
   const log = eventLog({ host: settings.host.name, ...settings.log, writeLine: line => { process.stdout.write(line + '\n') }, waitingBytes: () => process.stdout.writableLength, nowMs: timers.nowMs })
-  const metrics = metricsTo(settings.metrics.kind === 'statsd' ? settings.metrics.address : undefined, settings.host.name)
+  let metrics = noMetrics
+  void loadMetrics(settings, error => { log.write('taskFailed', { task: 'metrics', error: error.message }) }).then(loaded => { metrics = loaded })
   const figures = new AccountFigureTable()
   let gather: Task<GatherEvent> | undefined
   return {
@@ -74,7 +75,8 @@
       const account = caller.kind === 'account' ? caller.account : anonymousAccount
       if (outcome.kind !== 'answered') log.write('statementNotServed', { ...notServed(statement, outcome), account, tookMs: Math.round(tookMs), generation })
       figures.note(account, outcome, tookMs)
-      countServed(metrics, account, outcome, tookMs)
+      countServed(metrics, { account, route: statement.route }, outcome, tookMs)
+      if (outcome.kind === 'answered' && statement.statementClass.kind === 'read') metrics.count('read.served_by', { role: outcome.servedBy })
     },
     gathered (report) {
       return gather?.port.send({ kind: 'reported', report, nowMs: timers.nowMs() }) === 'accepted'
@@ -110,10 +112,17 @@
   }
 }
 
-function countServed (metrics: Metrics, account: string, outcome: Outcome, tookMs: number): void {
-  metrics.count('statement.count', { account, outcome: outcomeTag(outcome) })
-  metrics.time('statement.ms', tookMs, { account })
-  if (outcome.kind === 'answered' && outcome.answer.kind === 'rows') metrics.count('read.served_by', { role: outcome.servedBy })
+function countServed (metrics: Metrics, tags: { readonly account: string, readonly route: string }, outcome: Outcome, tookMs: number): void {
+  metrics.count('statement.count', { ...tags, outcome: outcomeTag(outcome) })
+  metrics.time('statement.ms', tookMs, tags)
+}
+
+// Loaded only where they are wanted: each library costs time at the start.
+async function loadMetrics (settings: Settings, onFailure: (error: Error) => void): Promise<Metrics> {
+  const { metrics, listen, host } = settings
+  const statsd = metrics.kind === 'statsd' ? [(await import('../report/statsd.js')).statsdMetrics(metrics.address, host.name)] : []
+  const text = listen.metrics === undefined ? [] : [(await import('../report/text-metrics.js')).textMetrics(listen.metrics, host.name, onFailure)]
+  return metricsToAll([...statsd, ...text])
 }
 
 function startGather (spec: ReportsSpec, parts: ReportedParts): Task<GatherEvent> {
--- a/src/report/metrics.ts
+++ b/src/report/metrics.ts
@@ -1,7 +1,7 @@
-// Metrics, sent to statsd by hot-shots. Without an address they go nowhere.
+// The catalogue of metrics and who receives them. The receivers stand in
+// modules of their own and are loaded only where the settings name them.
 
-import { StatsD } from 'hot-shots'
-import type { Address, Outcome } from '../model/index.js'
+import type { Outcome } from '../model/index.js'
 
 /** One entry of the metrics catalogue. */
 export type MetricEntry = {
@@ -12,8 +12,8 @@
 
 /** All metrics by name; docs/METRICS.md lists them. */
 export const metricCatalogue = {
-  'statement.count': metric('counter', 'Statements that were answered, by account and outcome.', ['account', 'outcome']),
-  'statement.ms': metric('timing', 'Time from the arrival of a statement to its answer, in milliseconds.', ['account']),
+  'statement.count': metric('counter', 'Statements that were answered, by account, route and outcome.', ['account', 'route', 'outcome']),
+  'statement.ms': metric('timing', 'Time from the arrival of a statement to its answer, in milliseconds.', ['account', 'route']),
   'read.served_by': metric('counter', 'Reads by the role of the server that served them.', ['role']),
   'configuration.generation': metric('gauge', 'Generation of the manifest in force.', []),
   'members.live': metric('gauge', 'Hosts that answer, this one included.', []),
@@ -31,31 +31,20 @@
   readonly close: () => void
 }
 
-const prefix = 'limpetmoor.'
-/** The library wants a port, also where nothing is sent. */
-const unusedPort = 8125
+/** Sends nothing. */
+export const noMetrics: Metrics = { count: () => {}, time: () => {}, gauge: () => {}, close: () => {} }
 
 /**
- * Makes the sender of metrics.
- * @param address - of the statsd server; undefined sends nothing
- * @param host - this host, added to each metric
+ * Sends each metric to several receivers.
+ * @param receivers - the receivers
  * @returns the sender
  */
-export function metricsTo (address: Address | undefined, host: string): Metrics {
-  const client = new StatsD({
-    host: address?.ip ?? '127.0.0.1',
-    port: address?.port ?? unusedPort,
-    mock: address === undefined,
-    prefix,
-    globalTags: { host },
-    // A lost packet is no reason to do anything.
-    errorHandler: () => {}
-  })
+export function metricsToAll (receivers: readonly Metrics[]): Metrics {
   return {
-    count: (name, tags) => { client.increment(name, 1, tags) },
-    time: (name, valueMs, tags) => { client.timing(name, valueMs, tags) },
-    gauge: (name, value) => { client.gauge(name, value) },
-    close: () => { client.close(() => {}) }
+    count: (name, tags) => { for (const each of receivers) each.count(name, tags) },
+    time: (name, valueMs, tags) => { for (const each of receivers) each.time(name, valueMs, tags) },
+    gauge: (name, value) => { for (const each of receivers) each.gauge(name, value) },
+    close: () => { for (const each of receivers) each.close() }
   }
 }
 
--- /dev/null
+++ b/test/discovery/servers.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { answerGapMs, keepMissingMs, noServers, serversStep, withFoundServers, type ServersEvent, type ServersState } from '../../src/discovery/index.js'
+import type { FoundServer } from '../../src/model/index.js'
+
+function serverOf (name: string, changes: Partial<FoundServer> = {}): FoundServer {
+  return { name, database: 'ledger', ip: '127.0.0.1', port: 1, failureDomain: 'medina', slots: 5, state: 'active', ...changes }
+}
+
+function after (...events: readonly ServersEvent[]): ServersState {
+  return events.reduce(serversStep, noServers)
+}
+
+function namesOf (state: ServersState): readonly string[] {
+  return [...state.known.keys()].sort()
+}
+
+const both: ServersEvent = { kind: 'listed', servers: [serverOf('a'), serverOf('b')], nowMs: 0 }
+
+test('an entry that is missing is kept for a while and then dropped', () => {
+  const missing = after(both, { kind: 'listed', servers: [serverOf('a')], nowMs: 1000 })
+  assert.deepEqual(namesOf(missing), ['a', 'b'])
+  assert.deepEqual(namesOf(serversStep(missing, { kind: 'listed', servers: [serverOf('a')], nowMs: 1000 + keepMissingMs })), ['a'])
+})
+
+test('an entry that lapsed while the store was away has its whole time again', () => {
+  const backMs = 1000 + answerGapMs + 5000
+  const lapsed = after(both, { kind: 'listed', servers: [serverOf('a')], nowMs: 1000 }, { kind: 'listed', servers: [serverOf('a')], nowMs: backMs })
+  assert.deepEqual(namesOf(lapsed), ['a', 'b'])
+  assert.deepEqual(namesOf(serversStep(lapsed, { kind: 'changed', servers: [serverOf('b')], removed: [], nowMs: backMs + 1500 })), ['a', 'b'])
+})
+
+test('while the store does not answer nothing is dropped', () => {
+  const missing = after(both, { kind: 'listed', servers: [serverOf('a')], nowMs: 1000 })
+  assert.deepEqual(namesOf(serversStep(missing, { kind: 'tick', nowMs: 1000 + answerGapMs + keepMissingMs })), ['a', 'b'])
+})
+
+test('a database has the servers that name it, with the bound of the manifest', () => {
+  const state = after({ kind: 'listed', servers: [serverOf('b'), serverOf('a', { state: 'leaving' }), serverOf('x', { database: 'other' })], nowMs: 0 })
+  const [database] = withFoundServers([{ name: 'ledger', servers: [], maxConnections: 76, state: 'active' }], state)
+  assert.deepEqual(database?.servers.map(server => [server.name, server.state, server.maxConnections]), [['a', 'leaving', 76], ['b', 'active', 76]])
+})
