Suspect quiet links, give up links to silent hosts, load the histograms after the start

Cause: calls to a frozen or dark home waited for their own deadline; a start spent 170 ms of 900 on the histograms' library, and heartbeats twice a second were half of all writes at rest.

--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -8,6 +8,10 @@
 import { peerClient, type PeerClient, type PeerTls } from '../wire/peer-link.js'
 import type { DaemonContext } from './context.js'
 
+/** Calls that wait this long on a link where nothing comes in start an exchange of heartbeats. */
+const quietLinkMs = 400
+const lookEveryMs = 200
+
 type KnownPeer = {
   readonly address: string
   readonly client: PeerClient
@@ -28,6 +32,7 @@
   constructor (context: DaemonContext, onLinkFailed: (host: HostName) => void) {
     this.#context = context
     this.#onLinkFailed = onLinkFailed
+    context.timers.every(lookEveryMs, { send: () => { this.#lookForQuiet(); return 'accepted' } })
   }
 
   /**
@@ -78,6 +83,23 @@
     }
   }
 
+  /**
+   * Gives up the links to hosts that were found silent, so that nobody waits for them.
+   * @param silent - the hosts
+   */
+  giveUp (silent: ReadonlySet<HostName>): void {
+    for (const [host, peer] of this.#peers) {
+      if (silent.has(host)) peer.client.giveUp()
+    }
+  }
+
+  /** Looks for links on which calls wait and nothing comes in. */
+  #lookForQuiet (): void {
+    for (const [host, peer] of this.#peers) {
+      if (peer.client.silentMs() >= quietLinkMs) this.#onLinkFailed(host)
+    }
+  }
+
   /** Gives up all links. */
   close (): void {
     for (const [host, peer] of this.#peers) this.#drop(host, peer)
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -201,6 +201,7 @@
     },
     onMembers: view => {
       takeMembers(view, { configuration, databases, routing, limits })
+      links.giveUp(view.silent)
       duty?.changeRank(stopping() ? undefined : dutyRank(view, settings.host.name))
       reports.event('membersChanged', { live: view.live.length, listed: view.listed.length })
     },
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -7,7 +7,8 @@
 import { watchersOf } from '../members/index.js'
 import { anonymousAccount, type DatabaseReport, type HostName, type HostReport, type IncomingStatement, type Outcome } from '../model/index.js'
 import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
-import { AccountFigureTable, eventLog, gatherStep, initialGather, metricsToAll, noMetrics, outcomeTag, type EventFields, type EventName, type GatherEffect, type GatherEvent, type GatherState, type Metrics } from '../report/index.js'
+import type { AccountFigureTable } from '../report/accounts.js'
+import { eventLog, gatherStep, initialGather, metricsToAll, noMetrics, outcomeTag, type EventFields, type EventName, type GatherEffect, type GatherEvent, type GatherState, type Metrics } from '../report/index.js'
 import { updateObject, type ObjectStore } from '../ports/index.js'
 import type { ConfigurationTask } from './configuration-task.js'
 import type { Databases } from './databases.js'
@@ -49,6 +50,8 @@
 export const reportKind = 'report'
 
 const mailboxCapacity = 2048
+/** The histograms' library takes long to load, so a start does without them at first. */
+const figuresAfterMs = 1500
 const confirmationCheckMs = 500
 const sendTimeoutMs = 1000
 const writeDeadlineMs = 3000
@@ -66,7 +69,8 @@
   const log = eventLog({ host: settings.host.name, ...settings.log, writeLine: line => { process.stdout.write(line + '\n') }, waitingBytes: () => process.stdout.writableLength, nowMs: timers.nowMs })
   let metrics = noMetrics
   void loadMetrics(settings, error => { log.write('taskFailed', { task: 'metrics', error: error.message }) }).then(loaded => { metrics = loaded })
-  const figures = new AccountFigureTable()
+  let figures: AccountFigureTable | undefined
+  timers.after(figuresAfterMs, { send: () => { void import('../report/accounts.js').then(loaded => { figures = new loaded.AccountFigureTable() }); return 'accepted' } })
   let gather: Task<GatherEvent> | undefined
   return {
     event: log.write,
@@ -74,7 +78,7 @@
       const { caller } = statement
       const account = caller.kind === 'account' ? caller.account : anonymousAccount
       if (outcome.kind !== 'answered') log.write('statementNotServed', { ...notServed(statement, outcome), account, tookMs: Math.round(tookMs), generation })
-      figures.note(account, outcome, tookMs)
+      figures?.note(account, outcome, tookMs)
       countServed(metrics, { account, route: statement.route }, outcome, tookMs)
       if (outcome.kind === 'answered' && statement.statementClass.kind === 'read') metrics.count('read.served_by', { role: outcome.servedBy })
     },
@@ -152,7 +156,7 @@
   port.send({ kind: 'writeEnded', written, nowMs: timers.nowMs() })
 }
 
-async function sendReport (spec: ReportsSpec, parts: ReportedParts, figures: AccountFigureTable, metrics: Metrics, gather: Port<GatherEvent>): Promise<void> {
+async function sendReport (spec: ReportsSpec, parts: ReportedParts, figures: AccountFigureTable | undefined, metrics: Metrics, gather: Port<GatherEvent>): Promise<void> {
   const report = reportOf(spec, parts, figures)
   metrics.gauge('configuration.generation', report.generation)
   metrics.gauge('members.live', parts.members.view.get().live.length)
@@ -169,7 +173,7 @@
   return watchersOf(near, 1)[0]
 }
 
-function reportOf (spec: ReportsSpec, parts: ReportedParts, figures: AccountFigureTable): HostReport {
+function reportOf (spec: ReportsSpec, parts: ReportedParts, figures: AccountFigureTable | undefined): HostReport {
   const { host } = spec.settings
   return {
     host: host.name,
@@ -189,7 +193,7 @@
       })
       return { database: declaration.name, primary: primary.primary, term: primary.term, servers }
     }),
-    accounts: figures.reports()
+    accounts: figures?.reports() ?? []
   }
 }
 
--- a/src/report/index.ts
+++ b/src/report/index.ts
@@ -1,7 +1,6 @@
 // What a host tells its operators: events, metrics, figures of each client
 // account, and the gathered reports.
 
-export * from './accounts.js'
 export * from './events.js'
 export * from './gather.js'
 export * from './line-budget.js'
--- a/src/report/log.ts
+++ b/src/report/log.ts
@@ -31,7 +31,7 @@
  * @returns the log
  */
 export function eventLog (spec: EventLogSpec): EventLog {
-  const logger = new Logger<Readonly<Record<string, unknown>>>({ type: 'hidden', minLevel: levelNumbers[spec.level], name: spec.host })
+  const logger = new Logger<Readonly<Record<string, unknown>>>({ type: 'hidden', hideLogPositionForProduction: true, minLevel: levelNumbers[spec.level], name: spec.host })
   logger.attachTransport(record => { spec.writeLine(withoutKeys(lineOf(spec, record as unknown as LogRecord))) })
   let budget = freshBudget
   const writeNow = (name: EventName, fields: object): void => {
--- a/test/report/report.test.ts
+++ b/test/report/report.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { notRun, type HostReport, type Outcome } from '../../src/model/index.js'
-import { AccountFigureTable, eventLog, gatherStep, initialGather, type GatherEvent, type GatherState } from '../../src/report/index.js'
+import { AccountFigureTable } from '../../src/report/accounts.js'
+import { eventLog, gatherStep, initialGather, type GatherEvent, type GatherState } from '../../src/report/index.js'
 
 const answered: Outcome = { kind: 'answered', answer: { kind: 'done', affectedRows: 1, insertId: 0 }, position: undefined, servedBy: 'primary' }
 
