--- a/src/limits/settings.ts
+++ b/src/limits/settings.ts
@@ -24,7 +24,7 @@
 /** A borrower keeps room for the tokens that come in while it awaits an answer. */
 export const answerRoomMs = 20
 /** How long a request may wait for a token. */
-export const maxWaitMs = 100
+export const maxWaitMs = 45
 /** How long a borrower's shortage makes its home collect urgently. */
 export const unmetMs = 20
 /** Requests of one account that may wait on one host. */
