--- /dev/null
+++ b/src/daemon/watches.ts
@@ -0,0 +1,124 @@
+// The watches of one database's servers, and when each server is asked for its
+// status where it tells it only then.
+
+import { redirected } from '../config/index.js'
+import type { DatabaseDeclaration, ServerDeclaration, ServerName } from '../model/index.js'
+import type { Port } from '../pipe/index.js'
+import type { DaemonContext } from './context.js'
+import type { DatabaseMessage, DatabaseView } from './database-step.js'
+import { ServerWatch, type WatchHooks, type WatchReport } from './server-watch.js'
+
+/** A primary that was not heard for this time is asked for its status. */
+const quietPrimaryMs = 250
+/** The same for a replica. */
+const quietReplicaMs = 600
+/** How long another host's word spares questions of one's own. */
+const observedValidMs = 1000
+
+/** What the watches need. */
+export type WatchesSpec = {
+  readonly context: DaemonContext
+  readonly database: DatabaseDeclaration
+  /** A watched connection had gone silent while fresh ones work; others to that server may be silent. */
+  readonly onWasSilent: (server: ServerName) => void
+  /** A connection to the server was lost. */
+  readonly onLost: (server: ServerName) => void
+  readonly view: () => DatabaseView
+}
+
+/** The watches of one database's servers. */
+export class Watches {
+  readonly #spec: WatchesSpec
+  readonly #watches = new Map<ServerName, ServerWatch>()
+  #declared: readonly ServerDeclaration[] = []
+
+  /**
+   * Begins without servers.
+   * @param spec - what the watches need
+   */
+  constructor (spec: WatchesSpec) {
+    this.#spec = spec
+  }
+
+  /**
+   * Finds the watch of a server.
+   * @param server - the server
+   * @returns the watch, or undefined where the server is not declared
+   */
+  get (server: ServerName): ServerWatch | undefined {
+    return this.#watches.get(server)
+  }
+
+  /**
+   * Finds a server as it is declared.
+   * @param server - the server
+   * @returns the declaration
+   */
+  declaredAddress (server: ServerName): ServerDeclaration | undefined {
+    return this.#declared.find(one => one.name === server)
+  }
+
+  /**
+   * Starts and ends watches after a change of the servers.
+   * @param servers - the servers
+   * @param port - the task that is told
+   */
+  change (servers: readonly ServerDeclaration[], port: Port<DatabaseMessage>): void {
+    this.#declared = servers
+    for (const [name, watch] of this.#watches) {
+      const declared = servers.find(server => server.name === name)
+      if (declared !== undefined && sameAddress(watch, redirected(this.#spec.context.settings.links, declared))) continue
+      watch.stop()
+      this.#watches.delete(name)
+    }
+    for (const server of servers) {
+      if (!this.#watches.has(server.name)) this.#watches.set(server.name, this.#start(server, port))
+    }
+  }
+
+  /** Ends all watches. */
+  stop (): void {
+    for (const watch of this.#watches.values()) watch.stop()
+  }
+
+  #start (server: ServerDeclaration, port: Port<DatabaseMessage>): ServerWatch {
+    const { context, database, onWasSilent } = this.#spec
+    const { timers, settings } = context
+    const onReport = (report: WatchReport): void => {
+      const nowMs = timers.nowMs()
+      switch (report.kind) {
+        case 'status': {
+          port.send({ kind: 'status', status: report.status, askedAtMs: report.askedAtMs, nowMs })
+          break
+        }
+        case 'connectionLost': {
+          port.send({ kind: 'failover', event: { kind: 'connectionLost', server: server.name, nowMs } })
+          this.#spec.onLost(server.name)
+          break
+        }
+        case 'wasSilent': {
+          onWasSilent(server.name)
+          break
+        }
+        case 'busy': {
+          port.send({ kind: 'failover', event: { kind: 'probeAnswered', server: server.name, nowMs } })
+          break
+        }
+      }
+    }
+    const hooks: WatchHooks = { report: onReport, dueInMs: () => statusDueInMs(this.#spec.view(), server.name, timers.nowMs()) }
+    return new ServerWatch(context, database.name, server.name, redirected(settings.links, server), hooks)
+  }
+}
+
+function sameAddress (watch: ServerWatch, address: { readonly ip: string, readonly port: number }): boolean {
+  return watch.address.ip === address.ip && watch.address.port === address.port
+}
+
+// Another host's word spares a status, and so does any sign of life of the server.
+function statusDueInMs (view: DatabaseView, server: ServerName, nowMs: number): number {
+  const observedForMs = nowMs - view.observedAtMs
+  if (observedForMs < observedValidMs) return observedValidMs - observedForMs
+  const periodMs = server === view.primary.primary ? quietPrimaryMs : quietReplicaMs
+  return (view.heardAtMs.get(server) ?? -Infinity) + periodMs - nowMs
+}
