--- a/test/integration/configuration.test.ts
+++ b/test/integration/configuration.test.ts
@@ -45,7 +45,11 @@
   const before = (await reportsOf(set)).find(report => report.host === replaced.name)?.incarnation
   await replaced.process.kill()
   await set.startProxy(replaced)
-  await until('the new process serves', async () => (await told((await callerOf(t, set, replaced)).rows('SELECT 1'))).kind === 'answered')
+  // A process listens before it has a configuration, and says so until then.
+  await until('the new process serves', async () => {
+    const caller = await callerOf(t, set, replaced).catch(() => undefined)
+    return caller !== undefined && (await told(caller.rows('SELECT 1'))).kind === 'answered'
+  })
   await until('the new process reports', async () => {
     const report = (await reportsOf(set)).find(each => each.host === replaced.name)
     return report?.incarnation !== before && report?.generation === 2
--- a/test/platform/fleet.test.ts
+++ b/test/platform/fleet.test.ts
@@ -127,3 +127,12 @@
   assert.notEqual((await caller.query('COMMIT')).signature, undefined)
   assert.equal(await ended, 0)
 })
+
+test('a host that freezes holds nobody up for long, and serves again when it wakes', async t => {
+  const fleet = await fleetOf(t)
+  const { process: frozen } = fleet.proxies[0] ?? assert.fail()
+  frozen.kill('SIGSTOP')
+  for (const at of [1, 2]) await untilServed(fleet, at, 'WRITE frozen elsewhere')
+  frozen.kill('SIGCONT')
+  assert.deepEqual((await untilServed(fleet, 0, 'READ frozen')).rows, ['elsewhere'])
+})
