--- a/src/cli/status-text.ts
+++ b/src/cli/status-text.ts
@@ -2,7 +2,7 @@
 // database, one for each client account.
 
 import type { AccountReport, DatabaseReport, HostReport } from '../model/index.js'
-import type { FleetStatus } from './status.js'
+import type { FleetStatus } from './fleet-status.js'
 
 /**
  * Writes the status for people.
--- a/src/cli/status.ts
+++ b/src/cli/status.ts
@@ -9,19 +9,9 @@
 import { decodeStored } from './apply.js'
 import { withPlatform } from './platform.js'
 import { done, invalid, type CommandResult } from './result.js'
+import type { FleetStatus } from './fleet-status.js'
 import { statusLines } from './status-text.js'
 
-/** What the operators are shown. */
-export type FleetStatus = {
-  readonly acceptedGeneration: Generation
-  readonly appliedBy: string | undefined
-  /** Listed or reporting hosts that don't report the accepted generation. */
-  readonly hostsBehind: readonly HostName[]
-  /** Hosts of the platform's list that no report names. */
-  readonly hostsSilent: readonly HostName[]
-  readonly hosts: readonly HostReport[]
-}
-
 const latencySchema = z.object({ count: z.number(), p50Ms: z.number(), p99Ms: z.number(), maxMs: z.number() })
 
 const hostSchema = z.object({
