--- a/src/daemon/index.ts
+++ b/src/daemon/index.ts
@@ -15,6 +15,7 @@
 export async function runProxy (settings: Settings, ports: ProxyPorts): Promise<number> {
   const proxy = await startProxy(settings, ports)
   process.stdout.write(`listening ${settings.listen.callers.ip} ${proxy.callerPort}\n`)
+  process.on('SIGHUP', () => { proxy.reload() })
   await new Promise<void>(resolve => {
     for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => { resolve() })
   })
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -31,6 +31,8 @@
 export type Proxy = {
   readonly callerPort: number
   readonly peerPort: number
+  /** Notes that the settings file has changed; the settings of the start stay in force. */
+  readonly reload: () => void
   /** Lets running work finish within the grace time, then ends everything. */
   readonly stop: () => Promise<void>
 }
@@ -84,6 +86,7 @@
   return {
     callerPort: callers.port,
     peerPort: peers.port,
+    reload: () => { reports.event('reloadAsked', { host: settings.host.name }) },
     stop: async () => {
       state.stopping = true
       await stopParts(parts, callers)
--- a/src/report/events.ts
+++ b/src/report/events.ts
@@ -21,6 +21,7 @@
   stopped: entry(1003, 'info', 'The process has finished its work and ends.', ['host']),
   stopOverdue: entry(1004, 'warn', 'The grace time ended before all work was finished; the rest is cut off. Raise stop.grace_ms.', ['host', 'callers']),
   taskFailed: entry(1005, 'error', 'A task met an error that it did not expect and goes on. Report it as a fault of limpetmoor.', ['task', 'error']),
+  reloadAsked: entry(1007, 'info', 'SIGHUP: the settings file has changed. The process goes on with the settings of its start; restart it to take new ones.', ['host']),
   manifestApplied: entry(2001, 'info', 'A manifest is in force on this host.', ['generation']),
   manifestRejected: entry(2002, 'error', 'A manifest was refused whole; the one before stays in force. Ship a corrected one.', ['generation', 'errors']),
   confirmationLost: entry(2003, 'warn', 'Neither the store nor a majority of the quorum confirmed the configuration lately; keyed work is refused.', ['generation']),
