Lend whole tokens where a loan carries no rate

Cause: an account of 9/s and burst 9 over 64 seats that sent 4 times its rate from 18 hosts was admitted 160 of the 547 requests due in a minute (simulated fleet): grants of parts of a token ended unused after 150 ms, and grants of room without a token blocked the home's capacity. Ruled out: the hosts' demand was not kept back (the home owned the whole rate and nearly the whole capacity). New tests of small accounts; the one of slow links is still red here.

--- a/src/limits/account.ts
+++ b/src/limits/account.ts
@@ -76,7 +76,7 @@
 }
 
 /** Rounding errors of token counts stay far below this. */
-const tokenTolerance = 1e-6
+export const tokenTolerance = 1e-6
 
 /**
  * An account whose limit is not known to be owned here yet.
--- a/src/limits/lending.ts
+++ b/src/limits/lending.ts
@@ -4,7 +4,7 @@
 // Where more is wanted than there is, everybody gets the same part of it.
 
 import type { BorrowRequest, Share, ShareGrant } from '../model/index.js'
-import { advanced, borrowedShare, lentShare, ownShare, refreshed, type AccountLimit, type Borrower } from './account.js'
+import { advanced, borrowedShare, lentShare, ownShare, refreshed, tokenTolerance, type AccountLimit, type Borrower } from './account.js'
 import { heldAt, limitTo, withLoan } from './loans.js'
 import { keptShare } from './needs.js'
 import { collectValidMs, lenderMarginMs, tokenValidMs, useValidMs } from './settings.js'
@@ -81,7 +81,17 @@
   const long = { share: offeredForUse(state, key, request, useValidMs, nowMs), validMs: useValidMs }
   const isEnough = long.share.capacity - request.held.capacity >= Math.min(1, request.wantTokens)
   if (request.want.ratePerS > 0 && (isEnough || !request.isUrgent)) return long
-  return { share: offeredForUse(state, key, request, tokenValidMs, nowMs), validMs: tokenValidMs }
+  const share = offeredForUse(state, key, request, tokenValidMs, nowMs)
+  return { share: request.want.ratePerS > 0 ? share : bareTokens(state, share, request, nowMs), validMs: tokenValidMs }
+}
+
+// A loan without a rate serves whole requests or nobody: a part of a token
+// would be lost with it, and room without a token would block the capacity.
+function bareTokens (state: AccountLimit, share: Share, request: BorrowRequest, nowMs: number): Share {
+  const { held, wantTokens, isUrgent } = request
+  const spare = Math.max(0, state.level - keptShare(state, isUrgent, nowMs).tokens)
+  const missing = Math.max(0, wantTokens - Math.min(spare, share.capacity - held.capacity) - tokenTolerance)
+  return { ratePerS: share.ratePerS, capacity: held.capacity + Math.max(0, wantTokens - Math.ceil(missing)) }
 }
 
 function offeredToHome (state: AccountLimit, key: string, request: BorrowRequest, nowMs: number): Share {
--- a/test/integration/withdrawal.test.ts
+++ b/test/integration/withdrawal.test.ts
@@ -35,14 +35,14 @@
   const callers = await Promise.all(joined.map(async proxy => await callerOf(t, set, proxy, { account: withdrawn })))
   const loyal = await Promise.all(joined.map(async proxy => await callerOf(t, set, proxy, { account: kept })))
   const unaware = await callerOf(t, set, cutOff, { account: withdrawn })
-  for (const caller of [...callers, unaware]) assert.equal((await told(caller.rows('SELECT 1'))).kind, 'answered')
+  for (const caller of [...callers, unaware]) assert.deepEqual(await told(caller.rows('SELECT 1')), { kind: 'answered' })
   await setCutOff(set, cutOff, 'cut')
   await applyTo(t, set, withoutKeys(set.manifest, withdrawn))
   for (const caller of callers) {
     await until('the withdrawn key is refused', async () => isRefused(await told(caller.rows('SELECT 1')), 'keyWithdrawn'))
   }
   await until('the host that is cut off refuses keyed work', async () => isRefused(await told(unaware.rows('SELECT 1')), 'unconfirmedConfiguration'))
-  for (const caller of loyal) assert.equal((await told(caller.rows('SELECT 1'))).kind, 'answered')
+  for (const caller of loyal) assert.deepEqual(await told(caller.rows('SELECT 1')), { kind: 'answered' })
   for (const proxy of joined) {
     assert.ok(isRefused(await told(callerOf(t, set, proxy, { account: withdrawn })), 'badKey'))
   }
--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -58,6 +58,38 @@
   })
 }
 
+test('a token that lies at another host is fetched also over slow links', () => {
+  const link = () => ({ isCut: false, lossPart: 0, delayMs: 30 })
+  const fleet = limitFleet({ hosts: 3, seed: 1, link, manifest: accountsManifest(64, [{ name: 'mill', ratePerS: 2, burst: 2 }]) })
+  for (const [at, host] of fleet.names.entries()) fleet.at(10_000 + 10_000 * at, () => { fleet.ask(host, 'mill') })
+  fleet.run(60_000)
+  assert.deepEqual(fleet.verdicts.map(({ isAdmitted }) => isAdmitted), [true, true, true])
+})
+
+for (const [name, count] of [['one host', 1], ['six hosts', 6], ['all hosts', 18]] as const) {
+  test(`a small account's demand at 90% of its rate on ${name} is admitted`, () => {
+    const link = (from: string, to: string) => ({ isCut: false, lossPart: 0, delayMs: from.length === to.length ? 1 : 4 })
+    const fleet = limitFleet({ hosts: 18, seed: 1, link, manifest: accountsManifest(64, [{ name: 'mill', ratePerS: 9, burst: 9 }]) })
+    load(fleet, { account: 'mill', ratePerS: 8, hosts: fleet.names.slice(0, count) }, 6000, 66_000, 7)
+    fleet.run(67_000)
+    const { exceeded, wronged, due } = outcome(fleet, 'mill', 9, 9, 6000)
+    assert.ok(exceeded <= 1e-6)
+    assert.ok(wronged <= 0.02 * due, `${wronged} of ${due} refused wrongly`)
+  })
+}
+
+for (const [name, count] of [['one host', 1], ['all hosts', 18]] as const) {
+  test(`a small account that sends 4 times its rate on ${name} gets its due`, () => {
+    const link = (from: string, to: string) => ({ isCut: false, lossPart: 0, delayMs: from.length === to.length ? 1 : 4 })
+    const fleet = limitFleet({ hosts: 18, seed: 1, link, manifest: accountsManifest(64, [{ name: 'mill', ratePerS: 9, burst: 9 }]) })
+    load(fleet, { account: 'mill', ratePerS: 36, hosts: fleet.names.slice(0, count) }, 6000, 66_000, 7)
+    fleet.run(67_000)
+    const { exceeded, admitted, due } = outcome(fleet, 'mill', 9, 9, 6000)
+    assert.ok(exceeded <= 1e-6)
+    assert.ok(admitted >= 0.95 * due, `${admitted} of ${due}`)
+  })
+}
+
 test('demand that moves to another host each second is admitted', () => {
   const fleet = limitFleet({ hosts: 18, seed: 1, manifest: accountsManifest(64, [{ name: 'mill', ratePerS: 100, burst: 100 }]) })
   for (let second = 6; second < 26; second += 1) {
