--- a/src/limits/lending.ts
+++ b/src/limits/lending.ts
@@ -6,9 +6,14 @@
 import type { BorrowRequest, Share, ShareGrant } from '../model/index.js'
 import { advanced, borrowedShare, lentShare, ownShare, refreshed, tokenTolerance, type AccountLimit, type Borrower } from './account.js'
 import { heldAt, limitTo, withLoan } from './loans.js'
-import { keptShare } from './needs.js'
+import { keptShare, type Provided } from './needs.js'
 import { collectValidMs, lenderMarginMs, tokenValidMs, useValidMs } from './settings.js'
-import { minus, plus } from './share.js'
+import { minus, noShare, plus } from './share.js'
+
+/** Room for tokens below which a rate would not make up a whole one in time. */
+const leastRoom = 1.5
+
+const keepsNothing: Provided = { ...noShare, tokens: 0 }
 
 /** An account after a request, and what is lent. */
 export type Lending = {
@@ -78,42 +83,54 @@
 // A short loan needs cover for a short time only, so it is still there for
 // requests that wait when owners are about to take their shares back.
 function useOffer (state: AccountLimit, key: string, request: BorrowRequest, nowMs: number): Offer {
-  const long = { share: offeredForUse(state, key, request, useValidMs, nowMs), validMs: useValidMs }
+  const part = fairPart(state, key, request, useValidMs, nowMs)
+  const hasRate = request.want.ratePerS > 0 && request.want.capacity * part >= leastRoom
+  const long = { share: offeredForUse(state, key, request, { part, validMs: useValidMs }, nowMs), validMs: useValidMs }
   const isEnough = long.share.capacity - request.held.capacity >= Math.min(1, request.wantTokens)
-  if (request.want.ratePerS > 0 && (isEnough || !request.isUrgent)) return long
-  const share = offeredForUse(state, key, request, tokenValidMs, nowMs)
-  return { share: request.want.ratePerS > 0 ? share : bareTokens(state, share, request, nowMs), validMs: tokenValidMs }
+  if (hasRate && (isEnough || !request.isUrgent)) return long
+  const share = offeredForUse(state, key, request, { part, validMs: tokenValidMs }, nowMs)
+  return { share: hasRate ? share : bareTokens(state, share, request, nowMs), validMs: tokenValidMs }
 }
 
-// A loan without a rate serves whole requests or nobody: a part of a token
-// would be lost with it, and room without a token would block the capacity.
+// A loan without a rate, or with room for less than a request at a time, serves
+// whole requests or nobody: a part of a token would be lost with it, and room
+// without a token would block the capacity.
 function bareTokens (state: AccountLimit, share: Share, request: BorrowRequest, nowMs: number): Share {
-  const { held, wantTokens, isUrgent } = request
-  const spare = Math.max(0, state.level - keptShare(state, isUrgent, nowMs).tokens)
-  const missing = Math.max(0, wantTokens - Math.min(spare, share.capacity - held.capacity) - tokenTolerance)
-  return { ratePerS: share.ratePerS, capacity: held.capacity + Math.max(0, wantTokens - Math.ceil(missing)) }
+  const { held, want, wantTokens, isUrgent } = request
+  const kept = keptShare(state, isUrgent, nowMs).tokens
+  const spare = Math.max(0, Math.min(state.level - kept, share.capacity - held.capacity) + tokenTolerance)
+  const completesAll = want.ratePerS === 0 && wantTokens <= spare
+  return { ratePerS: 0, capacity: held.capacity + (completesAll ? wantTokens : Math.floor(Math.min(wantTokens, spare))) }
 }
 
 function offeredToHome (state: AccountLimit, key: string, request: BorrowRequest, nowMs: number): Share {
   const lent = lentShare(state, nowMs, (_, other) => other !== key)
-  return minus(minus(ownShare(state, nowMs), lent), keptShare(state, request.isUrgent, nowMs))
+  const own = minus(ownShare(state, nowMs), lent)
+  return minus(own, keptOf(state, request, nowMs))
 }
 
-function offeredForUse (state: AccountLimit, key: string, request: BorrowRequest, validMs: number, nowMs: number): Share {
+// An own share without room for a whole request is of use at the home only.
+function keptOf (state: AccountLimit, request: BorrowRequest, nowMs: number): Provided {
+  const isUseless = request.purpose === 'collect' && ownShare(state, nowMs).capacity < leastRoom
+  return isUseless ? keepsNothing : keptShare(state, request.isUrgent, nowMs)
+}
+
+function offeredForUse (state: AccountLimit, key: string, request: BorrowRequest, { part, validMs }: { readonly part: number, readonly validMs: number }, nowMs: number): Share {
   const cover = coverUntil(state, validMs, nowMs)
   const kept = keptShare(state, request.isUrgent, nowMs)
-  const part = fairPart(state, key, request, cover, kept)
   const lent = lentShare(state, nowMs, (_, other) => other !== key)
   const free = minus(minus(cover, lent), { ratePerS: kept.ratePerS * part, capacity: kept.capacity * part })
-  const capacity = Math.max(request.want.capacity, request.held.capacity + request.wantTokens)
+  const capacity = Math.max(request.want.capacity * part, request.held.capacity + request.wantTokens)
   return {
     ratePerS: Math.min(request.want.ratePerS * part, free.ratePerS),
     capacity: Math.min(capacity, free.capacity)
   }
 }
 
-function fairPart (state: AccountLimit, key: string, request: BorrowRequest, cover: Share, kept: Share): number {
-  let wantedPerS = kept.ratePerS + request.want.ratePerS
+// What everybody gets of what it wants, where more is wanted than there is.
+function fairPart (state: AccountLimit, key: string, request: BorrowRequest, validMs: number, nowMs: number): number {
+  const cover = coverUntil(state, validMs, nowMs)
+  let wantedPerS = keptShare(state, request.isUrgent, nowMs).ratePerS + request.want.ratePerS
   for (const [other, borrower] of state.borrowers) {
     if (other !== key && borrower.purpose === 'use') wantedPerS += borrower.want.ratePerS
   }
@@ -133,7 +150,7 @@
 // that they never lie on top of tokens that it has already.
 function tokensFor (before: AccountLimit, after: AccountLimit, offer: Share, request: BorrowRequest, nowMs: number): number {
   const room = Math.max(0, offer.capacity - request.held.capacity)
-  const spare = Math.max(0, before.level - keptShare(before, request.isUrgent, nowMs).tokens)
+  const spare = Math.max(0, before.level - keptOf(before, request, nowMs).tokens)
   const overflow = Math.max(0, before.level - after.usable.capacity)
   return Math.min(room, Math.max(overflow, Math.min(request.wantTokens, spare)))
 }
