Wait for slow lenders before a request without a token is refused

Ruled out: seats at rest (the set had been up for seconds), the withdrawal itself (not begun). A request waits 45 ms, and up to 250 ms only while a lender has not answered or has answered once and is collecting.

--- a/src/limits/account.ts
+++ b/src/limits/account.ts
@@ -30,6 +30,8 @@
   readonly openUntilMs: number | undefined
   readonly nextAskMs: number
   readonly backoffMs: number
+  /** Answers in a row that brought nothing for requests that wait. */
+  readonly emptyAnswers: number
 }
 
 /** A host, in one incarnation, that borrows from this one. */
@@ -41,7 +43,13 @@
 }
 
 /** A request that waits for a token. */
-export type WaitingRequest = { readonly id: string, readonly untilMs: number }
+export type WaitingRequest = {
+  readonly id: string
+  /** It waits until here, whatever the lenders answer. */
+  readonly leastMs: number
+  /** It waits no longer, also where lenders have not answered yet. */
+  readonly untilMs: number
+}
 
 /** Who lends and owns an account's limit, as found from one view of the fleet. */
 export type Placement = {
--- a/src/limits/borrowing.ts
+++ b/src/limits/borrowing.ts
@@ -20,7 +20,7 @@
 /** A grant of fewer tokens is as good as none. */
 const usefulTokens = 0.5
 
-const newLender: Lender = { loans: [], sequence: 0, sentMs: -Infinity, openUntilMs: undefined, nextAskMs: -Infinity, backoffMs: backoffMs.first }
+const newLender: Lender = { loans: [], sequence: 0, sentMs: -Infinity, openUntilMs: undefined, nextAskMs: -Infinity, backoffMs: backoffMs.first, emptyAnswers: 0 }
 
 /**
  * Asks the account's home for a loan where this host is short or a loan that
@@ -99,6 +99,21 @@
   return lender.openUntilMs !== undefined && nowMs < lender.openUntilMs
 }
 
+/**
+ * Tells whether lenders may still bring tokens for the requests that wait: one
+ * has not answered yet, or has answered once, which made it collect.
+ * @param state - the account
+ * @param nowMs - the time
+ * @returns false where they have answered that there are none
+ */
+export function mayBringTokens (state: AccountLimit, nowMs: number): boolean {
+  for (const lender of state.lenders.values()) {
+    if (isOpen(lender, nowMs)) return true
+    if (lender.emptyAnswers === 1 && nowMs - lender.sentMs < answerTimeoutMs) return true
+  }
+  return false
+}
+
 function mayAsk (state: AccountLimit, lender: Lender, nowMs: number): boolean {
   if (isOpen(lender, nowMs)) return false
   return state.waiting.length > 0 ? nowMs >= lender.nextAskMs : nowMs - lender.sentMs >= askPeriodMs
@@ -136,11 +151,11 @@
 
 // Who gets nothing for requests that wait asks again after a growing time; the
 // home's owners less often, because it asks all of them.
-function nextAsk (state: AccountLimit, lender: Lender, grant: ShareGrant | undefined, from: HostName, nowMs: number): Pick<Lender, 'nextAskMs' | 'backoffMs'> {
-  if (missingTokens(state, nowMs) === 0) return { nextAskMs: nowMs, backoffMs: backoffMs.first }
-  if (grant !== undefined && grant.tokens >= usefulTokens) return { nextAskMs: nowMs, backoffMs: Math.max(backoffMs.first, lender.backoffMs / 2) }
+function nextAsk (state: AccountLimit, lender: Lender, grant: ShareGrant | undefined, from: HostName, nowMs: number): Pick<Lender, 'nextAskMs' | 'backoffMs' | 'emptyAnswers'> {
+  if (missingTokens(state, nowMs) === 0) return { nextAskMs: nowMs, backoffMs: backoffMs.first, emptyAnswers: 0 }
+  if (grant !== undefined && grant.tokens >= usefulTokens) return { nextAskMs: nowMs, backoffMs: Math.max(backoffMs.first, lender.backoffMs / 2), emptyAnswers: 0 }
   const longestMs = state.placement?.home === from ? backoffMs.longest : collectPeriodMs
-  return { nextAskMs: nowMs + lender.backoffMs, backoffMs: Math.min(lender.backoffMs * 2, longestMs) }
+  return { nextAskMs: nowMs + lender.backoffMs, backoffMs: Math.min(lender.backoffMs * 2, longestMs), emptyAnswers: lender.emptyAnswers + 1 }
 }
 
 function withLender (state: AccountLimit, host: HostName, lender: Lender): AccountLimit {
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -16,12 +16,12 @@
 import { accountHome, type Member } from '../members/index.js'
 import { advanced, hasToken, newAccount, ownFraction, refreshed, withoutToken, type AccountLimit, type OwnPart, type Placement, type WaitingRequest } from './account.js'
 import { accountOf, allAccounts, noAccounts, withAccount, type Accounts } from './accounts.js'
-import { askHome, collect, takeAnswer, type Asking } from './borrowing.js'
+import { askHome, collect, mayBringTokens, takeAnswer, type Asking } from './borrowing.js'
 import { demandRate, withRequest } from './demand.js'
 import { lend } from './lending.js'
 import { isShort } from './needs.js'
 import { sameDivision, seatFraction } from './seats.js'
-import { collectIdleMs, divisionSettleMs, maxWaiting, maxWaitMs, seatQuietMs } from './settings.js'
+import { collectIdleMs, divisionSettleMs, leastWaitMs, maxWaiting, maxWaitMs, seatQuietMs } from './settings.js'
 
 /** Owners are not known yet and the fleet is small: everybody is asked. */
 const smallFleet = 32
@@ -113,7 +113,7 @@
     }
     case 'membersChanged': return { state: { ...state, members: event.live }, effects: [] }
     case 'confirmationChanged': return { state: confirmationChanged(state, event.confirmedUntilMs, event.nowMs), effects: [] }
-    case 'admit': return admit(state, event.account, { id: event.id, untilMs: Math.min(event.deadlineMs, event.nowMs + maxWaitMs) }, event.nowMs)
+    case 'admit': return admit(state, event.account, waitingRequest(event.id, event.deadlineMs, event.nowMs), event.nowMs)
     case 'borrowRequested': return borrowRequested(state, event)
     case 'borrowAnswered': return borrowAnswered(state, event)
     case 'tick': return tick(state, event.nowMs)
@@ -201,6 +201,15 @@
   return serve(activated(state, name), { ...asked, waiting: [...asked.waiting, request] }, nowMs)
 }
 
+function waitingRequest (id: string, deadlineMs: number, nowMs: number): WaitingRequest {
+  return { id, leastMs: Math.min(deadlineMs, nowMs + leastWaitMs), untilMs: Math.min(deadlineMs, nowMs + maxWaitMs) }
+}
+
+// A lender that is slow to answer may still have tokens; one that answered has none.
+function isHopeless (account: AccountLimit, request: WaitingRequest, nowMs: number): boolean {
+  return request.leastMs <= nowMs && !mayBringTokens(account, nowMs)
+}
+
 function activated (state: LimitsState, account: AccountName): LimitsState {
   return state.active.has(account) ? state : { ...state, active: new Set(state.active).add(account) }
 }
@@ -217,6 +226,8 @@
     } else if (hasToken(current)) {
       effects.push({ kind: 'admitted', id: request.id })
       current = withoutToken(current)
+    } else if (isHopeless(current, request, nowMs)) {
+      effects.push(refusal(current, request.id))
     } else {
       waiting.push(request)
     }
--- a/src/limits/settings.ts
+++ b/src/limits/settings.ts
@@ -23,8 +23,10 @@
 export const answerTimeoutMs = 150
 /** A borrower keeps room for the tokens that come in while it awaits an answer. */
 export const answerRoomMs = 20
-/** How long a request may wait for a token. */
-export const maxWaitMs = 45
+/** How long a request waits for a token that lenders say they do not have. */
+export const leastWaitMs = 45
+/** How long a request may wait for a token while lenders have not answered. */
+export const maxWaitMs = 250
 /** How long a borrower's shortage makes its home collect urgently. */
 export const unmetMs = 20
 /** Requests of one account that may wait on one host. */
--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -78,11 +78,11 @@
   })
 }
 
-for (const [name, count] of [['one host', 1], ['all hosts', 18]] as const) {
-  test(`a small account that sends 4 times its rate on ${name} gets its due`, () => {
+for (const [times, hosts] of [[4, 1], [4, 18], [10, 18]] as const) {
+  test(`a small account that sends ${times} times its rate on ${hosts} hosts gets its due`, () => {
     const link = (from: string, to: string) => ({ isCut: false, lossPart: 0, delayMs: from.length === to.length ? 1 : 4 })
     const fleet = limitFleet({ hosts: 18, seed: 1, link, manifest: accountsManifest(64, [{ name: 'mill', ratePerS: 9, burst: 9 }]) })
-    load(fleet, { account: 'mill', ratePerS: 36, hosts: fleet.names.slice(0, count) }, 6000, 66_000, 7)
+    load(fleet, { account: 'mill', ratePerS: 9 * times, hosts: fleet.names.slice(0, hosts) }, 6000, 66_000, 7)
     fleet.run(67_000)
     const { exceeded, admitted, due } = outcome(fleet, 'mill', 9, 9, 6000)
     assert.ok(exceeded <= 1e-6)
