--- a/bench/deployment.ts
+++ b/bench/deployment.ts
@@ -3,7 +3,7 @@
 import { readFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
 import { parse } from 'smol-toml'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const accountSchema = z.strictObject({
   name: z.string(),
--- a/src/cli/apply.ts
+++ b/src/cli/apply.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from 'node:crypto'
 import { hostname } from 'node:os'
 import { parseArgs } from 'node:util'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Generation, Manifest } from '../model/index.js'
 import { systemTimers } from '../pipe/index.js'
 import { StoreError, updateObject, type UpdateResult } from '../ports/index.js'
--- a/src/cli/status.ts
+++ b/src/cli/status.ts
@@ -2,7 +2,7 @@
 // the platform's store, against the accepted generation and the host list.
 
 import { parseArgs } from 'node:util'
-import { z } from 'zod'
+import * as z from 'zod'
 import { manifestObject } from '../wire/index.js'
 import type { Generation, HostName, HostReport } from '../model/index.js'
 import type { ListedHost, PlatformClient } from '../wire/index.js'
--- a/src/config/fields.ts
+++ b/src/config/fields.ts
@@ -2,7 +2,7 @@
 // allowed; the place and what was found are added where errors are gathered.
 
 import { isIP } from 'node:net'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const namePattern = /^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/
 const maxPort = 65_535
--- a/src/config/manifest.ts
+++ b/src/config/manifest.ts
@@ -2,7 +2,7 @@
 // of each other. Entries with an error of their own don't hide errors of
 // others: every error is given at once, each with its place.
 
-import { z } from 'zod'
+import * as z from 'zod'
 import type { DatabaseDeclaration, Manifest, RouteDeclaration } from '../model/index.js'
 import { choice, ipText, name, portNumber, positiveNumber, wholeNumber } from './fields.js'
 import { holdsKey } from './keys.js'
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -3,7 +3,7 @@
 // checked whole: the reader gets every error at once, each with its place.
 
 import { parse, TomlError } from 'smol-toml'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Address, FailureDomain, HostName } from '../model/index.js'
 import { camelFields } from './camel.js'
 import { placedErrors, type PlacedError } from './placed-error.js'
--- a/src/daemon/decode.ts
+++ b/src/daemon/decode.ts
@@ -1,7 +1,7 @@
 // Reads the values that the platform's store holds. A value of another form
 // is taken for none.
 
-import { z } from 'zod'
+import * as z from 'zod'
 import type { PrimaryView } from '../model/index.js'
 import type { SeatTable } from '../limits/index.js'
 
--- a/src/daemon/duty-task.ts
+++ b/src/daemon/duty-task.ts
@@ -1,7 +1,7 @@
 // The duty task: owns the lease of the promotion duty on this host, renews it in
 // the store and orders promotions while it is held.
 
-import { z } from 'zod'
+import * as z from 'zod'
 import { initialLease, leaseStep, release, tokenHeld, type LeaseEffect, type LeaseEvent, type LeaseRecord, type LeaseState } from '../duty/index.js'
 import type { DatabaseName, ServerName } from '../model/index.js'
 import { Latest, startTask, tickPort, type Port } from '../pipe/index.js'
--- a/src/daemon/registry-task.ts
+++ b/src/daemon/registry-task.ts
@@ -1,7 +1,7 @@
 // The registry of hosts: registers this host in the store, lists the others and
 // removes the entries of hosts that have been silent for long.
 
-import { z } from 'zod'
+import * as z from 'zod'
 import { forgotten, mustRegister, noteSilences, type ListedHost, type Registration, type Silences } from '../members/index.js'
 import type { HostName } from '../model/index.js'
 import { StoreError, type HostSource, type StoredObject } from '../ports/index.js'
--- a/src/ports/store-update.ts
+++ b/src/ports/store-update.ts
@@ -2,7 +2,7 @@
 // lost after the write took effect, so every attempt carries an id of its own
 // inside the value, and a later read tells which attempt took effect.
 
-import { z } from 'zod'
+import * as z from 'zod'
 import { sleep, type TimerService } from '../pipe/index.js'
 import { StoreError, type ObjectStore, type StoredObject } from './store.js'
 
--- a/src/wire/accepted-manifest.ts
+++ b/src/wire/accepted-manifest.ts
@@ -1,6 +1,6 @@
 // Reads the accepted manifest as the product's own store holds it.
 
-import { z } from 'zod'
+import * as z from 'zod'
 import type { AcceptedManifest, Manifest } from '../model/index.js'
 
 const acceptedSchema = z.object({ generation: z.int().min(1), manifest: z.unknown() })
--- a/src/wire/platform-client.ts
+++ b/src/wire/platform-client.ts
@@ -1,6 +1,6 @@
 // Client of the product's own object API (docs/PROTOCOLS.md, section 3).
 
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Address, FailureDomain, HostName } from '../model/index.js'
 import { StoreError, type ObjectStore } from '../ports/index.js'
 import { httpStatus, JsonHttp, type HttpAnswer, type JsonHttpSpec } from './json-http.js'
--- a/src/wire/session-token.ts
+++ b/src/wire/session-token.ts
@@ -2,7 +2,7 @@
 // from one connection to the next. It is no secret and no proof; a caller who
 // changes it can only make its own reads wait.
 
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Floors } from '../model/index.js'
 
 /** Longest token that is read, in characters. */
--- a/standins/database/calls.ts
+++ b/standins/database/calls.ts
@@ -1,6 +1,6 @@
 // The ledger calls. They need no slot and no lock.
 
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Reply } from '../../src/pipe/index.js'
 import { differsFrom, fence, follow, promote, ship, statusOf, type Ledger, type Ruling, type Shipment } from './ledger.js'
 import {
--- a/standins/database/replication.ts
+++ b/standins/database/replication.ts
@@ -3,7 +3,7 @@
 // a connection that has gone silent is replaced.
 
 import { createConnection, type Connection, type RowDataPacket } from 'mysql2/promise'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Address, Position } from '../../src/model/index.js'
 import { originPosition } from '../../src/model/index.js'
 import { ask, sleep, type Port, type TimerService } from '../../src/pipe/index.js'
--- a/standins/faulty-link.ts
+++ b/standins/faulty-link.ts
@@ -3,7 +3,7 @@
 
 import { createServer as createHttpServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Address } from '../src/model/index.js'
 import { sleep, startTask, systemTimers, type Port, type Task, type TimerService } from '../src/pipe/index.js'
 import { newLink, passingControl, stepLink, type LinkControl, type LinkEffect, type LinkMessage, type LinkState, type Passage } from './link-state.js'
--- a/standins/fleet/set.ts
+++ b/standins/fleet/set.ts
@@ -27,13 +27,16 @@
   readonly hosts: number
   readonly times: GroupTimes
   readonly configuration: FleetConfiguration
+  /** The proxies' program. */
+  readonly program: string
 }
 
 /** Three hosts, quick servers and one client account. */
 export const usualFleet: FleetOptions = {
   hosts: 3,
   times: { receiveMs: 2, applyMs: 5, promoteMs: 100 },
-  configuration: { version: 3, keys: { bindery: ['key-of-bindery'] }, ratePerS: 1000, burst: 1000 }
+  configuration: { version: 3, keys: { bindery: ['key-of-bindery'] }, ratePerS: 1000, burst: 1000 },
+  program: builtProgram('platform/main.js')
 }
 
 const zones = ['medina', 'plateau', 'hlm'] as const
@@ -93,7 +96,7 @@
   store.put('servers', 'i-broken', { Service: 7 })
   const folder = mkdtempSync(join(tmpdir(), 'limpetmoor-fleet-'))
   const ports = { store: storePort, promotions: (promoter.address() as AddressInfo).port }
-  const proxies = await Promise.all(Array.from({ length: options.hosts }, async (_, at) => await startFleetProxy(folder, at, ports)))
+  const proxies = await Promise.all(Array.from({ length: options.hosts }, async (_, at) => await startFleetProxy(folder, at, options.program, ports)))
   return {
     store,
     servers,
@@ -128,7 +131,7 @@
   return server
 }
 
-async function startFleetProxy (folder: string, at: number, ports: { readonly store: number, readonly promotions: number }): Promise<FleetProxy> {
+async function startFleetProxy (folder: string, at: number, program: string, ports: { readonly store: number, readonly promotions: number }): Promise<FleetProxy> {
   const name = `entry-${at + 1}`
   const [peerPort = 0, callerPort = 0, readinessPort = 0] = await freePorts(3)
   const file = join(folder, `${name}.toml`)
@@ -160,7 +163,7 @@
 [stop]
 grace_ms = 4000
 `)
-  const process_ = spawn(process.execPath, [builtProgram('platform/main.js')], { env: { PATH: process.env['PATH'], LIMPETMOOR_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
+  const process_ = spawn(process.execPath, [program], { env: { PATH: process.env['PATH'], LIMPETMOOR_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
   const lines: string[] = []
   for (const stream of [process_.stdout, process_.stderr]) createInterface(stream).on('line', line => { lines.push(line) })
   return { name, port: callerPort, readinessPort, process: process_, output: () => lines }
--- a/standins/platform/http.ts
+++ b/standins/platform/http.ts
@@ -1,7 +1,7 @@
 // The platform's HTTP side: reads calls from requests and writes answers.
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { AnswerPort, Json, PlatformAnswer, PlatformMessage } from './state.js'
 
 /** Largest value of an object, in bytes. */
--- a/test/config/pages.test.ts
+++ b/test/config/pages.test.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict'
 import { readFileSync } from 'node:fs'
 import { test } from 'node:test'
-import { z } from 'zod'
+import * as z from 'zod'
 import { manifestSchema, settingsSections } from '../../src/config/index.js'
 
 type Row = readonly [field: string, allowed: string, standard: string]
--- a/test/platform/fleet.test.ts
+++ b/test/platform/fleet.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict'
+import { execFile } from 'node:child_process'
+import { join } from 'node:path'
 import { test } from 'node:test'
+import { promisify } from 'node:util'
 import { callerAt, fleetOf, untilServed, usualKey } from '../support/fleet.js'
+import type { Fleet } from '../../standins/fleet/set.js'
+import { builtProgram } from '../../standins/set/process.js'
 import { until } from '../support/until.js'
 
 test('statements pass with id and text unchanged, and the answer is the server\'s', async t => {
@@ -87,12 +92,17 @@
   await until('the old primary follows', async () => old?.node.role === 'replica' && old.node.pausedAt === 0 ? true : undefined)
 })
 
+/** The last lines that a proxy wrote, for the message of a failed test. */
+function lastLines (fleet: Fleet, at: number): string {
+  return (fleet.proxies[at]?.output() ?? []).slice(-8).join('\n')
+}
+
 test('while the store is down statements are served', async t => {
   const fleet = await fleetOf(t)
   const caller = await callerAt(fleet, 0, 'notes')
   fleet.store.misbehave({ silent: true })
   const untilMs = Date.now() + 5000
-  while (Date.now() < untilMs) assert.equal((await caller.query('WRITE outage served')).code, undefined)
+  while (Date.now() < untilMs) assert.equal((await caller.query('WRITE outage served')).code, undefined, lastLines(fleet, 0))
   fleet.store.misbehave({})
 })
 
@@ -144,3 +154,12 @@
   await until('the reload is logged', () => fleet.proxies[0]?.output().some(line => line.includes('reloadAsked')))
   assert.notEqual((await caller.query('READ folio-1')).signature, undefined)
 })
+
+test('the program joined with its libraries serves', async t => {
+  const folder = builtProgram('joined')
+  await promisify(execFile)(process.execPath, [builtProgram('../deploy/bundle.js'), builtProgram('platform/main.js'), folder])
+  const fleet = await fleetOf(t, { hosts: 1, program: join(folder, 'main.js') })
+  const caller = await callerAt(fleet, 0)
+  assert.notEqual((await caller.query('WRITE joined served')).signature, undefined)
+  assert.deepEqual(fleet.proxies[0]?.output().filter(line => /Error/.test(line)), [])
+})
