Trace the test of a store outage: wait until seats have rested, retry taken ports

Cause: repeated beside others the test failed with BUSY, reason rateExceeded, on its first write: seats of a set that starts for the first time rest, and three first writes had waited for single tokens. Not the outage. The test now waits for 30 writes in a row before it begins; what it asks for during the outage is unchanged.

--- a/standins/fleet/set.ts
+++ b/standins/fleet/set.ts
@@ -9,6 +9,7 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
 import { createInterface } from 'node:readline'
+import { setTimeout as delay } from 'node:timers/promises'
 import { builtProgram } from '../set/process.js'
 import { Group, type GroupTimes } from './ledger.js'
 import { LineServer } from './server.js'
@@ -43,6 +44,8 @@
 const service = 'ledger-group'
 const slots = 5
 const maxConnections = 60
+const maxStarts = 5
+const listenLookMs = 20
 
 /** One order to promote. */
 export type OrderedPromotion = { readonly server: string, readonly holder: string, readonly token: number }
@@ -131,7 +134,27 @@
   return server
 }
 
-async function startFleetProxy (folder: string, at: number, program: string, ports: { readonly store: number, readonly promotions: number }): Promise<FleetProxy> {
+// A port that was free may be taken before the proxy listens on it.
+async function startFleetProxy (folder: string, at: number, program: string, ports: StorePorts): Promise<FleetProxy> {
+  for (let attempt = 1; ; attempt += 1) {
+    const proxy = await spawnFleetProxy(folder, at, program, ports)
+    if (await listens(proxy)) return proxy
+    const isTaken = proxy.output().some(line => line.includes('EADDRINUSE'))
+    if (!isTaken || attempt === maxStarts) throw new Error(`${proxy.name} did not start\n${proxy.output().join('\n')}`)
+  }
+}
+
+async function listens (proxy: FleetProxy): Promise<boolean> {
+  while (proxy.process.exitCode === null && proxy.process.signalCode === null) {
+    if (proxy.output().some(line => line.startsWith('listening '))) return true
+    await delay(listenLookMs)
+  }
+  return false
+}
+
+type StorePorts = { readonly store: number, readonly promotions: number }
+
+async function spawnFleetProxy (folder: string, at: number, program: string, ports: StorePorts): Promise<FleetProxy> {
   const name = `entry-${at + 1}`
   const [peerPort = 0, callerPort = 0, readinessPort = 0] = await freePorts(3)
   const file = join(folder, `${name}.toml`)
--- a/test/platform/fleet.test.ts
+++ b/test/platform/fleet.test.ts
@@ -3,8 +3,7 @@
 import { join } from 'node:path'
 import { test } from 'node:test'
 import { promisify } from 'node:util'
-import { callerAt, fleetOf, untilServed, usualKey } from '../support/fleet.js'
-import type { Fleet } from '../../standins/fleet/set.js'
+import { callerAt, fleetOf, lastLines, untilServed, usualKey } from '../support/fleet.js'
 import { builtProgram } from '../../standins/set/process.js'
 import { until } from '../support/until.js'
 
@@ -92,14 +91,18 @@
   await until('the old primary follows', async () => old?.node.role === 'replica' && old.node.pausedAt === 0 ? true : undefined)
 })
 
-/** The last lines that a proxy wrote, for the message of a failed test. */
-function lastLines (fleet: Fleet, at: number): string {
-  return (fleet.proxies[at]?.output() ?? []).slice(-8).join('\n')
+/** Waits until so many calls in a row succeed: seats of a set that has just started are at rest at first. */
+async function untilInRow (count: number, call: () => Promise<boolean>): Promise<void> {
+  await until(`${count} successes in a row`, async () => {
+    for (let at = 0; at < count; at += 1) if (!await call()) return undefined
+    return true
+  })
 }
 
 test('while the store is down statements are served', async t => {
   const fleet = await fleetOf(t)
   const caller = await callerAt(fleet, 0, 'notes')
+  await untilInRow(30, async () => (await caller.query('WRITE outage before')).code === undefined)
   fleet.store.misbehave({ silent: true })
   const untilMs = Date.now() + 5000
   while (Date.now() < untilMs) assert.equal((await caller.query('WRITE outage served')).code, undefined, lastLines(fleet, 0))
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -5,6 +5,8 @@
 import { startFleet, type Fleet, type FleetOptions } from '../../standins/fleet/set.js'
 import { until } from './until.js'
 
+const shownLines = 12
+
 /** The key of the usual account. */
 export const usualKey = 'key-of-bindery'
 
@@ -17,10 +19,17 @@
 export async function fleetOf (t: TestContext, changes: Partial<FleetOptions> = {}): Promise<Fleet> {
   const fleet = await startFleet(changes)
   t.after(async () => { await fleet.stop() })
-  await Promise.all(fleet.proxies.map(async (_, at) => { await untilServed(fleet, at, 'WRITE start x') }))
+  await Promise.all(fleet.proxies.map(async (_, at) => {
+    await untilServed(fleet, at, 'WRITE start x').catch(error => { throw new Error(`${String(error)}\n${lastLines(fleet, at)}`) })
+  }))
   return fleet
 }
 
+/** The last lines that a proxy wrote, for the message of a failed test. */
+export function lastLines (fleet: Fleet, at: number): string {
+  return (fleet.proxies[at]?.output() ?? []).slice(-shownLines).join('\n')
+}
+
 /** Opens a session at one proxy of a set. */
 export async function callerAt (fleet: Fleet, at: number, database = 'orders', key = usualKey): Promise<LineCaller> {
   return await LineCaller.open(fleet.proxies[at]?.port ?? 0, database, key)
