--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import { advanced, type AccountLimit } from '../../src/limits/account.js'
 import { accountOf } from '../../src/limits/accounts.js'
-import { limitsStep, type LimitsEvent, type LimitsState } from '../../src/limits/index.js'
+import { initialLimits, limitsStep, type LimitsEvent, type LimitsState } from '../../src/limits/index.js'
 import type { BorrowRequest } from '../../src/model/index.js'
 import { accountsManifest, capExceeded, idealAdmissions, limitFleet, randomFrom, type Fleet } from '../support/limit-fleet.js'
 
@@ -164,6 +164,20 @@
   assert.equal(withdrawn.held.size, 0)
 })
 
+test('seats of the process before rest from the start, others from when they were taken', () => {
+  const startMs = 1000
+  const takenMs = 1500
+  const restMs = 1300
+  const events: readonly LimitsEvent[] = [
+    { kind: 'confirmationChanged', confirmedUntilMs: Infinity, nowMs: startMs },
+    { kind: 'manifestApplied', manifest: accountsManifest(4, [{ name: 'mill', ratePerS: 100, burst: 100 }]), nowMs: startMs },
+    { kind: 'seatsChanged', held: [0, 1, 2, 3], regained: new Set([0, 1]), holders: new Map(), tableOfMs: takenMs, nowMs: takenMs }
+  ]
+  const state = events.reduce((known, event) => limitsStep(known, event).state, initialLimits('h0', startMs))
+  const rateAt = (nowMs: number): number => advanced(accountOf(state.accounts, 'mill') as AccountLimit, nowMs).usable.ratePerS
+  assert.deepEqual([rateAt(startMs + restMs - 1), rateAt(startMs + restMs), rateAt(takenMs + restMs - 1), rateAt(takenMs + restMs)], [0, 50, 50, 100])
+})
+
 test('an unconfirmed host neither admits nor lends', () => {
   const state = limitsStep(owner(), { kind: 'confirmationChanged', confirmedUntilMs: laterMs + 5000, nowMs: laterMs }).state
   const admit: LimitsEvent = { kind: 'admit', account: 'mill', id: 'r', deadlineMs: Infinity, nowMs: laterMs + 6000 }
