Keep loans that cover what is lent on; take no tokens back with a loan that nobody heard of

- A borrower changes from using to collecting when its view of the members changes.
Its lender then no longer counted the loan as lent on, gave its own loans back, and a quarter of a limit was in two hands for 0.1 s.
- A lender that was paused worked off two requests whose borrower had given them up, and then one that returned tokens.
The tokens were taken back on the ground of the loan just granted, though the loan that they came with had run out and its room had filled again: 1.4 tokens above the cap.

Change: a host lends on where it lends more than its own share, whatever its borrowers want now; requests name the newest one whose answer they hold a loan by, and tokens come back within those loans only.

--- a/src/limits/borrowing.ts
+++ b/src/limits/borrowing.ts
@@ -17,6 +17,9 @@
   readonly requests: ReadonlyArray<{ readonly to: HostName, readonly request: BorrowRequest }>
 }
 
+/** What a request asks for; the rest of it is known from the account. */
+type Asks = Omit<BorrowRequest, 'account' | 'held' | 'answered'>
+
 /** A grant of fewer tokens is as good as none. */
 const usefulTokens = 0.5
 
@@ -95,7 +98,7 @@
   if (grant === undefined) return withLender(current, from, closed)
   const expiresMs = lender.sentMs + grant.validMs
   if (expiresMs <= nowMs) return withLender(current, from, closed)
-  const loan = { ratePerS: grant.ratePerS, capacity: grant.capacity, expiresMs }
+  const loan = { ratePerS: grant.ratePerS, capacity: grant.capacity, expiresMs, sequence }
   const lent = withLender(current, from, { ...closed, loans: withLoan(lender.loans, loan, nowMs) })
   return { ...lent, level: Math.min(lent.usable.capacity, lent.level + grant.tokens) }
 }
@@ -129,7 +132,7 @@
   return heldAt(lender.loans, nowMs + renewBeforeMs).ratePerS < want.ratePerS / 2
 }
 
-function send (state: AccountLimit, to: HostName, asks: Omit<BorrowRequest, 'account' | 'held'>, nowMs: number): Asking {
+function send (state: AccountLimit, to: HostName, asks: Asks, nowMs: number): Asking {
   const lender = state.lenders.get(to) ?? newLender
   const held = keptLoan(state, lender, asks, nowMs)
   const asked: Lender = {
@@ -139,13 +142,14 @@
     sentMs: nowMs,
     openUntilMs: nowMs + answerTimeoutMs
   }
-  const request: BorrowRequest = { account: state.account, held, ...asks }
+  const answered = Math.max(0, ...lender.loans.map(loan => loan.sequence))
+  const request: BorrowRequest = { account: state.account, held, answered, ...asks }
   return { state: withLender(state, to, asked), requests: [{ to, request }] }
 }
 
 // Capacity that holds no token is given back, but for the room that a rate
 // needs, and so is a rate that is not wanted.
-function keptLoan (state: AccountLimit, lender: Lender, asks: Omit<BorrowRequest, 'account' | 'held'>, nowMs: number): Share {
+function keptLoan (state: AccountLimit, lender: Lender, asks: Asks, nowMs: number): Share {
   const held = heldAt(lender.loans, nowMs)
   if (asks.purpose === 'use' && asks.returnedTokens > 0) return noShare
   const all = [...state.lenders.values()].reduce((sum, other) => sum + heldAt(other.loans, nowMs).capacity, 0)
--- a/src/limits/lending.ts
+++ b/src/limits/lending.ts
@@ -38,7 +38,7 @@
   const before = advanced(state, nowMs)
   const known = before.borrowers.get(key)
   if (known !== undefined && known.sequence >= request.sequence) return { state: before, grant: undefined }
-  const returned = Math.min(request.returnedTokens, freedCapacity(known, request.held, nowMs))
+  const returned = Math.min(request.returnedTokens, freedCapacity(known, request, nowMs))
   const borrower: Borrower = {
     purpose: request.purpose,
     loans: limitTo(known?.loans ?? [], request.held),
@@ -63,9 +63,12 @@
   return plus(ownShare(state, nowMs), borrowedShare(state, nowMs + validMs + lenderMarginMs))
 }
 
-// Tokens on their way back are covered by what was lent for them; without that they are void.
-function freedCapacity (known: Borrower | undefined, held: Share, nowMs: number): number {
-  return known === undefined ? 0 : Math.max(0, heldAt(known.loans, nowMs).capacity - held.capacity)
+// Tokens on their way back are covered by what was lent for them; without that
+// they are void. A loan that the borrower had not heard of brings none back:
+// the one that its tokens came with may have run out long ago.
+function freedCapacity (known: Borrower | undefined, { held, answered }: BorrowRequest, nowMs: number): number {
+  const loans = known?.loans.filter(loan => loan.sequence <= answered) ?? []
+  return Math.max(0, heldAt(loans, nowMs).capacity - held.capacity)
 }
 
 function withTokens (state: AccountLimit, tokens: number): AccountLimit {
@@ -159,7 +162,7 @@
 
 function granted (state: AccountLimit, key: string, borrower: Borrower, offer: Offer, request: BorrowRequest, nowMs: number): Lending {
   const { share, validMs } = offer
-  const loan = { ...share, expiresMs: nowMs + validMs + lenderMarginMs }
+  const loan = { ...share, expiresMs: nowMs + validMs + lenderMarginMs, sequence: request.sequence }
   const lent: Borrower = { ...borrower, loans: withLoan(borrower.loans, loan, nowMs) }
   const after = refreshed({ ...state, borrowers: new Map(state.borrowers).set(key, lent) })
   const tokens = tokensFor(state, after, offer, request, nowMs)
@@ -177,12 +180,16 @@
 }
 
 /**
- * Tells whether loans to this host may be needed to cover what it lends.
+ * Tells whether loans to this host may be needed to cover what it lends. A
+ * borrower may since have asked for another purpose than that of its loans.
  * @param state - the account, advanced to now
- * @returns true where it lends more than its own share
+ * @returns true where it lends on, or more than its own share
  */
 export function lendsOn (state: AccountLimit): boolean {
-  return [...state.borrowers.values()].some(borrower => borrower.purpose === 'use')
+  const own = ownShare(state, state.atMs)
+  const lent = lentShare(state, state.atMs, () => true)
+  const isAbove = lent.ratePerS > own.ratePerS + tokenTolerance || lent.capacity > own.capacity + tokenTolerance
+  return isAbove || [...state.borrowers.values()].some(borrower => borrower.purpose === 'use')
 }
 
 /**
--- a/src/limits/loans.ts
+++ b/src/limits/loans.ts
@@ -9,7 +9,11 @@
 import { larger, noShare, smaller } from './share.js'
 
 /** A share that is held until a time. */
-export type Loan = Share & { readonly expiresMs: number }
+export type Loan = Share & {
+  readonly expiresMs: number
+  /** Sequence of the request that it answers. */
+  readonly sequence: number
+}
 
 /**
  * What a list of loans holds at a time.
@@ -28,7 +32,7 @@
  * @returns the loans, none above the share
  */
 export function limitTo (loans: readonly Loan[], share: Share): readonly Loan[] {
-  return loans.map(loan => ({ ...smaller(loan, share), expiresMs: loan.expiresMs }))
+  return loans.map(loan => ({ ...loan, ...smaller(loan, share) }))
 }
 
 /**
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -94,6 +94,8 @@
   readonly sequence: number
   /** What the borrower still holds of this lender and limits itself to until the answer. */
   readonly held: Share
+  /** Sequence of the newest request whose answer it holds a loan by; 0: none. */
+  readonly answered: number
   /** What it wants to hold in all. */
   readonly want: Share
   /** Tokens that it wants at once. */
--- a/src/wire/peer-codec.ts
+++ b/src/wire/peer-codec.ts
@@ -4,7 +4,7 @@
 
 /** Names that are sent as codes, the first as code 0. Both ends must have the same list. */
 const shortenedNames = [
-  'account', 'access', 'agoMs', 'aheadTokens', 'answer', 'applied', 'argument', 'burst', 'capacity', 'database', 'detail', 'digest',
+  'account', 'access', 'agoMs', 'aheadTokens', 'answer', 'answered', 'applied', 'argument', 'burst', 'capacity', 'database', 'detail', 'digest',
   'failureDomain', 'fencedTerm', 'floor', 'freshness', 'from', 'generation', 'grant', 'heardAgoMs', 'held',
   'holdsDuty', 'host', 'id', 'incarnation', 'index', 'isPaused', 'isUrgent', 'kind', 'lagMs', 'mark', 'maxAgeMs',
   'mode', 'newest', 'observation', 'outcome', 'position', 'prepared', 'primary', 'proposer', 'purpose', 'ratePerS',
--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -146,6 +146,7 @@
     purpose: 'use',
     sequence,
     held: { ratePerS: 0, capacity: 0 },
+    answered: sequence - 1,
     want: { ratePerS: 10, capacity: 10 },
     wantTokens: 2,
     aheadTokens: 0,
@@ -194,6 +195,17 @@
   assert.ok(back <= (lent.grant?.capacity ?? 0), `${back} came back`)
 })
 
+test('a newer loan brings no tokens back for one that has run out', () => {
+  const first = ask(owner(), borrowing(1), laterMs)
+  const expiredMs = laterMs + 2000
+  // The host was paused; two requests of the borrower waited for it, and the borrower gave both up.
+  const second = ask(first.after, borrowing(2, { held: { ratePerS: 10, capacity: 2 }, answered: 1 }), expiredMs)
+  const levelOf = (state: LimitsState): number => advanced(accountOf(state.accounts, 'mill') as AccountLimit, expiredMs).level
+  const giving = borrowing(3, { want: { ratePerS: 0, capacity: 0 }, wantTokens: 0, returnedTokens: 2, answered: 1, isUrgent: false })
+  assert.ok((second.grant?.capacity ?? 0) > 0)
+  assert.equal(levelOf(ask(second.after, giving, expiredMs).after), levelOf(second.after))
+})
+
 test('a host whose confirmation lapsed uses no seat of an older table', () => {
   const event = (kind: 'old' | 'new'): LimitsEvent => ({ kind: 'seatsChanged', held: [0, 1, 2, 3], regained: new Set(), holders: new Map(), tableOfMs: kind === 'old' ? laterMs : laterMs + 30_000, nowMs: laterMs + 30_000 })
   const confirmed = limitsStep(owner(), { kind: 'confirmationChanged', confirmedUntilMs: laterMs + 5000, nowMs: laterMs }).state
