Malformed messages and odd entries stop neither a process nor a list

Cause: one line `null` on a peer port was an unhandled rejection and ended the process; so did a response that can't be written as JSON. Registry entries with ports above 65535, addresses that are none and absurd slots were used. The discovery loop ended for good at any error but a StoreError.

--- a/src/daemon/discovery-task.ts
+++ b/src/daemon/discovery-task.ts
@@ -6,7 +6,7 @@
 import { noServers, serversStep, type ServersEvent, type ServersState } from '../discovery/index.js'
 import type { DiscoveredServer, HostName, ServerList } from '../model/index.js'
 import { SnapshotPublisher, sleep, startTask, tickPort, type Port, type Snapshot } from '../pipe/index.js'
-import { StoreError, type ServerSource } from '../ports/index.js'
+import { asError, StoreError, type ServerSource } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import { listDigest } from './list-digest.js'
 import type { PeerLinks } from './peers.js'
@@ -22,6 +22,8 @@
   readonly watchers: () => readonly HostName[]
   readonly onServers: (state: ServersState) => void
   readonly onStoreFailure: () => void
+  /** Called once with the name of each entry that is no valid server. */
+  readonly onInvalidEntry: (name: string) => void
 }
 
 /** The running task. */
@@ -100,9 +102,14 @@
   return [...state.servers.values()].filter(each => each.missingSinceMs === undefined).map(each => each.server)
 }
 
-type WatchState = { readonly revision: number | undefined, readonly listedAtMs: number }
+type WatchState = {
+  readonly revision: number | undefined
+  readonly listedAtMs: number
+  /** Names of the invalid entries that have been reported. */
+  readonly ignored: ReadonlySet<string>
+}
 
-const noWatch: WatchState = { revision: undefined, listedAtMs: -Infinity }
+const noWatch: WatchState = { revision: undefined, listedAtMs: -Infinity, ignored: new Set() }
 
 async function run (spec: DiscoverySpec, port: Port<ServersEvent>, state: Snapshot<ServersState>, stopping: { readonly now: boolean }): Promise<void> {
   const { timers, random } = spec.context
@@ -115,10 +122,10 @@
     try {
       watch = await watchOnce(spec, port, watch)
     } catch (error) {
-      if (!(error instanceof StoreError)) throw error
-      watch = noWatch
-      if (error.fault.kind === 'historyExpired') continue
-      spec.onStoreFailure()
+      watch = { ...noWatch, ignored: watch.ignored }
+      if (error instanceof StoreError && error.fault.kind === 'historyExpired') continue
+      if (error instanceof StoreError) spec.onStoreFailure()
+      else spec.context.onTaskError('discovery')(asError(error))
       await queryWatcher(spec, port, state)
       await sleep(timers, retryMs * (0.5 + random()))
     }
@@ -132,23 +139,33 @@
   if (revision === undefined || timers.nowMs() - listedAtMs >= relistMs) {
     const list = await store.listObjects(objectKind)
     const nowMs = timers.nowMs()
-    port.send({ kind: 'listed', servers: decoded(spec, list.objects), nowMs })
-    return { revision: list.revision, listedAtMs: nowMs }
+    const { servers, invalid } = decoded(spec, list.objects)
+    port.send({ kind: 'listed', servers, nowMs })
+    reportInvalid(spec, invalid, watch.ignored)
+    return { revision: list.revision, listedAtMs: nowMs, ignored: new Set(invalid) }
   }
   const changes = await store.watch(objectKind, revision, watchMs)
-  port.send(changed(spec, changes, timers.nowMs()))
-  return { revision: changes.revision, listedAtMs }
+  const { servers, invalid } = decoded(spec, changes.objects)
+  port.send({ kind: 'changed', servers, removed: [...changes.removed, ...invalid], nowMs: timers.nowMs() })
+  reportInvalid(spec, invalid, watch.ignored)
+  return { revision: changes.revision, listedAtMs, ignored: new Set([...watch.ignored, ...invalid]) }
 }
 
-function decoded (spec: DiscoverySpec, objects: ReadonlyArray<{ readonly name: string, readonly value: unknown }>): readonly DiscoveredServer[] {
-  return objects.flatMap(({ name, value }) => spec.source.decode(name, value) ?? [])
-}
+type Decoded = { readonly servers: readonly DiscoveredServer[], readonly invalid: readonly string[] }
 
 // An entry that can't be decoded counts as removed.
-function changed (spec: DiscoverySpec, changes: Awaited<ReturnType<DaemonContext['ports']['store']['watch']>>, nowMs: number): ServersEvent {
-  const servers = decoded(spec, changes.objects)
-  const unreadable = changes.objects.map(({ name }) => name).filter(name => !servers.some(server => server.name === name))
-  return { kind: 'changed', servers, removed: [...changes.removed, ...unreadable], nowMs }
+function decoded (spec: DiscoverySpec, objects: ReadonlyArray<{ readonly name: string, readonly value: unknown }>): Decoded {
+  const entries = objects.map(({ name, value }) => ({ name, server: spec.source.decode(name, value) }))
+  return {
+    servers: entries.flatMap(({ server }) => server ?? []),
+    invalid: entries.filter(({ server }) => server === undefined).map(({ name }) => name)
+  }
+}
+
+function reportInvalid (spec: DiscoverySpec, invalid: readonly string[], reported: ReadonlySet<string>): void {
+  for (const name of invalid) {
+    if (!reported.has(name)) spec.onInvalidEntry(name)
+  }
 }
 
 // True where a watcher sent its list and the list is recent.
--- a/src/daemon/index.ts
+++ b/src/daemon/index.ts
@@ -1,7 +1,7 @@
 // The daemon: one proxy process.
 
 import type { Settings } from '../config/index.js'
-import type { ProxyPorts } from '../ports/index.js'
+import { asError, type ProxyPorts } from '../ports/index.js'
 import { startProxy } from './proxy.js'
 
 export * from './proxy.js'
@@ -15,6 +15,9 @@
 export async function runProxy (settings: Settings, ports: ProxyPorts): Promise<number> {
   const proxy = await startProxy(settings, ports)
   process.stdout.write(`listening ${settings.listen.callers.ip} ${proxy.callerPort}\n`)
+  // The last resort for an error that no task caught: it is logged, and the callers
+  // of all other tasks are served on.
+  for (const event of ['uncaughtException', 'unhandledRejection'] as const) process.on(event, error => { proxy.recordError(asError(error)) })
   process.on('SIGHUP', () => { proxy.reload() })
   await new Promise<void>(resolve => {
     for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => { resolve() })
--- a/src/daemon/leader-task.ts
+++ b/src/daemon/leader-task.ts
@@ -7,7 +7,7 @@
 import { initialLease, leaseStep, releaseEffect, heldToken, type LeaseEffect, type LeaseEvent, type LeaseRecord, type LeaseState } from '../leader/index.js'
 import type { DatabaseName, ServerName } from '../model/index.js'
 import { SnapshotPublisher, startTask, tickPort, type Port } from '../pipe/index.js'
-import { StoreError, type PromotionMethod, type PromotionResult } from '../ports/index.js'
+import { asError, StoreError, type PromotionMethod, type PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 
 /** Dependencies of the task. */
@@ -107,8 +107,8 @@
   try {
     port.send(await storeCall(spec, effect))
   } catch (error) {
-    if (!(error instanceof StoreError)) throw error
-    if (error.fault.kind !== 'conflict') spec.onStoreFailure()
+    if (!(error instanceof StoreError)) spec.context.onTaskError('duty')(asError(error))
+    else if (error.fault.kind !== 'conflict') spec.onStoreFailure()
     port.send({ kind: 'callFailed', nowMs: timers.nowMs() })
   }
 }
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -33,6 +33,8 @@
   readonly peerPort: number
   /** Logs that a reload was requested; the settings read at the start stay in force. */
   readonly reload: () => void
+  /** Logs an error that no task caught. */
+  readonly recordError: (error: Error) => void
   /** Lets running work finish within the grace time, then stops all components. */
   readonly stop: () => Promise<void>
 }
@@ -46,6 +48,8 @@
 const publishDeadlineMs = 5000
 /** Random bytes of the incarnation, which is part of every heartbeat. */
 const incarnationBytes = 6
+/** Names of other writers' entries may be long. */
+const maxLoggedNameLength = 64
 /** Maximum deadline that a caller may request. */
 const maxDeadlineMs = 600_000
 
@@ -59,7 +63,7 @@
   const state = { stopping: false }
   const components = createComponents(settings, ports, () => state.stopping)
   const { context, reports } = components
-  const peers = await listenForPeers({ ip: settings.host.ip, port: settings.host.peerPort }, peerHandlers(components), tlsOf(settings.peers))
+  const peers = await listenForPeers({ ip: settings.host.ip, port: settings.host.peerPort }, peerHandlers(components), tlsOf(settings.peers), context.onTaskError('peers'))
   const configuration = (): ConfigurationInForce => ({ manifest: components.effectiveManifest.current(), confirmed: components.configuration.canServeAuthenticated() })
   const generation = (): number => components.configuration.inForce()?.generation ?? 0
   const pipe = requestPipe(requestServices(components, configuration), {
@@ -89,6 +93,7 @@
   return {
     callerPort: callers.port,
     peerPort: peers.port,
+    recordError: context.onTaskError('process'),
     reload: () => { reports.event('reloadAsked', { host: settings.host.name }) },
     stop: async () => {
       state.stopping = true
@@ -177,7 +182,8 @@
         effectiveManifest.applyServers(state)
         reports.event('serversChanged', { servers: state.servers.size })
       },
-      onStoreFailure: () => { reports.event('storeUnreachable', { what: 'servers' }) }
+      onStoreFailure: () => { reports.event('storeUnreachable', { what: 'servers' }) },
+      onInvalidEntry: name => { reports.event('serverEntryIgnored', { entry: name.slice(0, maxLoggedNameLength) }) }
     })
   const registry = ports.hosts.kind === 'listed'
     ? undefined
--- a/src/daemon/registry-task.ts
+++ b/src/daemon/registry-task.ts
@@ -1,6 +1,7 @@
 // Registry of hosts: registers this host in the store, lists the others and
 // deregisters hosts that have been unresponsive for a long time.
 
+import { isIP } from 'node:net'
 import * as z from 'zod'
 import { hostsToDeregister, mustRegister, recordUnresponsive, type ListedHost, type Registration, type UnresponsiveSince } from '../members/index.js'
 import type { HostName } from '../model/index.js'
@@ -29,10 +30,12 @@
   readonly checkRegistration: (hosts: readonly ListedHost[]) => void
 }
 
+const maxPort = 65_535
+
 const hostSchema = z.object({
-  failureDomain: z.string(),
-  ip: z.string(),
-  port: z.int(),
+  failureDomain: z.string().min(1),
+  ip: z.string().refine(ip => isIP(ip) !== 0),
+  port: z.int().min(1).max(maxPort),
   state: z.enum(['live', 'leaving']),
   incarnation: z.string()
 })
@@ -85,6 +88,7 @@
       void store.getObject(source.objectKind, self.host)
         .then(async object => { await register(object?.version ?? 0) })
         .catch(ignoreStoreError)
+        .catch(context.onTaskError('registry'))
     }
   }
 }
--- a/src/report/events.ts
+++ b/src/report/events.ts
@@ -37,6 +37,7 @@
   serverConnectionFailed: defineEvent(4002, 'warn', 'A connection to a database server failed.', ['server', 'failure']),
   promotionOrdered: defineEvent(4003, 'warn', 'This host ordered the platform to promote a server. A refused order was not carried out; one with an unknown result may still take effect.', ['database', 'server', 'token', 'result']),
   serversChanged: defineEvent(4004, 'info', 'The list of registered servers has changed.', ['servers']),
+  serverEntryIgnored: defineEvent(4005, 'warn', 'An entry among the registered servers is not one of a server, and is ignored. Find out which program wrote it.', ['entry']),
   membersChanged: defineEvent(5001, 'info', 'The set of responsive hosts has changed.', ['live', 'listed']),
   hostForgotten: defineEvent(5002, 'info', 'The entry of a host that was unresponsive for a long time was removed from the registry.', ['forgotten']),
   dutyTaken: defineEvent(5003, 'info', 'This host acquired the leader lease, which allows it to order promotions.', ['token']),
--- a/src/wire/peer-link.ts
+++ b/src/wire/peer-link.ts
@@ -13,6 +13,7 @@
 import { asError, WireError } from '../ports/index.js'
 import { readLines, writeLine } from './lines.js'
 import { restore, shorten } from './peer-codec.js'
+import { decodeParams, decodeResult } from './peer-schema.js'
 
 /** Certificates for mutual TLS between proxies. */
 export type PeerTls = {
@@ -109,7 +110,7 @@
       link.recordCall()
       const result = await withTimeout(timers, timeoutMs, Promise.resolve(link.rpc.request(method, shorten(params))))
         .catch(error => { throw new WireError(link.connected() ? 'lost' : 'refused', `the link to ${address.ip}:${address.port} was lost`, asError(error)) })
-      if (result.kind === 'done') return restore(result.value) as PeerResult<typeof method>
+      if (result.kind === 'done') return decodeResult(method, restoredResult(result.value, address))
       if (link.unresponsiveMs() >= unresponsiveLinkMs) closeLink(link, new Error('link unresponsive'))
       throw new WireError(link.connected() ? 'overdue' : 'refused', `${address.ip}:${address.port} did not respond to ${method} in ${timeoutMs} ms`)
     },
@@ -128,16 +129,17 @@
  * @param address - the address to listen on; port 0 selects a free port
  * @param handlers - handlers of the methods
  * @param security - certificates; undefined for plain TCP
+ * @param onError - called with the error of each call that failed here
  * @returns the listener; throws a `WireError` where the port is taken
  */
-export async function listenForPeers (address: Address, handlers: PeerHandlers, security: PeerTls | undefined): Promise<PeerListener> {
+export async function listenForPeers (address: Address, handlers: PeerHandlers, security: PeerTls | undefined, onError: (error: Error) => void): Promise<PeerListener> {
   const sockets = new Set<net.Socket>()
   const accept = (socket: net.Socket): void => {
     sockets.add(socket)
     socket.setNoDelay(true)
     socket.on('error', () => { socket.destroy() })
     socket.on('close', () => { sockets.delete(socket) })
-    serveRequests(socket, handlers)
+    serveRequests(socket, handlers, onError)
   }
   const server = security === undefined
     ? net.createServer(accept)
@@ -173,20 +175,32 @@
   return socket.setNoDelay(true)
 }
 
-function serveRequests (socket: net.Socket, handlers: PeerHandlers): void {
-  const rpc = new JSONRPCServer()
+function serveRequests (socket: net.Socket, handlers: PeerHandlers, onError: (error: Error) => void): void {
+  const rpc = new JSONRPCServer({ errorListener: (_message, error) => { onError(asError(error)) } })
   for (const method of Object.keys(handlers) as readonly PeerMethod[]) addMethod(rpc, handlers, method)
   readLines(socket, line => {
-    parseLine(line, value => {
-      void rpc.receive(value as JSONRPCRequest).then(response => {
-        if (response !== null && socket.writable) writeLine(socket, response)
-      })
-    }, () => { socket.destroy() })
+    void serveLine(socket, rpc, line).catch(() => { socket.destroy() })
   })
 }
 
+// A line that is no request, or whose response can't be written, ends its link and
+// nothing else.
+async function serveLine (socket: net.Socket, rpc: JSONRPCServer, line: string): Promise<void> {
+  const response = await rpc.receive(JSON.parse(line) as JSONRPCRequest)
+  if (response !== null && socket.writable) writeLine(socket, response)
+}
+
 function addMethod<M extends PeerMethod> (rpc: JSONRPCServer, handlers: PeerHandlers, method: M): void {
-  rpc.addMethod(method, async (params: unknown) => shorten(await handlers[method](restore(params) as PeerParams<M>)))
+  rpc.addMethod(method, async (params: unknown) => shorten(await handlers[method](decodeParams(method, restore(params)))))
+}
+
+// A result may be nested too deeply to be restored.
+function restoredResult (value: unknown, address: Address): unknown {
+  try {
+    return restore(value)
+  } catch (error) {
+    throw new WireError('rejected', `${address.ip}:${address.port} sent a malformed result`, asError(error))
+  }
 }
 
 function parseLine (line: string, onValue: (value: never) => void, onMalformed: () => void): void {
--- a/test/platform/fleet.test.ts
+++ b/test/platform/fleet.test.ts
@@ -169,3 +169,22 @@
   assert.notEqual((await caller.query('WRITE bundled served')).signature, undefined)
   assert.deepEqual(fleet.proxies[0]?.output().filter(line => /Error/.test(line)), [])
 })
+
+test('odd entries of another writer end no process, and a new server is still found', async t => {
+  const fleet = await startServingFleet(t)
+  const entry = { Service: 'ledger-group', Addr: '127.0.0.1:9', Zone: 'medina', Version: 'v1', Slots: 5, State: 'ready', ColdLeftMs: 0, DbRole: 'replica', Seq: 1 }
+  const deep = JSON.parse('['.repeat(4000) + ']'.repeat(4000)) as unknown
+  const odd = [{ Addr: '127.0.0.1:99999' }, { Addr: '127.0.0.1:0' }, { Addr: '999.2.3.4:80' }, { Slots: 9e15 }, { Seq: 1e300 }, { Zone: deep }, { Service: 'ledger-group x' }]
+  for (const [at, change] of odd.entries()) fleet.store.put('servers', `i-odd-${at}`, { ...entry, ...change })
+  for (const kind of ['hosts', 'seats', 'duties', 'primary']) fleet.store.put(kind, 'odd', { port: 99_999, ip: '999.1.1.1', deep })
+  const [first] = fleet.servers
+  assert.ok(first !== undefined)
+  const changes = (at: number): number => (fleet.proxies[at]?.output() ?? []).filter(line => line.includes('serversChanged')).length
+  const seen = fleet.proxies.map((_, at) => changes(at))
+  fleet.register(first, 'draining')
+  await until('all proxies follow the list', async () => fleet.proxies.every((_, at) => changes(at) > (seen[at] ?? 0)) ? true : undefined)
+  fleet.register(first, 'ready')
+  for (const at of fleet.proxies.keys()) assert.notEqual((await untilServed(fleet, at, 'WRITE after odd')).signature, undefined)
+  assert.deepEqual(fleet.proxies.map(proxy => proxy.process.exitCode), [null, null, null])
+  assert.equal(fleet.proxies.some(proxy => proxy.output().some(line => line.includes('taskFailed'))), false)
+})
--- a/test/platform/statement.test.ts
+++ b/test/platform/statement.test.ts
@@ -47,7 +47,7 @@
 })
 
 test('invalid registry entries of another writer are not decoded as servers', () => {
-  const entry = { Service: 's', Addr: '10.0.0.1:80', Zone: 'z', Slots: 5, State: 'ready' }
+  const entry = { Service: 's', Addr: '10.0.0.1:80', Zone: 'z', Version: 'v1', Slots: 5, State: 'ready', ColdLeftMs: 0, DbRole: 'replica', Seq: 1 }
   assert.equal(decodeServer('i-1', entry)?.state, 'active')
   for (const broken of [undefined, 7, {}, { ...entry, State: 'sleeping' }, { ...entry, Slots: 'many' }, { ...entry, Addr: 'nowhere' }]) assert.equal(decodeServer('i-1', broken), undefined)
 })
--- /dev/null
+++ b/test/wire/peer-link.test.ts
@@ -0,0 +1,94 @@
+// Malformed messages between proxies: each is rejected, and nothing else suffers.
+
+import assert from 'node:assert/strict'
+import { connect } from 'node:net'
+import { test, type TestContext } from 'node:test'
+import fc from 'fast-check'
+import type { MemberState, PeerMethod } from '../../src/model/index.js'
+import { systemTimers } from '../../src/pipe/index.js'
+import { listenForPeers, peerClient, type PeerClient, type PeerHandlers } from '../../src/wire/peer-link.js'
+import { decodeParams, decodeResult } from '../../src/wire/peer-schema.js'
+
+const state: MemberState = { host: 'entry-1', failureDomain: 'medina', incarnation: 'a1', state: 'serving', generation: 3, storeConfirmedAgoMs: undefined }
+const methods: readonly PeerMethod[] = ['execute', 'heartbeat', 'pullConfiguration', 'offerConfiguration', 'borrow', 'listHosts', 'observe', 'suspect', 'primaryChanged', 'listServers', 'report']
+const timeoutMs = 2000
+
+function deepText (depth: number): string {
+  return '['.repeat(depth) + ']'.repeat(depth)
+}
+
+/** Handlers of which only `heartbeat` and `suspect` answer. */
+function fewHandlers (heartbeatResult: () => MemberState): PeerHandlers {
+  const unexpected = async (): Promise<never> => { throw new Error('not called in this test') }
+  return {
+    ...Object.fromEntries(methods.map(method => [method, unexpected])) as unknown as PeerHandlers,
+    heartbeat: async () => heartbeatResult(),
+    suspect: async () => ({ accepted: true })
+  }
+}
+
+async function startLink (t: TestContext, heartbeatResult = (): MemberState => state): Promise<{ readonly client: PeerClient, readonly port: number, readonly errors: readonly Error[] }> {
+  const errors: Error[] = []
+  const listener = await listenForPeers({ ip: '127.0.0.1', port: 0 }, fewHandlers(heartbeatResult), undefined, error => { errors.push(error) })
+  const timers = systemTimers()
+  const client = peerClient({ ip: '127.0.0.1', port: listener.port }, timers, undefined)
+  t.after(() => {
+    client.close()
+    listener.close()
+    timers.stop()
+  })
+  return { client, port: listener.port, errors }
+}
+
+/** Sends one line over a new connection; waits for the response or the end of the connection. */
+async function sendLine (port: number, line: string): Promise<void> {
+  await new Promise<void>(resolve => {
+    const socket = connect(port, '127.0.0.1')
+    socket.on('error', () => {})
+    socket.once('data', () => { socket.destroy() })
+    socket.on('close', () => { resolve() })
+    socket.write(line + '\n')
+  })
+}
+
+test('a malformed line ends its own connection at most', async t => {
+  const { client, port } = await startLink(t)
+  const lines = ['null', '5', '[null]', 'no json', '{}', deepText(20_000), `{"jsonrpc":"2.0","id":${deepText(20_000)},"method":"heartbeat"}`, `{"jsonrpc":"2.0","id":1,"method":"suspect","params":${deepText(20_000)}}`]
+  for (const line of lines) await sendLine(port, line)
+  assert.deepEqual(await client.call('heartbeat', state, timeoutMs), { host: 'entry-1', failureDomain: 'medina', incarnation: 'a1', state: 'serving', generation: 3 })
+})
+
+test('parameters or a result with a missing field are rejected before they reach a task', async t => {
+  const { client, errors } = await startLink(t, () => ({ ...state, generation: -1 }))
+  await assert.rejects(client.call('suspect', { database: 'orders' } as never, timeoutMs), /lost/)
+  assert.match(errors[0]?.message ?? '', /malformed at server/)
+  await assert.rejects(client.call('heartbeat', state, timeoutMs), /malformed at generation/)
+  assert.deepEqual(await client.call('suspect', { database: 'orders', server: 's1' }, timeoutMs), { accepted: true })
+})
+
+test('no value makes a decoder throw anything but its own error', () => {
+  const isRejection = (run: () => unknown): void => {
+    try {
+      run()
+    } catch (error) {
+      assert.equal((error as Error).name, 'WireError')
+    }
+  }
+  fc.assert(fc.property(fc.constantFrom(...methods), fc.jsonValue({ maxDepth: 5 }), (method, value) => {
+    isRejection(() => decodeParams(method, value))
+    isRejection(() => decodeResult(method, value))
+  }))
+})
+
+test('a time that is infinite is sent as null and stays infinite', () => {
+  const position = { term: 1, index: 2 }
+  const status = { server: 's1', role: 'replica', fencedTerm: 0, proposer: '', received: position, applied: position } as const
+  const { observation } = decodeResult('observe', JSON.parse(JSON.stringify({ observation: { servers: [{ status, heardAgoMs: Infinity }] } })))
+  assert.equal(observation?.servers[0]?.heardAgoMs, Infinity)
+})
+
+test('of a list of hosts only the invalid entries are dropped', () => {
+  const host = { host: 'entry-1', failureDomain: 'medina', ip: '10.0.0.1', port: 7560, state: 'live' }
+  const { list } = decodeResult('listHosts', { list: { hosts: [host, { ...host, port: 99_999 }, null, { ...host, ip: '999.1.1.1' }], digest: 'd', agoMs: 5 } })
+  assert.deepEqual(list?.hosts, [host])
+})
