Ticks by due time instead of fixed periods

Cause: an idle host woke some 130 times a second for ticks of its tasks (queue 50 ms, limits 60 ms, database 120 ms, members, configuration and lease 100 ms, others), due or not. Change: a task states in its specification when its next tick is due, and an alarm wakes for it (pipe/timer, pipe/task). Queues tick only while a request waits; the rounds of a quorum follow each other after 2 to 40 ms instead of three at once and then a tick of 40 ms. The histograms' library is loaded 5 s after the start, not in the first second of statements.

--- a/src/daemon/database-step.ts
+++ b/src/daemon/database-step.ts
@@ -73,11 +73,10 @@
   readonly isPolled: boolean
   /** Whether a round of queries for the pending writes is running. */
   readonly roundInProgress: boolean
-  /**
-   * Consecutive rounds after which writes still waited. After
-   * `maxImmediateRounds` of them the next round starts at the next tick.
-   */
+  /** Consecutive rounds after which writes still waited. */
   readonly roundsWithoutProgress: number
+  /** Time of the next round for the pending writes; -Infinity for at once. */
+  readonly nextQuorumRoundMs: number
   /** Time of the last observation that another host sent. */
   readonly observedAtMs: number
 }
@@ -91,8 +90,13 @@
  * Used only where servers are polled.
  */
 const quorumRound = 'quorum'
-/** Consecutive rounds without progress that may follow each other without delay. */
-const maxImmediateRounds = 3
+/**
+ * Delay of the next round after a first one without progress; doubles with each
+ * further one.
+ */
+const roundDelayMs: { readonly first: number, readonly max: number } = { first: 2, max: 40 }
+/** Ticks while a failover may be needed or a round is running, and otherwise. */
+const tickSpacingMs: { readonly urgent: number, readonly idle: number } = { urgent: 40, idle: 250 }
 
 /**
  * Creates the state before any status was received.
@@ -116,6 +120,7 @@
     isPolled: context.ports.driver.statusDelivery === 'polled',
     roundInProgress: false,
     roundsWithoutProgress: 0,
+    nextQuorumRoundMs: -Infinity,
     observedAtMs: -Infinity
   }
 }
@@ -130,11 +135,18 @@
 }
 
 /**
- * Checks whether work is pending that depends on the next tick.
+ * Returns the time at which the next tick is due.
  * @param state - the state
- * @returns true where ticks have to be frequent
+ * @param nowMs - monotonic time
+ * @returns monotonic time
  */
-export function isUrgent (state: DatabaseState): boolean {
+export function databaseDueAtMs (state: DatabaseState, nowMs: number): number {
+  const tickAtMs = nowMs + (isUrgent(state) ? tickSpacingMs.urgent : tickSpacingMs.idle)
+  const isRoundDue = state.quorumWait.pending.length > 0 && !state.roundInProgress
+  return isRoundDue ? Math.min(tickAtMs, state.nextQuorumRoundMs) : tickAtMs
+}
+
+function isUrgent (state: DatabaseState): boolean {
   const { failover, quorumWait, minPosition } = state
   return failover.proposal.kind !== 'idle' || failover.failureSinceMs !== undefined || quorumWait.pending.length > 0 || minPosition.running !== undefined ||
     Object.values(failover.health).some(({ probeRequested, consecutiveFailures }) => probeRequested || consecutiveFailures > 0)
@@ -262,7 +274,7 @@
 // Pending writes share the query rounds of the minimum positions: like one read,
 // they wait together for the next round.
 function startQuorumRound (state: DatabaseState, nowMs: number): Next {
-  if (!state.isPolled || state.roundInProgress || state.quorumWait.pending.length === 0) return { state, effects: [] }
+  if (!state.isPolled || state.roundInProgress || state.quorumWait.pending.length === 0 || nowMs < state.nextQuorumRoundMs) return { state, effects: [] }
   return withMinPosition({ ...state, roundInProgress: true }, { kind: 'requested', id: quorumRound, nowMs })
 }
 
@@ -296,8 +308,9 @@
 
 function quorumRoundEnded ({ state, effects }: Next, nowMs: number): Next {
   const roundsWithoutProgress = state.quorumWait.pending.length > 0 ? state.roundsWithoutProgress + 1 : 0
-  const ended: DatabaseState = { ...state, roundInProgress: false, roundsWithoutProgress }
-  if (roundsWithoutProgress >= maxImmediateRounds) return { state: ended, effects }
+  const delayMs = Math.min(roundDelayMs.first * 2 ** (roundsWithoutProgress - 1), roundDelayMs.max)
+  const nextQuorumRoundMs = roundsWithoutProgress === 0 ? -Infinity : nowMs + delayMs
+  const ended: DatabaseState = { ...state, roundInProgress: false, roundsWithoutProgress, nextQuorumRoundMs }
   return chain(ended, [next => ({ state: next, effects }), next => startQuorumRound(next, nowMs)])
 }
 
--- a/src/daemon/database-task.ts
+++ b/src/daemon/database-task.ts
@@ -5,10 +5,10 @@
 // change their roles.
 
 import { originPosition, type DatabaseDeclaration, type DatabaseName, type Observation, type Position, type PrimaryView, type ServerName } from '../model/index.js'
-import { ask, derivedSnapshot, SnapshotPublisher, pacedTicks, startTask, tickPort, type Port, type Snapshot } from '../pipe/index.js'
+import { ask, derivedSnapshot, SnapshotPublisher, startTask, type Port, type Snapshot } from '../pipe/index.js'
 import type { PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
-import { databaseStep, initialState, isUrgent, observationOf, viewOf, type DatabaseEffect, type DatabaseMessage, type DatabaseState, type DatabaseView } from './database-step.js'
+import { databaseDueAtMs, databaseStep, initialState, observationOf, viewOf, type DatabaseEffect, type DatabaseMessage, type DatabaseState, type DatabaseView } from './database-step.js'
 import type { LedgerCommand } from './server-watch.js'
 import { Watches } from './watches.js'
 
@@ -22,6 +22,8 @@
    * connections to that server may be unresponsive, too.
    */
   readonly onWasUnresponsive: (server: ServerName) => void
+  /** Whether the status of the servers is needed on this host now. */
+  readonly isWatched: () => boolean
   /** A connection to the server was lost. */
   readonly onConnectionLost: (server: ServerName) => void
   /** Orders the platform to promote a server, where the platform does promotions. */
@@ -58,9 +60,6 @@
 }
 
 const mailboxCapacity = 16384
-const tickMs = 40
-/** Tick period while nothing waits and no failover is in progress. */
-const idleTickMs = 120
 /** Delay after which the servers that a round skipped at first are queried, too. */
 const queryRemainingMs = 10
 
@@ -81,6 +80,7 @@
     initial,
     capacity: mailboxCapacity,
     onError: context.onTaskError(`database ${database.name}`),
+    schedule: { timers, dueAtMs: state => databaseDueAtMs(state, timers.nowMs()), tick: nowMs => ({ kind: 'tick', nowMs, random: context.random() }) },
     step: (state, message) => {
       const transition = databaseStep(state, message)
       published.publish(transition.state)
@@ -88,7 +88,6 @@
     },
     perform: (effect, port) => { perform(spec, watches, effect, port) }
   })
-  const cancel = pacedTicks(timers, () => isUrgent(published.get()) ? tickMs : idleTickMs, tickPort<DatabaseMessage>(task.port, nowMs => ({ kind: 'tick', nowMs, random: context.random() })))
   watches.change(database.servers, task.port)
   return {
     view,
@@ -101,7 +100,6 @@
     changeManifest: changed => { task.port.send({ kind: 'manifest', database: changed, nowMs: timers.nowMs() }) },
     changeRank: rank => { task.port.send({ kind: 'failover', event: { kind: 'ranksChanged', rank, nowMs: timers.nowMs() } }) },
     stop: async () => {
-      cancel()
       watches.stop()
       await task.stop()
     }
--- a/src/daemon/dispatcher-queue.ts
+++ b/src/daemon/dispatcher-queue.ts
@@ -3,13 +3,12 @@
 
 import type { DispatchRequest, Permit } from '../dispatch/index.js'
 import type { ServerDeclaration } from '../model/index.js'
-import { ask, SnapshotPublisher, pacedTicks, startTask, withoutAnswered, type Reply, type Transition } from '../pipe/index.js'
+import { ask, startTask, withoutAnswered, type Reply, type Transition } from '../pipe/index.js'
 import { fairQueueStep, initialFairQueue, type FairQueueEffect, type FairQueueEvent, type FairQueueState } from '../request/index.js'
 import type { DaemonContext } from './context.js'
 
+/** Tick period while a request waits. */
 const queueTickMs = 10
-/** Tick period while no request waits. */
-const idleTickMs = 50
 const mailboxCapacity = 65536
 
 type QueueMessage = FairQueueEvent
@@ -46,17 +45,13 @@
  */
 export function startQueue (context: DaemonContext, server: ServerDeclaration): QueueTask {
   const { timers, settings } = context
-  const isWaiting = new SnapshotPublisher(false)
   const task = startTask<QueueState, QueueMessage, QueueEffect>({
     name: `queue ${server.name}`,
     initial: { queue: initialFairQueue({ slots: server.slots, maxWaiting: settings.limits.queueLength }), replies: new Map(), nextId: 1 },
     capacity: mailboxCapacity,
     onError: context.onTaskError(`queue ${server.name}`),
-    step: (state, message) => {
-      const transition = queueStep(state, message)
-      isWaiting.publish(transition.state.queue.waitingCount > 0)
-      return transition
-    },
+    step: queueStep,
+    schedule: { timers, dueAtMs: state => state.queue.waitingCount > 0 ? timers.nowMs() + queueTickMs : Infinity, tick: nowMs => ({ kind: 'tick', nowMs }) },
     perform: (effect, port) => {
       switch (effect.kind) {
         case 'reject': return effect.reply({ kind: 'refused', reason: 'noPrimary' })
@@ -66,16 +61,10 @@
       }
     }
   })
-  const cancel = pacedTicks(timers, () => isWaiting.get() ? queueTickMs : idleTickMs, {
-    send: tick => isWaiting.get() ? task.port.send(tick) : 'accepted'
-  })
   return {
     requestPermit: async request => await ask<QueueMessage, Permit>(task.port, reply => ({ kind: 'requestPermit', request, nowMs: timers.nowMs(), reply }), { kind: 'refused', reason: 'queueFull' }),
     rejectWrites: () => { task.port.send({ kind: 'rejectWrites', nowMs: timers.nowMs() }) },
-    stop: async () => {
-      cancel()
-      await task.stop()
-    }
+    stop: task.stop
   }
 }
 
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -59,9 +59,9 @@
 const mailboxCapacity = 2048
 /**
  * Delay after which the histograms' library is loaded; it takes long to load
- * and would slow down the start.
+ * and would slow down the start and the first statements after it.
  */
-const accountStatsDelayMs = 1500
+const accountStatsDelayMs = 5000
 const confirmationCheckMs = 500
 const sendTimeoutMs = 1000
 const writeDeadlineMs = 3000
--- a/src/daemon/server-watch.ts
+++ b/src/daemon/server-watch.ts
@@ -52,7 +52,7 @@
 const reconnectDelayMs = 100
 /** Bounds of the time between two checks whether a status call is due. */
 const minPollDelayMs = 20
-const maxPollDelayMs = 300
+const maxPollDelayMs = 600
 const callTimeoutMs = 500
 
 /** Watches one server. */
@@ -141,6 +141,9 @@
   }
 
   async #watchSession (): Promise<void> {
+    const isPolled = this.#context.ports.driver.statusDelivery === 'polled'
+    if (isPolled) await this.#untilDue()
+    if (this.#stopped) return
     const session = await this.#open(this.#context.settings.limits.connectTimeoutMs)
     this.#statusSession = session
     const { nowMs } = this.#context.timers
@@ -152,10 +155,10 @@
     while (!this.#stopped) {
       this.#report(status === undefined ? { kind: 'busy' } : { kind: 'status', status, sentAtMs })
       const lastStatus = status ?? emptyStatus(this.server)
-      if (this.#context.ports.driver.statusDelivery === 'polled') await this.#untilDue()
+      if (isPolled) await this.#untilDue()
       if (this.#stopped) return
       sentAtMs = nowMs()
-      const next = this.#context.ports.driver.statusDelivery === 'polled'
+      const next = isPolled
         ? session.ledger.status(statusTimeoutMs)
         : session.ledger.wait(lastStatus, waitMs, waitMs + statusTimeoutMs)
       status = await this.#undefinedIfBusy(next)
--- a/src/pipe/task.ts
+++ b/src/pipe/task.ts
@@ -4,6 +4,7 @@
 // effects and may send further messages to the task.
 
 import { Mailbox, type Port } from './mailbox.js'
+import { startAlarm, tickPort, type Alarm, type TimerService } from './timer.js'
 
 /** Result of a step: the next state and the effects to carry out. */
 export type Transition<S, E> = {
@@ -14,6 +15,18 @@
 /** A pure decision function from state and message to the next state and effects. */
 export type Step<S, M, E> = (state: S, message: M) => Transition<S, E>
 
+/**
+ * Ticks of a task. After each message the state tells when the next tick is due,
+ * so a task without anything to do does not wake the process.
+ */
+export type Schedule<S, M> = {
+  readonly timers: TimerService
+  /** Time at which the next tick is due; Infinity for none before the next message. */
+  readonly dueAtMs: (state: S) => number
+  /** Creates the message of a tick. */
+  readonly tick: (nowMs: number) => M
+}
+
 /** Specification of a task. */
 export type TaskSpec<S, M, E> = {
   readonly name: string
@@ -21,6 +34,8 @@
   readonly step: Step<S, M, E>
   /** Carries out one effect; must not block, and reports back through the port. */
   readonly perform: (effect: E, self: Port<M>) => void
+  /** Ticks of the task; none by default. */
+  readonly schedule?: Schedule<S, M>
   /** Maximum number of messages in the mailbox. */
   readonly capacity: number
   /** Called with an error that `step` or `perform` threw; the task continues. */
@@ -42,22 +57,33 @@
  */
 export function startTask<S, M, E> (spec: TaskSpec<S, M, E>): Task<M> {
   const mailbox = new Mailbox<M>(spec.capacity)
-  const ended = run(spec, mailbox)
+  const alarm = alarmFor(spec, mailbox)
+  const ended = run(spec, mailbox, alarm)
   return {
     name: spec.name,
     port: mailbox,
     stop: async () => {
+      alarm?.stop()
       mailbox.close()
       await ended
     }
   }
 }
 
-async function run<S, M, E> (spec: TaskSpec<S, M, E>, mailbox: Mailbox<M>): Promise<void> {
+function alarmFor<S, M, E> (spec: TaskSpec<S, M, E>, mailbox: Mailbox<M>): Alarm | undefined {
+  const { schedule } = spec
+  return schedule === undefined ? undefined : startAlarm(schedule.timers, tickPort(mailbox, schedule.tick))
+}
+
+async function run<S, M, E> (spec: TaskSpec<S, M, E>, mailbox: Mailbox<M>, alarm: Alarm | undefined): Promise<void> {
   let state = spec.initial
   for (;;) {
+    alarm?.set(spec.schedule?.dueAtMs(state) ?? Infinity)
     const received = await mailbox.receive()
-    if (received.kind === 'closed') return
+    if (received.kind === 'closed') {
+      alarm?.stop()
+      return
+    }
     try {
       const transition = spec.step(state, received.message)
       state = transition.state
--- a/src/pipe/timer.ts
+++ b/src/pipe/timer.ts
@@ -5,7 +5,7 @@
 // larger advance of the two is used. Setting the wall clock back has no effect;
 // setting it forward makes leases and confirmations expire early.
 
-import type { Port } from './mailbox.js'
+import type { Port, SendResult } from './mailbox.js'
 
 /** Message with the current time for a subscriber. */
 export type Tick = {
@@ -89,6 +89,45 @@
   }
 }
 
+/** A timer that a component sets to the time at which it next has something to do. */
+export type Alarm = {
+  /**
+   * Sets the alarm to a time, unless it is set to an earlier one: that tick comes
+   * first and sets it again. Infinity sets nothing.
+   */
+  readonly set: (atMs: number) => void
+  readonly stop: () => void
+}
+
+/** An alarm whose tick was rejected by a full mailbox goes off again after this time. */
+const rejectedTickDelayMs = 50
+/** Shortest delay of an alarm, also where its time has passed. */
+const minAlarmDelayMs = 1
+
+/**
+ * Creates an alarm that is not set. It is not set again by itself.
+ * @param timers - the timer service
+ * @param port - receives the ticks
+ * @returns the alarm
+ */
+export function startAlarm (timers: TimerService, port: Port<Tick>): Alarm {
+  let dueAtMs = Infinity
+  let cancel = (): void => {}
+  const set = (atMs: number): void => {
+    if (atMs >= dueAtMs) return
+    cancel()
+    dueAtMs = atMs
+    cancel = timers.after(Math.max(minAlarmDelayMs, atMs - timers.nowMs()), { send: ring })
+  }
+  const ring = (tick: Tick): SendResult => {
+    dueAtMs = Infinity
+    const result = port.send(tick)
+    if (result === 'full') set(tick.nowMs + rejectedTickDelayMs)
+    return result
+  }
+  return { set, stop: () => { cancel() } }
+}
+
 /**
  * Adapts a task's port to ticks, which arrive as messages of the task's type.
  * @param port - the task's port
--- a/test/pipe/timer.test.ts
+++ b/test/pipe/timer.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { elapsedClock } from '../../src/pipe/index.js'
+import { elapsedClock, startAlarm, type SendResult, type TimerService } from '../../src/pipe/index.js'
 
 /** An elapsed clock over a steady clock and a wall clock that the test advances. */
 function clockOver (): { readonly read: () => number, readonly pass: (steadyMs: number, timeOfDayMs: number) => void } {
@@ -29,3 +29,66 @@
   clock.pass(50, 50)
   assert.equal(clock.read(), 100)
 })
+
+type FakeTimers = TimerService & { readonly pass: (untilMs: number) => void }
+
+/** A timer service whose time the test sets. */
+function fakeTimers (): FakeTimers {
+  let nowMs = 0
+  let waiting: ReadonlyArray<{ readonly atMs: number, readonly run: () => void }> = []
+  const after: TimerService['after'] = (delayMs, port) => {
+    const timer = { atMs: nowMs + delayMs, run: () => { port.send({ kind: 'tick', nowMs }) } }
+    waiting = [...waiting, timer]
+    return () => { waiting = waiting.filter(other => other !== timer) }
+  }
+  const pass = (untilMs: number): void => {
+    for (;;) {
+      const next = waiting.filter(({ atMs }) => atMs <= untilMs).sort((a, b) => a.atMs - b.atMs)[0]
+      if (next === undefined) break
+      waiting = waiting.filter(timer => timer !== next)
+      nowMs = next.atMs
+      next.run()
+    }
+    nowMs = untilMs
+  }
+  return { nowMs: () => nowMs, every: () => () => {}, after, stop: () => {}, pass }
+}
+
+/** An alarm, and the times at which it went off. */
+function recordedAlarm (timers: TimerService, results: readonly SendResult[] = []): { readonly alarm: ReturnType<typeof startAlarm>, readonly times: readonly number[] } {
+  const times: number[] = []
+  const alarm = startAlarm(timers, { send: ({ nowMs }) => { times.push(nowMs); return results[times.length - 1] ?? 'accepted' } })
+  return { alarm, times }
+}
+
+test('an alarm goes off once, at the earliest time that was set', () => {
+  const timers = fakeTimers()
+  const { alarm, times } = recordedAlarm(timers)
+  alarm.set(500)
+  alarm.set(200)
+  alarm.set(300)
+  alarm.set(Infinity)
+  timers.pass(1000)
+  assert.deepEqual(times, [200])
+})
+
+test('an alarm for a time that has passed goes off soon, and a stopped one never', () => {
+  const timers = fakeTimers()
+  const { alarm, times } = recordedAlarm(timers)
+  timers.pass(100)
+  alarm.set(-Infinity)
+  timers.pass(110)
+  assert.deepEqual(times, [101])
+  alarm.set(120)
+  alarm.stop()
+  timers.pass(200)
+  assert.deepEqual(times, [101])
+})
+
+test('a tick that a full mailbox rejected comes again', () => {
+  const timers = fakeTimers()
+  const { alarm, times } = recordedAlarm(timers, ['full', 'full'])
+  alarm.set(10)
+  timers.pass(1000)
+  assert.equal(times.length, 3)
+})
