Leader lease: hosts that are no watchers rarely read it, and a takeover follows a read

Cause: above 24 hosts most hosts have no contact with the holder, so each read the lease every 400 ms, and took over on a version seen long ago, which the store refused. Change: watchers poll as before; the other hosts every 10 s, and not after a contact in that time. A takeover is written only after a read that shows the expired version. Ticks come when the lease is due. The test of a takeover expects the read now and a renewal seen by it, which stops it.

--- a/src/daemon/leader-task.ts
+++ b/src/daemon/leader-task.ts
@@ -4,9 +4,9 @@
 // a fence of a majority excludes a second proposer (see failover/settings.ts).
 
 import * as z from 'zod'
-import { initialLease, leaseStep, releaseEffect, heldToken, type LeaseEffect, type LeaseEvent, type LeaseRecord, type LeaseState } from '../leader/index.js'
+import { initialLease, leaseDueAtMs, leaseStep, releaseEffect, heldToken, type LeaseEffect, type LeaseEvent, type LeaseRecord, type LeaseState } from '../leader/index.js'
 import type { DatabaseName, ServerName } from '../model/index.js'
-import { SnapshotPublisher, startTask, tickPort, type Port } from '../pipe/index.js'
+import { SnapshotPublisher, startTask, type Port } from '../pipe/index.js'
 import { asError, StoreError, type PromotionMethod, type PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 
@@ -26,7 +26,7 @@
   readonly isLeader: () => boolean
   /** Records that another member reported in a heartbeat that it holds the lease. */
   readonly recordOtherLeader: () => void
-  readonly changeRank: (rank: number | undefined) => void
+  readonly changeRank: (rank: number | undefined, isWatcher: boolean) => void
   readonly orderPromotion: (database: DatabaseName, server: ServerName) => Promise<PromotionResult>
   /**
    * Releases the lease before a planned stop, so that another host can acquire
@@ -42,7 +42,6 @@
  * task name 'duty', keep the earlier word for the leader lease.
  */
 const leaseObject = { kind: 'duties', name: 'promotion' } as const
-const tickMs = 100
 const mailboxCapacity = 256
 /**
  * Timeout of an order to the platform. Shorter than the `marginMs` of the lease,
@@ -67,6 +66,7 @@
     initial,
     capacity: mailboxCapacity,
     onError: context.onTaskError('duty'),
+    schedule: { timers, dueAtMs: leaseDueAtMs, tick: nowMs => ({ kind: 'tick', nowMs }) },
     step: (state, event) => {
       const transition = leaseStep(state, event)
       published.publish(transition.state)
@@ -75,12 +75,11 @@
     },
     perform: (effect, port) => { void perform(spec, effect, port) }
   })
-  timers.every(tickMs, tickPort<LeaseEvent>(task.port, nowMs => ({ kind: 'tick', nowMs })))
   const token = (): number | undefined => heldToken(published.get(), timers.nowMs())
   return {
     isLeader: () => token() !== undefined,
     recordOtherLeader: () => { task.port.send({ kind: 'otherHolderReported', nowMs: timers.nowMs() }) },
-    changeRank: rank => { task.port.send({ kind: 'rankChanged', rank }) },
+    changeRank: (rank, isWatcher) => { task.port.send({ kind: 'rankChanged', rank, isWatcher }) },
     async orderPromotion (database, server) {
       const held = token()
       if (held === undefined) return 'refused'
@@ -89,7 +88,7 @@
       return result
     },
     async releaseLease () {
-      task.port.send({ kind: 'rankChanged', rank: undefined })
+      task.port.send({ kind: 'rankChanged', rank: undefined, isWatcher: false })
       const write = releaseEffect(published.get())
       if (write !== undefined) await context.ports.store.putObject(leaseObject.kind, leaseObject.name, write.version, write.record).catch(() => { spec.onStoreFailure() })
     },
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -53,6 +53,8 @@
    * a holder.
    */
   readonly pollEveryMs: number
+  /** The same, and the recency of a contact, for a host that is no watcher. */
+  readonly distantPollEveryMs: number
   /** Additional delay of a takeover for each place in the ranking of candidates. */
   readonly rankDelayMs: number
 }
@@ -64,6 +66,7 @@
   marginMs: 500,
   recentContactMs: 1200,
   pollEveryMs: 400,
+  distantPollEveryMs: 10_000,
   rankDelayMs: 250
 }
 
@@ -72,6 +75,8 @@
   readonly version: number
   /** Time of the first response that showed this version. */
   readonly sinceMs: number
+  /** Time of the last response that showed it. */
+  readonly seenMs: number
 }
 
 /** A host's state of the lease. */
@@ -92,6 +97,8 @@
    * while this host is no candidate, for example while it stops.
    */
   readonly rank: number | undefined
+  /** Whether this host is a watcher; the other hosts rarely read the lease. */
+  readonly isWatcher: boolean
 }
 
 /**
@@ -106,7 +113,7 @@
   | { readonly kind: 'callFailed', readonly nowMs: number }
   /** Another member reported in a heartbeat or its answer that it holds the lease. */
   | { readonly kind: 'otherHolderReported', readonly nowMs: number }
-  | { readonly kind: 'rankChanged', readonly rank: number | undefined }
+  | { readonly kind: 'rankChanged', readonly rank: number | undefined, readonly isWatcher: boolean }
 
 /** Effects of the lease: calls to the store. */
 export type LeaseEffect =
@@ -122,7 +129,7 @@
  * @returns the initial state, without the lease
  */
 export function initialLease (self: LeaseState['self'], settings: LeaseSettings = defaultLeaseSettings): LeaseState {
-  return { self, settings, observed: undefined, held: undefined, callInProgress: false, nextCallMs: 0, lastContactAtMs: -Infinity, rank: undefined }
+  return { self, settings, observed: undefined, held: undefined, callInProgress: false, nextCallMs: 0, lastContactAtMs: -Infinity, rank: undefined, isWatcher: false }
 }
 
 /**
@@ -138,9 +145,9 @@
     case 'written': return withoutEffects(recordWritten(state, event))
     // After a failed read or write the lease is read first: a write may have taken
     // effect. The wait for a takeover starts again with that read.
-    case 'callFailed': return withoutEffects({ ...state, callInProgress: false, observed: undefined, nextCallMs: event.nowMs + state.settings.pollEveryMs })
+    case 'callFailed': return withoutEffects({ ...state, callInProgress: false, observed: undefined, nextCallMs: event.nowMs + pollPeriodMs(state) })
     case 'otherHolderReported': return withoutEffects({ ...state, lastContactAtMs: event.nowMs })
-    case 'rankChanged': return withoutEffects({ ...state, rank: event.rank })
+    case 'rankChanged': return withoutEffects({ ...state, rank: event.rank, isWatcher: event.isWatcher })
   }
 }
 
@@ -168,13 +175,34 @@
   return { kind: 'write', version: observed.version, record: { ...observed.record, renewal: observed.record.renewal + 1, released: true } }
 }
 
+/**
+ * Returns the time at which the next tick is due.
+ * @param state - the current state
+ * @returns monotonic time; Infinity while nothing is due before the next event
+ */
+export function leaseDueAtMs (state: LeaseState): number {
+  const expiryMs = state.held?.untilMs ?? Infinity
+  if (state.callInProgress || state.rank === undefined) return expiryMs
+  const { observed } = state
+  const readAtMs = Math.max(state.nextCallMs, contactValidUntilMs(state))
+  if (observed === undefined) return Math.min(expiryMs, readAtMs)
+  if (isHeldHere(state, observed.record)) return Math.min(expiryMs, state.nextCallMs)
+  return Math.min(expiryMs, readAtMs, takeoverAtMs(state, observed, state.rank))
+}
+
+// A host that is no watcher takes over only where all watchers are away, so it can
+// find that out later.
+function pollPeriodMs ({ settings, isWatcher }: LeaseState): number {
+  return isWatcher ? settings.pollEveryMs : settings.distantPollEveryMs
+}
+
 function expire (state: LeaseState, nowMs: number): LeaseState {
   return state.held !== undefined && nowMs >= state.held.untilMs ? { ...state, held: undefined } : state
 }
 
 function recordRead (state: LeaseState, record: LeaseRecord | undefined, version: number, nowMs: number): LeaseState {
   const isUnchanged = state.observed?.version === version
-  return { ...state, observed: { record, version, sinceMs: isUnchanged ? state.observed.sinceMs : nowMs }, nextCallMs: nowMs + state.settings.pollEveryMs }
+  return { ...state, observed: { record, version, sinceMs: isUnchanged ? state.observed.sinceMs : nowMs, seenMs: nowMs }, nextCallMs: nowMs + pollPeriodMs(state) }
 }
 
 function recordWritten (state: LeaseState, event: Extract<LeaseEvent, { readonly kind: 'written' }>): LeaseState {
@@ -183,7 +211,7 @@
   return {
     ...state,
     callInProgress: false,
-    observed: { record, version, sinceMs: nowMs },
+    observed: { record, version, sinceMs: nowMs, seenMs: nowMs },
     held: { token: record.token, untilMs: sentAtMs + settings.durationMs - settings.marginMs },
     nextCallMs: sentAtMs + settings.renewEveryMs
   }
@@ -194,7 +222,9 @@
   const { observed } = state
   if (observed === undefined) return nowMs < state.nextCallMs || hasRecentContact(state, nowMs) ? withoutEffects(state) : startCall(state, { kind: 'read' })
   if (isHeldHere(state, observed.record)) return nowMs < state.nextCallMs ? withoutEffects(state) : startCall(state, renewal(observed.version, observed.record))
-  if (mayTakeOver(state, observed, state.rank, nowMs)) return startCall(state, takeover(state, observed))
+  // A lease that was last seen before its expiry may have been renewed since.
+  const expiredAtMs = takeoverAtMs(state, observed, state.rank)
+  if (nowMs >= expiredAtMs) return startCall(state, observed.seenMs >= expiredAtMs ? takeover(state, observed) : { kind: 'read' })
   return nowMs < state.nextCallMs || hasRecentContact(state, nowMs) ? withoutEffects(state) : startCall(state, { kind: 'read' })
 }
 
@@ -203,7 +233,12 @@
 }
 
 function hasRecentContact (state: LeaseState, nowMs: number): boolean {
-  return nowMs - state.lastContactAtMs < state.settings.recentContactMs
+  return nowMs < contactValidUntilMs(state)
+}
+
+// A host that is no watcher hears of the holder only now and then.
+function contactValidUntilMs ({ settings, isWatcher, lastContactAtMs }: LeaseState): number {
+  return lastContactAtMs + (isWatcher ? settings.recentContactMs : settings.distantPollEveryMs)
 }
 
 function isHeldHere (state: LeaseState, record: LeaseRecord | undefined): record is LeaseRecord {
@@ -212,12 +247,12 @@
 
 // A lease of an earlier incarnation on this host needs no expiry: a host runs one
 // process, so the earlier one has ended.
-function mayTakeOver (state: LeaseState, observed: ObservedLease, rank: number, nowMs: number): boolean {
-  const { record } = observed
+function takeoverAtMs (state: LeaseState, observed: ObservedLease, rank: number): number {
+  const { record, sinceMs } = observed
   const { settings } = state
-  const rankDelayMs = rank * settings.rankDelayMs
-  if (record === undefined || record.released || record.holder === state.self.host) return nowMs - observed.sinceMs >= rankDelayMs
-  return nowMs - observed.sinceMs >= settings.durationMs + rankDelayMs
+  const isFree = record === undefined || record.released || record.holder === state.self.host
+  const freeAtMs = isFree ? sinceMs : Math.max(sinceMs + settings.durationMs, contactValidUntilMs(state))
+  return freeAtMs + rank * settings.rankDelayMs
 }
 
 function renewal (version: number, record: LeaseRecord): LeaseEffect {
--- a/test/leader/lease.test.ts
+++ b/test/leader/lease.test.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { defaultLeaseSettings, initialLease, leaseStep, heldToken, type LeaseEffect, type LeaseEvent, type LeaseRecord, type LeaseState } from '../../src/leader/index.js'
+import { defaultLeaseSettings, initialLease, leaseDueAtMs, leaseStep, heldToken, type LeaseEffect, type LeaseEvent, type LeaseRecord, type LeaseState } from '../../src/leader/index.js'
 
 const { durationMs, marginMs } = defaultLeaseSettings
 
 function hostOf (host: string, rank = 0): LeaseState {
-  return leaseStep(initialLease({ host, incarnation: '1' }), { kind: 'rankChanged', rank }).state
+  return leaseStep(initialLease({ host, incarnation: '1' }), { kind: 'rankChanged', rank, isWatcher: true }).state
 }
 
 function recordOf (changes: Partial<LeaseRecord> = {}): LeaseRecord {
@@ -29,8 +29,10 @@
   const seen = run(hostOf('a'), { kind: 'tick', nowMs: 0 }, { kind: 'read', record: recordOf(), version: 7, nowMs: 5 })
   const early = run(seen.state, { kind: 'tick', nowMs: durationMs - 1 }, { kind: 'read', record: recordOf(), version: 7, nowMs: durationMs })
   assert.deepEqual(early.effects, [{ kind: 'read' }])
-  const due = run(early.state, { kind: 'tick', nowMs: durationMs + 5 })
-  assert.deepEqual(due.effects.map(effect => effect.kind === 'write' ? [effect.version, effect.record.token] : effect.kind), [[7, 5]])
+  const due = run(early.state, { kind: 'tick', nowMs: durationMs + 5 }, { kind: 'read', record: recordOf(), version: 7, nowMs: durationMs + 9 })
+  assert.deepEqual(due.effects.map(effect => effect.kind === 'write' ? [effect.version, effect.record.token] : effect.kind), ['read', [7, 5]])
+  const renewed = run(early.state, { kind: 'tick', nowMs: durationMs + 5 }, { kind: 'read', record: recordOf({ renewal: 10 }), version: 8, nowMs: durationMs + 9 })
+  assert.deepEqual(renewed.effects, [{ kind: 'read' }])
 })
 
 test('a renewal that another host observes restarts its lease duration', () => {
@@ -57,6 +59,15 @@
   assert.deepEqual(effects, [])
 })
 
+test('a host that is no watcher reads the lease rarely, and ticks come no more often than something is due', () => {
+  const read = (state: LeaseState): LeaseState => run(state, { kind: 'tick', nowMs: 0 }, { kind: 'read', record: recordOf(), version: 7, nowMs: 5 }).state
+  const distant = read(leaseStep(hostOf('a'), { kind: 'rankChanged', rank: 1, isWatcher: false }).state)
+  const watcher = read(hostOf('a', 1))
+  assert.equal(leaseDueAtMs(watcher), 5 + defaultLeaseSettings.pollEveryMs)
+  assert.equal(leaseDueAtMs(distant), 5 + durationMs + defaultLeaseSettings.rankDelayMs)
+  assert.deepEqual(run(distant, { kind: 'tick', nowMs: 2000 }).effects, [])
+})
+
 test('a host without a rank does not acquire the lease', () => {
   const { effects } = run(initialLease({ host: 'a', incarnation: '1' }), { kind: 'tick', nowMs: 99_000 })
   assert.deepEqual(effects, [])
