Large fleets: gossip in batches, confirmations from watchers, no pushes at a start

Cause: in a fleet of more than 24 hosts each new observation was sent to all ring peers at once, which sent it on in the same way; hosts that were short of processor time found each other unresponsive, and the gossip of that used up the rest. Each host pushed its first manifest to its whole failure domain. Confirmations reached most hosts too late, so they read the configuration from the store. Links were never closed. Change: observations are sent at most every 200 ms; watchers observe each other as a small fleet does; an answer of a watcher to a query of hosts or servers carries its state (optional field, earlier builds omit it), which confirms the configuration; the first manifest after a start is not pushed; links without a call for 15 s are closed; lists that have not changed are found by identity and hashed once.

--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -201,6 +201,19 @@
   return state.storeConfirmedAtMs === undefined ? undefined : nowMs - state.storeConfirmedAtMs
 }
 
+/**
+ * Returns the time at which the next tick is due.
+ * @param state - the state of the configuration
+ * @returns monotonic time
+ */
+export function configurationDueAtMs (state: ConfigurationState): number {
+  const { confirmWithinMs, pullMs, startedAtMs } = state.spec
+  const pullAtMs = isBehind(state) ? (state.pulledAtMs ?? startedAtMs) + pullMs : Infinity
+  const staleAtMs = (state.storeConfirmedAtMs ?? startedAtMs) + confirmWithinMs / 2
+  const queryAtMs = Math.max(staleAtMs, (state.peersQueriedAtMs ?? -Infinity) + pullMs)
+  return Math.min(pullAtMs, queryAtMs)
+}
+
 function onStoreResponse (state: ConfigurationState, accepted: AcceptedManifest | undefined, askedAtMs: number): Decision {
   const decision = accepted === undefined ? withoutEffects<ConfigurationState, ConfigurationEffect>(state) : processManifest(state, accepted, 'store')
   // A generation below the one in force means that the response is stale.
@@ -221,7 +234,8 @@
 }
 
 // A manifest from a peer is not pushed further: the host that read it from the
-// store pushes it, and heartbeats advertise its generation.
+// store pushes it, and heartbeats advertise its generation. The first manifest after
+// a start is not pushed, because the peers have it or start now, too.
 function processManifest (state: ConfigurationState, accepted: AcceptedManifest, from: 'store' | 'peer'): Decision {
   if (accepted.generation <= highestProcessed(state)) return withoutEffects(state)
   const checked = (state.spec.check ?? checkManifest)(accepted.manifest)
@@ -230,7 +244,7 @@
     case 'valid': {
       const inForce = { generation: accepted.generation, manifest: checked.manifest }
       const next = { ...state, accepted: inForce, rejected: undefined, highestAdvertised, pulledAtMs: undefined }
-      const offers: readonly ConfigurationEffect[] = from === 'store' ? [{ kind: 'offer', accepted: inForce }] : []
+      const offers: readonly ConfigurationEffect[] = from === 'store' && state.accepted !== undefined ? [{ kind: 'offer', accepted: inForce }] : []
       return { state: enableVoting(next), effects: [{ kind: 'apply', accepted: inForce }, ...offers] }
     }
     case 'invalid': {
--- a/src/daemon/configuration-task.ts
+++ b/src/daemon/configuration-task.ts
@@ -3,9 +3,9 @@
 // accepts manifests that peers push. Decisions are made in src/config; this module
 // makes the calls.
 
-import { confirmedGeneration, configurationStep, generationInForce, initialConfiguration, canServeAuthenticated, storeConfirmedAgoMs, type ConfigurationEffect, type ConfigurationEvent, type ConfigurationState } from '../config/index.js'
+import { configurationDueAtMs, confirmedGeneration, configurationStep, generationInForce, initialConfiguration, canServeAuthenticated, storeConfirmedAgoMs, type ConfigurationEffect, type ConfigurationEvent, type ConfigurationState } from '../config/index.js'
 import type { AcceptedManifest, Generation, HostName, MemberState } from '../model/index.js'
-import { SnapshotPublisher, sleep, startTask, tickPort, type Port, type Snapshot } from '../pipe/index.js'
+import { SnapshotPublisher, sleep, startTask, type Port, type Snapshot } from '../pipe/index.js'
 import { StoreError, type ManifestSource, type ObjectStore } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import type { PeerLinks } from './peers.js'
@@ -45,7 +45,12 @@
 }
 
 const mailboxCapacity = 4096
-const tickMs = 100
+/** Fraction of its validity after which a host that is no watcher renews a confirmation itself. */
+const dueFraction = 0.7
+/** Period in which such a host checks the age of its confirmation. */
+const confirmationCheckMs = 400
+/** Shortest time between two ticks while something is overdue, such as an answer of the store. */
+const minTickMs = 100
 
 /**
  * Starts the configuration task.
@@ -68,6 +73,7 @@
     initial,
     capacity: mailboxCapacity,
     onError: context.onTaskError('configuration'),
+    schedule: { timers, dueAtMs: state => Math.max(configurationDueAtMs(state), timers.nowMs() + minTickMs), tick: nowMs => ({ kind: 'tick', nowMs }) },
     step: (state, event) => {
       const transition = configurationStep(state, event)
       published.publish(transition.state)
@@ -76,7 +82,6 @@
     perform: (effect, port) => { perform(spec, effect, port) }
   })
   const stopping = { now: false }
-  timers.every(tickMs, tickPort<ConfigurationEvent>(task.port, nowMs => ({ kind: 'tick', nowMs })))
   return {
     begin () {
       void watchStore(spec, task.port, stopping)
@@ -114,6 +119,7 @@
 }
 
 function offer (spec: ConfigurationTaskSpec, accepted: AcceptedManifest): void {
+  if (!spec.isWatcher()) return
   const { settings } = spec.context
   for (const host of spec.peers()) {
     if (host === settings.host.name) continue
@@ -200,23 +206,19 @@
 async function relistLoop (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, state: Snapshot<ConfigurationState>, stopping: { readonly now: boolean }): Promise<void> {
   const { timers, settings, random } = spec.context
   while (!stopping.now) {
-    if (shouldReadStore(spec, state.get())) await readStore(spec, port)
-    await sleep(timers, relistMs(settings) * (0.5 + random()))
+    const isWatcher = spec.isWatcher()
+    if (isWatcher || isConfirmationDue(spec, state.get())) await readStore(spec, port)
+    await sleep(timers, isWatcher ? relistMs(settings) * (0.5 + random()) : confirmationCheckMs)
   }
 }
 
-// Heartbeats carry the age of the sender's last confirmation by the store, so a
-// host that is no watcher reads the store only where no recent confirmation has
-// reached it through its peers.
-function shouldReadStore (spec: ConfigurationTaskSpec, state: ConfigurationState): boolean {
-  if (spec.isWatcher()) return true
-  return isConfirmationDue(spec, state)
-}
-
+// Heartbeats and the answers of watchers carry the age of the sender's last
+// confirmation by the store, so a host that is no watcher reads the store only where
+// no recent confirmation has reached it.
 function isConfirmationDue (spec: ConfigurationTaskSpec, state: ConfigurationState): boolean {
   const { timers, settings } = spec.context
   const agoMs = storeConfirmedAgoMs(state, timers.nowMs())
-  return agoMs === undefined || agoMs > settings.control.confirmWithinMs / 2
+  return agoMs === undefined || agoMs > settings.control.confirmWithinMs * dueFraction
 }
 
 // At most a third of a confirmation's validity, so that reads of the store renew it
--- a/src/daemon/discovery-task.ts
+++ b/src/daemon/discovery-task.ts
@@ -3,9 +3,9 @@
 // may become unresponsive. All other hosts, and a watcher without an answer from
 // the store, query a watcher.
 
-import { noServers, serversStep, type ServersEvent, type ServersState } from '../discovery/index.js'
-import type { DiscoveredServer, HostName, ServerList } from '../model/index.js'
-import { SnapshotPublisher, sleep, startTask, tickPort, type Port, type Snapshot } from '../pipe/index.js'
+import { hasSameServers, noServers, serversDueAtMs, serversStep, type ServersEvent, type ServersState } from '../discovery/index.js'
+import type { DiscoveredServer, HostName, MemberState, ServerList } from '../model/index.js'
+import { SnapshotPublisher, sleep, startTask, type Port, type Snapshot } from '../pipe/index.js'
 import { asError, StoreError, type ServerSource } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import { listDigest } from './list-digest.js'
@@ -21,6 +21,8 @@
   /** The other watchers. */
   readonly watchers: () => readonly HostName[]
   readonly onServers: (state: ServersState) => void
+  /** Called with the state that a watcher sent with its list. */
+  readonly onPeerState: (from: MemberState, sentAtMs: number) => void
   readonly onStoreFailure: () => void
   /** Called once with the name of each entry that is no valid server. */
   readonly onInvalidEntry: (name: string) => void
@@ -39,8 +41,9 @@
 }
 
 const mailboxCapacity = 1024
-const tickMs = 500
 const watchMs = 5000
+/** Shortest time between two checks for missing entries whose time is over. */
+const minExpiryCheckMs = 500
 /** Period of listings, which bounds the delay when a watch is unresponsive. */
 const relistMs = 10_000
 const retryMs = 300
@@ -67,15 +70,15 @@
     initial: noServers,
     capacity: mailboxCapacity,
     onError: context.onTaskError('discovery'),
+    schedule: { timers, dueAtMs: state => expiryCheckAtMs(state, timers.nowMs()), tick: nowMs => ({ kind: 'tick', nowMs }) },
     step: (state, event) => {
       const next = serversStep(state, event)
       published.publish(next)
-      return { state: next, effects: hasChanged(state, next) ? [next] : [] }
+      return { state: next, effects: hasSameServers(state, next) ? [] : [next] }
     },
     perform: state => { spec.onServers(state) }
   })
   const stopping = { now: false }
-  timers.every(tickMs, tickPort<ServersEvent>(task.port, nowMs => ({ kind: 'tick', nowMs })))
   return {
     begin: () => { void run(spec, task.port, published, stopping).catch(context.onTaskError('discovery')) },
     state: published,
@@ -93,13 +96,20 @@
   }
 }
 
-function hasChanged (before: ServersState, after: ServersState): boolean {
-  const serialized = (state: ServersState): string => JSON.stringify([...state.servers.values()].map(({ server }) => server))
-  return before.servers !== after.servers && serialized(before) !== serialized(after)
+// An entry whose time is over stays while the store does not respond.
+function expiryCheckAtMs (state: ServersState, nowMs: number): number {
+  return Math.max(serversDueAtMs(state), nowMs + minExpiryCheckMs)
 }
 
-function presentServers (state: ServersState): readonly DiscoveredServer[] {
-  return [...state.servers.values()].filter(each => each.missingSinceMs === undefined).map(each => each.server)
+const presentLists = new WeakMap<ServersState['servers'], readonly DiscoveredServer[]>()
+
+// The list is made once for each state, so that its digest is computed once, too.
+function presentServers ({ servers }: ServersState): readonly DiscoveredServer[] {
+  const known = presentLists.get(servers)
+  if (known !== undefined) return known
+  const list = [...servers.values()].filter(each => each.missingSinceMs === undefined).map(each => each.server)
+  presentLists.set(servers, list)
+  return list
 }
 
 type WatchState = {
@@ -175,7 +185,9 @@
   const watcher = watchers[Math.floor(random() * watchers.length)]
   if (watcher === undefined) return false
   const local = presentServers(state.get())
-  const { list } = await spec.links.call(watcher, 'listServers', { known: listDigest(local) }, queryTimeoutMs).catch(() => ({ list: undefined }))
+  const sentAtMs = timers.nowMs()
+  const { list, from } = await spec.links.call(watcher, 'listServers', { known: listDigest(local) }, queryTimeoutMs).catch(() => ({ list: undefined, from: undefined }))
+  if (from !== undefined) spec.onPeerState(from, sentAtMs)
   if (list === undefined || list.agoMs > maxWatcherListMs) return false
   port.send({ kind: 'listed', servers: list.servers ?? local, nowMs: timers.nowMs() })
   return true
--- a/src/daemon/members-task.ts
+++ b/src/daemon/members-task.ts
@@ -1,9 +1,9 @@
 // Members task: owns the membership view of the fleet. It reads the platform's host
 // list, exchanges heartbeats over the peer links and publishes the live members.
 
-import { initialMembership, membershipStep, quorumHosts, gossipEntries, unresponsiveHosts, type ListedHost, type Member, type MembershipEffect, type MembershipEvent, type MembershipState } from '../members/index.js'
-import type { HostListReply, HostList, HostName, MemberState } from '../model/index.js'
-import { ask, SnapshotPublisher, startTask, tickPort, type Port, type Reply, type Snapshot } from '../pipe/index.js'
+import { initialMembership, membershipDueAtMs, membershipStep, quorumHosts, gossipEntries, unresponsiveHosts, type ListedHost, type Member, type MembershipEffect, type MembershipEvent, type MembershipState } from '../members/index.js'
+import type { HostListReply, HostList, HostName, MemberState, PeerResult } from '../model/index.js'
+import { ask, SnapshotPublisher, startTask, type Port, type Reply, type Snapshot } from '../pipe/index.js'
 import type { DaemonContext } from './context.js'
 import { listDigest } from './list-digest.js'
 import type { PeerLinks } from './peers.js'
@@ -43,7 +43,8 @@
   readonly onMembersChanged: (view: MembersView) => void
   /** Called with each fresh host list, changed or not. */
   readonly onFreshHosts: (hosts: readonly ListedHost[]) => void
-  readonly onHeartbeatAnswered: (state: MemberState, sentAtMs: number) => void
+  /** Called with the state that another member sent in an answer. */
+  readonly onPeerState: (state: MemberState, sentAtMs: number) => void
 }
 
 type Message =
@@ -55,7 +56,6 @@
   | { readonly kind: 'answer', readonly reply: Reply<MemberState>, readonly rumours: MemberState['rumours'] }
 
 const mailboxCapacity = 4096
-const tickMs = 100
 /** Period in which the host list is read. */
 const listMs = 1000
 const listTimeoutMs = 500
@@ -70,7 +70,7 @@
 export function startMembers (spec: MembersSpec): MembersTask {
   const { context, links } = spec
   const { timers, settings } = context
-  const self: Member = { host: settings.host.name, failureDomain: settings.host.failureDomain, ip: settings.host.ip, port: settings.host.peerPort }
+  const self: Member = { host: settings.host.name, failureDomain: settings.host.failureDomain, ip: settings.host.ip, port: settings.host.peerPort, capacityCores: settings.host.capacityCores }
   const initial = initialMembership(self, { ...membershipSettings(context) }, timers.nowMs())
   const published = new SnapshotPublisher<MembersView>(viewOf(initial))
   const task = startTask<MembershipState, Message, Effect>({
@@ -78,6 +78,7 @@
     initial,
     capacity: mailboxCapacity,
     onError: context.onTaskError('members'),
+    schedule: { timers, dueAtMs: membershipDueAtMs, tick: nowMs => ({ kind: 'event', event: { kind: 'tick', nowMs } }) },
     step: (state, message) => publish(published, membersStep(state, message, timers.nowMs())),
     perform: (effect, port) => { perform(spec, effect, port, published) }
   })
@@ -85,7 +86,11 @@
   let lastList: { readonly hosts: readonly ListedHost[], readonly listedAtMs: number } | undefined
   const listHosts = async (): Promise<void> => {
     const sentAtMs = timers.nowMs()
-    const found = await findHosts(spec, published.get(), lastList?.hosts ?? [])
+    const onAnswer = (state: MemberState): void => {
+      spec.onPeerState(state, sentAtMs)
+      send({ kind: 'heartbeatAnswered', state, nowMs: timers.nowMs() })
+    }
+    const found = await findHosts(spec, published.get(), lastList?.hosts ?? [], onAnswer)
     if (found === undefined) return
     lastList = { hosts: found.hosts, listedAtMs: sentAtMs - found.agoMs }
     links.updateHosts(found.hosts)
@@ -95,7 +100,6 @@
   const listNow = (): void => { void listHosts().catch(context.onTaskError('members')) }
   return {
     begin () {
-      timers.every(tickMs, tickPort<Message>(task.port, nowMs => ({ kind: 'event', event: { kind: 'tick', nowMs } })))
       timers.every(listMs, { send: () => { listNow(); return 'accepted' } })
       listNow()
     },
@@ -123,15 +127,15 @@
 // watcher, and the platform only where the watcher doesn't answer. So the calls to
 // the store grow with the number of failure domains, not of hosts. A host that
 // starts while the store is unavailable finds the fleet through its seeds.
-async function findHosts (spec: MembersSpec, view: MembersView, localList: readonly ListedHost[]): Promise<HostList | undefined> {
+async function findHosts (spec: MembersSpec, view: MembersView, localList: readonly ListedHost[], onAnswer: (state: MemberState) => void): Promise<HostList | undefined> {
   const { settings, random } = spec.context
   const watchers = view.quorum.filter(host => host !== settings.host.name && !view.unresponsive.has(host))
   const isWatcher = view.quorum.includes(settings.host.name)
   const watcher = watchers[Math.floor(random() * watchers.length)]
   const fromPlatform = async (): Promise<HostList | undefined> => await spec.listHosts().then(hosts => ({ hosts, agoMs: 0 }), () => undefined)
-  const fromWatcher = async (): Promise<HostList | undefined> => watcher === undefined ? undefined : await queryHosts(localList, async known => await spec.links.call(watcher, 'listHosts', { known }, listTimeoutMs))
+  const fromWatcher = async (): Promise<HostList | undefined> => watcher === undefined ? undefined : await queryHosts(localList, onAnswer, async known => await spec.links.call(watcher, 'listHosts', { known }, listTimeoutMs))
   const sources = isWatcher || watcher === undefined ? [fromPlatform] : [fromWatcher, fromPlatform]
-  const seeds = settings.seeds.map(seed => async () => await queryHosts(localList, async known => await spec.links.callAddress(seed, 'listHosts', { known }, listTimeoutMs)))
+  const seeds = settings.seeds.map(seed => async () => await queryHosts(localList, onAnswer, async known => await spec.links.callAddress(seed, 'listHosts', { known }, listTimeoutMs)))
   for (const source of view.listed.length === 0 ? [...sources, ...seeds] : sources) {
     const list = await source()
     if (list !== undefined) return list
@@ -139,8 +143,9 @@
   return undefined
 }
 
-async function queryHosts (localList: readonly ListedHost[], call: (known: string) => Promise<{ readonly list: HostListReply | undefined }>): Promise<HostList | undefined> {
-  const { list } = await call(listDigest(localList)).catch(() => ({ list: undefined }))
+async function queryHosts (localList: readonly ListedHost[], onAnswer: (state: MemberState) => void, call: (known: string) => Promise<PeerResult<'listHosts'>>): Promise<HostList | undefined> {
+  const { list, from } = await call(listDigest(localList)).catch(() => ({ list: undefined, from: undefined }))
+  if (from !== undefined) onAnswer(from)
   return list === undefined ? undefined : { hosts: list.hosts ?? localList, agoMs: list.agoMs }
 }
 
@@ -171,21 +176,16 @@
 }
 
 function hasChanged (before: MembershipState, after: MembershipState): boolean {
-  if (before.listed !== after.listed && JSON.stringify(before.listed) !== JSON.stringify(after.listed)) return true
-  if (before.peers === after.peers) return false
-  return [...unresponsiveHosts(after)].sort().join() !== [...unresponsiveHosts(before)].sort().join()
+  return before.listed !== after.listed || unresponsiveHosts(before) !== unresponsiveHosts(after)
 }
 
 function publish (published: SnapshotPublisher<MembersView>, transition: Next): Next {
-  published.publish(viewOf(transition.state, published.get()))
+  published.publish(viewOf(transition.state))
   return transition
 }
 
-// The quorum is computed by hashing all names, so it is reused while the list is
-// unchanged.
-function viewOf (state: MembershipState, before?: MembersView): MembersView {
-  const quorum = before !== undefined && before.listed === state.listed ? before.quorum : quorumHosts(state)
-  return { live: state.live, listed: state.listed, quorum, unresponsive: unresponsiveHosts(state) }
+function viewOf (state: MembershipState): MembersView {
+  return { live: state.live, listed: state.listed, quorum: quorumHosts(state), unresponsive: unresponsiveHosts(state) }
 }
 
 function perform (spec: MembersSpec, effect: Effect, port: Port<Message>, view: Snapshot<MembersView>): void {
@@ -214,7 +214,7 @@
   const sentAtMs = timers.nowMs()
   try {
     const state = await spec.links.call(host, 'heartbeat', { ...spec.localState(), ...withGossip(rumours) }, settings.control.heartbeatMs)
-    spec.onHeartbeatAnswered(state, sentAtMs)
+    spec.onPeerState(state, sentAtMs)
     port.send({ kind: 'event', event: { kind: 'heartbeatAnswered', state, nowMs: timers.nowMs() } })
   } catch {
     // The link reports its failure to this task through `linkFailed`.
--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -4,6 +4,7 @@
 import { redirectedAddress } from '../config/index.js'
 import type { Address, HostName, PeerMethod, PeerParams, PeerResult } from '../model/index.js'
 import type { ListedHost } from '../members/index.js'
+import { startAlarm, type Alarm } from '../pipe/index.js'
 import { WireError } from '../ports/index.js'
 import { peerClient, type PeerClient, type PeerTls } from '../wire/peer-link.js'
 import type { DaemonContext } from './context.js'
@@ -13,11 +14,20 @@
  * as failed, which starts an exchange of heartbeats.
  */
 const maxUnansweredMs = 400
-const checkPeriodMs = 200
+/** Shortest time between two such reports. */
+const minUnansweredCheckMs = 200
+/**
+ * A link without a call for this time is closed. Longer than the heartbeat period of
+ * a large fleet, so that only links to hosts without a common task are closed.
+ */
+const idleLinkMs = 15_000
+const idleCheckMs = 5000
 
 type Peer = {
   readonly address: string
   readonly client: PeerClient
+  readonly calledAtMs: number
+  readonly callsInProgress: number
 }
 
 /** Links to the other members. */
@@ -25,6 +35,8 @@
   readonly #context: DaemonContext
   readonly #onLinkFailed: (host: HostName) => void
   readonly #peers = new Map<HostName, Peer>()
+  /** Goes off when the oldest call may have been unanswered for too long. */
+  readonly #unanswered: Alarm
   #listed: ReadonlyMap<HostName, ListedHost> = new Map()
 
   /**
@@ -35,7 +47,8 @@
   constructor (context: DaemonContext, onLinkFailed: (host: HostName) => void) {
     this.#context = context
     this.#onLinkFailed = onLinkFailed
-    context.timers.every(checkPeriodMs, { send: () => { this.#checkUnanswered(); return 'accepted' } })
+    this.#unanswered = startAlarm(context.timers, { send: () => { this.#checkUnanswered(); return 'accepted' } })
+    context.timers.every(idleCheckMs, { send: tick => { this.#closeIdle(tick.nowMs); return 'accepted' } })
   }
 
   /**
@@ -60,11 +73,16 @@
   async call<M extends PeerMethod> (host: HostName, method: M, params: PeerParams<M>, timeoutMs: number): Promise<PeerResult<M>> {
     const peer = this.#peerFor(host)
     if (peer === undefined) throw new WireError('refused', `the host ${host} is not listed`)
+    const calledAtMs = this.#context.timers.nowMs()
+    this.#peers.set(host, { ...peer, calledAtMs, callsInProgress: peer.callsInProgress + 1 })
+    this.#unanswered.set(calledAtMs + maxUnansweredMs)
     try {
       return await peer.client.call(method, params, timeoutMs)
     } catch (error) {
       this.#onLinkFailed(host)
       throw error
+    } finally {
+      this.#recordCallEnded(host, peer.client)
     }
   }
 
@@ -98,8 +116,24 @@
 
   /** Reports links on which calls wait and nothing comes in. */
   #checkUnanswered (): void {
+    let longestMs = 0
+    for (const [host, peer] of this.#peers) {
+      const unresponsiveMs = peer.client.unresponsiveMs()
+      if (unresponsiveMs >= maxUnansweredMs) this.#onLinkFailed(host)
+      longestMs = Math.max(longestMs, unresponsiveMs)
+    }
+    if (longestMs === 0) return
+    this.#unanswered.set(this.#context.timers.nowMs() + Math.max(minUnansweredCheckMs, maxUnansweredMs - longestMs))
+  }
+
+  #recordCallEnded (host: HostName, client: PeerClient): void {
+    const peer = this.#peers.get(host)
+    if (peer?.client === client) this.#peers.set(host, { ...peer, callsInProgress: peer.callsInProgress - 1 })
+  }
+
+  #closeIdle (nowMs: number): void {
     for (const [host, peer] of this.#peers) {
-      if (peer.client.unresponsiveMs() >= maxUnansweredMs) this.#onLinkFailed(host)
+      if (peer.callsInProgress === 0 && nowMs - peer.calledAtMs >= idleLinkMs) this.#drop(host, peer)
     }
   }
 
@@ -115,7 +149,7 @@
     if (listed === undefined) return undefined
     const { settings, timers } = this.#context
     const client = peerClient(redirectedAddress(settings.links, listed), timers, tlsOf(settings.peers))
-    const peer = { address: addressOf(listed), client }
+    const peer = { address: addressOf(listed), client, calledAtMs: timers.nowMs(), callsInProgress: 0 }
     this.#peers.set(host, peer)
     return peer
   }
--- a/src/discovery/servers.ts
+++ b/src/discovery/servers.ts
@@ -64,12 +64,49 @@
   const wasUnavailable = state.lastResponseAtMs === undefined || nowMs - state.lastResponseAtMs > maxResponseGapMs
   // After an outage of the store the time without an entry is counted anew.
   const tracked = new Map([...state.servers].map(([name, each]) => [name, wasUnavailable && each.missingSinceMs !== undefined ? { ...each, missingSinceMs: nowMs } : each]))
-  for (const server of servers) tracked.set(server.name, { server, missingSinceMs: undefined })
+  for (const server of servers) tracked.set(server.name, presentServer(server, tracked.get(server.name)))
   for (const name of missing) {
     const each = tracked.get(name)
     if (each !== undefined) tracked.set(name, { ...each, missingSinceMs: each.missingSinceMs ?? nowMs })
   }
-  return removeExpired({ servers: tracked, lastResponseAtMs: nowMs }, nowMs)
+  return removeExpired({ servers: isSameMap(tracked, state.servers) ? state.servers : tracked, lastResponseAtMs: nowMs }, nowMs)
+}
+
+// A server whose entry has not changed keeps its object, so that changes are found
+// by identity.
+function presentServer (server: DiscoveredServer, before: TrackedServer | undefined): TrackedServer {
+  if (before === undefined || !isSameServer(before.server, server)) return { server, missingSinceMs: undefined }
+  return before.missingSinceMs === undefined ? before : { ...before, missingSinceMs: undefined }
+}
+
+function isSameServer (a: DiscoveredServer, b: DiscoveredServer): boolean {
+  return a.name === b.name && a.database === b.database && a.ip === b.ip && a.port === b.port &&
+    a.failureDomain === b.failureDomain && a.slots === b.slots && a.state === b.state
+}
+
+function isSameMap (a: ReadonlyMap<ServerName, TrackedServer>, b: ReadonlyMap<ServerName, TrackedServer>): boolean {
+  return a.size === b.size && [...a].every(([name, each]) => b.get(name) === each)
+}
+
+/**
+ * Checks whether two states hold the same servers, also if some are missing in one
+ * of them.
+ * @param a - the first state
+ * @param b - the second state
+ * @returns false if a server was added, removed or changed
+ */
+export function hasSameServers (a: ServersState, b: ServersState): boolean {
+  if (a.servers === b.servers) return true
+  return a.servers.size === b.servers.size && [...a.servers].every(([name, each]) => b.servers.get(name)?.server === each.server)
+}
+
+/**
+ * Returns the time at which the next tick is due.
+ * @param state - the current state
+ * @returns the time at which the first missing entry expires; Infinity for none
+ */
+export function serversDueAtMs (state: ServersState): number {
+  return Math.min(Infinity, ...[...state.servers.values()].flatMap(({ missingSinceMs }) => missingSinceMs === undefined ? [] : [missingSinceMs + missingRetentionMs]))
 }
 
 function removeExpired (state: ServersState, nowMs: number): ServersState {
--- a/src/members/membership.ts
+++ b/src/members/membership.ts
@@ -8,11 +8,14 @@
 // Up to `fullMeshHosts` members exchange heartbeats with all others; one
 // exchange in a period serves both ends. A larger fleet forms a ring in the
 // order of hashed names, and a member exchanges heartbeats with those 1, 2, 4,
-// 8 ... places away: about 2 log2(n) peers. Observers gossip what they observed
-// of an unresponsive host in their next heartbeats, and at once when it changes,
-// so the observation reaches the whole fleet in log2(n) hops. A member regards a
-// host that it does not observe itself as unresponsive once two observers report
-// it. The failure of a link in use starts an exchange at once.
+// 8 ... places away: about 2 log2(n) peers. The watchers exchange heartbeats with
+// each other, too, as often as the members of a small fleet. Observers gossip what
+// they observed of an unresponsive host in their next heartbeats, and within
+// `gossipSpacingMs` when it changes, so the observation reaches the whole fleet in
+// log2(n) hops, and many changes at once cost no more messages than one. A member
+// regards a
+// host that it does not observe itself as unresponsive once two observers report it.
+// The failure of a link in use starts an exchange at once.
 //
 // The views of members may differ for a while, so two of them may act for the same
 // assignment. The leader lease and quota partitions change by conditional writes
@@ -60,6 +63,15 @@
 const ringPeriodFactor = 4
 /** Fraction of the period after which an unanswered heartbeat is repeated. */
 const repeatFraction = 0.4
+/**
+ * A heartbeat that is due within this fraction of the period is sent with one that
+ * is due now.
+ */
+const earlyFraction = 0.2
+/** Bounds of the time between two ticks; a longer time means that the process was paused. */
+const tickSpacingMs: { readonly min: number, readonly max: number } = { min: 50, max: 500 }
+/** Shortest time between two heartbeats that are sent because of new observations. */
+const gossipSpacingMs = 200
 /** Number of periods for which an observation is gossiped. */
 const gossipPeriods = 5
 /**
@@ -102,6 +114,8 @@
   readonly stopping: boolean
   readonly listed: readonly ListedHost[]
   readonly listedByName: ReadonlyMap<HostName, ListedHost>
+  /** See `quorumHosts`; recomputed with each list. */
+  readonly quorum: readonly HostName[]
   /** Hosts whose heartbeats this member watches itself. */
   readonly observed: ReadonlySet<HostName>
   /** Observed peers, and other hosts with a contact or a failed link. */
@@ -109,7 +123,12 @@
   /** Latest observations of this member and of others, by `host/observer`. */
   readonly observations: ReadonlyMap<string, LivenessObservation>
   readonly live: readonly Member[]
+  /** See `unresponsiveHosts`. */
+  readonly unresponsive: ReadonlySet<HostName>
   readonly lastTickMs: number
+  /** When new observations are sent to the peers; Infinity for none. */
+  readonly gossipAtMs: number
+  readonly lastGossipMs: number
 }
 
 /** Events of membership. Times are monotonic. */
@@ -143,11 +162,15 @@
     stopping: false,
     listed: [],
     listedByName: new Map(),
+    quorum: [],
     observed: new Set(),
     peers: new Map(),
     observations: new Map(),
     live: [self],
-    lastTickMs: nowMs
+    unresponsive: new Set(),
+    lastTickMs: nowMs,
+    gossipAtMs: Infinity,
+    lastGossipMs: -Infinity
   }
 }
 
@@ -177,7 +200,7 @@
  * @returns the hosts
  */
 export function quorumHosts (state: MembershipState): readonly HostName[] {
-  return watchersOf(state.listed, state.settings.watchersPerDomain)
+  return state.quorum
 }
 
 /**
@@ -187,8 +210,18 @@
  * @returns the hosts, without those that are only stopping
  */
 export function unresponsiveHosts (state: MembershipState): ReadonlySet<HostName> {
-  const local = [...state.peers].filter(([, peer]) => peer.unresponsive).map(([host]) => host)
-  return new Set([...local, ...unresponsiveByGossip(state)])
+  return state.unresponsive
+}
+
+/**
+ * Returns the time at which the next tick is due.
+ * @param state - the current state
+ * @returns monotonic time
+ */
+export function membershipDueAtMs (state: MembershipState): number {
+  let dueAtMs = state.gossipAtMs
+  for (const [host, peer] of state.peers) dueAtMs = Math.min(dueAtMs, heartbeatDueAtMs(state, host, peer), peer.unresponsive ? Infinity : suspectAtMs(state, host, peer))
+  return Math.min(Math.max(dueAtMs, state.lastTickMs + tickSpacingMs.min), state.lastTickMs + tickSpacingMs.max)
 }
 
 /**
@@ -227,8 +260,10 @@
   return state.settings.periodMs * (isFullMesh(state) ? 1 : ringPeriodFactor)
 }
 
-function suspectAfter (state: MembershipState): number {
-  return state.settings.suspectAfterMs * (isFullMesh(state) ? 1 : ringPeriodFactor)
+// Factor of the heartbeat period and of the time to suspicion between this member
+// and a peer.
+function peerPeriodFactor (state: MembershipState, host: HostName): number {
+  return isFullMesh(state) || (state.quorum.includes(host) && state.quorum.includes(state.self.host)) ? 1 : ringPeriodFactor
 }
 
 function withPeer (state: MembershipState, host: HostName, peer: PeerView): MembershipState {
@@ -239,7 +274,8 @@
   const listedByName = new Map(hosts.map(host => [host.host, host]))
   const names = hosts.map(({ host }) => host).filter(host => host !== state.self.host)
   const fullMesh = hosts.length <= state.settings.fullMeshHosts
-  const observed = new Set(fullMesh ? names : ringNeighbours(state.self.host, names))
+  const quorum = watchersOf(hosts, state.settings.watchersPerDomain)
+  const observed = new Set(fullMesh ? names : [...ringNeighbours(state.self.host, names), ...otherWatchers(state.self.host, quorum)])
   const observations = new Map([...state.observations].filter(([, { host }]) => listedByName.has(host)))
   const peers = new Map([...state.peers].filter(([host]) => listedByName.has(host)))
   for (const host of observed) {
@@ -249,7 +285,11 @@
     const isNew = !state.observed.has(host) && !peer.unresponsive
     peers.set(host, isNew ? { ...peer, lastContactMs: nowMs } : peer)
   }
-  return { ...state, listed: hosts, listedByName, observed, peers, observations }
+  return { ...state, listed: hosts, listedByName, quorum, observed, peers, observations }
+}
+
+function otherWatchers (self: HostName, quorum: readonly HostName[]): readonly HostName[] {
+  return quorum.includes(self) ? quorum.filter(host => host !== self) : []
 }
 
 function isSameList (a: readonly ListedHost[], b: readonly ListedHost[]): boolean {
@@ -257,7 +297,7 @@
 }
 
 function isSameHost (a: ListedHost, b: ListedHost | undefined): boolean {
-  return a.host === b?.host && a.state === b.state && a.ip === b.ip && a.port === b.port && a.failureDomain === b.failureDomain
+  return a.host === b?.host && a.state === b.state && a.ip === b.ip && a.port === b.port && a.failureDomain === b.failureDomain && a.capacityCores === b.capacityCores
 }
 
 function recordContact (state: MembershipState, from: MemberState, answered: boolean, nowMs: number): Next {
@@ -273,17 +313,26 @@
 }
 
 function mergeGossip (state: MembershipState, entries: readonly GossipEntry[], nowMs: number): MembershipState {
-  if (entries.length === 0) return state
+  const news = entries.map(entry => observationFrom(entry, nowMs)).filter(observation => isNewObservation(state, observation))
+  if (news.length === 0) return state
   const observations = new Map(state.observations)
-  for (const { host, observer, silent, agoMs } of entries) {
-    const key = `${host}/${observer}`
-    const observedMs = nowMs - agoMs
-    const before = observations.get(key)
-    const isNews = before === undefined || (before.unresponsive !== silent && before.observedMs < observedMs)
-    if (isNews && observer !== state.self.host && host !== state.self.host && state.listedByName.has(host)) observations.set(key, { host, observer, unresponsive: silent, observedMs })
-  }
-  const hasNews = [...observations].some(([key, observation]) => state.observations.get(key) !== observation)
-  return hasNews ? { ...state, observations } : state
+  for (const observation of news) observations.set(observationKey(observation), observation)
+  return { ...state, observations }
+}
+
+function observationFrom ({ host, observer, silent, agoMs }: GossipEntry, nowMs: number): LivenessObservation {
+  return { host, observer, unresponsive: silent, observedMs: nowMs - agoMs }
+}
+
+function observationKey ({ host, observer }: LivenessObservation): string {
+  return `${host}/${observer}`
+}
+
+function isNewObservation (state: MembershipState, observation: LivenessObservation): boolean {
+  const { host, observer, unresponsive, observedMs } = observation
+  if (observer === state.self.host || host === state.self.host || !state.listedByName.has(host)) return false
+  const before = state.observations.get(observationKey(observation))
+  return before === undefined || (before.unresponsive !== unresponsive && before.observedMs < observedMs)
 }
 
 function linkFailed (state: MembershipState, host: HostName, nowMs: number): Next {
@@ -298,13 +347,15 @@
   const current = { ...expireObservations(resetAfterPause(state, nowMs), nowMs), lastTickMs: nowMs }
   const isNews = current.observations !== state.observations || assessPeers(current, nowMs) !== current
   const assessed = isNews ? updateLiveMembers(current, nowMs) : { state: current, effects: [] }
-  const due = [...assessed.state.peers].filter(([host, peer]) => isDue(assessed.state, host, peer, nowMs))
-  if (due.length === 0) return assessed
+  const isGossipDue = assessed.state.gossipAtMs <= nowMs
+  const recipients = [...assessed.state.peers].filter(([host, peer]) => isDue(assessed.state, host, peer, nowMs) || (isGossipDue && assessed.state.observed.has(host) && !peer.unresponsive))
+  if (recipients.length === 0 && !isGossipDue) return assessed
   const peers = new Map(assessed.state.peers)
-  for (const [host, peer] of due) peers.set(host, { ...peer, lastSentMs: nowMs })
-  const to = due.flatMap(([host]) => state.listedByName.get(host) ?? [])
+  for (const [host, peer] of recipients) peers.set(host, { ...peer, lastSentMs: nowMs })
+  const to = recipients.flatMap(([host]) => state.listedByName.get(host) ?? [])
+  const gossiped = isGossipDue ? { gossipAtMs: Infinity, lastGossipMs: nowMs } : {}
   const heartbeat: MembershipEffect = { kind: 'heartbeat', to, rumours: gossipEntries(assessed.state, nowMs) }
-  return { state: { ...assessed.state, peers }, effects: [...assessed.effects, heartbeat] }
+  return { state: { ...assessed.state, peers, ...gossiped }, effects: [...assessed.effects, heartbeat] }
 }
 
 // After a pause of its own process a member has received no heartbeats, which
@@ -326,20 +377,31 @@
 }
 
 function isDue (state: MembershipState, host: HostName, peer: PeerView, nowMs: number): boolean {
-  const periodMs = periodOf(state)
-  if (nowMs - peer.lastSentMs < periodMs * repeatFraction) return false
-  if (peer.linkFailedMs !== undefined) return true
-  if (!state.observed.has(host)) return false
+  const earlyMs = peer.linkFailedMs === undefined ? state.settings.periodMs * earlyFraction : 0
+  return heartbeatDueAtMs(state, host, peer) <= nowMs + earlyMs
+}
+
+function heartbeatDueAtMs (state: MembershipState, host: HostName, peer: PeerView): number {
+  const periodMs = state.settings.periodMs * peerPeriodFactor(state, host)
+  const repeatAtMs = peer.lastSentMs + periodMs * repeatFraction
+  if (peer.linkFailedMs !== undefined) return repeatAtMs
+  if (!state.observed.has(host)) return Infinity
+  if (peer.lastSentMs === -Infinity) return -Infinity
   // The end with the lower name sends the heartbeat; the other end sends one only
   // if none arrived.
   const periodFactor = state.self.host < host ? 1 : 1 + repeatFraction
-  return nowMs - peer.lastContactMs >= periodMs * periodFactor || peer.lastSentMs === -Infinity
+  return Math.max(repeatAtMs, peer.lastContactMs + periodMs * periodFactor)
 }
 
 function isUnresponsive (state: MembershipState, host: HostName, peer: PeerView, nowMs: number): boolean {
-  if (peer.linkFailedMs !== undefined && nowMs - peer.linkFailedMs >= state.settings.linkGraceMs) return true
-  if (state.observed.has(host)) return nowMs - peer.lastContactMs >= suspectAfter(state)
-  return false
+  return nowMs >= suspectAtMs(state, host, peer)
+}
+
+// Time from which a peer counts as unresponsive unless it answers.
+function suspectAtMs (state: MembershipState, host: HostName, peer: PeerView): number {
+  const byLinkMs = peer.linkFailedMs === undefined ? Infinity : peer.linkFailedMs + state.settings.linkGraceMs
+  const byContactMs = state.observed.has(host) ? peer.lastContactMs + state.settings.suspectAfterMs * peerPeriodFactor(state, host) : Infinity
+  return Math.min(byLinkMs, byContactMs)
 }
 
 function unresponsiveByGossip (state: MembershipState): ReadonlySet<HostName> {
@@ -354,12 +416,14 @@
 // the set of live members if it changed.
 function updateLiveMembers (state: MembershipState, nowMs: number, before = state): Next {
   const assessed = assessPeers(state, nowMs)
-  const unresponsive = unresponsiveByGossip(assessed)
-  const live = assessed.listed.filter(listed => isLive(assessed, listed, unresponsive))
+  const byGossip = unresponsiveByGossip(assessed)
+  const live = assessed.listed.filter(listed => isLive(assessed, listed, byGossip))
   const members = isSelfAbsent(assessed) ? [assessed.self, ...live] : live
-  const gossip = gossipChanges(assessed, before, nowMs)
-  if (sameHosts(members, assessed.live)) return { state: assessed, effects: gossip }
-  return { state: { ...assessed, live: members }, effects: [{ kind: 'membersChanged', live: members }, ...gossip] }
+  const local = [...assessed.peers].filter(([, peer]) => peer.unresponsive).map(([host]) => host)
+  const unresponsive = new Set([...local, ...byGossip])
+  const next = { ...assessed, unresponsive: isSameSet(unresponsive, state.unresponsive) ? state.unresponsive : unresponsive, gossipAtMs: nextGossipAtMs(assessed, before, nowMs) }
+  if (sameHosts(members, assessed.live)) return { state: next, effects: [] }
+  return { state: { ...next, live: members }, effects: [{ kind: 'membersChanged', live: members }] }
 }
 
 function assessPeers (state: MembershipState, nowMs: number): MembershipState {
@@ -375,11 +439,9 @@
   return { ...state, peers, observations }
 }
 
-function gossipChanges (state: MembershipState, before: MembershipState, nowMs: number): readonly MembershipEffect[] {
-  if (isFullMesh(state) || state.observations === before.observations) return []
-  const reached = [...state.observed].filter(host => state.peers.get(host)?.unresponsive === false)
-  const to = reached.flatMap(host => state.listedByName.get(host) ?? [])
-  return [{ kind: 'heartbeat', to, rumours: gossipEntries(state, nowMs) }]
+function nextGossipAtMs (state: MembershipState, before: MembershipState, nowMs: number): number {
+  if (isFullMesh(state) || state.observations === before.observations) return state.gossipAtMs
+  return Math.min(state.gossipAtMs, Math.max(nowMs, state.lastGossipMs + gossipSpacingMs))
 }
 
 function isLive (state: MembershipState, listed: ListedHost, unresponsive: ReadonlySet<HostName>): boolean {
@@ -394,6 +456,10 @@
   return !state.stopping && !state.listedByName.has(state.self.host)
 }
 
+function isSameSet (a: ReadonlySet<HostName>, b: ReadonlySet<HostName>): boolean {
+  return a.size === b.size && [...a].every(host => b.has(host))
+}
+
 function sameHosts (a: readonly Member[], b: readonly Member[]): boolean {
   return a.length === b.length && a.every((member, at) => member.host === b[at]?.host && member.ip === b[at]?.ip && member.port === b[at]?.port)
 }
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -153,12 +153,22 @@
   readonly validMs: number
 }
 
+/** What a host that has given up the loans of a restarted lender tells it. */
+export type LoanReset = {
+  /** Time after which nothing that was lent from these loans is in use. */
+  readonly clearInMs: number
+  /** Time for which this host has used no loan of the lender, at least. */
+  readonly unusedMs: number
+}
+
 /** One host of the platform's host list, with its peer address. */
 export type ListedMember = {
   readonly host: HostName
   readonly failureDomain: FailureDomain
   readonly ip: string
   readonly port: number
+  /** See `Member` in src/members; a host of an earlier version does not state it. */
+  readonly capacityCores?: number | undefined
   /** `leaving`: the host is being decommissioned and is no live member, even if it responds. */
   readonly state: 'live' | 'leaving'
 }
@@ -212,11 +222,18 @@
   readonly pullConfiguration: { readonly params: { readonly above: Generation }, readonly result: { readonly accepted: AcceptedManifest | undefined } }
   readonly offerConfiguration: { readonly params: { readonly accepted: AcceptedManifest }, readonly result: { readonly generation: Generation } }
   readonly borrow: { readonly params: { readonly from: HostName, readonly incarnation: string, readonly request: BorrowRequest }, readonly result: { readonly grant: QuotaGrant | undefined } }
+  /**
+   * Sent by a host that has restarted, to each other host: gives up the loans that
+   * the sender's previous process made to the called host. Undefined: they may still
+   * be in use.
+   */
+  readonly resetLoans: { readonly params: { readonly from: HostName }, readonly result: { readonly reset: LoanReset | undefined } }
   /**
    * Returns the host list of the called host; undefined: none yet. `known` is
-   * the digest of the caller's list.
+   * the digest of the caller's list. `from`: state of the called host, as in the
+   * answer to a heartbeat; a proxy of an earlier version does not send it.
    */
-  readonly listHosts: { readonly params: { readonly known: string }, readonly result: { readonly list: HostListReply | undefined } }
+  readonly listHosts: { readonly params: { readonly known: string }, readonly result: { readonly list: HostListReply | undefined, readonly from?: MemberState | undefined } }
   /**
    * Returns the called host's observation of a database's servers; undefined
    * where it does not watch them.
@@ -228,9 +245,10 @@
   readonly primaryChanged: { readonly params: { readonly view: PrimaryView }, readonly result: { readonly accepted: boolean } }
   /**
    * Returns the registered servers that the called host has found; undefined:
-   * none yet. `known` is the digest of the caller's list.
+   * none yet. `known` is the digest of the caller's list, and `from` as in
+   * `listHosts`.
    */
-  readonly listServers: { readonly params: { readonly known: string }, readonly result: { readonly list: ServerList | undefined } }
+  readonly listServers: { readonly params: { readonly known: string }, readonly result: { readonly list: ServerList | undefined, readonly from?: MemberState | undefined } }
   readonly report: { readonly params: { readonly report: HostReport }, readonly result: { readonly accepted: boolean } }
 }
 
--- a/src/wire/peer-schema.ts
+++ b/src/wire/peer-schema.ts
@@ -155,7 +155,7 @@
 
 const grant = quota.extend({ tokens: amount, validMs: amount })
 
-const listedHost = z.object({ host: name, failureDomain: name, ip, port, state: z.enum(['live', 'leaving']) })
+const listedHost = z.object({ host: name, failureDomain: name, ip, port, capacityCores: z.number().positive().optional(), state: z.enum(['live', 'leaving']) })
 
 const discoveredServer = server.extend({ database: name })
 
@@ -204,11 +204,12 @@
   pullConfiguration: { params: z.object({ above: count }), result: z.object({ accepted: accepted.optional() }) },
   offerConfiguration: { params: z.object({ accepted }), result: z.object({ generation: count }) },
   borrow: { params: z.object({ from: name, incarnation: name, request: borrowRequest }), result: z.object({ grant: grant.optional() }) },
-  listHosts: { params: z.object({ known: text }), result: z.object({ list: z.object({ hosts: validEntries(listedHost).optional(), digest: text, agoMs: amount }).optional() }) },
+  resetLoans: { params: z.object({ from: name }), result: z.object({ reset: z.object({ clearInMs: amount, unusedMs: amount }).optional() }) },
+  listHosts: { params: z.object({ known: text }), result: z.object({ list: z.object({ hosts: validEntries(listedHost).optional(), digest: text, agoMs: amount }).optional(), from: memberState.optional() }) },
   observe: { params: z.object({ database: name }), result: z.object({ observation: observation.optional() }) },
   suspect: { params: z.object({ database: name, server: name }), result: acknowledgement },
   primaryChanged: { params: z.object({ view: primaryView }), result: acknowledgement },
-  listServers: { params: z.object({ known: text }), result: z.object({ list: z.object({ servers: validEntries(discoveredServer).optional(), digest: text, agoMs: amount }).optional() }) },
+  listServers: { params: z.object({ known: text }), result: z.object({ list: z.object({ servers: validEntries(discoveredServer).optional(), digest: text, agoMs: amount }).optional(), from: memberState.optional() }) },
   report: { params: z.object({ report: hostReport }), result: acknowledgement }
 }
 
--- a/test/config/configuration.test.ts
+++ b/test/config/configuration.test.ts
@@ -37,6 +37,12 @@
   assert.equal(generationInForce(configurationStep(state, storeAnswered(3, 6)).state), 3)
 })
 
+test('a manifest from the store is pushed to the peers, but not the first one after a start', () => {
+  const effectsOf = (state: ConfigurationState, event: ConfigurationEvent): readonly string[] => configurationStep(state, event).effects.map(({ kind }) => kind)
+  assert.deepEqual(effectsOf(stateOf([]), storeAnswered(1, 0)), ['apply'])
+  assert.deepEqual(effectsOf(stateOf([storeAnswered(1, 0)]), storeAnswered(2, 5)), ['apply', 'offer'])
+})
+
 test('a lower generation is never applied, whether from the store or from a peer', () => {
   const before = stateOf([storeAnswered(2, 0)])
   for (const event of [storeAnswered(1, 900), { kind: 'peerOffered', accepted: acceptedOf(1) } as const]) {
--- a/test/discovery/servers.test.ts
+++ b/test/discovery/servers.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { maxResponseGapMs, missingRetentionMs, noServers, serversStep, withDiscoveredServers, type ServersEvent, type ServersState } from '../../src/discovery/index.js'
+import { hasSameServers, maxResponseGapMs, missingRetentionMs, noServers, serversStep, withDiscoveredServers, type ServersEvent, type ServersState } from '../../src/discovery/index.js'
 import type { DiscoveredServer } from '../../src/model/index.js'
 
 function serverOf (name: string, changes: Partial<DiscoveredServer> = {}): DiscoveredServer {
@@ -17,6 +17,15 @@
 
 const both: ServersEvent = { kind: 'listed', servers: [serverOf('a'), serverOf('b')], nowMs: 0 }
 
+test('a list without changes changes nothing, and a missing entry does not count as a change of the servers', () => {
+  const listed = after(both)
+  const again = serversStep(listed, { kind: 'listed', servers: [serverOf('a'), serverOf('b')], nowMs: 500 })
+  assert.equal(again.servers, listed.servers)
+  const missing = serversStep(listed, { kind: 'listed', servers: [serverOf('a')], nowMs: 500 })
+  assert.equal(hasSameServers(listed, missing), true)
+  assert.equal(hasSameServers(listed, serversStep(listed, { kind: 'listed', servers: [serverOf('a'), serverOf('b', { state: 'leaving' })], nowMs: 500 })), false)
+})
+
 test('a missing entry is kept for the retention time and then dropped', () => {
   const missing = after(both, { kind: 'listed', servers: [serverOf('a')], nowMs: 1000 })
   assert.deepEqual(namesOf(missing), ['a', 'b'])
--- a/test/members/membership.test.ts
+++ b/test/members/membership.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import type { GossipEntry, MemberState } from '../../src/model/index.js'
 import {
-  defaultMembershipSettings, initialMembership, membershipStep, quorumHosts, ringNeighbours, gossipEntries,
+  defaultMembershipSettings, initialMembership, membershipDueAtMs, membershipStep, quorumHosts, ringNeighbours, gossipEntries,
   type ListedHost, type MembershipEvent, type MembershipState
 } from '../../src/members/index.js'
 
@@ -119,6 +119,47 @@
   assert.ok(liveHosts(answered).includes(far))
 })
 
+test('many observations that arrive at once cost one heartbeat to each peer', () => {
+  const list = hosts(100)
+  const state = after(memberOf(list), [{ kind: 'tick', nowMs: 0 }])
+  const far = list.map(({ host }) => host).filter(host => host !== 'h0' && !state.observed.has(host)).slice(0, 16)
+  const news = far.map((host, at): MembershipEvent => ({ kind: 'heartbeatReceived', state: memberState('h1', 'serving', [{ host, observer: 'h1', silent: true, agoMs: 5 }]), nowMs: 10 + at }))
+  const received = news.reduce((done, event) => {
+    const next = membershipStep(done.state, event)
+    return { state: next.state, effects: [...done.effects, ...next.effects] }
+  }, { state, effects: [] as ReadonlyArray<ReturnType<typeof membershipStep>['effects'][number]> })
+  assert.deepEqual(received.effects.filter(effect => effect.kind === 'heartbeat'), [])
+  const nowMs = membershipDueAtMs(received.state)
+  assert.ok(nowMs <= 100, `${nowMs}`)
+  const [sent] = membershipStep(received.state, { kind: 'tick', nowMs }).effects.flatMap(effect => effect.kind === 'heartbeat' ? [effect] : [])
+  assert.equal(sent?.to.length, state.observed.size)
+  assert.equal(sent?.rumours.length, far.length)
+})
+
+test('an idle member of a small fleet is woken a few times in a second', () => {
+  const list = hosts(15)
+  let state = after(memberOf(list), [{ kind: 'tick', nowMs: 0 }, ...answers(list.map(({ host }) => host), 1)])
+  let ticks = 0
+  for (let nowMs = membershipDueAtMs(state); nowMs <= 10_000; nowMs = membershipDueAtMs(state)) {
+    const { state: ticked, effects } = membershipStep(state, { kind: 'tick', nowMs })
+    const asked = effects.flatMap(effect => effect.kind === 'heartbeat' ? effect.to.map(({ host }) => host) : [])
+    state = after(ticked, answers(asked, nowMs + 1))
+    ticks += 1
+  }
+  assert.ok(ticks <= 40, `${ticks} ticks in 10 s`)
+  assert.equal(liveHosts(state).length, 15)
+})
+
+test('the watchers of a large fleet observe each other as closely as a small fleet does', () => {
+  const list = hosts(100)
+  const watchers = quorumHosts(memberOf(list))
+  const at = list.findIndex(({ host }) => host === watchers[0])
+  const state = memberOf(list, at)
+  for (const host of watchers.slice(1)) assert.ok(state.observed.has(host))
+  const silent = after(state, ticksAndAnswers(list.map(({ host }) => host).filter(host => host !== watchers[1]), 0, 3000))
+  assert.equal(liveHosts(silent).includes(watchers[1] as string), false)
+})
+
 test('gossip of an unresponsive host reaches the whole of a large fleet', () => {
   const list = hosts(64)
   const views = new Map(list.map(({ host }, at) => [host, memberOf(list, at)]))
