Limits: partitions stay where they are when hosts join, and serve soon after a restart

Hosts that joined took partitions over from others, which were unused for 2.3 s and more. Change: a restarted host asks each listed host to give up the loans of its previous process (new method resetLoans; an earlier build refuses it, then the delay stays); once all have answered, its partitions serve at once, with the tokens that accrued while nobody used them. A host keeps two partitions above its even count. Only capable hosts own partitions, and the others read the table once a minute. The result of a write is used without another read. A partition that went to another host in between no longer counts as taken over from the previous process (it skipped the delay).

--- a/src/daemon/limits-task.ts
+++ b/src/daemon/limits-task.ts
@@ -3,10 +3,10 @@
 // from and keeps their table in the platform's store. The time of an event is read
 // when the event is handled, because the host may be paused while the event waits.
 
-import { initialLimits, initialPartitions, limitsStep, limitsTickMs, partitionsStep, type LimitsEffect, type LimitsEvent, type LimitsState, type PartitionsEffect, type PartitionsEvent, type PartitionsState, type PartitionTable } from '../limits/index.js'
+import { initialLimits, initialPartitions, limitsDueAtMs, limitsStep, partitionHandoverMs, partitionsDueAtMs, partitionsStep, type LimitsEffect, type LimitsEvent, type LimitsState, type PartitionsEffect, type PartitionsEvent, type PartitionsState, type PartitionTable } from '../limits/index.js'
 import type { ListedHost, Member } from '../members/index.js'
-import { notRun, type AccountName, type Manifest, type Outcome, type PeerParams, type PeerResult } from '../model/index.js'
-import { ask, SnapshotPublisher, pacedTicks, sleep, startTask, tickPort, withoutAnswered, type Port, type Reply } from '../pipe/index.js'
+import { notRun, type AccountName, type HostName, type LoanReset, type Manifest, type Outcome, type PeerParams, type PeerResult } from '../model/index.js'
+import { ask, sleep, startTask, withoutAnswered, type Port, type Reply } from '../pipe/index.js'
 import { StoreError, type ObjectStore } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import type { PeerLinks } from './peers.js'
@@ -32,6 +32,8 @@
    * deadline.
    */
   readonly admit: (account: AccountName, deadlineAtMs: number) => Promise<Outcome | undefined>
+  /** Gives up the loans of a member's previous process. */
+  readonly resetLoans: (lender: HostName) => Promise<PeerResult<'resetLoans'>>
   /** Answers the borrow request of another member. */
   readonly lend: (params: PeerParams<'borrow'>) => Promise<PeerResult<'borrow'>>
   readonly applyManifest: (manifest: Manifest) => void
@@ -53,11 +55,13 @@
 type Message =
   | { readonly kind: 'event', readonly event: Untimed<LimitsEvent> }
   | { readonly kind: 'admitRequest', readonly account: AccountName, readonly deadlineAtMs: number, readonly reply: Reply<Outcome | undefined> }
+  | { readonly kind: 'resetRequest', readonly lender: HostName, readonly reply: Reply<PeerResult<'resetLoans'>> }
   | { readonly kind: 'lendRequest', readonly params: PeerParams<'borrow'>, readonly reply: Reply<PeerResult<'borrow'>> }
 
 type Effect =
   | Extract<LimitsEffect, { readonly kind: 'borrow' }>
   | { readonly kind: 'answerAdmit', readonly reply: Reply<Outcome | undefined>, readonly outcome: Outcome | undefined }
+  | { readonly kind: 'answerReset', readonly reply: Reply<PeerResult<'resetLoans'>>, readonly result: PeerResult<'resetLoans'> }
   | { readonly kind: 'answerLend', readonly reply: Reply<PeerResult<'borrow'>>, readonly result: PeerResult<'borrow'> }
 
 type WaitingAdmission = { readonly account: AccountName, readonly reply: Reply<Outcome | undefined> }
@@ -66,25 +70,25 @@
   readonly limits: LimitsState
   readonly admissions: ReadonlyMap<string, WaitingAdmission>
   readonly loans: ReadonlyMap<string, Reply<PeerResult<'borrow'>>>
+  readonly resets: ReadonlyMap<string, Reply<PeerResult<'resetLoans'>>>
   readonly nextId: number
 }
 
 const mailboxCapacity = 65536
 const partitionsMailboxCapacity = 1024
-const partitionsTickMs = 200
-/** Interval over which the table reads of all hosts are spread. */
-const readSpreadMs = 400
+/** Interval over which the table reads of the hosts that own partitions are spread. */
+const readSpreadMs: { readonly perHost: number, readonly max: number } = { perHost: 10, max: 400 }
 /** Number of times that the expiry is read during the validity of one confirmation. */
 const renewalsPerConfirmation = 4
 const borrowTimeoutMs = 150
+const resetTimeoutMs = 300
+const resetRetryMs = 100
 /**
  * Start of the process: the timer service's clock starts at 0 with the process. The
  * handover delay of partitions reacquired from an earlier incarnation counts from it,
  * unless a confirmation has expired since.
  */
 const processStartMs = 0
-/** Tick period while no request waits for a token. */
-const idleTickMs = 60
 /**
  * Kind of the partition tables in the store. `seats` is the stored and reported name
  * of the quota partitions, also in the manifest and as the task name.
@@ -99,23 +103,25 @@
 export function startLimits (spec: LimitsTaskSpec): LimitsTask {
   const { context } = spec
   const { timers, settings } = context
-  const activity = new SnapshotPublisher<'idle' | 'active' | 'waiting'>('idle')
   const task = startTask<State, Message, Effect>({
     name: 'limits',
-    initial: { limits: initialLimits(settings.host.name, processStartMs), admissions: new Map(), loans: new Map(), nextId: 1 },
+    initial: { limits: initialLimits(settings.host.name, processStartMs), admissions: new Map(), loans: new Map(), resets: new Map(), nextId: 1 },
     capacity: mailboxCapacity,
     onError: context.onTaskError('limits'),
     step: (state, message) => {
-      const transition = step(withConfirmation(state, spec.confirmedUntilMs(), timers.nowMs()), message, timers.nowMs())
-      activity.publish(activityOf(transition.state))
-      return transition
+      return step(withConfirmation(state, spec.confirmedUntilMs(), timers.nowMs()), message, timers.nowMs())
     },
+    schedule: { timers, dueAtMs: state => limitsDueAtMs(state.limits, timers.nowMs()), tick: () => ({ kind: 'event', event: { kind: 'tick' } }) },
     perform: (effect, port) => { perform(spec, effect, port) }
   })
   const send = (event: Untimed<LimitsEvent>): void => { task.port.send({ kind: 'event', event }) }
-  const partitions = startPartitions(spec, send)
-  const cancelTicks = pacedTicks(timers, () => activity.get() === 'waiting' ? limitsTickMs : idleTickMs, {
-    send: () => activity.get() === 'idle' ? 'accepted' : task.port.send({ kind: 'event', event: { kind: 'tick' } })
+  let listed: readonly HostName[] = []
+  let isClearing = false
+  const partitions = startPartitions(spec, event => {
+    send(event)
+    if (isClearing || event.kind !== 'partitionsChanged' || event.reacquired.size === 0) return
+    isClearing = true
+    void clearLoans(spec, listed, send)
   })
   // The expiry is read with each message; without these ticks the confirmation
   // would expire while no request comes.
@@ -124,6 +130,7 @@
   })
   return {
     admit: async (account, deadlineAtMs) => await ask<Message, Outcome | undefined>(task.port, reply => ({ kind: 'admitRequest', account, deadlineAtMs, reply }), notRun('queueFull', 'too many requests wait for a token')),
+    resetLoans: async lender => await ask<Message, PeerResult<'resetLoans'>>(task.port, reply => ({ kind: 'resetRequest', lender, reply }), { reset: undefined }),
     lend: async params => await ask<Message, PeerResult<'borrow'>>(task.port, reply => ({ kind: 'lendRequest', params, reply }), { grant: undefined }),
     applyManifest (manifest) {
       send({ kind: 'manifestApplied', manifest })
@@ -133,13 +140,13 @@
       send({ kind: 'membersChanged', live })
     },
     updateHosts (hosts) {
+      listed = hosts.map(({ host }) => host)
       partitions.port.send({ kind: 'hostsListed', hosts, nowMs: timers.nowMs() })
     },
     releasePartitions () {
       partitions.port.send({ kind: 'stopping', nowMs: timers.nowMs() })
     },
     async stop () {
-      cancelTicks()
       cancelRenewals()
       await Promise.all([partitions.stop(), task.stop()])
     }
@@ -165,6 +172,10 @@
       const admissions = new Map(state.admissions).set(id, { account, reply })
       return decide({ ...advanced, admissions }, { kind: 'admit', account, id, deadlineMs, nowMs })
     }
+    case 'resetRequest': {
+      const resets = new Map(state.resets).set(id, message.reply)
+      return decide({ ...advanced, resets }, { kind: 'resetLoans', callId: id, lender: message.lender, nowMs })
+    }
     case 'lendRequest': {
       const loans = new Map(state.loans).set(id, message.reply)
       return decide({ ...advanced, loans }, { kind: 'borrowRequested', callId: id, ...message.params, nowMs })
@@ -177,7 +188,8 @@
   if (effects.length === 0) return { state: { ...state, limits }, effects: [] }
   const admissions = withoutAnswered(state.admissions, effects.flatMap(effect => effect.kind === 'admitted' || effect.kind === 'refused' ? [effect.id] : []))
   const loans = withoutAnswered(state.loans, effects.flatMap(effect => effect.kind === 'lend' ? [effect.callId] : []))
-  return { state: { ...state, limits, admissions, loans }, effects: effects.flatMap(effect => toEffects(state, effect)) }
+  const resets = withoutAnswered(state.resets, effects.flatMap(effect => effect.kind === 'loansReset' ? [effect.callId] : []))
+  return { state: { ...state, limits, admissions, loans, resets }, effects: effects.flatMap(effect => toEffects(state, effect)) }
 }
 
 function toEffects (state: State, effect: LimitsEffect): readonly Effect[] {
@@ -185,6 +197,10 @@
     case 'borrow': return [effect]
     case 'admitted': return answerAdmit(state, effect.id, () => undefined)
     case 'refused': return answerAdmit(state, effect.id, account => notRun('rateExceeded', `${account} is above its rate; retry after ${Math.ceil(effect.retryAfterMs)} ms`))
+    case 'loansReset': {
+      const reply = state.resets.get(effect.callId)
+      return reply === undefined ? [] : [{ kind: 'answerReset', reply, result: { reset: { clearInMs: effect.clearInMs, unusedMs: effect.unusedMs } } }]
+    }
     case 'lend': {
       const reply = state.loans.get(effect.callId)
       return reply === undefined ? [] : [{ kind: 'answerLend', reply, result: { grant: effect.grant } }]
@@ -201,6 +217,7 @@
   switch (effect.kind) {
     case 'borrow': return void borrow(spec, effect, port)
     case 'answerAdmit': return effect.reply(effect.outcome)
+    case 'answerReset': return effect.reply(effect.result)
     case 'answerLend': return effect.reply(effect.result)
   }
 }
@@ -213,29 +230,49 @@
   port.send({ kind: 'event', event: { kind: 'borrowAnswered', from: to, account: request.account, sequence: request.sequence, grant: response.grant } })
 }
 
-function activityOf (state: State): 'idle' | 'active' | 'waiting' {
-  if (state.admissions.size > 0) return 'waiting'
-  return state.limits.active.size > 0 ? 'active' : 'idle'
+// Asks every listed host to give up the loans of the previous process on this host.
+// Hosts may restart at the same time, so one that does not answer is asked again. A
+// host that never answers leaves the handover delay as it is.
+async function clearLoans (spec: LimitsTaskSpec, hosts: readonly HostName[], send: (event: Untimed<LimitsEvent>) => void): Promise<void> {
+  const { timers, settings } = spec.context
+  let pending = hosts.filter(host => host !== settings.host.name)
+  let clearMs = timers.nowMs()
+  let unusedFromMs = processStartMs
+  while (pending.length > 0 && timers.nowMs() < processStartMs + partitionHandoverMs) {
+    const sentMs = timers.nowMs()
+    const answers = await Promise.all(pending.map(async host => ({ host, result: await resetLoansAt(spec, host) })))
+    for (const { result } of answers) {
+      clearMs = Math.max(clearMs, timers.nowMs() + (result?.clearInMs ?? 0))
+      unusedFromMs = Math.max(unusedFromMs, result === undefined ? sentMs : timers.nowMs() - result.unusedMs)
+    }
+    pending = answers.filter(({ result }) => result === undefined).map(({ host }) => host)
+    if (pending.length > 0) await sleep(timers, resetRetryMs)
+  }
+  if (pending.length === 0) send({ kind: 'loansCleared', clearMs, unusedFromMs })
+}
+
+async function resetLoansAt (spec: LimitsTaskSpec, host: HostName): Promise<LoanReset | undefined> {
+  const { reset } = await spec.links.call(host, 'resetLoans', { from: spec.context.settings.host.name }, resetTimeoutMs).catch(() => ({ reset: undefined }))
+  return reset
 }
 
 function startPartitions (spec: LimitsTaskSpec, send: (event: Untimed<LimitsEvent>) => void): ReturnType<typeof startTask<PartitionsState, PartitionsEvent, PartitionsEffect>> {
   const { context } = spec
-  const task = startTask<PartitionsState, PartitionsEvent, PartitionsEffect>({
+  return startTask<PartitionsState, PartitionsEvent, PartitionsEffect>({
     name: 'seats',
     initial: initialPartitions({ host: context.settings.host.name, incarnation: context.incarnation }),
     capacity: partitionsMailboxCapacity,
     onError: context.onTaskError('seats'),
     step: partitionsStep,
+    schedule: { timers: context.timers, dueAtMs: partitionsDueAtMs, tick: nowMs => ({ kind: 'tick', nowMs }) },
     perform: (effect, port) => { performPartitions(spec, send, effect, port) }
   })
-  context.timers.every(partitionsTickMs, tickPort<PartitionsEvent>(task.port, nowMs => ({ kind: 'tick', nowMs })))
-  return task
 }
 
 function performPartitions (spec: LimitsTaskSpec, send: (event: Untimed<LimitsEvent>) => void, effect: PartitionsEffect, port: Port<PartitionsEvent>): void {
   switch (effect.kind) {
     case 'partitionsChanged': return send(effect)
-    case 'readTable': return void readTable(spec, effect.table, port)
+    case 'readTable': return void readTable(spec, effect, port)
     case 'writeTable': return void writeTable(spec, effect, port)
   }
 }
@@ -243,9 +280,9 @@
 // Events that make hosts change the table reach all hosts at about the same time,
 // so each host reads the table after a random delay and writes right after the
 // read. This avoids conflicts.
-async function readTable (spec: LimitsTaskSpec, table: string, port: Port<PartitionsEvent>): Promise<void> {
+async function readTable (spec: LimitsTaskSpec, { table, hosts }: Extract<PartitionsEffect, { readonly kind: 'readTable' }>, port: Port<PartitionsEvent>): Promise<void> {
   const { timers, random } = spec.context
-  await sleep(timers, random() * readSpreadMs)
+  await sleep(timers, random() * Math.min(readSpreadMs.max, hosts * readSpreadMs.perHost))
   try {
     const object = await spec.store.getObject(partitionsKind, table)
     port.send({ kind: 'tableRead', table: object === undefined ? undefined : spec.decodeTable(object.value), version: object?.version ?? 0, nowMs: timers.nowMs() })
@@ -254,13 +291,14 @@
   }
 }
 
-// The table is read again whatever the result of the write.
 async function writeTable (spec: LimitsTaskSpec, effect: Extract<PartitionsEffect, { readonly kind: 'writeTable' }>, port: Port<PartitionsEvent>): Promise<void> {
   const { timers, onTaskError } = spec.context
+  const sentMs = timers.nowMs()
   try {
-    await spec.store.putObject(partitionsKind, effect.table, effect.version, effect.value)
+    const { version } = await spec.store.putObject(partitionsKind, effect.table, effect.version, effect.value)
+    port.send({ kind: 'written', table: effect.value, version, sentMs })
   } catch (error) {
     if (!(error instanceof StoreError)) onTaskError('seats')(error as Error)
+    port.send({ kind: 'writeEnded', nowMs: timers.nowMs() })
   }
-  port.send({ kind: 'writeEnded', nowMs: timers.nowMs() })
 }
--- a/src/limits/account.ts
+++ b/src/limits/account.ts
@@ -208,6 +208,26 @@
   return accrued(current, nowMs)
 }
 
+/**
+ * Gives up all loans of a lender, and the answer to a request that is on its way.
+ * @param state - the account, advanced to now
+ * @param host - the lender
+ * @returns the account without the lender
+ */
+export function withoutLender (state: AccountLimit, host: HostName): AccountLimit {
+  return refreshed({ ...state, lenders: new Map([...state.lenders].filter(([other]) => other !== host)) })
+}
+
+/**
+ * Finds the time at which the last loan that this host has made expires.
+ * @param state - the account
+ * @param nowMs - the time
+ * @returns the time; `nowMs` where nothing is lent
+ */
+export function lentExpiryMs (state: AccountLimit, nowMs: number): number {
+  return Math.max(nowMs, ...[...state.borrowers.values()].flatMap(({ loans }) => loans.map(loan => loan.expiresMs)))
+}
+
 /**
  * Checks whether the bucket holds a token.
  * @param state - the account, advanced to now
--- a/src/limits/index.ts
+++ b/src/limits/index.ts
@@ -1,5 +1,6 @@
 // Rate limits: across all hosts, no account exceeds its rate and burst.
 
 export * from './limits.js'
+export { partitionHandoverMs } from './settings.js'
 export * from './partitions.js'
 export { limitsTickMs } from './settings.js'
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -19,15 +19,15 @@
 
 import { anonymousAccount, type AccountName, type BorrowRequest, type HostName, type Manifest, type Quota, type QuotaGrant } from '../model/index.js'
 import type { Transition } from '../pipe/index.js'
-import { quotaCoordinator, type Member } from '../members/index.js'
-import { advanced, hasToken, newAccount, ownFraction, refreshed, withoutToken, type AccountLimit, type QuotaOwner, type OwnedFraction, type QuotaSources, type WaitingRequest } from './account.js'
+import { capableMembers, quotaCoordinator, type Member } from '../members/index.js'
+import { advanced, hasToken, lentExpiryMs, newAccount, ownFraction, refreshed, withoutLender, withoutToken, type AccountLimit, type QuotaOwner, type OwnedFraction, type QuotaSources, type WaitingRequest } from './account.js'
 import { accountOf, allAccounts, noAccounts, withAccount, type Accounts } from './accounts.js'
 import { requestFromCoordinator, borrowFromOwner, canReceiveTokens, missingTokens, applyAnswer, type BorrowResult } from './borrowing.js'
 import { demandRate, withRequests } from './demand.js'
 import { lend } from './lending.js'
 import { isShort, neededFraction } from './quota-target.js'
 import { firstOwner, isSameDivision, partitionFraction } from './partitions.js'
-import { aggregationIdleMs, divisionChangeDelayMs, minWaitMs, maxWaitingRequests, maxWaitMs, partitionHandoverMs } from './settings.js'
+import { aggregationIdleMs, divisionChangeDelayMs, idleTickMs, limitsTickMs, minWaitMs, maxWaitingRequests, maxWaitMs, partitionHandoverMs } from './settings.js'
 
 /**
  * Below this number of other hosts, a coordinator borrows from all of them
@@ -67,6 +67,17 @@
    * now.
    */
   readonly expiredMs: number
+  /**
+   * Time from which no host uses a loan of the previous process on this host;
+   * Infinity while that is not known.
+   */
+  readonly loansClearMs: number
+  /** Time from which no host has used the own partitions of the previous process; Infinity while not known. */
+  readonly unusedFromMs: number
+  /** When this host last gave up loans of a lender, by lender. */
+  readonly resetMs: ReadonlyMap<HostName, number>
+  /** Own partitions that the previous process on this host owned. */
+  readonly reacquired: ReadonlySet<number>
   readonly sequence: number
 }
 
@@ -80,6 +91,10 @@
   | { readonly kind: 'borrowRequested', readonly callId: string, readonly from: HostName, readonly incarnation: string, readonly request: BorrowRequest, readonly nowMs: number }
   /** Answer of a lender; without a grant also if the call failed. */
   | { readonly kind: 'borrowAnswered', readonly from: HostName, readonly account: AccountName, readonly sequence: number, readonly grant: QuotaGrant | undefined, readonly nowMs: number }
+  /** Every listed host has given up the loans of the previous process on this host. */
+  | { readonly kind: 'loansCleared', readonly clearMs: number, readonly unusedFromMs: number, readonly nowMs: number }
+  /** A host has restarted and asks this one to give up the loans of its previous process. */
+  | { readonly kind: 'resetLoans', readonly callId: string, readonly lender: HostName, readonly nowMs: number }
   | { readonly kind: 'tick', readonly nowMs: number }
 
 /** Effects of the limits. */
@@ -89,6 +104,8 @@
   | { readonly kind: 'borrow', readonly to: HostName, readonly request: BorrowRequest }
   /** Answer to `borrowRequested`. */
   | { readonly kind: 'lend', readonly callId: string, readonly grant: QuotaGrant | undefined }
+  /** Answer to `resetLoans`; see `LoanReset`. */
+  | { readonly kind: 'loansReset', readonly callId: string, readonly clearInMs: number, readonly unusedMs: number }
 
 type Next = Transition<LimitsState, LimitsEffect>
 
@@ -111,6 +128,10 @@
     confirmedUntilMs: -Infinity,
     wasConfirmed: false,
     expiredMs: -Infinity,
+    loansClearMs: Infinity,
+    unusedFromMs: Infinity,
+    resetMs: new Map(),
+    reacquired: new Set(),
     sequence: 0
   }
 }
@@ -133,6 +154,8 @@
     case 'admit': return admit(state, event.account, waitingRequest(event.id, event.deadlineMs, event.nowMs), event.nowMs)
     case 'borrowRequested': return borrowRequested(state, event)
     case 'borrowAnswered': return borrowAnswered(state, event)
+    case 'loansCleared': return { state: loansCleared(state, event), effects: [] }
+    case 'resetLoans': return resetLoans(state, event.callId, event.lender, event.nowMs)
     case 'tick': return tick(state, event.nowMs)
   }
 }
@@ -178,15 +201,54 @@
 
 function partitionsChanged (state: LimitsState, { owned, reacquired }: PartitionChange, partitionOwners: ReadonlyMap<number, HostName>, nowMs: number): LimitsState {
   const isSame = owned.length === state.usableFromMs.size && owned.every(partition => state.usableFromMs.has(partition))
-  if (isSame) return { ...state, partitionOwners }
-  const handoverStartMs = (partition: number): number => reacquired.has(partition) && state.expiredMs === -Infinity ? state.startedAtMs : nowMs
-  const usableFromMs = new Map(owned.map(partition => [partition, state.usableFromMs.get(partition) ?? Math.max(nowMs, handoverStartMs(partition) + partitionHandoverMs)]))
-  let accounts = state.accounts
+  if (isSame) return { ...state, reacquired, partitionOwners }
+  const handoverEndMs = (partition: number): number => reacquired.has(partition) && state.expiredMs === -Infinity
+    ? Math.min(state.startedAtMs + partitionHandoverMs, state.loansClearMs)
+    : nowMs + partitionHandoverMs
+  const usableFromMs = new Map(owned.map(partition => [partition, state.usableFromMs.get(partition) ?? Math.max(nowMs, handoverEndMs(partition))]))
+  return withUsablePartitions({ ...state, reacquired, partitionOwners }, usableFromMs, nowMs)
+}
+
+function withUsablePartitions (state: LimitsState, usableFromMs: ReadonlyMap<number, number>, nowMs: number): LimitsState {
+  let { accounts } = state
   for (const account of allAccounts(state.accounts)) {
     const fractions = ownedFractions(usableFromMs, account.account, account.limit.ratePerS, state.partitionCount)
-    accounts = withAccount(accounts, refreshed({ ...advanced(account, nowMs), ownedFractions: fractions }))
+    const current = advanced(account, nowMs)
+    const changed = refreshed({ ...current, ownedFractions: fractions })
+    accounts = withAccount(accounts, withUnusedTokens(state, changed, ownFraction(current, nowMs), nowMs))
   }
-  return { ...state, usableFromMs, partitionOwners, accounts }
+  return { ...state, usableFromMs, accounts }
+}
+
+// The tokens of partitions that become usable at once accrued while nobody used them.
+function withUnusedTokens (state: LimitsState, account: AccountLimit, fractionBefore: number, nowMs: number): AccountLimit {
+  const added = ownFraction(account, nowMs) - fractionBefore
+  if (added <= 0 || state.unusedFromMs >= nowMs) return account
+  const tokens = Math.min(account.limit.capacity, account.limit.ratePerS * (nowMs - state.unusedFromMs) / 1000) * added
+  return { ...account, level: Math.min(account.available.capacity, account.level + tokens) }
+}
+
+function loansCleared (state: LimitsState, { clearMs, unusedFromMs, nowMs }: Extract<LimitsEvent, { readonly kind: 'loansCleared' }>): LimitsState {
+  if (state.expiredMs !== -Infinity) return state
+  const fromMs = Math.max(nowMs, clearMs)
+  const usableFromMs = new Map([...state.usableFromMs].map(([partition, usableMs]) => [partition, state.reacquired.has(partition) ? Math.min(usableMs, fromMs) : usableMs]))
+  return withUsablePartitions({ ...state, loansClearMs: clearMs, unusedFromMs: Math.max(unusedFromMs, clearMs > nowMs ? clearMs : -Infinity) }, usableFromMs, nowMs)
+}
+
+// Loans that this host has made from the loans that it gives up run until they expire.
+function resetLoans (state: LimitsState, callId: string, lender: HostName, nowMs: number): Next {
+  let { accounts } = state
+  let clearMs = nowMs
+  let unusedFromMs = Math.max(state.startedAtMs, state.resetMs.get(lender) ?? -Infinity)
+  for (const account of allAccounts(state.accounts)) {
+    if (!account.lenders.has(lender)) continue
+    const reset = withoutLender(advanced(account, nowMs), lender)
+    clearMs = Math.max(clearMs, lentExpiryMs(reset, nowMs))
+    unusedFromMs = nowMs
+    accounts = withAccount(accounts, reset)
+  }
+  const resetMs = unusedFromMs === nowMs ? new Map(state.resetMs).set(lender, nowMs) : state.resetMs
+  return { state: { ...state, accounts, resetMs }, effects: [{ kind: 'loansReset', callId, clearInMs: Math.ceil(clearMs - nowMs), unusedMs: Math.floor(nowMs - unusedFromMs) }] }
 }
 
 function confirmationChanged (state: LimitsState, confirmedUntilMs: number, nowMs: number): LimitsState {
@@ -298,8 +360,9 @@
   for (const [partition, host] of state.partitionOwners) {
     fractions.set(host, (fractions.get(host) ?? 0) + partitionFraction(account, limit.ratePerS, partition, state.partitionCount))
   }
-  const assumedFraction = fractions.size === 0 ? 1 / state.members.length : 0
-  const owners = state.members.flatMap(({ host }) => host === state.self ? [] : [{ host, fraction: fractions.get(host) ?? assumedFraction }])
+  const candidates = fractions.size === 0 ? capableMembers(state.members) : state.members
+  const assumedFraction = fractions.size === 0 ? 1 / candidates.length : 0
+  const owners = candidates.flatMap(({ host }) => host === state.self ? [] : [{ host, fraction: fractions.get(host) ?? assumedFraction }])
   const first = firstOwner(account, owners.length)
   const inOrder = [...owners.slice(first), ...owners.slice(0, first)]
   return fractions.size === 0 && owners.length < smallFleetSize ? inOrder : inOrder.filter(({ fraction }) => fraction > 0)
@@ -355,6 +418,18 @@
   return { state: { ...current, active: stillActive(current, nowMs) }, effects }
 }
 
+/**
+ * Returns the time at which the next tick is due.
+ * @param state - the state
+ * @param nowMs - the time
+ * @returns monotonic time; Infinity while no account is in use
+ */
+export function limitsDueAtMs (state: LimitsState, nowMs: number): number {
+  const isWaiting = [...state.active].some(name => (accountOf(state.accounts, name)?.waiting.length ?? 0) > 0)
+  if (isWaiting) return nowMs + limitsTickMs
+  return state.active.size > 0 ? nowMs + idleTickMs : Infinity
+}
+
 function stillActive (state: LimitsState, nowMs: number): ReadonlySet<AccountName> {
   const idle = [...state.active].filter(name => {
     const account = accountOf(state.accounts, name)
--- a/src/limits/partitions.ts
+++ b/src/limits/partitions.ts
@@ -1,7 +1,10 @@
 // Quota partitions. Every limit is divided into the same number of partitions. A
 // partition has at most one owner at a time: one host in one incarnation,
 // recorded in a table in the platform's store that changes only by conditional
-// update. Partitions are distributed evenly over the hosts. An owner stops using
+// update. Partitions are distributed about evenly over the hosts; a host keeps some
+// more than its even count, so that a host that joins moves few of them: a partition
+// that moves is unused during the handover delay. Only the capable hosts own
+// partitions (members/rendezvous), so few hosts lend. An owner stops using
 // a partition before it writes the release. The next owner does not use the
 // partition during the handover delay, in which the loans of the previous owner
 // expire. Partitions of a host that is missing from the platform's list are
@@ -10,7 +13,8 @@
 //
 // A process that acquires the partitions of the previous process on its host
 // counts the handover delay from its own start, because the previous process has
-// lent nothing since then.
+// lent nothing since then. The delay ends early once every listed host has given up
+// the loans of the previous process (`resetLoans` in limits.ts).
 //
 // A write whose answer was lost may take effect late. A partition that was to be
 // released is therefore not used again until the table has a newer version.
@@ -24,7 +28,7 @@
 
 import { createHash } from 'node:crypto'
 import type { AccountName, HostName } from '../model/index.js'
-import type { ListedHost } from '../members/index.js'
+import { capableMembers, type ListedHost } from '../members/index.js'
 import type { Transition } from '../pipe/index.js'
 
 /** Owner of a quota partition. */
@@ -59,13 +63,17 @@
 const minPartitionsPerAccount = 8
 /** With several tables, an account uses more partitions if one would exceed this rate. */
 const maxRatePerPartitionPerS = 50
+/** Partitions that a host keeps above its even count. */
+const keptAboveEven = 2
 /** Absence from the platform's list after which a host's partitions are reclaimed. */
 const absenceMarginMs = 15_000
 /** Time between two reads of a table. */
 const readPeriodMs = 5000
+/** The same for a host that owns none, where the table only shows who does. */
+const distantReadPeriodMs = 60_000
 /**
- * Minimum time between two reads, per host of the fleet, so that the rate of
- * reads does not grow with the fleet.
+ * Minimum time between two reads, per host that owns partitions, so that the rate
+ * of reads does not grow with the fleet.
  */
 const readPeriodPerHostMs = 50
 
@@ -145,7 +153,7 @@
 
 /** Changes of a table, by partition index within the table. */
 export type PartitionPlan = {
-  /** Own partitions above the even count. */
+  /** Own partitions above the even count and `keptAboveEven`. */
   readonly release: readonly number[]
   /**
    * Partitions to acquire: unowned ones, those of removed hosts, and those of
@@ -168,12 +176,12 @@
   const owned = all.filter(({ owner }) => owner?.host === self.host)
   const ofRemovedHosts = all.filter(({ owner }) => owner !== null && owner.host !== self.host && view.isRemoved(owner.host))
   const dueCount = evenCount(self.host, view.sharingHosts, table.seats.length)
-  const kept = owned.slice(0, dueCount)
+  const kept = owned.slice(0, view.sharingHosts.includes(self.host) ? dueCount + keptAboveEven : 0)
   const ofEarlierIncarnation = kept.filter(({ owner }) => owner?.incarnation !== self.incarnation)
   const unowned = all.filter(({ owner }) => owner === null).concat(ofRemovedHosts)
-  const acquired = unowned.slice(0, dueCount - kept.length)
+  const acquired = unowned.slice(0, Math.max(0, dueCount - kept.length))
   return {
-    release: owned.slice(dueCount).map(({ partition }) => partition),
+    release: owned.slice(kept.length).map(({ partition }) => partition),
     acquire: [...ofEarlierIncarnation, ...acquired].map(({ partition }) => partition),
     reclaim: ofRemovedHosts.filter(({ partition }) => !acquired.some(other => other.partition === partition)).map(({ partition }) => partition)
   }
@@ -237,7 +245,9 @@
   | { readonly kind: 'hostsListed', readonly hosts: readonly ListedHost[], readonly nowMs: number }
   /** Result of a read; version 0 if the table does not exist yet. */
   | { readonly kind: 'tableRead', readonly table: PartitionTable | undefined, readonly version: number, readonly nowMs: number }
-  /** A write ended with success, rejection or an unknown result; the table is read again. */
+  /** A write took effect; the store has the written table under the version now. */
+  | { readonly kind: 'written', readonly table: PartitionTable, readonly version: number, readonly sentMs: number }
+  /** A write was rejected or has an unknown result; the table is read again. */
   | { readonly kind: 'writeEnded', readonly nowMs: number }
   | { readonly kind: 'readFailed', readonly nowMs: number }
   | { readonly kind: 'stopping', readonly nowMs: number }
@@ -251,7 +261,8 @@
    * read of the table.
    */
   | { readonly kind: 'partitionsChanged', readonly owned: readonly number[], readonly reacquired: ReadonlySet<number>, readonly owners: ReadonlyMap<number, HostName>, readonly tableReadSentMs: number }
-  | { readonly kind: 'readTable', readonly table: string }
+  /** `hosts`: number of hosts that own partitions of the table. */
+  | { readonly kind: 'readTable', readonly table: string, readonly hosts: number }
   | { readonly kind: 'writeTable', readonly table: string, readonly value: PartitionTable, readonly version: number }
 
 /**
@@ -291,6 +302,7 @@
     case 'manifestApplied': return updateTable(withRange({ ...state, partitionCount: event.partitionCount }))
     case 'hostsListed': return updateTable(withHosts(state, event.hosts, event.nowMs))
     case 'tableRead': return tableRead(state, event.table, event.version, event.nowMs)
+    case 'written': return written(state, event.table, event.version, event.sentMs)
     case 'writeEnded': return startRead({ ...state, isWriting: false }, event.nowMs)
     case 'readFailed': return repeatRead({ ...state, readSentMs: undefined }, event.nowMs)
     case 'stopping': return updateTable({ ...state, stopping: true })
@@ -298,11 +310,21 @@
   }
 }
 
+/**
+ * Returns the time at which the next tick is due.
+ * @param state - the state
+ * @returns monotonic time; Infinity while a read or a write is in progress
+ */
+export function partitionsDueAtMs (state: PartitionsState): number {
+  return state.isWriting || state.readSentMs !== undefined || state.partitionCount === 0 ? Infinity : state.nextReadMs
+}
+
 function startRead (state: PartitionsState, nowMs: number): Transition<PartitionsState, PartitionsEffect> {
-  const periodMs = Math.max(readPeriodMs, state.hosts.length * readPeriodPerHostMs)
+  const owns = state.range.hosts.includes(state.self.host)
+  const periodMs = owns ? Math.max(readPeriodMs, state.range.hosts.length * readPeriodPerHostMs) : distantReadPeriodMs
   if (state.partitionCount === 0) return { state, effects: [] }
   if (state.readSentMs !== undefined) return { state: { ...state, mustReadAgain: true }, effects: [] }
-  return { state: { ...state, nextReadMs: nowMs + periodMs, readSentMs: nowMs, mustReadAgain: false }, effects: [{ kind: 'readTable', table: state.range.table }] }
+  return { state: { ...state, nextReadMs: nowMs + periodMs, readSentMs: nowMs, mustReadAgain: false }, effects: [{ kind: 'readTable', table: state.range.table, hosts: state.range.hosts.length }] }
 }
 
 function repeatRead (state: PartitionsState, nowMs: number): Transition<PartitionsState, PartitionsEffect> {
@@ -311,12 +333,16 @@
 
 function withHosts (state: PartitionsState, hosts: readonly ListedHost[], nowMs: number): PartitionsState {
   const listed = { ...state, hosts, hostsListedMs: nowMs, ...absenceTimes(state, hosts, nowMs) }
-  const isSame = hosts.length === state.hosts.length && hosts.every(({ host, state: hostState }, at) => host === state.hosts[at]?.host && hostState === state.hosts[at]?.state)
+  const isSame = hosts.length === state.hosts.length && hosts.every((host, at) => isSameSharer(host, state.hosts[at]))
   return isSame ? listed : withRange(listed)
 }
 
+function isSameSharer (a: ListedHost, b: ListedHost | undefined): boolean {
+  return a.host === b?.host && a.state === b.state && a.capacityCores === b.capacityCores
+}
+
 function withRange (state: PartitionsState): PartitionsState {
-  const live = state.hosts.filter(host => host.state === 'live').map(({ host }) => host)
+  const live = capableMembers(state.hosts.filter(host => host.state === 'live')).map(({ host }) => host)
   return { ...state, range: partitionRange(state.self.host, live, state.partitionCount) }
 }
 
@@ -336,6 +362,13 @@
   return updateTable({ ...known, ...(known.hostsListedMs === undefined ? {} : absenceTimes(known, known.hosts, nowMs)) })
 }
 
+function written (state: PartitionsState, table: PartitionTable, version: number, sentMs: number): Transition<PartitionsState, PartitionsEffect> {
+  // A read that is in progress may have been answered before the write.
+  const ended = { ...state, isWriting: false, mustReadAgain: state.readSentMs !== undefined }
+  if (version <= state.version) return { state: ended, effects: [] }
+  return updateTable({ ...ended, table, version, releasing: { partitions: new Set(), version }, tableReadSentMs: sentMs })
+}
+
 function updateTable (state: PartitionsState): Transition<PartitionsState, PartitionsEffect> {
   if (state.table === undefined || state.partitionCount === 0) return { state, effects: [] }
   if (state.isWriting || state.hostsListedMs === undefined) return { state, effects: [partitionsChanged(state)] }
@@ -354,15 +387,17 @@
   const isEmpty = changes.release.length + changes.acquire.length + changes.reclaim.length === 0 && !isReleasing
   if (isEmpty) return { state, effects: [partitionsChanged(state)] }
   const releasing = { partitions: new Set([...state.releasing.partitions, ...changes.release]), version: state.version }
-  const next = { ...state, releasing, reacquired: reacquiredPartitions(state, table, changes.acquire), isWriting: true }
+  const next = { ...state, releasing, reacquired: reacquiredPartitions(state, table, changes), isWriting: true }
   const value = applyPlan(table, changes, state.self)
   return { state: next, effects: [partitionsChanged(next), { kind: 'writeTable', table: range.table, value, version: state.version }] }
 }
 
 // Converts indexes within the table to partition numbers.
-function reacquiredPartitions (state: PartitionsState, table: PartitionTable, acquired: readonly number[]): ReadonlySet<number> {
-  const reacquired = acquired.filter(partition => table.seats[partition]?.host === state.self.host).map(partition => state.range.firstPartition + partition)
-  return reacquired.length === 0 ? state.reacquired : new Set([...state.reacquired, ...reacquired])
+function reacquiredPartitions (state: PartitionsState, table: PartitionTable, { acquire, release }: PartitionPlan): ReadonlySet<number> {
+  const numberOf = (partition: number): number => state.range.firstPartition + partition
+  const changed = new Set([...acquire, ...release].map(numberOf))
+  const kept = [...state.reacquired].filter(partition => !changed.has(partition))
+  return new Set([...kept, ...acquire.filter(partition => table.seats[partition]?.host === state.self.host).map(numberOf)])
 }
 
 function resized (table: PartitionTable, size: number): PartitionTable {
--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -274,3 +274,32 @@
   })
   assert.deepEqual(seen, [['admitted a'], [], [], ['refused b'], ['refused c']])
 })
+
+/** Hosts that lose power together, and the requests that they get from their restart on. */
+function restartedFleet (restarted: (at: number) => boolean): Fleet {
+  const fleet = limitFleet({ hosts: 15, seed: 5, manifest: accountsManifest(64, [{ name: 'mill', ratePerS: 100, burst: 100 }]) })
+  load(fleet, { account: 'mill', ratePerS: 60, hosts: fleet.names }, 6000, 12_000, 7)
+  fleet.run(12_000)
+  const hosts = fleet.names.filter((_, at) => restarted(at))
+  for (const host of hosts) fleet.kill(host)
+  fleet.run(13_000)
+  for (const host of hosts) fleet.restart(host)
+  load(fleet, { account: 'mill', ratePerS: 60, hosts: fleet.names }, 13_000, 16_000, 8)
+  fleet.run(17_000)
+  return fleet
+}
+
+test('after a loss of all hosts the whole rate is in use again as soon as the hosts have found each other', () => {
+  const fleet = restartedFleet(() => true)
+  const early = fleet.results.filter(({ requestedMs }) => requestedMs >= 13_300 && requestedMs < 14_500)
+  const refused = early.filter(({ isAdmitted }) => !isAdmitted).length
+  assert.ok(refused <= early.length / 20, `${refused} of ${early.length} refused`)
+  assert.ok(capExceeded(fleet.results, 'mill', 100, 100) <= 1e-6)
+})
+
+test('a host that restarts alone uses its partitions only once no other host uses a loan of its previous process', () => {
+  for (const at of [0, 4, 9]) {
+    const fleet = restartedFleet(other => other === at)
+    assert.ok(capExceeded(fleet.results, 'mill', 100, 100) <= 1e-6)
+  }
+})
