Tasks for other hosts go to capable hosts, and only asked servers are watched

Cause: fleets of 96 hosts and more consist of a few large hosts (1.35 cores) and many small ones (0.227). Dispatchers, watchers and coordinators went to any of them, and a small one could not run the statements of a whole server: calls to it timed out, it was found unresponsive, its tasks moved, and the fleet collapsed. At a start each host counted itself dispatcher of all servers while its list was short, and watched them. Change: hosts state their capacity in the registry (settings host.cpu_share and host.cpu_speed); dispatchers, watchers, coordinators and partitions go to hosts with at least half of the largest capacity, once all listed hosts state theirs. Assignments after a join wait 500 ms; unused databases close after 10 s; servers are queried only by the failover leader, the dispatcher of the primary, and where statements arrive.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -7,7 +7,7 @@
 import type { Address, FailureDomain, HostName } from '../model/index.js'
 import { camelFields } from './camel.js'
 import { fieldErrors, type FieldError } from './field-error.js'
-import { addressText, choice, ipText, name, portNumber, text, wholeNumber } from './fields.js'
+import { addressText, choice, ipText, name, portNumber, positiveNumber, text, wholeNumber } from './fields.js'
 
 /** Identity of the host, and the address on which it listens for peers. */
 export type HostSettings = {
@@ -15,6 +15,8 @@
   readonly failureDomain: FailureDomain
   readonly ip: string
   readonly peerPort: number
+  /** Processor capacity in cores, by which tasks for other hosts are assigned. */
+  readonly capacityCores: number
 }
 
 /** Addresses on which the process listens for clients other than its peers. */
@@ -118,6 +120,7 @@
 
 const dayMs = 86_400_000
 const maxStatementBytes = 16_000_000
+const maxCores = 1024
 
 const tlsFields = {
   cert_pem: text('a certificate in PEM').optional(),
@@ -137,7 +140,9 @@
     failure_domain: name(),
     ip: ipText(),
     mysql_port: portNumber().optional(),
-    peer_port: portNumber()
+    peer_port: portNumber(),
+    cpu_share: positiveNumber(maxCores).default(1),
+    cpu_speed: positiveNumber(maxCores).default(1)
   }),
   listen: z.strictObject({
     callers: addressText().optional(),
@@ -245,7 +250,7 @@
 
 function settingsOf (sections: z.infer<typeof settingsSchema>): Settings {
   return {
-    host: { name: sections.host.name, failureDomain: sections.host.failure_domain, ip: sections.host.ip, peerPort: sections.host.peer_port },
+    host: hostOf(sections.host),
     listen: listenOf(sections),
     platform: camelFields(sections.platform),
     databaseLogin: sections.database_login,
@@ -260,6 +265,10 @@
   }
 }
 
+function hostOf (host: z.infer<typeof settingsSections.host>): HostSettings {
+  return { name: host.name, failureDomain: host.failure_domain, ip: host.ip, peerPort: host.peer_port, capacityCores: host.cpu_share * host.cpu_speed }
+}
+
 function listenOf ({ host, listen }: z.infer<typeof settingsSchema>): ListenSettings {
   const address = (text: string | undefined): Address | undefined => text === undefined ? undefined : parseAddress(text)
   return {
--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -3,8 +3,9 @@
 // server.
 
 import type { DispatchReply } from '../dispatch/index.js'
-import { dispatcherRanks, dispatchersOf, rendezvousOrder, type Member } from '../members/index.js'
+import { capableMembers, dispatcherRanks, dispatchersOf, rendezvousOrder, type Member } from '../members/index.js'
 import { notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PrimaryView, type ServerDeclaration, type ServerName } from '../model/index.js'
+import { startAlarm, type Alarm } from '../pipe/index.js'
 import type { PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import { startDatabase, type DatabaseTask } from './database-task.js'
@@ -30,11 +31,20 @@
    * statement here.
    */
   readonly usedAtMs: number
+  /** Time of the last statement for the database that arrived here. */
+  readonly requestedAtMs: number
 }
 
 /** A database that was not assigned and had no statement for this time is closed. */
-const unusedMs = 30_000
+const unusedMs = 10_000
 const sweepMs = 5000
+/** Time after a statement for which the servers of its database are watched. */
+const recentRequestMs = 3000
+/**
+ * Delay of new assignments after a host has joined: more may follow, and each moves
+ * assignments. Statements that arrive before open what they need.
+ */
+const joinDelayMs = 500
 /** Number of hosts, in rendezvous order, that accept statements for one server. */
 const maxCandidates = 2
 
@@ -49,6 +59,8 @@
   #idleTransactionMs: number | undefined
   #lastRequestAtMs = -Infinity
   #listed: readonly Member[] = []
+  /** Goes off once no host has joined for a while. */
+  readonly #joinsSettled: Alarm
 
   /**
    * Starts without databases.
@@ -56,6 +68,7 @@
    */
   constructor (spec: DatabasesSpec) {
     this.#spec = spec
+    this.#joinsSettled = startAlarm(spec.context.timers, { send: () => { this.#updateAssignments(); return 'accepted' } })
     spec.context.timers.every(sweepMs, { send: tick => { this.#closeUnused(tick.nowMs); return 'accepted' } })
   }
 
@@ -101,12 +114,14 @@
    * @param unresponsive - members that were found unresponsive
    */
   updateMembers (live: readonly Member[], listed: readonly Member[], unresponsive: ReadonlySet<HostName>): void {
+    const hasJoined = live.some(({ host }) => !this.#live.some(other => other.host === host))
     this.#live = live
     this.#listed = listed
     for (const { dispatchers } of this.#entries.values()) {
       for (const dispatcher of dispatchers.values()) dispatcher.rollBackFrom(unresponsive)
     }
-    this.#updateAssignments()
+    if (hasJoined) this.#joinsSettled.set(this.#spec.context.timers.nowMs() + joinDelayMs)
+    else this.#updateAssignments()
   }
 
   /**
@@ -140,12 +155,28 @@
 
   /**
    * Tasks of all databases with state here, for reports and observations.
-   * @returns declaration and task of each database
+   * @returns declaration, task and time of the last statement of each database
    */
-  all (): ReadonlyArray<{ readonly declaration: DatabaseDeclaration, readonly task: DatabaseTask }> {
+  all (): ReadonlyArray<{ readonly declaration: DatabaseDeclaration, readonly task: DatabaseTask, readonly requestedAtMs: number }> {
     return [...this.#entries.values()]
   }
 
+  /**
+   * Checks whether this host has to know the status of a database's servers: as the
+   * failover leader, as the dispatcher of the primary, which watches the servers for
+   * the other hosts, or because statements arrive.
+   * @param database - the database
+   * @returns false where its servers need not be queried
+   */
+  isWatched (database: DatabaseName): boolean {
+    const entry = this.#entries.get(database)
+    if (entry === undefined) return false
+    const { primary } = entry.task.view.get().primary
+    if (this.#isLeader || primary === undefined) return true
+    if (this.#spec.context.timers.nowMs() - entry.requestedAtMs < recentRequestMs) return true
+    return dispatchersOf(entry.declaration, this.#live).get(primary) === this.#spec.context.settings.host.name
+  }
+
   /**
    * Finds the task of a database.
    * @param database - the database
@@ -203,11 +234,12 @@
       database: declared,
       publish,
       orderPromotion,
+      isWatched: () => this.isWatched(declared.name),
       onConnectionLost: server => { this.#spec.onConnectionLost(declared.name, server) },
       onPrimaryChanged: view => { this.#notifyPrimary(view) },
       onWasUnresponsive: server => { this.#entries.get(declared.name)?.dispatchers.get(server)?.closeUnresponsive() }
     })
-    const entry: DatabaseEntry = { declaration: declared, task, dispatchers: new Map(), usedAtMs: context.timers.nowMs() }
+    const entry: DatabaseEntry = { declaration: declared, task, dispatchers: new Map(), usedAtMs: context.timers.nowMs(), requestedAtMs: -Infinity }
     this.#entries.set(declared.name, entry)
     return entry
   }
@@ -223,7 +255,8 @@
     if (declared === undefined || server === undefined) return undefined
     const entry = this.#entries.get(declared.name)
     const existing = entry?.dispatchers.get(server.name)
-    if (entry !== undefined) this.#entries.set(declared.name, { ...entry, usedAtMs: this.#spec.context.timers.nowMs() })
+    const nowMs = this.#spec.context.timers.nowMs()
+    if (entry !== undefined) this.#entries.set(declared.name, { ...entry, usedAtMs: nowMs, requestedAtMs: nowMs })
     if (existing !== undefined) return existing
     if (!this.#isCandidate(declared, server)) return undefined
     return this.#openDispatcher(this.#entryFor(declared), server)
@@ -253,7 +286,7 @@
     const { name: self } = this.#spec.context.settings.host
     if (dispatchersOf(declared, this.#live).get(server.name) === self) return true
     const near = this.#listed.filter(member => member.failureDomain === server.failureDomain)
-    const names = (near.length > 0 ? near : this.#listed).map(member => member.host)
+    const names = capableMembers(near.length > 0 ? near : this.#listed).map(member => member.host)
     return rendezvousOrder(`home/${declared.name}/${server.name}`, names).slice(0, maxCandidates).includes(self)
   }
 
--- a/src/daemon/observation-relay.ts
+++ b/src/daemon/observation-relay.ts
@@ -28,7 +28,9 @@
   const { timers } = spec.context
   timers.every(queryPeriodMs, {
     send: () => {
-      for (const { declaration } of spec.databases.all()) void queryObserver(spec, declaration.name)
+      for (const { declaration } of spec.databases.all()) {
+        if (spec.databases.isWatched(declaration.name)) void queryObserver(spec, declaration.name)
+      }
       return 'accepted'
     }
   })
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -169,6 +169,10 @@
     leader = from.host
     leaderTask?.recordOtherLeader()
   }
+  const recordPeerState = (from: MemberState, sentAtMs: number): void => {
+    configuration.recordPeerState(from, sentAtMs)
+    recordLeader(from)
+  }
   const leaderTask = createLeaderTask(context, reports, isLeader => { databases.setLeader(isLeader) })
   const discovery = ports.servers.kind === 'declared'
     ? undefined
@@ -178,6 +182,7 @@
       links,
       isWatcher: () => members.view.get().quorum.includes(settings.host.name),
       watchers: () => otherWatchers(members, settings.host.name),
+      onPeerState: recordPeerState,
       onServers: state => {
         effectiveManifest.applyServers(state)
         reports.event('serversChanged', { servers: state.servers.size })
@@ -216,13 +221,10 @@
     onMembersChanged: view => {
       applyMembers(view, { configuration, databases, routing, limits })
       links.dropUnresponsive(view.unresponsive)
-      leaderTask?.changeRank(stopping() ? undefined : leaderRank(view, settings.host.name))
+      leaderTask?.changeRank(stopping() ? undefined : leaderRank(view, settings.host.name), view.quorum.includes(settings.host.name))
       reports.event('membersChanged', { live: view.live.length, listed: view.listed.length })
     },
-    onHeartbeatAnswered: (from, sentAtMs) => {
-      configuration.recordPeerState(from, sentAtMs)
-      recordLeader(from)
-    }
+    onPeerState: recordPeerState
   })
   const observationRelay = { context, links, databases, routing }
   if (ports.driver.statusDelivery === 'polled') startObservationRelay(observationRelay)
@@ -308,18 +310,19 @@
       configuration.receiveOffer(accepted)
       return { generation: configuration.advertised().generation }
     },
-    listHosts: async ({ known }) => ({ list: members.list(known) }),
+    listHosts: async ({ known }) => ({ list: members.list(known), from: components.localState() }),
     observe: async ({ database }) => ({ observation: localObservation(components.observationRelay, database) }),
     suspect: async ({ database, server }) => {
       databases.task(database)?.suspect(server)
       return { accepted: true }
     },
-    listServers: async ({ known }) => ({ list: components.discovery?.list(known) }),
+    listServers: async ({ known }) => ({ list: components.discovery?.list(known), from: components.localState() }),
     primaryChanged: async ({ view }) => {
       components.routing.recordPrimary(view)
       return { accepted: true }
     },
     borrow: async params => await limits.lend(params),
+    resetLoans: async ({ from }) => await limits.resetLoans(from),
     report: async ({ report }) => ({ accepted: reports.collectReport(report) })
   }
 }
--- a/src/daemon/registry-task.ts
+++ b/src/daemon/registry-task.ts
@@ -36,6 +36,7 @@
   failureDomain: z.string().min(1),
   ip: z.string().refine(ip => isIP(ip) !== 0),
   port: z.int().min(1).max(maxPort),
+  capacityCores: z.number().positive().optional(),
   state: z.enum(['live', 'leaving']),
   incarnation: z.string()
 })
@@ -53,6 +54,7 @@
     failureDomain: settings.host.failureDomain,
     ip: settings.host.ip,
     port: settings.host.peerPort,
+    capacityCores: settings.host.capacityCores,
     state: 'live',
     incarnation: context.incarnation
   }
--- a/src/daemon/watches.ts
+++ b/src/daemon/watches.ts
@@ -27,6 +27,8 @@
    * connections to that server may be unresponsive, too.
    */
   readonly onWasUnresponsive: (server: ServerName) => void
+  /** Whether the status of the servers is needed on this host now. */
+  readonly isWatched: () => boolean
   /** A connection to the server was lost. */
   readonly onConnectionLost: (server: ServerName) => void
   readonly view: () => DatabaseView
@@ -112,7 +114,7 @@
         }
       }
     }
-    const hooks: WatchHooks = { report: onReport, dueInMs: () => statusDueInMs(this.#spec.view(), server.name, timers.nowMs()) }
+    const hooks: WatchHooks = { report: onReport, dueInMs: () => this.#spec.isWatched() ? statusDueInMs(this.#spec.view(), server.name, timers.nowMs()) : Infinity }
     return new ServerWatch(context, database.name, server.name, redirectedAddress(settings.links, server), hooks)
   }
 }
--- a/src/members/rendezvous.ts
+++ b/src/members/rendezvous.ts
@@ -7,6 +7,12 @@
 // hashes with integer arithmetic, so ranking thousands of members for one key
 // takes microseconds. Hashed member lists are cached by list object.
 //
+// Tasks for other hosts are assigned to the capable members only: those with at
+// least half of the largest processor capacity. A fleet may consist of a few large
+// hosts and many small ones, and a small one could not run the statements of a whole
+// server. While the capacity of a member is not known, as in a fleet that is being
+// upgraded, all members count as capable.
+//
 // The key prefixes are part of the hash input: changing one moves the assignments.
 // `home/`: dispatcher of a server, also used by daemon/databases, where it has to
 // be equal; `failover/`: rank of a database's dispatchers; `account/`: quota
@@ -21,10 +27,28 @@
   readonly failureDomain: FailureDomain
   readonly ip: string
   readonly port: number
+  /** Processor capacity in cores; undefined where the host does not state it. */
+  readonly capacityCores?: number | undefined
+}
+
+/** Fraction of the largest capacity from which a member counts as capable. */
+const minCapacityFraction = 0.5
+
+/**
+ * Selects the members that get tasks for other hosts.
+ * @param members - the members among which the tasks are assigned
+ * @returns the members with at least half of the largest capacity; all where one is
+ *   not known
+ */
+export function capableMembers<M extends Member> (members: readonly M[]): readonly M[] {
+  const capacities = members.map(({ capacityCores }) => capacityCores ?? NaN)
+  const required = Math.max(0, ...capacities) * minCapacityFraction
+  return Number.isNaN(required) ? members : members.filter((_, at) => (capacities[at] ?? 0) >= required)
 }
 
 type HashedName = { readonly name: string, readonly hash: number }
 
+/** The capable members of the fleet, and of each failure domain. */
 type MemberIndex = {
   readonly all: readonly HashedName[]
   readonly byDomain: ReadonlyMap<FailureDomain, readonly HashedName[]>
@@ -75,14 +99,11 @@
 function memberIndexOf (members: readonly Member[]): MemberIndex {
   const cached = indexes.get(members)
   if (cached !== undefined) return cached
-  const byDomain = new Map<FailureDomain, HashedName[]>()
-  const all = members.map(member => hashed(member.host))
-  members.forEach((member, at) => {
-    const domain = byDomain.get(member.failureDomain) ?? []
-    domain.push(all[at] as HashedName)
-    byDomain.set(member.failureDomain, domain)
-  })
-  const index = { all, byDomain }
+  const names = new Map(members.map(({ host }) => [host, hashed(host)]))
+  const hashedNames = (list: readonly Member[]): readonly HashedName[] => capableMembers(list).flatMap(({ host }) => names.get(host) ?? [])
+  const domains = [...new Set(members.map(member => member.failureDomain))]
+  const byDomain = new Map(domains.map(domain => [domain, hashedNames(members.filter(member => member.failureDomain === domain))]))
+  const index = { all: hashedNames(members), byDomain }
   indexes.set(members, index)
   return index
 }
--- a/test/members/rendezvous.test.ts
+++ b/test/members/rendezvous.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { DatabaseDeclaration, ServerDeclaration } from '../../src/model/index.js'
-import { quotaCoordinator, dispatcherRanks, dispatchersOf, rendezvousOrder, watchersOf, type Member } from '../../src/members/index.js'
+import { capableMembers, quotaCoordinator, dispatcherRanks, dispatchersOf, rendezvousOrder, watchersOf, type Member } from '../../src/members/index.js'
 
 const domains = ['north', 'south', 'west']
 
@@ -51,6 +51,19 @@
   assert.equal(dispatchersOf(database('ledger'), []).size, 0)
 })
 
+test('tasks for other hosts go to capable hosts, and to others where none of those is left', () => {
+  const small = members(30).map(member => ({ ...member, capacityCores: 0.227 }))
+  const large = domains.flatMap((failureDomain, at) => [0, 1].map(next => ({ host: `large${2 * at + next}`, failureDomain, ip: '127.0.0.1', port: 1, capacityCores: 1.35 })))
+  const all = [...small, ...large]
+  const isLarge = (host: string | undefined): boolean => host?.startsWith('large') === true
+  assert.ok([...dispatchersOf(database('ledger'), all).values()].every(isLarge))
+  assert.ok(watchersOf(all, 1).every(isLarge) && isLarge(quotaCoordinator('mill', all)))
+  const withoutWest = all.filter(member => member.failureDomain !== 'west' || !isLarge(member.host))
+  assert.equal(isLarge(dispatchersOf(database('ledger'), withoutWest).get('ledger-west')), false)
+  const { capacityCores: _, ...unknown } = large[0] as Member
+  assert.equal(capableMembers([...all, unknown]).length, all.length + 1)
+})
+
 test('each dispatcher has one rank for failover', () => {
   const ranks = dispatcherRanks(database('ledger'), members(18))
   assert.deepEqual([...ranks].sort(), [...new Set(dispatchersOf(database('ledger'), members(18)).values())].sort())
--- a/test/wire/peer-link.test.ts
+++ b/test/wire/peer-link.test.ts
@@ -10,7 +10,7 @@
 import { decodeParams, decodeResult } from '../../src/wire/peer-schema.js'
 
 const state: MemberState = { host: 'entry-1', failureDomain: 'medina', incarnation: 'a1', state: 'serving', generation: 3, storeConfirmedAgoMs: undefined }
-const methods: readonly PeerMethod[] = ['execute', 'heartbeat', 'pullConfiguration', 'offerConfiguration', 'borrow', 'listHosts', 'observe', 'suspect', 'primaryChanged', 'listServers', 'report']
+const methods: readonly PeerMethod[] = ['execute', 'heartbeat', 'pullConfiguration', 'offerConfiguration', 'borrow', 'resetLoans', 'listHosts', 'observe', 'suspect', 'primaryChanged', 'listServers', 'report']
 const timeoutMs = 2000
 
 function deepText (depth: number): string {
