--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -118,7 +118,7 @@
     this.#live = live
     this.#listed = listed
     for (const { dispatchers } of this.#entries.values()) {
-      for (const dispatcher of dispatchers.values()) dispatcher.rollBackFrom(unresponsive)
+      for (const dispatcher of dispatchers.values()) dispatcher.recordUnresponsive(unresponsive)
     }
     if (hasJoined) this.#joinsSettled.set(this.#spec.context.timers.nowMs() + joinDelayMs)
     else this.#updateAssignments()
--- a/src/daemon/dispatcher-task.ts
+++ b/src/daemon/dispatcher-task.ts
@@ -39,10 +39,10 @@
    */
   readonly closeUnresponsive: () => void
   /**
-   * Rolls back the transactions whose callers are connected to an unresponsive
-   * host.
+   * Records the unresponsive hosts; the transactions whose callers are connected to
+   * one are rolled back if it stays unresponsive.
    */
-  readonly rollBackFrom: (unresponsive: ReadonlySet<HostName>) => void
+  readonly recordUnresponsive: (unresponsive: ReadonlySet<HostName>) => void
   /** Sets the idle timeout of transactions; undefined: the default. */
   readonly setIdleTransactionMs: (idleMs: number | undefined) => void
   readonly stop: () => Promise<void>
@@ -115,7 +115,7 @@
       wasPrimary = isPrimary
     },
     setIdleTransactionMs: idleMs => { transactions.setIdleTransactionMs(idleMs) },
-    rollBackFrom: unresponsive => { transactions.rollBackFrom(unresponsive) },
+    recordUnresponsive: unresponsive => { transactions.recordUnresponsive(unresponsive) },
     async execute (request) {
       running += 1
       try {
--- a/src/daemon/transactions.ts
+++ b/src/daemon/transactions.ts
@@ -10,6 +10,8 @@
 /** Fraction of the open transactions on a server that one account may have. */
 const accountFraction = 0.5
 const sweepMs = 500
+/** Time for which the host of a caller is unresponsive before its transactions are rolled back. */
+const unresponsiveMs = 2000
 
 type TransactionEntry = OpenTransaction & { readonly usedAtMs: number, readonly busy: boolean }
 
@@ -21,6 +23,7 @@
   readonly #entries = new Map<string, TransactionEntry>()
   readonly #cancel: () => void
   #idleMs = defaultIdleMs
+  #unresponsiveSince: ReadonlyMap<HostName, number> = new Map()
   #nextId = 1
 
   /**
@@ -33,7 +36,7 @@
     this.#context = context
     this.#capacity = capacity
     this.#discard = discard
-    this.#cancel = context.timers.every(sweepMs, { send: tick => { this.#rollBackIdle(tick.nowMs); return 'accepted' } })
+    this.#cancel = context.timers.every(sweepMs, { send: tick => { this.#rollBackAbandoned(tick.nowMs); return 'accepted' } })
   }
 
   /**
@@ -104,25 +107,25 @@
   }
 
   /**
-   * Rolls back the transactions whose callers are connected to unresponsive hosts,
-   * except those with a running statement.
+   * Records which hosts are unresponsive. The transactions whose callers are
+   * connected to one are rolled back once it has been unresponsive for some time; a
+   * host that was only slow for a moment keeps them.
    * @param unresponsive - the hosts
    */
-  rollBackFrom (unresponsive: ReadonlySet<HostName>): void {
-    for (const entry of this.#entries.values()) {
-      if (entry.busy || !unresponsive.has(entry.from)) continue
-      this.#entries.delete(entry.id)
-      this.#discard(entry.session)
-    }
+  recordUnresponsive (unresponsive: ReadonlySet<HostName>): void {
+    const nowMs = this.#context.timers.nowMs()
+    this.#unresponsiveSince = new Map([...unresponsive].map(host => [host, this.#unresponsiveSince.get(host) ?? nowMs]))
   }
 
   #countOf (account: string): number {
     return [...this.#entries.values()].filter(entry => entry.account === account).length
   }
 
-  #rollBackIdle (nowMs: number): void {
+  #rollBackAbandoned (nowMs: number): void {
     for (const entry of this.#entries.values()) {
-      if (entry.busy || nowMs - entry.usedAtMs < this.#idleMs) continue
+      const sinceMs = this.#unresponsiveSince.get(entry.from) ?? Infinity
+      const isAbandoned = nowMs - entry.usedAtMs >= this.#idleMs || nowMs - sinceMs >= unresponsiveMs
+      if (entry.busy || !isAbandoned) continue
       this.#entries.delete(entry.id)
       this.#discard(entry.session)
     }
--- a/test/pipe/timer.test.ts
+++ b/test/pipe/timer.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { elapsedClock, startAlarm, type SendResult, type TimerService } from '../../src/pipe/index.js'
+import { fakeTimers } from '../support/timers.js'
 
 /** An elapsed clock over a steady clock and a wall clock that the test advances. */
 function clockOver (): { readonly read: () => number, readonly pass: (steadyMs: number, timeOfDayMs: number) => void } {
@@ -30,30 +31,6 @@
   assert.equal(clock.read(), 100)
 })
 
-type FakeTimers = TimerService & { readonly pass: (untilMs: number) => void }
-
-/** A timer service whose time the test sets. */
-function fakeTimers (): FakeTimers {
-  let nowMs = 0
-  let waiting: ReadonlyArray<{ readonly atMs: number, readonly run: () => void }> = []
-  const after: TimerService['after'] = (delayMs, port) => {
-    const timer = { atMs: nowMs + delayMs, run: () => { port.send({ kind: 'tick', nowMs }) } }
-    waiting = [...waiting, timer]
-    return () => { waiting = waiting.filter(other => other !== timer) }
-  }
-  const pass = (untilMs: number): void => {
-    for (;;) {
-      const next = waiting.filter(({ atMs }) => atMs <= untilMs).sort((a, b) => a.atMs - b.atMs)[0]
-      if (next === undefined) break
-      waiting = waiting.filter(timer => timer !== next)
-      nowMs = next.atMs
-      next.run()
-    }
-    nowMs = untilMs
-  }
-  return { nowMs: () => nowMs, every: () => () => {}, after, stop: () => {}, pass }
-}
-
 /** An alarm, and the times at which it went off. */
 function recordedAlarm (timers: TimerService, results: readonly SendResult[] = []): { readonly alarm: ReturnType<typeof startAlarm>, readonly times: readonly number[] } {
   const times: number[] = []
