--- a/src/members/membership.ts
+++ b/src/members/membership.ts
@@ -382,9 +382,10 @@
 }
 
 function heartbeatDueAtMs (state: MembershipState, host: HostName, peer: PeerView): number {
+  // A peer that does not answer is asked often, so that its return is found soon.
+  if (peer.linkFailedMs !== undefined || (peer.unresponsive && state.observed.has(host))) return peer.lastSentMs + state.settings.periodMs * repeatFraction
   const periodMs = state.settings.periodMs * peerPeriodFactor(state, host)
   const repeatAtMs = peer.lastSentMs + periodMs * repeatFraction
-  if (peer.linkFailedMs !== undefined) return repeatAtMs
   if (!state.observed.has(host)) return Infinity
   if (peer.lastSentMs === -Infinity) return -Infinity
   // The end with the lower name sends the heartbeat; the other end sends one only
--- a/test/members/membership.test.ts
+++ b/test/members/membership.test.ts
@@ -150,6 +150,19 @@
   assert.equal(liveHosts(state).length, 15)
 })
 
+test('a peer of a large fleet that answers again after a cut is found within half a period', () => {
+  const list = hosts(100)
+  const state = memberOf(list)
+  const [peer = ''] = [...state.observed]
+  const silent = after(state, ticksAndAnswers([...state.observed].filter(host => host !== peer), 0, 12_000))
+  assert.equal(liveHosts(silent).includes(peer), false)
+  const asked = Array.from({ length: 10 }, (_, at) => 12_050 + at * 50).reduce<{ readonly state: MembershipState, readonly count: number }>((done, nowMs) => {
+    const { state: next, effects } = membershipStep(done.state, { kind: 'tick', nowMs })
+    return { state: next, count: done.count + effects.filter(effect => effect.kind === 'heartbeat' && effect.to.some(({ host }) => host === peer)).length }
+  }, { state: silent, count: 0 })
+  assert.ok(asked.count >= 1, `${asked.count}`)
+})
+
 test('the watchers of a large fleet observe each other as closely as a small fleet does', () => {
   const list = hosts(100)
   const watchers = quorumHosts(memberOf(list))
