Members: only observations of capable hosts are relayed

Change: an observation of a host without tasks for others goes from its observer to the observer's peers and to the watchers, which deregister it; only those of capable hosts are relayed.

--- a/src/members/membership.ts
+++ b/src/members/membership.ts
@@ -11,9 +11,10 @@
 // 8 ... places away: about 2 log2(n) peers. The watchers exchange heartbeats with
 // each other, too, as often as the members of a small fleet. Observers gossip what
 // they observed of an unresponsive host in their next heartbeats, and within
-// `gossipSpacingMs` when it changes, so the observation reaches the whole fleet in
-// log2(n) hops, and many changes at once cost no more messages than one. A member
-// regards a
+// `gossipSpacingMs` when it changes. Observations of capable hosts, which have tasks
+// for others, are relayed, so they reach the whole fleet in log2(n) hops. Those of
+// other hosts go from the observer to its peers and to the watchers only. Many changes
+// at once cost no more messages than one. A member regards a
 // host that it does not observe itself as unresponsive once two observers report it.
 // The failure of a link in use starts an exchange at once.
 //
@@ -23,7 +24,7 @@
 
 import type { HostName, GossipEntry, MemberState } from '../model/index.js'
 import type { Transition } from '../pipe/index.js'
-import { ringNeighbours, watchersOf, type Member } from './rendezvous.js'
+import { capableMembers, ringNeighbours, watchersOf, type Member } from './rendezvous.js'
 
 /**
  * A host in the platform's list. `leaving`: the platform is decommissioning the
@@ -116,6 +117,8 @@
   readonly listedByName: ReadonlyMap<HostName, ListedHost>
   /** See `quorumHosts`; recomputed with each list. */
   readonly quorum: readonly HostName[]
+  /** Hosts that may have tasks for other hosts. */
+  readonly capable: ReadonlySet<HostName>
   /** Hosts whose heartbeats this member watches itself. */
   readonly observed: ReadonlySet<HostName>
   /** Observed peers, and other hosts with a contact or a failed link. */
@@ -163,6 +166,7 @@
     listed: [],
     listedByName: new Map(),
     quorum: [],
+    capable: new Set(),
     observed: new Set(),
     peers: new Map(),
     observations: new Map(),
@@ -245,7 +249,7 @@
   if (isFullMesh(state)) return []
   const sinceMs = nowMs - gossipPeriods * periodOf(state)
   return [...state.observations.values()]
-    .filter(observation => observation.observedMs >= sinceMs)
+    .filter(observation => observation.observedMs >= sinceMs && isRelayed(state, observation))
     .sort((a, b) => b.observedMs - a.observedMs)
     .slice(0, maxGossipEntries)
     // `silent` is the wire name of `unresponsive`.
@@ -275,7 +279,7 @@
   const names = hosts.map(({ host }) => host).filter(host => host !== state.self.host)
   const fullMesh = hosts.length <= state.settings.fullMeshHosts
   const quorum = watchersOf(hosts, state.settings.watchersPerDomain)
-  const observed = new Set(fullMesh ? names : [...ringNeighbours(state.self.host, names), ...otherWatchers(state.self.host, quorum)])
+  const observed = new Set(fullMesh ? names : [...ringNeighbours(state.self.host, names), ...(quorum.includes(state.self.host) ? otherWatchers(state.self.host, quorum) : [])])
   const observations = new Map([...state.observations].filter(([, { host }]) => listedByName.has(host)))
   const peers = new Map([...state.peers].filter(([host]) => listedByName.has(host)))
   for (const host of observed) {
@@ -285,11 +289,16 @@
     const isNew = !state.observed.has(host) && !peer.unresponsive
     peers.set(host, isNew ? { ...peer, lastContactMs: nowMs } : peer)
   }
-  return { ...state, listed: hosts, listedByName, quorum, observed, peers, observations }
+  const capable = new Set(capableMembers(hosts).map(({ host }) => host))
+  return { ...state, listed: hosts, listedByName, quorum, capable, observed, peers, observations }
+}
+
+function isRelayed (state: MembershipState, { host, observer }: LivenessObservation): boolean {
+  return observer === state.self.host || state.capable.has(host)
 }
 
 function otherWatchers (self: HostName, quorum: readonly HostName[]): readonly HostName[] {
-  return quorum.includes(self) ? quorum.filter(host => host !== self) : []
+  return quorum.filter(host => host !== self)
 }
 
 function isSameList (a: readonly ListedHost[], b: readonly ListedHost[]): boolean {
@@ -352,7 +361,8 @@
   if (recipients.length === 0 && !isGossipDue) return assessed
   const peers = new Map(assessed.state.peers)
   for (const [host, peer] of recipients) peers.set(host, { ...peer, lastSentMs: nowMs })
-  const to = recipients.flatMap(([host]) => state.listedByName.get(host) ?? [])
+  const watchers = isGossipDue ? otherWatchers(state.self.host, state.quorum) : []
+  const to = [...new Set([...recipients.map(([host]) => host), ...watchers])].flatMap(host => state.listedByName.get(host) ?? [])
   const gossiped = isGossipDue ? { gossipAtMs: Infinity, lastGossipMs: nowMs } : {}
   const heartbeat: MembershipEffect = { kind: 'heartbeat', to, rumours: gossipEntries(assessed.state, nowMs) }
   return { state: { ...assessed.state, peers, ...gossiped }, effects: [...assessed.effects, heartbeat] }
@@ -442,6 +452,8 @@
 
 function nextGossipAtMs (state: MembershipState, before: MembershipState, nowMs: number): number {
   if (isFullMesh(state) || state.observations === before.observations) return state.gossipAtMs
+  const hasNews = [...state.observations].some(([key, observation]) => before.observations.get(key) !== observation && isRelayed(state, observation))
+  if (!hasNews) return state.gossipAtMs
   return Math.min(state.gossipAtMs, Math.max(nowMs, state.lastGossipMs + gossipSpacingMs))
 }
 
