Leader lease: no order after a release, and watchers hold it

Change: the token is given up before the release is written, and an order in progress ends before it. A holder that is no watcher releases the lease at its next renewal, unless no watcher responds. Measured: leader/lease, the new test fails on the code before (no release, token held).

--- a/src/daemon/leader-task.ts
+++ b/src/daemon/leader-task.ts
@@ -4,9 +4,9 @@
 // a fence of a majority excludes a second proposer (see failover/settings.ts).
 
 import * as z from 'zod'
-import { initialLease, leaseDueAtMs, leaseStep, releaseEffect, heldToken, type LeaseEffect, type LeaseEvent, type LeaseRecord, type LeaseState } from '../leader/index.js'
+import { initialLease, leaseDueAtMs, leaseStep, heldToken, type LeaseEffect, type LeaseEvent, type LeaseRecord, type LeaseState } from '../leader/index.js'
 import type { DatabaseName, ServerName } from '../model/index.js'
-import { SnapshotPublisher, startTask, type Port } from '../pipe/index.js'
+import { sleep, SnapshotPublisher, startTask, type Port } from '../pipe/index.js'
 import { asError, StoreError, type PromotionMethod, type PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 
@@ -30,8 +30,8 @@
   readonly orderPromotion: (database: DatabaseName, server: ServerName) => Promise<PromotionResult>
   /**
    * Releases the lease before a planned stop, so that another host can acquire
-   * it at once. This host no longer renews, but it keeps its token until the expiry,
-   * and orders in that time are still sent.
+   * it at once. This host orders nothing from then on; an order in progress ends
+   * before the release is written.
    */
   readonly releaseLease: () => Promise<void>
   readonly stop: () => Promise<void>
@@ -48,6 +48,9 @@
  * so that the call ends before another host can acquire an expired lease.
  */
 const orderTimeoutMs = 450
+/** Longest wait of a planned stop for the release of the lease. */
+const maxReleaseMs = 1500
+const releasePollMs = 10
 
 const recordSchema = z.object({ holder: z.string(), incarnation: z.string(), token: z.int(), renewal: z.int(), released: z.boolean() })
 
@@ -61,6 +64,7 @@
   const { timers, settings } = context
   const initial = initialLease({ host: settings.host.name, incarnation: context.incarnation })
   const published = new SnapshotPublisher(initial)
+  const orders = new Set<Promise<PromotionResult>>()
   const task = startTask<LeaseState, LeaseEvent, LeaseEffect>({
     name: 'duty',
     initial,
@@ -73,7 +77,7 @@
       reportChange(spec, state, transition.state)
       return transition
     },
-    perform: (effect, port) => { void perform(spec, effect, port) }
+    perform: (effect, port) => { void perform(spec, effect, orders, port) }
   })
   const token = (): number | undefined => heldToken(published.get(), timers.nowMs())
   return {
@@ -83,14 +87,16 @@
     async orderPromotion (database, server) {
       const held = token()
       if (held === undefined) return 'refused'
-      const result = await spec.order({ database, server, holder: settings.host.name, token: held }, orderTimeoutMs)
+      const order = spec.order({ database, server, holder: settings.host.name, token: held }, orderTimeoutMs)
+      orders.add(order)
+      const result = await order.finally(() => { orders.delete(order) })
       spec.onOrder(database, server, held, result)
       return result
     },
     async releaseLease () {
-      task.port.send({ kind: 'rankChanged', rank: undefined, isWatcher: false })
-      const write = releaseEffect(published.get())
-      if (write !== undefined) await context.ports.store.putObject(leaseObject.kind, leaseObject.name, write.version, write.record).catch(() => { spec.onStoreFailure() })
+      const untilMs = timers.nowMs() + maxReleaseMs
+      task.port.send({ kind: 'release' })
+      while ((token() !== undefined || published.get().callInProgress) && timers.nowMs() < untilMs) await sleep(timers, releasePollMs)
     },
     stop: task.stop
   }
@@ -101,9 +107,10 @@
   spec.onLeaseChange(after.held !== undefined, after.held?.token ?? before.held?.token ?? 0)
 }
 
-async function perform (spec: LeaderSpec, effect: LeaseEffect, port: Port<LeaseEvent>): Promise<void> {
+async function perform (spec: LeaderSpec, effect: LeaseEffect, orders: ReadonlySet<Promise<PromotionResult>>, port: Port<LeaseEvent>): Promise<void> {
   const { timers } = spec.context
   try {
+    if (effect.kind === 'write' && effect.record.released) await Promise.allSettled(orders)
     port.send(await storeCall(spec, effect))
   } catch (error) {
     if (!(error instanceof StoreError)) spec.context.onTaskError('duty')(asError(error))
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -221,7 +221,7 @@
     onMembersChanged: view => {
       applyMembers(view, { configuration, databases, routing, limits })
       links.dropUnresponsive(view.unresponsive)
-      leaderTask?.changeRank(stopping() ? undefined : leaderRank(view, settings.host.name), view.quorum.includes(settings.host.name))
+      leaderTask?.changeRank(stopping() ? undefined : leaderRank(view, settings.host.name), isLeaderCandidate(view, settings.host.name))
       reports.event('membersChanged', { live: view.live.length, listed: view.listed.length })
     },
     onPeerState: recordPeerState
@@ -255,6 +255,11 @@
   return rank < 0 ? view.quorum.length : rank
 }
 
+// A watcher, or any host while no watcher responds.
+function isLeaderCandidate ({ quorum, unresponsive }: MembersView, self: HostName): boolean {
+  return quorum.includes(self) || quorum.every(host => unresponsive.has(host))
+}
+
 function otherHosts (members: MembersTask, self: HostName): readonly HostName[] {
   return members.view.get().live.map(member => member.host).filter(host => host !== self)
 }
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -97,7 +97,11 @@
    * while this host is no candidate, for example while it stops.
    */
   readonly rank: number | undefined
-  /** Whether this host is a watcher; the other hosts rarely read the lease. */
+  /**
+   * Whether this host is a watcher, or no watcher responds. The other hosts rarely
+   * read the lease and do not keep one that they acquired before they knew of a
+   * watcher.
+   */
   readonly isWatcher: boolean
 }
 
@@ -113,6 +117,8 @@
   | { readonly kind: 'callFailed', readonly nowMs: number }
   /** Another member reported in a heartbeat or its answer that it holds the lease. */
   | { readonly kind: 'otherHolderReported', readonly nowMs: number }
+  /** This host stops. */
+  | { readonly kind: 'release' }
   | { readonly kind: 'rankChanged', readonly rank: number | undefined, readonly isWatcher: boolean }
 
 /** Effects of the lease: calls to the store. */
@@ -147,6 +153,7 @@
     // effect. The wait for a takeover starts again with that read.
     case 'callFailed': return withoutEffects({ ...state, callInProgress: false, observed: undefined, nextCallMs: event.nowMs + pollPeriodMs(state) })
     case 'otherHolderReported': return withoutEffects({ ...state, lastContactAtMs: event.nowMs })
+    case 'release': return release({ ...state, rank: undefined })
     case 'rankChanged': return withoutEffects({ ...state, rank: event.rank, isWatcher: event.isWatcher })
   }
 }
@@ -162,19 +169,6 @@
   return state.held !== undefined && nowMs < state.held.untilMs ? state.held.token : undefined
 }
 
-/**
- * Creates the write that releases the lease. It changes no state: `heldToken`
- * returns the token until the lease would have expired, although another host
- * may take over a released lease at once.
- * @param state - the current state
- * @returns the write; undefined if this host does not hold the lease
- */
-export function releaseEffect (state: LeaseState): Extract<LeaseEffect, { readonly kind: 'write' }> | undefined {
-  const { observed } = state
-  if (state.held === undefined || observed?.record === undefined) return undefined
-  return { kind: 'write', version: observed.version, record: { ...observed.record, renewal: observed.record.renewal + 1, released: true } }
-}
-
 /**
  * Returns the time at which the next tick is due.
  * @param state - the current state
@@ -212,7 +206,7 @@
     ...state,
     callInProgress: false,
     observed: { record, version, sinceMs: nowMs, seenMs: nowMs },
-    held: { token: record.token, untilMs: sentAtMs + settings.durationMs - settings.marginMs },
+    held: record.released ? undefined : { token: record.token, untilMs: sentAtMs + settings.durationMs - settings.marginMs },
     nextCallMs: sentAtMs + settings.renewEveryMs
   }
 }
@@ -221,7 +215,10 @@
   if (state.callInProgress || state.rank === undefined) return withoutEffects(state)
   const { observed } = state
   if (observed === undefined) return nowMs < state.nextCallMs || hasRecentContact(state, nowMs) ? withoutEffects(state) : startCall(state, { kind: 'read' })
-  if (isHeldHere(state, observed.record)) return nowMs < state.nextCallMs ? withoutEffects(state) : startCall(state, renewal(observed.version, observed.record))
+  if (isHeldHere(state, observed.record)) {
+    if (nowMs < state.nextCallMs) return withoutEffects(state)
+    return state.isWatcher ? startCall(state, renewal(observed.version, observed.record)) : release(state)
+  }
   // A lease that was last seen before its expiry may have been renewed since.
   const expiredAtMs = takeoverAtMs(state, observed, state.rank)
   if (nowMs >= expiredAtMs) return startCall(state, observed.seenMs >= expiredAtMs ? takeover(state, observed) : { kind: 'read' })
@@ -259,6 +256,15 @@
   return { kind: 'write', version, record: { ...record, renewal: record.renewal + 1 } }
 }
 
+// The token is given up before the release is written, because another host may take
+// the lease over as soon as it is.
+function release (state: LeaseState): Next {
+  const { observed } = state
+  if (state.callInProgress || observed?.record === undefined || !isHeldHere(state, observed.record)) return withoutEffects({ ...state, held: undefined })
+  const record = { ...observed.record, renewal: observed.record.renewal + 1, released: true }
+  return startCall({ ...state, held: undefined }, { kind: 'write', version: observed.version, record })
+}
+
 function takeover (state: LeaseState, observed: ObservedLease): LeaseEffect {
   const token = (observed.record?.token ?? 0) + 1
   return { kind: 'write', version: observed.version, record: { holder: state.self.host, incarnation: state.self.incarnation, token, renewal: 1, released: false } }
--- a/test/leader/lease.test.ts
+++ b/test/leader/lease.test.ts
@@ -68,6 +68,18 @@
   assert.deepEqual(run(distant, { kind: 'tick', nowMs: 2000 }).effects, [])
 })
 
+test('a holder that is no watcher releases the lease instead of renewing it, and orders nothing after that', () => {
+  const held = run(hostOf('a'), { kind: 'written', record: recordOf({ holder: 'a' }), version: 8, sentAtMs: 0, nowMs: 5 })
+  const { state, effects } = run(held.state, { kind: 'rankChanged', rank: 3, isWatcher: false }, { kind: 'tick', nowMs: defaultLeaseSettings.renewEveryMs })
+  const [write] = effects
+  assert.ok(write?.kind === 'write' && write.record.released && write.version === 8)
+  assert.equal(heldToken(state, defaultLeaseSettings.renewEveryMs), undefined)
+  const released = run(state, { kind: 'written', record: write.record, version: 9, sentAtMs: 700, nowMs: 705 })
+  assert.equal(heldToken(released.state, 706), undefined)
+  const taken = run(hostOf('b'), { kind: 'tick', nowMs: 0 }, { kind: 'read', record: write.record, version: 9, nowMs: 5 })
+  assert.deepEqual(taken.effects.map(effect => effect.kind === 'write' ? effect.record.token : effect.kind), ['read', write.record.token + 1])
+})
+
 test('a host without a rank does not acquire the lease', () => {
   const { effects } = run(initialLease({ host: 'a', incarnation: '1' }), { kind: 'tick', nowMs: 99_000 })
   assert.deepEqual(effects, [])
