Test: deeply nested entries in the store's answers, beside ones that a stand-in can write

The test of odd entries failed once in a run beside other load and then each time: its entries were nested 4000 deep, which the stand-in of the store could not write (its JSON.stringify overflowed), so no proxy got a list.

--- a/test/platform/fleet.test.ts
+++ b/test/platform/fleet.test.ts
@@ -173,7 +173,8 @@
 test('odd entries of another writer end no process, and a new server is still found', async t => {
   const fleet = await startServingFleet(t)
   const entry = { Service: 'ledger-group', Addr: '127.0.0.1:9', Zone: 'medina', Version: 'v1', Slots: 5, State: 'ready', ColdLeftMs: 0, DbRole: 'replica', Seq: 1 }
-  const deep = JSON.parse('['.repeat(4000) + ']'.repeat(4000)) as unknown
+  // The stand-in of the store writes its answers recursively; platform/servers has deeper ones.
+  const deep = JSON.parse('['.repeat(1000) + ']'.repeat(1000)) as unknown
   const odd = [{ Addr: '127.0.0.1:99999' }, { Addr: '127.0.0.1:0' }, { Addr: '999.2.3.4:80' }, { Slots: 9e15 }, { Seq: 1e300 }, { Zone: deep }, { Service: 'ledger-group x' }]
   for (const [at, change] of odd.entries()) fleet.store.put('servers', `i-odd-${at}`, { ...entry, ...change })
   for (const kind of ['hosts', 'seats', 'duties', 'primary']) fleet.store.put(kind, 'odd', { port: 99_999, ip: '999.1.1.1', deep })
--- a/test/platform/servers.test.ts
+++ b/test/platform/servers.test.ts
@@ -21,9 +21,12 @@
   return JSON.parse('['.repeat(depth) + ']'.repeat(depth))
 }
 
-/** Starts a store that answers each path with a fixed body. */
+/** Starts a store that answers each path with a fixed body; a text is sent as it is. */
 async function storeWith (t: TestContext, bodies: Readonly<Record<string, unknown>>): Promise<ObjectStore> {
-  const server = createServer((request, response) => { response.end(JSON.stringify(bodies[request.url ?? ''])) })
+  const server = createServer((request, response) => {
+    const body = bodies[request.url ?? '']
+    response.end(typeof body === 'string' ? body : JSON.stringify(body))
+  })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   const store = platformStore({ url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, callTimeoutMs: 2000 })
   t.after(() => {
@@ -73,6 +76,14 @@
   assert.deepEqual((await store.listObjects('servers')).objects.map(({ name }) => name), ['c'])
 })
 
+test('a list goes on after an entry that is nested too deeply to be traversed', async t => {
+  const deep = '['.repeat(maxDepth) + ']'.repeat(maxDepth)
+  const items = `[{"meta":{"Name":"a","Revision":5},"spec":${deep}},{"meta":{"Name":"b","Revision":1e999},"spec":{}},${JSON.stringify(item('c'))}]`
+  const store = await storeWith(t, { '/objects/servers': `{"items":${items},"AsOf":9}` })
+  const { objects } = await store.listObjects('servers')
+  assert.deepEqual(objects.flatMap(({ name, value }) => decodeServer(name, value)?.name ?? []), ['c'])
+})
+
 test('a list whose next page can\'t be found fails, so that no object counts as removed', async t => {
   const store = await storeWith(t, { '/objects/servers': { items: [{ meta: 5 }], More: true, AsOf: 9 } })
   await assert.rejects(store.listObjects('servers'), isStoreFault('malformed'))
