Limits: a host that learns of a newer manifest keeps its partitions

Cause: a host counted as unconfirmed as soon as a newer generation was advertised, until it had it; the limits took that for a lost contact and dropped all partitions. Change: the configuration states apart until when the manifest is confirmed and until when the host is in contact with the store or a majority. While behind, a host admits and lends nothing; its partitions are dropped only when the contact ends, as before. Measured: the new test in limits/limits fails on the code before (0 partitions kept); limits/fuzz keeps burst + rate * window.

--- a/bench/limits.ts
+++ b/bench/limits.ts
@@ -8,6 +8,7 @@
 //   node dist/bench/limits.js [FILE]
 
 import { writeFileSync } from 'node:fs'
+import { confirmedUntil } from '../src/limits/index.js'
 import { quotaCoordinator, type Member } from '../src/members/index.js'
 import { accountsManifest, capExceeded, idealAdmissions, limitFleet, randomFrom, type Fleet, type Random, type AdmissionResult } from '../test/support/limit-fleet.js'
 
@@ -144,11 +145,11 @@
 // Lets the lease expire after `leaseMs` without a renewal. The leaseholder compares
 // the clock with the end of its lease at each admission.
 function endLease (fleet: Fleet, leaseholder: string): void {
-  fleet.deliver(leaseholder, nowMs => ({ kind: 'confirmationChanged', confirmedUntilMs: nowMs + leaseMs, nowMs }))
+  fleet.deliver(leaseholder, nowMs => ({ kind: 'confirmationChanged', confirmation: confirmedUntil(nowMs + leaseMs), nowMs }))
 }
 
 function renewLease (fleet: Fleet, leaseholder: string): void {
-  fleet.deliver(leaseholder, nowMs => ({ kind: 'confirmationChanged', confirmedUntilMs: Infinity, nowMs }))
+  fleet.deliver(leaseholder, nowMs => ({ kind: 'confirmationChanged', confirmation: confirmedUntil(Infinity), nowMs }))
   assignToLeaseholder(fleet, leaseholder)
 }
 
--- a/bench/slopes-members.ts
+++ b/bench/slopes-members.ts
@@ -4,7 +4,7 @@
 //
 //   node --expose-gc dist/bench/slopes-members.js
 
-import { initialLimits, initialPartitions, limitsStep, partitionFraction, partitionRange, partitionsStep, type LimitsEvent, type LimitsState, type PartitionTable } from '../src/limits/index.js'
+import { confirmedUntil, initialLimits, initialPartitions, limitsStep, partitionFraction, partitionRange, partitionsStep, type LimitsEvent, type LimitsState, type PartitionTable } from '../src/limits/index.js'
 import { quotaCoordinator, defaultMembershipSettings, dispatchersOf, initialMembership, membershipStep, type ListedHost, type MembershipEvent, type MembershipState } from '../src/members/index.js'
 import type { DatabaseDeclaration, Manifest } from '../src/model/index.js'
 
@@ -101,7 +101,7 @@
   const partitionCount = Math.max(64, Math.ceil(count * 1.25))
   const ownedPartitions = Array.from({ length: Math.ceil(partitionCount / count) }, (_, at) => at)
   const events: readonly LimitsEvent[] = [
-    { kind: 'confirmationChanged', confirmedUntilMs: Infinity, nowMs: 0 },
+    { kind: 'confirmationChanged', confirmation: confirmedUntil(Infinity), nowMs: 0 },
     { kind: 'membersChanged', live: hosts, nowMs: 0 },
     { kind: 'manifestApplied', manifest: manifestOf(partitionCount), nowMs: 0 },
     { kind: 'partitionsChanged', owned: ownedPartitions, reacquired: new Set(), owners: new Map(), tableReadSentMs: 0, nowMs: 0 }
--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -156,7 +156,18 @@
  * @returns monotonic time in milliseconds; -Infinity where the generation is not confirmed
  */
 export function confirmedUntilMs (state: ConfigurationState): number {
-  if (state.accepted === undefined || isBehind(state)) return -Infinity
+  return isBehind(state) ? -Infinity : contactUntilMs(state)
+}
+
+/**
+ * Returns the time until which the host counts as being in contact with the store or
+ * a majority of the quorum. Unlike a confirmation it does not end when a higher
+ * generation is advertised.
+ * @param state - the state of the configuration
+ * @returns monotonic time in milliseconds; -Infinity without a manifest
+ */
+export function contactUntilMs (state: ConfigurationState): number {
+  if (state.accepted === undefined) return -Infinity
   const byStoreAtMs = state.storeConfirmedAtMs ?? -Infinity
   return Math.max(byStoreAtMs, majorityConfirmedAtMs(state)) + state.spec.confirmWithinMs
 }
--- a/src/daemon/limits-task.ts
+++ b/src/daemon/limits-task.ts
@@ -3,7 +3,7 @@
 // from and keeps their table in the platform's store. The time of an event is read
 // when the event is handled, because the host may be paused while the event waits.
 
-import { initialLimits, initialPartitions, limitsDueAtMs, limitsStep, partitionHandoverMs, partitionsDueAtMs, partitionsStep, type LimitsEffect, type LimitsEvent, type LimitsState, type PartitionsEffect, type PartitionsEvent, type PartitionsState, type PartitionTable } from '../limits/index.js'
+import { initialLimits, initialPartitions, limitsDueAtMs, limitsStep, partitionHandoverMs, partitionsDueAtMs, partitionsStep, type Confirmation, type LimitsEffect, type LimitsEvent, type LimitsState, type PartitionsEffect, type PartitionsEvent, type PartitionsState, type PartitionTable } from '../limits/index.js'
 import type { ListedHost, Member } from '../members/index.js'
 import { notRun, type AccountName, type HostName, type LoanReset, type Manifest, type Outcome, type PeerParams, type PeerResult } from '../model/index.js'
 import { ask, sleep, startTask, withoutAnswered, type Port, type Reply } from '../pipe/index.js'
@@ -16,12 +16,8 @@
   readonly context: DaemonContext
   readonly store: ObjectStore
   readonly links: PeerLinks
-  /**
-   * Monotonic time at which the confirmation of the configuration expires. After it
-   * this host admits and lends nothing and no longer uses its partitions, because
-   * they may have other owners by then.
-   */
-  readonly confirmedUntilMs: () => number
+  /** When the confirmation of the configuration expires, and the contact to the fleet. */
+  readonly confirmation: () => Confirmation
   readonly decodeTable: (value: unknown) => PartitionTable | undefined
 }
 
@@ -109,7 +105,7 @@
     capacity: mailboxCapacity,
     onError: context.onTaskError('limits'),
     step: (state, message) => {
-      return step(withConfirmation(state, spec.confirmedUntilMs(), timers.nowMs()), message, timers.nowMs())
+      return step(withConfirmation(state, spec.confirmation(), timers.nowMs()), message, timers.nowMs())
     },
     schedule: { timers, dueAtMs: state => limitsDueAtMs(state.limits, timers.nowMs()), tick: () => ({ kind: 'event', event: { kind: 'tick' } }) },
     perform: (effect, port) => { perform(spec, effect, port) }
@@ -157,9 +153,10 @@
 
 // Reads the expiry again for each message, because the host may have been paused
 // since the last one.
-function withConfirmation (state: State, confirmedUntilMs: number, nowMs: number): State {
-  if (state.limits.confirmedUntilMs === confirmedUntilMs) return state
-  return { ...state, limits: limitsStep(state.limits, { kind: 'confirmationChanged', confirmedUntilMs, nowMs }).state }
+function withConfirmation (state: State, confirmation: Confirmation, nowMs: number): State {
+  const { confirmedUntilMs, contactUntilMs } = state.limits.confirmation
+  if (confirmedUntilMs === confirmation.confirmedUntilMs && contactUntilMs === confirmation.contactUntilMs) return state
+  return { ...state, limits: limitsStep(state.limits, { kind: 'confirmationChanged', confirmation, nowMs }).state }
 }
 
 function step (state: State, message: Message, nowMs: number): Next {
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -2,7 +2,7 @@
 // and stops without interrupting a request.
 
 import { randomBytes, randomUUID } from 'node:crypto'
-import { confirmedUntilMs, containsKey, type Settings } from '../config/index.js'
+import { confirmedUntilMs, contactUntilMs, containsKey, type Settings } from '../config/index.js'
 import type { ExecuteReply, ExecuteRequest, HostName, MemberState, PrimaryView } from '../model/index.js'
 import { sleep, systemTimers } from '../pipe/index.js'
 import { asWireError, updateObject, type ObjectStore, type ProxyPorts } from '../ports/index.js'
@@ -161,7 +161,7 @@
     links,
     // A time and not a flag, so that an expiry during a pause is detected although the
     // confirmation has been renewed since.
-    confirmedUntilMs: () => confirmedUntilMs(configuration.state.get()),
+    confirmation: () => ({ confirmedUntilMs: confirmedUntilMs(configuration.state.get()), contactUntilMs: contactUntilMs(configuration.state.get()) }),
     decodeTable: decodePartitionTable
   })
   const recordLeader = (from: MemberState): void => {
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -39,6 +39,29 @@
 /** Bounds of the retry delay that is returned with a rejection. */
 const retryMs: { readonly min: number, readonly max: number } = { min: 10, max: 5000 }
 
+/** Times until which the manifest is confirmed and this host in contact with the fleet. */
+export type Confirmation = {
+  /**
+   * The store or a majority of hosts reported no newer manifest. Nothing is admitted
+   * or lent afterwards, because limits and keys may have changed.
+   */
+  readonly confirmedUntilMs: number
+  /**
+   * The store or a majority of hosts responded. The own partitions are not used
+   * afterwards, because they may have other owners.
+   */
+  readonly contactUntilMs: number
+}
+
+/**
+ * Makes the confirmation of a host that knows of no newer manifest.
+ * @param untilMs - time until which the manifest is confirmed and the host in contact
+ * @returns the confirmation
+ */
+export function confirmedUntil (untilMs: number): Confirmation {
+  return { confirmedUntilMs: untilMs, contactUntilMs: untilMs }
+}
+
 /** State of all limits on a host. */
 export type LimitsState = {
   readonly self: HostName
@@ -53,16 +76,11 @@
   readonly usableFromMs: ReadonlyMap<number, number>
   readonly partitionOwners: ReadonlyMap<number, HostName>
   readonly members: readonly Member[]
+  readonly confirmation: Confirmation
+  /** Whether this host is in contact, or the end of its contact has not been handled yet. */
+  readonly wasInContact: boolean
   /**
-   * Time until which the manifest counts as confirmed, since the store or a
-   * majority of hosts reported no newer one. Nothing is admitted or lent
-   * afterwards, because the partitions may have other owners.
-   */
-  readonly confirmedUntilMs: number
-  /** Whether a confirmation is valid or its expiry has not been handled yet. */
-  readonly wasConfirmed: boolean
-  /**
-   * Last time at which an expired confirmation was handled. A partition table
+   * Last time at which the end of the contact was handled. A partition table
    * read before is discarded, because the partitions may have other owners by
    * now.
    */
@@ -86,7 +104,7 @@
   | { readonly kind: 'manifestApplied', readonly manifest: Manifest, readonly nowMs: number }
   | { readonly kind: 'partitionsChanged', readonly owned: readonly number[], readonly reacquired: ReadonlySet<number>, readonly owners: ReadonlyMap<number, HostName>, readonly tableReadSentMs: number, readonly nowMs: number }
   | { readonly kind: 'membersChanged', readonly live: readonly Member[], readonly nowMs: number }
-  | { readonly kind: 'confirmationChanged', readonly confirmedUntilMs: number, readonly nowMs: number }
+  | { readonly kind: 'confirmationChanged', readonly confirmation: Confirmation, readonly nowMs: number }
   | { readonly kind: 'admit', readonly account: AccountName, readonly id: string, readonly deadlineMs: number, readonly nowMs: number }
   | { readonly kind: 'borrowRequested', readonly callId: string, readonly from: HostName, readonly incarnation: string, readonly request: BorrowRequest, readonly nowMs: number }
   /** Answer of a lender; without a grant also if the call failed. */
@@ -125,8 +143,8 @@
     usableFromMs: new Map(),
     partitionOwners: new Map(),
     members: [],
-    confirmedUntilMs: -Infinity,
-    wasConfirmed: false,
+    confirmation: { confirmedUntilMs: -Infinity, contactUntilMs: -Infinity },
+    wasInContact: false,
     expiredMs: -Infinity,
     loansClearMs: Infinity,
     unusedFromMs: Infinity,
@@ -150,7 +168,7 @@
       return { state: partitionsChanged(state, { owned, reacquired: event.reacquired }, event.owners, event.nowMs), effects: [] }
     }
     case 'membersChanged': return { state: { ...state, members: event.live }, effects: [] }
-    case 'confirmationChanged': return { state: confirmationChanged(state, event.confirmedUntilMs, event.nowMs), effects: [] }
+    case 'confirmationChanged': return { state: confirmationChanged(state, event.confirmation, event.nowMs), effects: [] }
     case 'admit': return admit(state, event.account, waitingRequest(event.id, event.deadlineMs, event.nowMs), event.nowMs)
     case 'borrowRequested': return borrowRequested(state, event)
     case 'borrowAnswered': return borrowAnswered(state, event)
@@ -251,12 +269,12 @@
   return { state: { ...state, accounts, resetMs }, effects: [{ kind: 'loansReset', callId, clearInMs: Math.ceil(clearMs - nowMs), unusedMs: Math.floor(nowMs - unusedFromMs) }] }
 }
 
-function confirmationChanged (state: LimitsState, confirmedUntilMs: number, nowMs: number): LimitsState {
-  const wasConfirmed = state.wasConfirmed || confirmedUntilMs > nowMs
-  const isExpired = state.wasConfirmed && (nowMs >= state.confirmedUntilMs || confirmedUntilMs <= nowMs)
-  if (!isExpired) return { ...state, confirmedUntilMs, wasConfirmed }
-  const expired = { ...state, confirmedUntilMs, wasConfirmed: confirmedUntilMs > nowMs, expiredMs: nowMs }
-  return partitionsChanged(expired, { owned: [], reacquired: new Set() }, state.partitionOwners, nowMs)
+function confirmationChanged (state: LimitsState, confirmation: Confirmation, nowMs: number): LimitsState {
+  const isInContact = confirmation.contactUntilMs > nowMs
+  const isLost = state.wasInContact && (nowMs >= state.confirmation.contactUntilMs || !isInContact)
+  if (!isLost) return { ...state, confirmation, wasInContact: state.wasInContact || isInContact }
+  const lost = { ...state, confirmation, wasInContact: isInContact, expiredMs: nowMs }
+  return partitionsChanged(lost, { owned: [], reacquired: new Set() }, state.partitionOwners, nowMs)
 }
 
 function refusal (account: AccountLimit, id: string): LimitsEffect {
@@ -268,7 +286,7 @@
 
 function admit (state: LimitsState, name: AccountName, request: WaitingRequest, nowMs: number): Next {
   const known = accountOf(state.accounts, name)
-  if (known === undefined || nowMs >= state.confirmedUntilMs) return { state, effects: [{ kind: 'refused', id: request.id, retryAfterMs: retryMs.max }] }
+  if (known === undefined || nowMs >= state.confirmation.confirmedUntilMs) return { state, effects: [{ kind: 'refused', id: request.id, retryAfterMs: retryMs.max }] }
   const current = advanced(known, nowMs)
   const requested = { ...current, demand: withRequests(current.demand, nowMs) }
   if (requested.waiting.length === 0 && hasToken(requested)) {
@@ -298,7 +316,7 @@
 // Admits waiting requests while there are tokens, rejects those whose time is
 // over, and requests quota if needed.
 function serveWaiting (state: LimitsState, account: AccountLimit, nowMs: number): Next {
-  const isConfirmed = nowMs < state.confirmedUntilMs
+  const isConfirmed = nowMs < state.confirmation.confirmedUntilMs
   const effects: LimitsEffect[] = []
   const waiting: WaitingRequest[] = []
   let current = account
@@ -386,7 +404,7 @@
 function borrowRequested (state: LimitsState, event: Extract<LimitsEvent, { readonly kind: 'borrowRequested' }>): Next {
   const { callId, request, nowMs } = event
   const account = accountOf(state.accounts, request.account)
-  if (account === undefined || nowMs >= state.confirmedUntilMs) return { state, effects: [{ kind: 'lend', callId, grant: undefined }] }
+  if (account === undefined || nowMs >= state.confirmation.confirmedUntilMs) return { state, effects: [{ kind: 'lend', callId, grant: undefined }] }
   const lent = lend(account, `${event.from}/${event.incarnation}`, request, nowMs)
   const answer: LimitsEffect = { kind: 'lend', callId, grant: lent.grant }
   // A host that receives a request with purpose `use` acts as the account's
--- a/test/limits/fuzz.test.ts
+++ b/test/limits/fuzz.test.ts
@@ -46,7 +46,7 @@
 function overAllocation (fleet: Fleet): number {
   return Math.max(...accounts.map(({ name, ratePerS, burst }) => {
     const sum = fleet.names.filter(fleet.isUp).map(host => {
-      const { accounts: states, confirmedUntilMs } = fleet.stateOf(host)
+      const { accounts: states, confirmation: { confirmedUntilMs } } = fleet.stateOf(host)
       const state = accountOf(states, name)
       const nowMs = fleet.clock(host)
       return state === undefined || nowMs >= confirmedUntilMs ? noQuota : advanced(state, nowMs).available
--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import { advanced, type AccountLimit } from '../../src/limits/account.js'
 import { accountOf } from '../../src/limits/accounts.js'
-import { initialLimits, limitsStep, type LimitsEvent, type LimitsState } from '../../src/limits/index.js'
+import { confirmedUntil, initialLimits, limitsStep, type LimitsEvent, type LimitsState } from '../../src/limits/index.js'
 import { partitionHandoverMs } from '../../src/limits/settings.js'
 import type { BorrowRequest } from '../../src/model/index.js'
 import { accountsManifest, capExceeded, idealAdmissions, limitFleet, randomFrom, type Fleet } from '../support/limit-fleet.js'
@@ -215,20 +215,31 @@
 
 test('a host whose confirmation expired uses no partition of an older table', () => {
   const event = (kind: 'old' | 'new'): LimitsEvent => ({ kind: 'partitionsChanged', owned: [0, 1, 2, 3], reacquired: new Set(), owners: new Map(), tableReadSentMs: kind === 'old' ? laterMs : laterMs + 30_000, nowMs: laterMs + 30_000 })
-  const confirmed = limitsStep(singleOwner(), { kind: 'confirmationChanged', confirmedUntilMs: laterMs + 5000, nowMs: laterMs }).state
-  const expired = limitsStep(confirmed, { kind: 'confirmationChanged', confirmedUntilMs: laterMs + 40_000, nowMs: laterMs + 20_000 }).state
+  const confirmed = limitsStep(singleOwner(), { kind: 'confirmationChanged', confirmation: confirmedUntil(laterMs + 5000), nowMs: laterMs }).state
+  const expired = limitsStep(confirmed, { kind: 'confirmationChanged', confirmation: confirmedUntil(laterMs + 40_000), nowMs: laterMs + 20_000 }).state
   assert.equal(limitsStep(expired, event('old')).state.usableFromMs.size, 0)
   assert.equal(limitsStep(expired, event('new')).state.usableFromMs.size, 4)
-  const withdrawn = limitsStep(confirmed, { kind: 'confirmationChanged', confirmedUntilMs: -Infinity, nowMs: laterMs + 10 }).state
+  const withdrawn = limitsStep(confirmed, { kind: 'confirmationChanged', confirmation: confirmedUntil(-Infinity), nowMs: laterMs + 10 }).state
   assert.equal(withdrawn.usableFromMs.size, 0)
 })
 
+test('a host that is behind a newer manifest admits and lends nothing, and keeps its partitions for the time after', () => {
+  const confirmation = { confirmedUntilMs: -Infinity, contactUntilMs: laterMs + 5000 }
+  const behind = limitsStep(singleOwner(), { kind: 'confirmationChanged', confirmation, nowMs: laterMs }).state
+  const admit = (state: LimitsState, nowMs: number): readonly string[] => limitsStep(state, { kind: 'admit', account: 'mill', id: 'r', deadlineMs: Infinity, nowMs }).effects.map(({ kind }) => kind)
+  assert.deepEqual(admit(behind, laterMs + 10), ['refused'])
+  assert.equal(borrow(behind, borrowRequest(1), laterMs + 10).grant, undefined)
+  const current = limitsStep(behind, { kind: 'confirmationChanged', confirmation: confirmedUntil(laterMs + 5000), nowMs: laterMs + 500 }).state
+  assert.equal(current.usableFromMs.size, 4)
+  assert.deepEqual(admit(current, laterMs + 510), ['admitted'])
+})
+
 test('the handover delay of the previous process\'s partitions counts from the start, of others from their acquisition', () => {
   const startMs = 1000
   const acquiredMs = 1500
   const handoverMs = partitionHandoverMs
   const events: readonly LimitsEvent[] = [
-    { kind: 'confirmationChanged', confirmedUntilMs: Infinity, nowMs: startMs },
+    { kind: 'confirmationChanged', confirmation: confirmedUntil(Infinity), nowMs: startMs },
     { kind: 'manifestApplied', manifest: accountsManifest(4, [{ name: 'mill', ratePerS: 100, burst: 100 }]), nowMs: startMs },
     { kind: 'partitionsChanged', owned: [0, 1, 2, 3], reacquired: new Set([0, 1]), owners: new Map(), tableReadSentMs: acquiredMs, nowMs: acquiredMs }
   ]
@@ -238,7 +249,7 @@
 })
 
 test('an unconfirmed host neither admits requests nor lends quota', () => {
-  const state = limitsStep(singleOwner(), { kind: 'confirmationChanged', confirmedUntilMs: laterMs + 5000, nowMs: laterMs }).state
+  const state = limitsStep(singleOwner(), { kind: 'confirmationChanged', confirmation: confirmedUntil(laterMs + 5000), nowMs: laterMs }).state
   const admit: LimitsEvent = { kind: 'admit', account: 'mill', id: 'r', deadlineMs: Infinity, nowMs: laterMs + 6000 }
   assert.deepEqual(limitsStep(state, admit).effects.map(({ kind }) => kind), ['refused'])
   assert.equal(borrow(state, borrowRequest(1), laterMs + 6000).grant, undefined)
--- a/test/support/limit-fleet.ts
+++ b/test/support/limit-fleet.ts
@@ -2,7 +2,7 @@
 // a network with message loss, delay and cut links, and hosts that can be paused
 // and killed. Each host has its own clock.
 
-import { limitsStep, initialLimits, limitsTickMs, partitionHandoverMs, type LimitsEffect, type LimitsEvent, type LimitsState } from '../../src/limits/index.js'
+import { confirmedUntil, limitsStep, initialLimits, limitsTickMs, partitionHandoverMs, type LimitsEffect, type LimitsEvent, type LimitsState } from '../../src/limits/index.js'
 import type { Member } from '../../src/members/index.js'
 import type { HostName, LoanReset, Manifest } from '../../src/model/index.js'
 
@@ -227,7 +227,7 @@
 
   function start (host: HostName, incarnation: number): void {
     nodes.set(host, { state: initialLimits(host, clock(host)), incarnation, isUp: true, isPaused: false, backlog: [] })
-    if (isConfirmed) step(host, { kind: 'confirmationChanged', confirmedUntilMs: Infinity, nowMs: clock(host) })
+    if (isConfirmed) step(host, { kind: 'confirmationChanged', confirmation: confirmedUntil(Infinity), nowMs: clock(host) })
     step(host, { kind: 'membersChanged', live: members, nowMs: clock(host) })
     step(host, { kind: 'manifestApplied', manifest, nowMs: clock(host) })
     if (assignsPartitions) assignPartitions(host, evenPartitions(host))
--- a/test/support/partition-store.ts
+++ b/test/support/partition-store.ts
@@ -3,7 +3,7 @@
 // answers can be lost, and a write can take effect long after its caller's
 // timeout.
 
-import { initialPartitions, partitionsStep, type PartitionsEffect, type PartitionsEvent, type PartitionsState, type PartitionTable } from '../../src/limits/index.js'
+import { confirmedUntil, initialPartitions, partitionsStep, type PartitionsEffect, type PartitionsEvent, type PartitionsState, type PartitionTable } from '../../src/limits/index.js'
 import type { ListedHost } from '../../src/members/index.js'
 import type { HostName } from '../../src/model/index.js'
 import type { Fleet } from './limit-fleet.js'
@@ -101,7 +101,7 @@
       const isReachable = !faults.isDown && !cutOff.has(host)
       if (isReachable) deliver(host, nowMs => ({ kind: 'hostsListed', hosts: lastListed, nowMs }))
       const isListed = lastListed.some(other => other.host === host)
-      if (isListed && !cutOff.has(host)) fleet.deliver(host, nowMs => ({ kind: 'confirmationChanged', confirmedUntilMs: nowMs + confirmationMs, nowMs }))
+      if (isListed && !cutOff.has(host)) fleet.deliver(host, nowMs => ({ kind: 'confirmationChanged', confirmation: confirmedUntil(nowMs + confirmationMs), nowMs }))
       deliver(host, nowMs => ({ kind: 'tick', nowMs }))
     }
     fleet.at(fleet.now() + tickMs, tick)
