--- a/src/limits/index.ts
+++ b/src/limits/index.ts
@@ -2,5 +2,6 @@
 
 export * from './limits.js'
 export { partitionHandoverMs } from './settings.js'
+export * from './division.js'
 export * from './partitions.js'
 export { limitsTickMs } from './settings.js'
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -20,14 +20,15 @@
 import { anonymousAccount, type AccountName, type BorrowRequest, type HostName, type Manifest, type Quota, type QuotaGrant } from '../model/index.js'
 import type { Transition } from '../pipe/index.js'
 import { capableMembers, quotaCoordinator, type Member } from '../members/index.js'
-import { advanced, hasToken, lentExpiryMs, newAccount, ownFraction, refreshed, withoutLender, withoutToken, type AccountLimit, type QuotaOwner, type OwnedFraction, type QuotaSources, type WaitingRequest } from './account.js'
+import { advanced, hasToken, newAccount, ownFraction, refreshed, withoutToken, type AccountLimit, type QuotaOwner, type QuotaSources, type WaitingRequest } from './account.js'
 import { accountOf, allAccounts, noAccounts, withAccount, type Accounts } from './accounts.js'
 import { requestFromCoordinator, borrowFromOwner, canReceiveTokens, missingTokens, applyAnswer, type BorrowResult } from './borrowing.js'
 import { demandRate, withRequests } from './demand.js'
 import { lend } from './lending.js'
 import { isShort, neededFraction } from './quota-target.js'
-import { firstOwner, isSameDivision, partitionFraction } from './partitions.js'
-import { aggregationIdleMs, divisionChangeDelayMs, idleTickMs, limitsTickMs, minWaitMs, maxWaitingRequests, maxWaitMs, partitionHandoverMs } from './settings.js'
+import { firstOwner, isSameDivision, partitionFraction } from './division.js'
+import { confirmationChanged, loansCleared, ownedFractions, partitionsChanged, resetLoans } from './ownership.js'
+import { aggregationIdleMs, divisionChangeDelayMs, idleTickMs, limitsTickMs, minWaitMs, maxWaitingRequests, maxWaitMs } from './settings.js'
 
 /**
  * Below this number of other hosts, a coordinator borrows from all of them
@@ -206,77 +207,6 @@
   return refreshed({ ...before, limit, ownedFractions: fractions, ceiling })
 }
 
-function ownedFractions (usableFromMs: ReadonlyMap<number, number>, account: AccountName, ratePerS: number, partitionCount: number): readonly OwnedFraction[] {
-  const byTime = new Map<number, number>()
-  for (const [partition, fromMs] of usableFromMs) {
-    const fraction = partitionFraction(account, ratePerS, partition, partitionCount)
-    if (fraction > 0) byTime.set(fromMs, (byTime.get(fromMs) ?? 0) + fraction)
-  }
-  return [...byTime].map(([fromMs, fraction]) => ({ fromMs, fraction }))
-}
-
-type PartitionChange = { readonly owned: readonly number[], readonly reacquired: ReadonlySet<number> }
-
-function partitionsChanged (state: LimitsState, { owned, reacquired }: PartitionChange, partitionOwners: ReadonlyMap<number, HostName>, nowMs: number): LimitsState {
-  const isSame = owned.length === state.usableFromMs.size && owned.every(partition => state.usableFromMs.has(partition))
-  if (isSame) return { ...state, reacquired, partitionOwners }
-  const handoverEndMs = (partition: number): number => reacquired.has(partition) && state.expiredMs === -Infinity
-    ? Math.min(state.startedAtMs + partitionHandoverMs, state.loansClearMs)
-    : nowMs + partitionHandoverMs
-  const usableFromMs = new Map(owned.map(partition => [partition, state.usableFromMs.get(partition) ?? Math.max(nowMs, handoverEndMs(partition))]))
-  return withUsablePartitions({ ...state, reacquired, partitionOwners }, usableFromMs, nowMs)
-}
-
-function withUsablePartitions (state: LimitsState, usableFromMs: ReadonlyMap<number, number>, nowMs: number): LimitsState {
-  let { accounts } = state
-  for (const account of allAccounts(state.accounts)) {
-    const fractions = ownedFractions(usableFromMs, account.account, account.limit.ratePerS, state.partitionCount)
-    const current = advanced(account, nowMs)
-    const changed = refreshed({ ...current, ownedFractions: fractions })
-    accounts = withAccount(accounts, withUnusedTokens(state, changed, ownFraction(current, nowMs), nowMs))
-  }
-  return { ...state, usableFromMs, accounts }
-}
-
-// The tokens of partitions that become usable at once accrued while nobody used them.
-function withUnusedTokens (state: LimitsState, account: AccountLimit, fractionBefore: number, nowMs: number): AccountLimit {
-  const added = ownFraction(account, nowMs) - fractionBefore
-  if (added <= 0 || state.unusedFromMs >= nowMs) return account
-  const tokens = Math.min(account.limit.capacity, account.limit.ratePerS * (nowMs - state.unusedFromMs) / 1000) * added
-  return { ...account, level: Math.min(account.available.capacity, account.level + tokens) }
-}
-
-function loansCleared (state: LimitsState, { clearMs, unusedFromMs, nowMs }: Extract<LimitsEvent, { readonly kind: 'loansCleared' }>): LimitsState {
-  if (state.expiredMs !== -Infinity) return state
-  const fromMs = Math.max(nowMs, clearMs)
-  const usableFromMs = new Map([...state.usableFromMs].map(([partition, usableMs]) => [partition, state.reacquired.has(partition) ? Math.min(usableMs, fromMs) : usableMs]))
-  return withUsablePartitions({ ...state, loansClearMs: clearMs, unusedFromMs: Math.max(unusedFromMs, clearMs > nowMs ? clearMs : -Infinity) }, usableFromMs, nowMs)
-}
-
-// Loans that this host has made from the loans that it gives up run until they expire.
-function resetLoans (state: LimitsState, callId: string, lender: HostName, nowMs: number): Next {
-  let { accounts } = state
-  let clearMs = nowMs
-  let unusedFromMs = Math.max(state.startedAtMs, state.resetMs.get(lender) ?? -Infinity)
-  for (const account of allAccounts(state.accounts)) {
-    if (!account.lenders.has(lender)) continue
-    const reset = withoutLender(advanced(account, nowMs), lender)
-    clearMs = Math.max(clearMs, lentExpiryMs(reset, nowMs))
-    unusedFromMs = nowMs
-    accounts = withAccount(accounts, reset)
-  }
-  const resetMs = unusedFromMs === nowMs ? new Map(state.resetMs).set(lender, nowMs) : state.resetMs
-  return { state: { ...state, accounts, resetMs }, effects: [{ kind: 'loansReset', callId, clearInMs: Math.ceil(clearMs - nowMs), unusedMs: Math.floor(nowMs - unusedFromMs) }] }
-}
-
-function confirmationChanged (state: LimitsState, confirmation: Confirmation, nowMs: number): LimitsState {
-  const isInContact = confirmation.contactUntilMs > nowMs
-  const isLost = state.wasInContact && (nowMs >= state.confirmation.contactUntilMs || !isInContact)
-  if (!isLost) return { ...state, confirmation, wasInContact: state.wasInContact || isInContact }
-  const lost = { ...state, confirmation, wasInContact: isInContact, expiredMs: nowMs }
-  return partitionsChanged(lost, { owned: [], reacquired: new Set() }, state.partitionOwners, nowMs)
-}
-
 function refusal (account: AccountLimit, id: string): LimitsEffect {
   const ratePerS = Math.max(account.available.ratePerS, account.limit.ratePerS / 2)
   const missing = account.waiting.length + 1 - account.level
--- a/src/limits/partitions.ts
+++ b/src/limits/partitions.ts
@@ -19,17 +19,12 @@
 // A write whose answer was lost may take effect late. A partition that was to be
 // released is therefore not used again until the table has a newer version.
 //
-// Above `maxPartitionsPerTable` partitions there are several tables, and each
-// host belongs to one of them, which keeps conflicts rare and reads small.
-//
-// An account does not use all partitions but every stride-th, at least
-// `minPartitionsPerAccount` if there are as many. With several tables, the stride
-// also depends on the rate: an account with a high rate uses more partitions.
+// How limits are divided into partitions, and partitions into tables: division.ts.
 
-import { createHash } from 'node:crypto'
-import type { AccountName, HostName } from '../model/index.js'
+import type { HostName } from '../model/index.js'
 import { capableMembers, type ListedHost } from '../members/index.js'
 import type { Transition } from '../pipe/index.js'
+import { partitionRange, type PartitionRange } from './division.js'
 
 /** Owner of a quota partition. */
 export type PartitionOwner = {
@@ -43,26 +38,6 @@
   readonly seats: ReadonlyArray<PartitionOwner | null>
 }
 
-/** Table and range of partitions that a host belongs to. */
-export type PartitionRange = {
-  /** Name of the object in the store. */
-  readonly table: string
-  readonly firstPartition: number
-  /** Number of partitions in the table. */
-  readonly size: number
-  /** Hosts whose partitions are in this table. */
-  readonly hosts: readonly HostName[]
-}
-
-/** Maximum number of partitions in one table. */
-const maxPartitionsPerTable = 256
-/**
- * Minimum number of partitions of an account: its coordinator borrows from few
- * owners, and one of them may fail.
- */
-const minPartitionsPerAccount = 8
-/** With several tables, an account uses more partitions if one would exceed this rate. */
-const maxRatePerPartitionPerS = 50
 /** Partitions that a host keeps above its even count. */
 const keptAboveEven = 2
 /** Absence from the platform's list after which a host's partitions are reclaimed. */
@@ -77,71 +52,6 @@
  */
 const readPeriodPerHostMs = 50
 
-/**
- * Finds the table and the range of partitions of a host.
- * @param host - the host
- * @param hosts - all live hosts of the platform's list
- * @param partitionCount - number of partitions in the manifest
- * @returns the range, with the hosts that it is distributed over
- */
-export function partitionRange (host: HostName, hosts: readonly HostName[], partitionCount: number): PartitionRange {
-  const tables = Math.ceil(partitionCount / maxPartitionsPerTable)
-  if (tables <= 1) return { table: 'table', firstPartition: 0, size: partitionCount, hosts }
-  const at = hashOf(host) % tables
-  const firstPartition = Math.floor(partitionCount * at / tables)
-  const size = Math.floor(partitionCount * (at + 1) / tables) - firstPartition
-  return { table: `table-${at}`, firstPartition, size, hosts: hosts.filter(other => hashOf(other) % tables === at) }
-}
-
-/**
- * Computes the fraction of an account's limit that belongs to a partition.
- * @param account - the account
- * @param ratePerS - rate of the account
- * @param partition - the partition
- * @param partitionCount - number of partitions in the manifest
- * @returns the fraction; 0 for a partition that the account does not use
- */
-export function partitionFraction (account: AccountName, ratePerS: number, partition: number, partitionCount: number): number {
-  if (partition >= partitionCount) return 0
-  const stride = partitionStride(ratePerS, partitionCount)
-  const offset = hashOf(account) % stride
-  return partition % stride === offset ? 1 / Math.ceil((partitionCount - offset) / stride) : 0
-}
-
-/**
- * Checks whether two manifests divide an account's limit in the same way.
- * @param before - division by the first manifest
- * @param after - division by the second manifest
- * @returns true if every partition has the same fraction
- */
-export function isSameDivision (before: Division, after: Division): boolean {
-  return before.partitionCount === after.partitionCount && partitionStride(before.ratePerS, before.partitionCount) === partitionStride(after.ratePerS, after.partitionCount)
-}
-
-/** Values that determine how an account's limit is divided into partitions. */
-export type Division = { readonly ratePerS: number, readonly partitionCount: number }
-
-function partitionStride (ratePerS: number, partitionCount: number): number {
-  const isOneTable = partitionCount <= maxPartitionsPerTable
-  const minPartitions = isOneTable ? minPartitionsPerAccount : Math.max(minPartitionsPerAccount, Math.ceil(ratePerS / maxRatePerPartitionPerS))
-  // A power of two, so that a change of the rate rarely changes the division.
-  return 2 ** Math.max(0, Math.floor(Math.log2(partitionCount / minPartitions)))
-}
-
-/**
- * Selects the owner that an account's coordinator borrows from first.
- * @param account - the account
- * @param ownerCount - number of owners
- * @returns the index of the owner
- */
-export function firstOwner (account: AccountName, ownerCount: number): number {
-  return ownerCount === 0 ? 0 : hashOf(account) % ownerCount
-}
-
-function hashOf (name: string): number {
-  return createHash('sha256').update(name).digest().readUInt32LE(0)
-}
-
 /** Input of a plan besides the table. */
 export type PartitionView = {
   readonly self: PartitionOwner
--- a/src/members/index.ts
+++ b/src/members/index.ts
@@ -2,4 +2,5 @@
 
 export * from './rendezvous.js'
 export * from './membership.js'
+export { gossipEntries } from './gossip.js'
 export * from './registry.js'
--- a/src/members/membership.ts
+++ b/src/members/membership.ts
@@ -24,6 +24,8 @@
 
 import type { HostName, GossipEntry, MemberState } from '../model/index.js'
 import type { Transition } from '../pipe/index.js'
+import { expireObservations, isRelayed, mergeGossip, unresponsiveByGossip, gossipEntries, type LivenessObservation } from './gossip.js'
+import { isFullMesh, peerPeriodFactor } from './periods.js'
 import { capableMembers, ringNeighbours, watchersOf, type Member } from './rendezvous.js'
 
 /**
@@ -57,11 +59,6 @@
   watchersPerDomain: 2
 }
 
-/**
- * Factor by which the heartbeat period is longer in a fleet above the full
- * mesh size.
- */
-const ringPeriodFactor = 4
 /** Fraction of the period after which an unanswered heartbeat is repeated. */
 const repeatFraction = 0.4
 /**
@@ -73,22 +70,6 @@
 const tickSpacingMs: { readonly min: number, readonly max: number } = { min: 50, max: 500 }
 /** Shortest time between two heartbeats that are sent because of new observations. */
 const gossipSpacingMs = 200
-/** Number of periods for which an observation is gossiped. */
-const gossipPeriods = 5
-/**
- * Number of periods after which an observation expires. Observations are made
- * on a change only and not renewed, so a host that stays unresponsive and listed
- * then counts as live again to members that do not observe it, until a link of
- * theirs to it fails.
- */
-const expiryPeriods = 30
-/** Maximum number of gossip entries in one heartbeat. */
-const maxGossipEntries = 16
-/**
- * Number of observers that have to agree before a host that this member does
- * not observe is regarded as unresponsive.
- */
-const minObservers = 2
 
 type PeerView = {
   /** Time of the last contact, or when the host was first listed. */
@@ -105,9 +86,6 @@
   return { lastContactMs: nowMs, lastSentMs: -Infinity, linkFailedMs: undefined, stopping: false, unresponsive: false }
 }
 
-/** Whether a host is unresponsive, as one observer reported it. */
-type LivenessObservation = { readonly host: HostName, readonly observer: HostName, readonly unresponsive: boolean, readonly observedMs: number }
-
 /** A member's view of the fleet. */
 export type MembershipState = {
   readonly settings: MembershipSettings
@@ -239,37 +217,6 @@
   return state.listedByName.has(host)
 }
 
-/**
- * Returns the gossip entries for a heartbeat or its answer.
- * @param state - the current state
- * @param nowMs - monotonic time
- * @returns the latest entries; none in a full mesh
- */
-export function gossipEntries (state: MembershipState, nowMs: number): readonly GossipEntry[] {
-  if (isFullMesh(state)) return []
-  const sinceMs = nowMs - gossipPeriods * periodOf(state)
-  return [...state.observations.values()]
-    .filter(observation => observation.observedMs >= sinceMs && isRelayed(state, observation))
-    .sort((a, b) => b.observedMs - a.observedMs)
-    .slice(0, maxGossipEntries)
-    // `silent` is the wire name of `unresponsive`.
-    .map(({ host, observer, unresponsive, observedMs }) => ({ host, observer, silent: unresponsive, agoMs: Math.round(nowMs - observedMs) }))
-}
-
-function isFullMesh (state: MembershipState): boolean {
-  return state.listed.length <= state.settings.fullMeshHosts
-}
-
-function periodOf (state: MembershipState): number {
-  return state.settings.periodMs * (isFullMesh(state) ? 1 : ringPeriodFactor)
-}
-
-// Factor of the heartbeat period and of the time to suspicion between this member
-// and a peer.
-function peerPeriodFactor (state: MembershipState, host: HostName): number {
-  return isFullMesh(state) || (state.quorum.includes(host) && state.quorum.includes(state.self.host)) ? 1 : ringPeriodFactor
-}
-
 function withPeer (state: MembershipState, host: HostName, peer: PeerView): MembershipState {
   return { ...state, peers: new Map(state.peers).set(host, peer) }
 }
@@ -293,10 +240,6 @@
   return { ...state, listed: hosts, listedByName, quorum, capable, observed, peers, observations }
 }
 
-function isRelayed (state: MembershipState, { host, observer }: LivenessObservation): boolean {
-  return observer === state.self.host || state.capable.has(host)
-}
-
 function otherWatchers (self: HostName, quorum: readonly HostName[]): readonly HostName[] {
   return quorum.filter(host => host !== self)
 }
@@ -321,29 +264,6 @@
   return isNews ? updateLiveMembers(withGossip, nowMs, state) : { state: withGossip, effects: [] }
 }
 
-function mergeGossip (state: MembershipState, entries: readonly GossipEntry[], nowMs: number): MembershipState {
-  const news = entries.map(entry => observationFrom(entry, nowMs)).filter(observation => isNewObservation(state, observation))
-  if (news.length === 0) return state
-  const observations = new Map(state.observations)
-  for (const observation of news) observations.set(observationKey(observation), observation)
-  return { ...state, observations }
-}
-
-function observationFrom ({ host, observer, silent, agoMs }: GossipEntry, nowMs: number): LivenessObservation {
-  return { host, observer, unresponsive: silent, observedMs: nowMs - agoMs }
-}
-
-function observationKey ({ host, observer }: LivenessObservation): string {
-  return `${host}/${observer}`
-}
-
-function isNewObservation (state: MembershipState, observation: LivenessObservation): boolean {
-  const { host, observer, unresponsive, observedMs } = observation
-  if (observer === state.self.host || host === state.self.host || !state.listedByName.has(host)) return false
-  const before = state.observations.get(observationKey(observation))
-  return before === undefined || (before.unresponsive !== unresponsive && before.observedMs < observedMs)
-}
-
 function linkFailed (state: MembershipState, host: HostName, nowMs: number): Next {
   const listed = state.listedByName.get(host)
   const peer = state.peers.get(host) ?? newPeer(nowMs)
@@ -380,12 +300,6 @@
   return { ...state, peers: new Map(peers) }
 }
 
-function expireObservations (state: MembershipState, nowMs: number): MembershipState {
-  const oldMs = nowMs - expiryPeriods * periodOf(state)
-  const kept = [...state.observations].filter(([, observation]) => observation.observedMs >= oldMs)
-  return kept.length === state.observations.size ? state : { ...state, observations: new Map(kept) }
-}
-
 function isDue (state: MembershipState, host: HostName, peer: PeerView, nowMs: number): boolean {
   const earlyMs = peer.linkFailedMs === undefined ? state.settings.periodMs * earlyFraction : 0
   return heartbeatDueAtMs(state, host, peer) <= nowMs + earlyMs
@@ -415,14 +329,6 @@
   return Math.min(byLinkMs, byContactMs)
 }
 
-function unresponsiveByGossip (state: MembershipState): ReadonlySet<HostName> {
-  const observers = new Map<HostName, number>()
-  for (const { host, unresponsive } of state.observations.values()) {
-    if (unresponsive && !state.observed.has(host)) observers.set(host, (observers.get(host) ?? 0) + 1)
-  }
-  return new Set([...observers].filter(([, count]) => count >= minObservers).map(([host]) => host))
-}
-
 // Assesses every peer, records the changes that this member observed, and emits
 // the set of live members if it changed.
 function updateLiveMembers (state: MembershipState, nowMs: number, before = state): Next {
