--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -50,6 +50,8 @@
 const incarnationBytes = 6
 /** Names of other writers' entries may be long. */
 const maxLoggedNameLength = 64
+/** In a fleet of at most this size all hosts are candidates for the leader lease. */
+const maxCandidates = 24
 /** Maximum deadline that a caller may request. */
 const maxDeadlineMs = 600_000
 
@@ -255,9 +257,9 @@
   return rank < 0 ? view.quorum.length : rank
 }
 
-// A watcher, or any host while no watcher responds.
-function isLeaderCandidate ({ quorum, unresponsive }: MembersView, self: HostName): boolean {
-  return quorum.includes(self) || quorum.every(host => unresponsive.has(host))
+// A watcher, any host of a small fleet, or any host while no watcher responds.
+function isLeaderCandidate ({ listed, quorum, unresponsive }: MembersView, self: HostName): boolean {
+  return listed.length <= maxCandidates || quorum.includes(self) || quorum.every(host => unresponsive.has(host))
 }
 
 function otherHosts (members: MembersTask, self: HostName): readonly HostName[] {
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -154,7 +154,8 @@
     case 'callFailed': return withoutEffects({ ...state, callInProgress: false, observed: undefined, nextCallMs: event.nowMs + pollPeriodMs(state) })
     case 'otherHolderReported': return withoutEffects({ ...state, lastContactAtMs: event.nowMs })
     case 'release': return release({ ...state, rank: undefined })
-    case 'rankChanged': return withoutEffects({ ...state, rank: event.rank, isWatcher: event.isWatcher })
+    // A host that becomes a candidate does not wait for the end of its long poll period.
+    case 'rankChanged': return withoutEffects({ ...state, rank: event.rank, isWatcher: event.isWatcher, nextCallMs: event.isWatcher && !state.isWatcher ? Math.min(state.nextCallMs, 0) : state.nextCallMs })
   }
 }
 
