--- a/review/standins/world.mjs
+++ b/review/standins/world.mjs
@@ -20,6 +20,8 @@
 export const trouble = process.env.TROUBLE !== '0'
 export const exitCode = { held: 0, broken: 1, notRun: 2 }
 
+/** Network of this run, so that several cases can run at the same time. */
+const net127 = `127.${20 + Math.floor(Math.random() * 200)}`
 const zones = ['medina', 'plateau', 'hlm']
 const service = 'huvo11a'
 const metricsPort = 9464
@@ -63,15 +65,17 @@
   /**
    * Starts the platform, the servers and the hosts, and waits until all hosts are
    * ready. With `canCutOff` the connections between hosts pass through links, too.
+   * A host whose process ends is started again after `restartMs`, where that is set.
    */
-  async start ({ hosts = 3, group = {}, txIdleMs = 3000, canCutOff = false } = {}) {
+  async start ({ hosts = 3, group = {}, txIdleMs = 3000, canCutOff = false, restartMs } = {}) {
+    this.restartMs = restartMs
     this.folder = mkdtempSync(join(tmpdir(), 'limpetmoor-review-'))
     this.store = new Store()
-    this.storeAddress = await this.store.start('127.0.20.1')
+    this.storeAddress = await this.store.start(`${net127}.20.1`)
     this.group = new Group({ service, onRun: run => { this.runs.push(run); this.note('run', run) }, ...group })
     await this.#startPromotions()
     this.store.put('config', 'main', configuration(txIdleMs))
-    for (const [at, zone] of zones.entries()) await this.group.add(`i-${'abc'[at]}7f3a91c${at}`, zone, `127.0.30.${at + 1}`)
+    for (const [at, zone] of zones.entries()) await this.group.add(`i-${'abc'[at]}7f3a91c${at}`, zone, `${net127}.30.${at + 1}`)
     this.#beat()
     const ports = await freePorts(hosts)
     if (canCutOff) await this.#linkPeers(hosts, ports)
@@ -111,6 +115,7 @@
   }
 
   async stop () {
+    this.isStopping = true
     for (const timer of this.#timers) clearInterval(timer)
     await Promise.all(this.hosts.map(async ({ child, ended }) => {
       if (child.exitCode === null && child.signalCode === null) child.kill('SIGKILL')
@@ -137,8 +142,8 @@
       }).catch(() => { response.destroy() })
     })
     this.promotions.keepAliveTimeout = 120_000
-    await new Promise(resolve => { this.promotions.listen(0, '127.0.20.2', resolve) })
-    this.promotionsAddress = { ip: '127.0.20.2', port: this.promotions.address().port }
+    await new Promise(resolve => { this.promotions.listen(0, `${net127}.20.2`, resolve) })
+    this.promotionsAddress = { ip: `${net127}.20.2`, port: this.promotions.address().port }
   }
 
   // The servers report themselves; one that is down reports nothing, and its entry is
@@ -169,7 +174,7 @@
     for (const from of ips) {
       for (const to of ips.filter(ip => ip !== from)) {
         const link = new Link({ ip: to, port: ports.peers })
-        this.#peerLinks.push({ from, to, link, address: await link.start('127.0.42.1') })
+        this.#peerLinks.push({ from, to, link, address: await link.start(`${net127}.42.1`) })
       }
     }
   }
@@ -179,8 +184,8 @@
     const name = `frontend-${zone}-${Math.floor(at / zones.length) + 1}`
     const ip = hostIp(at)
     const links = { store: new Link(this.storeAddress), promotions: new Link(this.promotionsAddress) }
-    const store = await links.store.start(`127.0.40.${at + 1}`)
-    const promotions = await links.promotions.start(`127.0.41.${at + 1}`)
+    const store = await links.store.start(`${net127}.40.${at + 1}`)
+    const promotions = await links.promotions.start(`${net127}.41.${at + 1}`)
     const { role, template } = deployFile()
     const settings = render(template, {
       NodeName: name,
@@ -196,20 +201,25 @@
     const file = join(this.folder, `${name}.toml`)
     const redirected = this.#peerLinks.filter(({ from }) => from === ip).map(({ to, address }) => `"${to}:${ports.peers}" = "${address.ip}:${address.port}"\n`)
     writeFileSync(file, redirected.length === 0 ? settings : `${settings}\n[links]\n${redirected.join('')}`)
-    const [program, ...words] = role.run.split(' ')
-    const child = spawn(program, words, { cwd: root, env: { PATH: process.env.PATH, HOME: this.folder, LIMPETMOOR_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
-    const ended = new Promise(resolve => {
+    const host = { name, zone, ip, links, file, run: role.run, callers: { ip, port: ports.callers }, readiness: { ip, port: ports.readiness }, ends: 0 }
+    this.hosts.push(host)
+    this.#spawn(host)
+  }
+
+  // The log of a host is shown where SHOW_LOGS is set.
+  #spawn (host) {
+    const [program, ...words] = host.run.split(' ')
+    const child = spawn(program, words, { cwd: root, env: { PATH: process.env.PATH, HOME: this.folder, LIMPETMOOR_CONFIG: host.file }, stdio: ['ignore', 'pipe', 'pipe'] })
+    for (const stream of [child.stdout, child.stderr]) stream.on('data', text => { if (process.env.SHOW_LOGS !== undefined) process.stderr.write(text) })
+    host.child = child
+    host.ended = new Promise(resolve => {
       child.once('exit', (code, signal) => {
-        this.note('hostEnded', { name, code, signal })
+        this.note('hostEnded', { name: host.name, code, signal })
+        host.ends += 1
+        if (this.restartMs !== undefined && !this.isStopping) setTimeout(() => { if (!this.isStopping) this.#spawn(host) }, this.restartMs)
         resolve()
       })
     })
-    const log = createWriteStream(join(this.folder, `${name}.log`))
-    child.stdout.pipe(log)
-    child.stderr.pipe(log)
-    const isOn = process.env.SHOW_LOGS !== undefined
-    if (isOn) for (const stream of [child.stdout, child.stderr]) stream.on('data', text => { process.stderr.write(text) })
-    this.hosts.push({ name, zone, ip, child, ended, links, callers: { ip, port: ports.callers }, readiness: { ip, port: ports.readiness } })
   }
 
   async #allReady () {
@@ -223,7 +233,7 @@
   const world = new World(folder)
   let code = exitCode.notRun
   // However this process ends, the hosts end, too.
-  process.on('exit', () => { for (const { child } of world.hosts) child.kill('SIGKILL') })
+  process.on('exit', () => { for (const { child } of world.hosts) child?.kill('SIGKILL') })
   for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => { process.exit(exitCode.notRun) })
   process.on('uncaughtException', error => {
     process.stdout.write(`the case could not run: ${error.stack}\n`)
@@ -248,7 +258,7 @@
 }
 
 function hostIp (at) {
-  return `127.0.10.${at + 1}`
+  return `${net127}.10.${at + 1}`
 }
 
 // Reads `run` and `template` of the one role.
