--- a/src/dispatch/run.ts
+++ b/src/dispatch/run.ts
@@ -70,11 +70,16 @@
     const result = await session.control(step, timeLeftMs(services, message))
     if (result.kind === 'answered') continue
     session.close()
-    return notRun('noServer', 'the context of the server session could not be set')
+    return isPermanent(result) ? result : notRun('noServer', 'the context of the server session could not be set')
   }
   return undefined
 }
 
+// A value that no session of this driver can take fails at every server.
+function isPermanent (result: QueryResult): result is Extract<QueryResult, { readonly kind: 'notRun' }> {
+  return result.kind === 'notRun' && (result.reason === 'unsupported' || result.reason === 'statementTooLong')
+}
+
 // The primary may return entries that no majority has received yet, so a read
 // there waits for a quorum on the position of its snapshot, as a write does.
 async function runRead (services: DispatchServices, message: CheckedRequest, session: ServerSession): Promise<RunResult> {
--- a/src/wire/lines.ts
+++ b/src/wire/lines.ts
@@ -1,49 +1,36 @@
-// Line framing over a stream, with one JSON text per line. A line longer than
-// the limit closes the connection, so that a peer cannot exhaust the memory.
+// Framing of the links between hosts: one JSON text per line. JSON escapes line
+// feeds, so one ends a line only. A line longer than the limit closes the connection,
+// so that a peer cannot exhaust the memory.
 
 import type { Duplex } from 'node:stream'
 
 /** Maximum length of a line from a peer, in characters. */
 const maxLineLength = 32 * 1024 * 1024
 
-/** Options for reading lines. */
-export type LineOptions = {
-  /** `latin1` maps each byte to one character. */
-  readonly encoding?: 'utf8' | 'latin1'
-  readonly maxLength?: number
-  /**
-   * Called for a line longer than `maxLength`, after which nothing more is
-   * read; closes the connection by default.
-   */
-  readonly onTooLong?: () => void
-}
-
 /**
  * Reads lines from a stream.
  * @param stream - the stream
- * @param onLine - called with each line, in order
- * @param options - encoding, maximum line length, and handling of longer lines
+ * @param onLine - called with each line, in order, without its line feed
  */
-export function readLines (stream: Duplex, onLine: (line: string) => void, options: LineOptions = {}): void {
-  const { encoding = 'utf8', maxLength = maxLineLength, onTooLong = () => { stream.destroy(new Error('line exceeds the maximum length')) } } = options
+export function readLines (stream: Duplex, onLine: (line: string) => void): void {
   let incomplete = ''
-  let isEnded = false
-  stream.setEncoding(encoding)
+  stream.setEncoding('utf8')
   stream.on('data', (chunk: string) => {
-    if (isEnded) return
+    if (stream.destroyed) return
     const lines = (incomplete + chunk).split('\n')
     incomplete = lines.pop() ?? ''
     for (const line of lines) {
-      if (line.length > maxLength) isEnded = true
-      else if (!isEnded) onLine(line)
+      if (line.length > maxLineLength) return closeAtLongLine(stream)
+      onLine(line)
     }
-    if (!isEnded && incomplete.length <= maxLength) return
-    isEnded = true
-    incomplete = ''
-    onTooLong()
+    if (incomplete.length > maxLineLength) closeAtLongLine(stream)
   })
 }
 
+function closeAtLongLine (stream: Duplex): void {
+  stream.destroy(new Error('line exceeds the maximum length'))
+}
+
 /**
  * Writes one value as a line of JSON.
  * @param stream - the stream
--- a/standins/fleet/caller.ts
+++ b/standins/fleet/caller.ts
@@ -1,7 +1,7 @@
 // A caller of the line protocol, for tests.
 
 import net from 'node:net'
-import { readLines } from '../../src/wire/lines.js'
+import { readFrames } from './framing.js'
 
 /** Answer to a query. */
 export type LineAnswer = {
@@ -26,7 +26,7 @@
   private constructor (socket: net.Socket) {
     this.#socket = socket
     this.#closed = new Promise(resolve => { socket.once('close', () => { resolve() }) })
-    readLines(socket, line => { this.#handleLine(line.replace(/\r$/, '')) }, { encoding: 'latin1' })
+    readFrames(socket, text => { this.#handleMessage(text) })
     socket.on('error', () => { socket.destroy() })
     // The proxy closes a rejected session after the error, without READY.
     socket.on('close', () => {
@@ -68,6 +68,14 @@
     this.#socket.write(bytes, 'latin1')
   }
 
+  /**
+   * Waits for the answer to a query that was sent as bytes.
+   * @returns the answer
+   */
+  async completion (): Promise<LineAnswer> {
+    return await this.#send('')
+  }
+
   /** Resolves when the connection is closed. */
   async closed (): Promise<void> {
     await this.#closed
@@ -88,8 +96,8 @@
     })
   }
 
-  #handleLine (line: string): void {
-    const [word = '', first = '', ...rest] = line.split(' ')
+  #handleMessage (text: string): void {
+    const [word = '', first = '', ...rest] = text.split(' ')
     switch (word) {
       case 'ROW': {
         this.#rows = [...this.#rows, [first, ...rest].join(' ')]
--- a/standins/fleet/server.ts
+++ b/standins/fleet/server.ts
@@ -3,7 +3,7 @@
 
 import net from 'node:net'
 import type { AddressInfo } from 'node:net'
-import { readLines } from '../../src/wire/lines.js'
+import { readFrames } from './framing.js'
 import { appliedText, hasApplied, receivedText, type Entry, type Group, type ServerNode } from './ledger.js'
 
 /** A statement that a server executed, with the state of its session. */
@@ -105,13 +105,13 @@
     let last: Promise<void> = Promise.resolve()
     socket.on('error', () => { socket.destroy() })
     socket.on('close', () => { this.#sockets.delete(socket) })
-    readLines(socket, line => {
-      last = last.then(async () => { await this.#handleLine(socket, session, connection, line.replace(/\r$/, '')) })
-    }, { encoding: 'latin1' })
+    readFrames(socket, text => {
+      last = last.then(async () => { await this.#handleMessage(socket, session, connection, text) })
+    })
   }
 
-  async #handleLine (socket: net.Socket, session: Session, connection: number, line: string): Promise<void> {
-    const [word, first = '', ...rest] = line.split(' ')
+  async #handleMessage (socket: net.Socket, session: Session, connection: number, message: string): Promise<void> {
+    const [word, first = '', ...rest] = message.split(' ')
     if (word === 'TERMINATE') return void socket.end()
     if (word === 'STARTUP') return this.#startSession(socket, session, first, rest)
     if (word !== 'QUERY') return void socket.destroy()
@@ -136,7 +136,7 @@
   }
 
   async #query (session: Session, connection: number, id: string, query: string): Promise<string> {
-    const after = /^AFTER (\S+) (.*)$/.exec(query)
+    const after = /^AFTER (\S+) ([^]*)$/.exec(query)
     const text = after?.[2] ?? query
     const [verb = '', ...args] = text.split(' ')
     const control = this.#control(session, verb, args)
--- a/test/platform/statement.test.ts
+++ b/test/platform/statement.test.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { message, positionText, readCallerMessage, readPosition, readServerMessage } from '../../platform/lines.js'
-import { controlText, parseQuery, queryText } from '../../platform/statement.js'
+import { positionText, readCallerMessage, readPosition, readServerMessage } from '../../platform/lines.js'
+import { controlFields, parseQuery, queryFields } from '../../platform/statement.js'
 import { decodeConfiguration } from '../../platform/configuration.js'
 import { decodeServer } from '../../platform/servers.js'
 
 const word = fc.stringMatching(/^[a-z0-9]{1,12}$/)
-const anyLine = fc.string({ maxLength: 60 }).map(text => text.replace(/[\r\n]/g, ''))
+const anyLine = fc.string({ maxLength: 60 }).map(text => text.replaceAll('\r\n', ''))
 
 test('every line parses to a message, and a query keeps its text', () => {
   fc.assert(fc.property(anyLine, line => {
@@ -15,18 +15,18 @@
     assert.ok(readServerMessage(line).kind.length > 0)
   }))
   fc.assert(fc.property(word, anyLine, (id, text) => {
-    assert.deepEqual(readCallerMessage(message('QUERY', id, text).slice(0, -1)), { kind: 'query', id, text })
+    assert.deepEqual(readCallerMessage(`QUERY ${id} ${text}`), { kind: 'query', id, text })
   }))
 })
 
 test('a statement is sent unchanged except for its minimum position and its prepared name', () => {
   fc.assert(fc.property(word, anyLine, (id, text) => {
     const statement = parseQuery(id, text)
-    assert.equal(queryText({ ...statement, prepared: undefined, minPosition: undefined }), text)
-    assert.equal(queryText({ ...statement, prepared: undefined, minPosition: { term: 3, index: 7 } }), `AFTER 3.7 ${text}`)
+    assert.deepEqual(queryFields({ ...statement, prepared: undefined, minPosition: undefined }), [text])
+    assert.deepEqual(queryFields({ ...statement, prepared: undefined, minPosition: { term: 3, index: 7 } }), ['AFTER', '3.7', text])
   }))
   const prepared = { statement: { access: 'write', shape: 'q2c' }, argument: '1a4 some data' } as const
-  assert.equal(queryText({ id: 'x', text: 'EXECUTE s1 1a4 some data', prepared, minPosition: undefined }), 'EXECUTE wq2c 1a4 some data')
+  assert.deepEqual(queryFields({ id: 'x', text: 'EXECUTE s1 1a4 some data', prepared, minPosition: undefined }), ['EXECUTE', 'wq2c', '1a4 some data'])
 })
 
 test('query texts are classified, and unknown ones are malformed', () => {
@@ -36,8 +36,8 @@
 })
 
 test('BEGIN carries the minimum position', () => {
-  assert.equal(controlText({ kind: 'begin', access: 'read', minPosition: { term: 2, index: 9 } }), 'AFTER 2.9 BEGIN READ')
-  assert.equal(controlText({ kind: 'begin', access: 'write', minPosition: { term: 0, index: 0 } }), 'BEGIN')
+  assert.deepEqual(controlFields({ kind: 'begin', access: 'read', minPosition: { term: 2, index: 9 } }), ['AFTER', '2.9', 'BEGIN', 'READ'])
+  assert.deepEqual(controlFields({ kind: 'begin', access: 'write', minPosition: { term: 0, index: 0 } }), ['BEGIN'])
 })
 
 test('positions are parsed and formatted', () => {
--- a/test/wire/peer-link.test.ts
+++ b/test/wire/peer-link.test.ts
@@ -51,6 +51,12 @@
   })
 }
 
+test('line ends in a value do not end its line', async t => {
+  const sent: MemberState = { ...state, host: 'entry-1\r\n{}\nnull' }
+  const { client } = await startLink(t, () => sent)
+  assert.equal((await client.call('heartbeat', sent, timeoutMs)).host, sent.host)
+})
+
 test('a malformed line ends its own connection at most', async t => {
   const { client, port } = await startLink(t)
   const lines = ['null', '5', '[null]', 'no json', '{}', deepText(20_000), `{"jsonrpc":"2.0","id":${deepText(20_000)},"method":"heartbeat"}`, `{"jsonrpc":"2.0","id":1,"method":"suspect","params":${deepText(20_000)}}`]
