Prepared statements are named by one word, whatever their shape holds

Callers saw: after PREPARE p WRITE shape with blanks, EXECUTE p item data reached the server as EXECUTE wshape with blanks item data, so other fields than the caller's; a shape above half a MiB made a message that is too long.

Cause: the name on the server session was a letter and the shape itself. A name is one word on the wire, a shape extends to the end of its line.

--- a/src/dispatch/context.ts
+++ b/src/dispatch/context.ts
@@ -5,6 +5,7 @@
 // is derived from its content, so callers that use the same name for different
 // statements do not collide, and equal statements are prepared once.
 
+import { createHash } from 'node:crypto'
 import type { PreparedStatement, SessionValues } from '../model/index.js'
 
 /** Values and prepared statements of a server session. */
@@ -30,14 +31,21 @@
   readonly prepared: PreparedStatement | undefined
 }
 
+/** Shapes that are part of the name; of others the name holds a digest. */
+const plainShape = /^[A-Za-z0-9_.-]{1,64}$/
+
 /**
- * Returns the name of a prepared statement on a server session. `shape` is the
- * definition without the access keyword, so both together identify it.
+ * Returns the name of a prepared statement on a server session, which is one word
+ * of bounded length whatever the shape holds. `shape` is the definition without the
+ * access keyword, so both together identify it.
  * @param statement - the prepared statement
- * @returns the name, equal for equal statements
+ * @returns the name, equal for equal statements only
  */
 export function preparedStatementName (statement: PreparedStatement): string {
-  return `${statement.access === 'read' ? 'r' : 'w'}${statement.shape}`
+  const { access, shape } = statement
+  if (plainShape.test(shape)) return `${access === 'read' ? 'r' : 'w'}${shape}`
+  const digest = createHash('sha256').update(shape).digest('hex')
+  return `${access === 'read' ? 'R' : 'W'}${digest}`
 }
 
 /**
