--- a/src/daemon/caller-task.ts
+++ b/src/daemon/caller-task.ts
@@ -1,12 +1,14 @@
 // Task of one caller's connection, which owns the session state. It handles one
 // command at a time: a statement runs through the request pipe, and its outcome is
-// written before the next command is read.
+// written before the next command is read. In a planned stop each command that was
+// read still gets its answer, and the session closes between two commands.
 
 import { authorizeRoute } from '../config/index.js'
-import { notRun, type IncomingStatement, type Outcome, type ParsedStatement } from '../model/index.js'
+import { notRun, unknownOutcome, type IncomingStatement, type Outcome, type ParsedStatement } from '../model/index.js'
 import { runPipe, type Filter } from '../pipe/index.js'
 import { proxyAnswer, accessDenied, type ConfigurationInForce, type Incoming, type OpenTransaction, type RequestResult, type SessionRules, type SessionState } from '../request/index.js'
 import type { CallerCommand, CallerConnection, SessionStatus } from '../ports/index.js'
+import type { StopPhase, StopSignal } from './stop-signal.js'
 
 /** Dependencies of a caller's task. */
 export type CallerSpec = {
@@ -16,8 +18,7 @@
   readonly rules: SessionRules
   readonly nowMs: () => number
   readonly configuration: () => ConfigurationInForce
-  /** True once the process accepts no new work. */
-  readonly stopping: () => boolean
+  readonly stopSignal: StopSignal
   /**
    * Rolls back at the dispatcher; if the message is lost, the dispatcher's idle
    * timeout does it.
@@ -27,51 +28,121 @@
   readonly onServed: (statement: IncomingStatement, outcome: Outcome, tookMs: number) => void
 }
 
+type Command = Exclude<CallerCommand, { readonly kind: 'stopPhaseChanged' }>
+
 /**
  * Serves a caller until its connection ends.
  * @param spec - dependencies of the task
  */
 export async function serveCaller (spec: CallerSpec): Promise<void> {
+  const { connection, stopSignal } = spec
+  const unsubscribe = stopSignal.subscribe(() => { connection.inbox.send({ kind: 'stopPhaseChanged' }) })
   let { session } = spec
   for (;;) {
-    const received = await spec.connection.inbox.receive()
-    if (received.kind === 'closed') break
-    if (received.message.kind === 'closeForStop') {
-      if (session.transaction !== undefined) continue
-      spec.connection.closeForStop()
+    session = rollBackForStop(spec, session)
+    if (mayClose(stopSignal.phase(), session, connection.inbox.length)) {
+      connection.closeForStop()
       break
     }
-    const result = withTransactionFailure(spec, await serveCommand(spec, session, received.message))
+    const received = await connection.inbox.receive()
+    if (received.kind === 'closed') break
+    if (received.message.kind === 'stopPhaseChanged') continue
+    const result = withTransactionFailure(spec, await answerCommand(spec, session, received.message))
     session = result.session
-    spec.connection.write(result.outcome, statusOf(result))
-    if (spec.stopping() && session.transaction === undefined) {
-      spec.connection.close()
-      break
-    }
+    connection.write(result.outcome, statusOf(result))
   }
+  unsubscribe()
   await rollBackOpen(spec, session)
 }
 
+// Whether a planned stop closes the session now. A session in a transaction stays
+// open until the last phase, so that its caller can end it or learn of its rollback.
+function mayClose (phase: StopPhase, session: SessionState, queuedCommands: number): boolean {
+  if (queuedCommands > 0) return false
+  switch (phase) {
+    case 'serving': return false
+    case 'draining':
+    case 'rollingBack': return session.transaction === undefined
+    case 'closing': return true
+  }
+}
+
+function rollBackForStop (spec: CallerSpec, session: SessionState): SessionState {
+  const { transaction } = session
+  switch (spec.stopSignal.phase()) {
+    case 'serving':
+    case 'draining': return session
+    case 'rollingBack':
+    case 'closing': {
+      if (transaction?.state !== 'open') return session
+      void spec.rollBack(transaction)
+      return { ...session, transaction: { ...transaction, state: 'rolledBack' } }
+    }
+  }
+}
+
+async function answerCommand (spec: CallerSpec, session: SessionState, command: Command): Promise<RequestResult> {
+  if (isRefused(spec.stopSignal.phase(), session)) return { outcome: hostStops, session }
+  return await untilClosing(spec.stopSignal, serveCommand(spec, session, command), () => unfinishedResult(session, command))
+}
+
+// In the second half of a stop, commands start no new work. In a transaction, which
+// is rolled back by then, they are answered without a server.
+function isRefused (phase: StopPhase, session: SessionState): boolean {
+  switch (phase) {
+    case 'serving':
+    case 'draining': return false
+    case 'rollingBack':
+    case 'closing': return session.transaction === undefined
+  }
+}
+
+const hostStops = notRun('stopping', 'this host is stopping')
+
+async function untilClosing (stopSignal: StopSignal, result: Promise<RequestResult>, unfinished: () => RequestResult): Promise<RequestResult> {
+  return await new Promise<RequestResult>((resolve, reject) => {
+    const unsubscribe = stopSignal.subscribe(phase => { if (phase === 'closing') resolve(unfinished()) })
+    result.then(resolve, reject).finally(unsubscribe)
+  })
+}
+
+// Answer to a command that still runs when sessions close. Only a statement that
+// can have no lasting effect is reported as not run: the COMMIT of its transaction
+// will not be sent.
+function unfinishedResult (session: SessionState, command: Command): RequestResult {
+  const { transaction } = session
+  const kind = command.kind === 'query' ? command.statement.statementClass.kind : command.kind
+  if (transaction === undefined) return { outcome: kind === 'begin' ? hostStops : unfinished, session }
+  if (kind === 'commit') return { outcome: unfinished, session: { ...session, transaction: undefined } }
+  return { outcome: notRun('transactionLost', 'this host is stopping; the transaction is rolled back'), session }
+}
+
+const unfinished = unknownOutcome('answerOverdue', 'this host is stopping and the statement has not ended')
+
 // Where an error fails the whole transaction, the dispatcher rolls it back at once.
 function withTransactionFailure (spec: CallerSpec, result: RequestResult): RequestResult {
   const { transaction } = result.session
-  if (transaction === undefined || transaction.lost || result.outcome.kind === 'answered') return result
+  if (transaction?.state !== 'open' || result.outcome.kind === 'answered') return result
   switch (spec.rules.afterError) {
     case 'continues': return result
     case 'fails': {
       void spec.rollBack(transaction)
-      return { ...result, session: { ...result.session, transaction: { ...transaction, lost: true } } }
+      return { ...result, session: { ...result.session, transaction: { ...transaction, state: 'failed' } } }
     }
   }
 }
 
 function statusOf ({ outcome, session }: RequestResult): SessionStatus {
   const position = outcome.kind === 'answered' ? outcome.position : undefined
-  if (session.transaction === undefined) return { transaction: 'none', position }
-  return { transaction: session.transaction.lost ? 'failed' : 'open', position }
+  switch (session.transaction?.state) {
+    case undefined: return { transaction: 'none', position }
+    case 'open':
+    case 'rolledBack': return { transaction: 'open', position }
+    case 'failed': return { transaction: 'failed', position }
+  }
 }
 
-async function serveCommand (spec: CallerSpec, session: SessionState, command: Exclude<CallerCommand, { readonly kind: 'closeForStop' }>): Promise<RequestResult> {
+async function serveCommand (spec: CallerSpec, session: SessionState, command: Command): Promise<RequestResult> {
   switch (command.kind) {
     case 'query': return await serveStatement(spec, session, command.statement)
     case 'useRoute': return useRoute(spec, session, command.route)
@@ -107,5 +178,5 @@
 }
 
 async function rollBackOpen (spec: CallerSpec, session: SessionState): Promise<void> {
-  if (session.transaction !== undefined && !session.transaction.lost) await spec.rollBack(session.transaction)
+  if (session.transaction?.state === 'open') await spec.rollBack(session.transaction)
 }
--- a/src/daemon/callers.ts
+++ b/src/daemon/callers.ts
@@ -9,6 +9,7 @@
 import { decodeToken } from '../wire/session-token.js'
 import type { DaemonContext } from './context.js'
 import { serveCaller } from './caller-task.js'
+import type { StopSignal } from './stop-signal.js'
 
 /** Connection attribute that carries a session token. */
 const tokenAttribute = 'limpetmoor_session'
@@ -20,6 +21,7 @@
   readonly configuration: () => ConfigurationInForce
   /** Whether this host accepts new callers. */
   readonly isReady: () => boolean
+  readonly stopSignal: StopSignal
   readonly rollBack: (transaction: OpenTransaction) => Promise<void>
   readonly onServed: (statement: IncomingStatement, outcome: Outcome, tookMs: number) => void
   readonly onLoginRefused: (user: string, route: RouteName, outcome: Outcome) => void
@@ -29,7 +31,7 @@
 export type Callers = {
   readonly port: number
   readonly count: () => number
-  /** Accepts no new connection and closes each open one after its current work. */
+  /** Accepts no new connection, and waits until the sessions have closed in the phases of the stop. */
   readonly drain: () => Promise<void>
   /** Closes the connections that are still open. */
   readonly close: () => void
@@ -43,7 +45,6 @@
 export async function startCallers (spec: CallersSpec): Promise<Callers> {
   const { settings, timers, ports } = spec.context
   const open = new Map<CallerConnection, Promise<void>>()
-  const state = { stopping: false }
   const onCaller = (connection: CallerConnection, caller: Caller): void => {
     const minPositions = decodeToken(connection.login.attributes[tokenAttribute] ?? '')
     const served = serveCaller({
@@ -53,7 +54,7 @@
       rules: ports.frontEnd.rules,
       nowMs: timers.nowMs,
       configuration: spec.configuration,
-      stopping: () => state.stopping,
+      stopSignal: spec.stopSignal,
       rollBack: spec.rollBack,
       onServed: spec.onServed
     })
@@ -62,7 +63,6 @@
       open.delete(connection)
       connection.close()
     })
-    if (state.stopping) connection.inbox.send({ kind: 'closeForStop' })
   }
   const listener: CallerListener = await ports.frontEnd.listen({
     address: settings.listen.callers,
@@ -76,9 +76,7 @@
     port: listener.port,
     count: () => open.size,
     async drain () {
-      state.stopping = true
       listener.stopAccepting()
-      for (const connection of open.keys()) connection.inbox.send({ kind: 'closeForStop' })
       await Promise.allSettled([...open.values()])
     },
     close () {
@@ -92,11 +90,13 @@
   | { readonly kind: 'refused', readonly outcome: Outcome }
 
 function decideLogin (spec: CallersSpec, login: LoginRequest): LoginResult {
-  const result = checkLogin(spec.configuration(), login)
+  const result = spec.stopSignal.phase() === 'serving' ? checkLogin(spec.configuration(), login) : refusedForStop
   if (result.kind === 'refused') spec.onLoginRefused(loginName(login), login.route, result.outcome)
   return result
 }
 
+const refusedForStop: LoginResult = { kind: 'refused', outcome: notRun('stopping', 'this host is stopping') }
+
 function checkLogin (configuration: ConfigurationInForce, login: LoginRequest): LoginResult {
   if (configuration.manifest === undefined) return { kind: 'refused', outcome: notRun('unconfirmedConfiguration', 'no configuration is in force yet') }
   const token = login.attributes[tokenAttribute]
--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -145,6 +145,14 @@
     this.#stopping = true
   }
 
+  /**
+   * Rolls back the open transactions, for a planned stop.
+   * @returns how many there were
+   */
+  rollBackTransactions (): number {
+    return [...this.#entries.values()].flatMap(entry => [...entry.dispatchers.values()]).reduce((sum, dispatcher) => sum + dispatcher.rollBackTransactions(), 0)
+  }
+
   /**
    * Time of the last statement that arrived, for a planned stop.
    * @returns monotonic milliseconds
--- a/src/daemon/dispatcher-task.ts
+++ b/src/daemon/dispatcher-task.ts
@@ -45,6 +45,8 @@
   readonly recordUnresponsive: (unresponsive: ReadonlySet<HostName>) => void
   /** Sets the idle timeout of transactions; undefined: the default. */
   readonly setIdleTransactionMs: (idleMs: number | undefined) => void
+  /** Rolls back the open transactions and opens no more; returns how many there were. */
+  readonly rollBackTransactions: () => number
   readonly stop: () => Promise<void>
 }
 
@@ -115,6 +117,7 @@
       wasPrimary = isPrimary
     },
     setIdleTransactionMs: idleMs => { transactions.setIdleTransactionMs(idleMs) },
+    rollBackTransactions: () => transactions.rollBackAll(),
     recordUnresponsive: unresponsive => { transactions.recordUnresponsive(unresponsive) },
     async execute (request) {
       running += 1
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -26,6 +26,7 @@
 import { startReports } from './reports.js'
 import { RoutingTable } from './routing.js'
 import { stopComponents } from './stop.js'
+import { StopSignal } from './stop-signal.js'
 
 /** A running proxy. */
 export type Proxy = {
@@ -62,8 +63,9 @@
  * @returns the running proxy; throws a `WireError` where a port is taken
  */
 export async function startProxy (settings: Settings, ports: ProxyPorts): Promise<Proxy> {
-  const state = { stopping: false }
-  const components = createComponents(settings, ports, () => state.stopping)
+  const signal = new StopSignal()
+  const isStopping = (): boolean => signal.phase() !== 'serving'
+  const components = createComponents(settings, ports, isStopping)
   const { context, reports } = components
   const peers = await listenForPeers({ ip: settings.host.ip, port: settings.host.peerPort }, peerHandlers(components), tlsOf(settings.peers), context.onTaskError('peers'))
   const configuration = (): ConfigurationInForce => ({ manifest: components.effectiveManifest.current(), confirmed: components.configuration.canServeAuthenticated() })
@@ -80,7 +82,8 @@
     context,
     pipe,
     configuration,
-    isReady: () => !state.stopping && components.configuration.canServeAuthenticated() && components.effectiveManifest.hasServers(),
+    stopSignal: signal,
+    isReady: () => !isStopping() && components.configuration.canServeAuthenticated() && components.effectiveManifest.hasServers(),
     rollBack: async transaction => { await rollBack(components, transaction) },
     onServed: (statement, outcome, tookMs) => { reports.recordServed(statement, outcome, tookMs, generation()) },
     onLoginRefused: (user, route, outcome) => { reports.event('loginRefused', { account: user, route, reason: outcome.kind === 'notRun' ? outcome.reason : outcome.kind, generation: generation() }) }
@@ -98,8 +101,7 @@
     recordError: context.onTaskError('process'),
     reload: () => { reports.event('reloadAsked', { host: settings.host.name }) },
     stop: async () => {
-      state.stopping = true
-      await stopComponents(components, callers)
+      await stopComponents(components, callers, signal)
       peers.close()
     }
   }
--- a/src/daemon/transactions.ts
+++ b/src/daemon/transactions.ts
@@ -25,6 +25,7 @@
   #idleMs = defaultIdleMs
   #unresponsiveSince: ReadonlyMap<HostName, number> = new Map()
   #nextId = 1
+  #isClosed = false
 
   /**
    * Makes an empty table.
@@ -55,7 +56,7 @@
    * @returns the id, or undefined where too many are open
    */
   open ({ account, from }: TransactionOwner, access: Access, session: ServerSession): string | undefined {
-    if (this.#entries.size >= this.#capacity || this.#countOf(account) >= this.#capacity * accountFraction) return undefined
+    if (this.#isClosed || this.#entries.size >= this.#capacity || this.#countOf(account) >= this.#capacity * accountFraction) return undefined
     const id = `${this.#context.incarnation}.${this.#nextId}`
     this.#nextId += 1
     this.#entries.set(id, { id, account, from, access, session, usedAtMs: this.#context.timers.nowMs(), busy: false })
@@ -80,6 +81,11 @@
    * @param transaction - the transaction
    */
   putBack (transaction: OpenTransaction): void {
+    if (this.#isClosed) {
+      this.#entries.delete(transaction.id)
+      this.#discard(transaction.session)
+      return
+    }
     this.#entries.set(transaction.id, { ...transaction, usedAtMs: this.#context.timers.nowMs(), busy: false })
   }
 
@@ -99,7 +105,23 @@
     this.#idleMs = idleMs ?? defaultIdleMs
   }
 
-  /** Rolls back all transactions. */
+  /**
+   * Rolls back the transactions, those with a running statement after it, and opens
+   * no more. A COMMIT that runs is not affected.
+   * @returns the number of transactions
+   */
+  rollBackAll (): number {
+    this.#isClosed = true
+    const count = this.#entries.size
+    for (const entry of this.#entries.values()) {
+      if (entry.busy) continue
+      this.#entries.delete(entry.id)
+      this.#discard(entry.session)
+    }
+    return count
+  }
+
+  /** Rolls back all transactions at once. */
   stop (): void {
     this.#cancel()
     for (const entry of this.#entries.values()) this.#discard(entry.session)
--- a/src/ports/front.ts
+++ b/src/ports/front.ts
@@ -13,8 +13,8 @@
   | { readonly kind: 'useRoute', readonly route: RouteName }
   | { readonly kind: 'ping' }
   | { readonly kind: 'reset' }
-  /** Sent by the host itself when it stops: close the session as soon as it is idle. */
-  | { readonly kind: 'closeForStop' }
+  /** Sent by the host itself: the phase of a planned stop has changed. */
+  | { readonly kind: 'stopPhaseChanged' }
   | { readonly kind: 'tooLong', readonly maxBytes: number }
   | { readonly kind: 'unsupported', readonly what: string }
 
--- a/src/request/check.ts
+++ b/src/request/check.ts
@@ -17,7 +17,7 @@
   return message => {
     const { statement, session } = message
     if (containsKey(statement.text)) return end(requestResult(message, notRun('statementHoldsKey', 'the statement contains a client key, which must not reach a database')))
-    if (session.transaction?.lost === true && !endsTransaction(statement.statementClass)) {
+    if (session.transaction?.state === 'failed' && !endsTransaction(statement.statementClass)) {
       return end(requestResult(message, notRun('transactionFailed', 'the transaction failed and is rolled back; end it before the next statement')))
     }
     const resolved = resolve(statement.statementClass, session)
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -141,7 +141,7 @@
   if (outcome.kind !== 'answered' || route.kind !== 'send' || attempt.kind !== 'replied') return { outcome, session: raised }
   const { transaction } = attempt.reply
   if (transaction === undefined) return { outcome, session: raised }
-  const open: OpenTransaction = { id: transaction, database: message.database.name, server: route.server, dispatcher: route.dispatcher, account: accountName(message), route: message.route, lost: false }
+  const open: OpenTransaction = { id: transaction, database: message.database.name, server: route.server, dispatcher: route.dispatcher, account: accountName(message), route: message.route, state: 'open' }
   return { outcome, session: { ...raised, transaction: open } }
 }
 
@@ -152,7 +152,7 @@
 
 async function runInTransaction (services: Services, bounds: RequestBounds, message: ConsistencyResolved, transaction: OpenTransaction): Promise<RequestResult> {
   const { statementClass } = message.statement
-  if (transaction.lost) return lostTransactionResult(message, statementClass.kind)
+  if (transaction.state !== 'open') return lostTransactionResult(message, transaction, statementClass.kind)
   if (statementClass.kind === 'begin') return { outcome: notRun('unsupported', 'a transaction is already open'), session: message.session }
   const mode = transactionMode(statementClass, transaction)
   const route: Route = { kind: 'send', server: transaction.server, dispatcher: transaction.dispatcher, mode }
@@ -160,8 +160,8 @@
   return transactionResult(message, transaction, mode, attempt)
 }
 
-function lostTransactionResult (message: ConsistencyResolved, kind: string): RequestResult {
-  if (kind !== 'rollback' && kind !== 'commit') return { outcome: notRun('transactionLost', 'the transaction was lost and rolled back'), session: message.session }
+function lostTransactionResult (message: ConsistencyResolved, transaction: OpenTransaction, kind: string): RequestResult {
+  if (kind !== 'rollback' && kind !== 'commit') return { outcome: notRun('transactionLost', 'the transaction was lost and rolled back'), session: { ...message.session, transaction: { ...transaction, state: 'failed' } } }
   const session = { ...message.session, transaction: undefined }
   if (kind === 'commit') return { outcome: notRun('transactionLost', 'the transaction was lost and rolled back'), session }
   return { outcome: { kind: 'answered', answer: { kind: 'done', affectedRows: 0, insertId: 0 }, position: undefined, servedBy: 'proxy' }, session }
@@ -189,7 +189,7 @@
 
 function transactionResult (message: ConsistencyResolved, transaction: OpenTransaction, mode: ExecutionMode, attempt: AttemptResult): RequestResult {
   const ended = { ...message.session, transaction: undefined }
-  const lost = { ...message.session, transaction: { ...transaction, lost: true } }
+  const lost: SessionState = { ...message.session, transaction: { ...transaction, state: 'failed' } }
   switch (attempt.kind) {
     case 'replied': return replyResult(message, transaction, mode, attempt.reply)
     case 'unsent':
@@ -210,5 +210,5 @@
   if (endsTransaction) return { outcome, session: { ...raised, transaction: undefined } }
   const isLost = outcome.kind === 'unknown' || (outcome.kind === 'notRun' && outcome.reason === 'transactionLost')
   if (!isLost) return { outcome, session: message.session }
-  return { outcome: notRun('transactionLost', 'the transaction was lost and is rolled back'), session: { ...message.session, transaction: { ...transaction, lost: true } } }
+  return { outcome: notRun('transactionLost', 'the transaction was lost and is rolled back'), session: { ...message.session, transaction: { ...transaction, state: 'failed' } } }
 }
--- a/src/request/session.ts
+++ b/src/request/session.ts
@@ -17,10 +17,17 @@
    * transaction on.
    */
   readonly route: RouteDeclaration
-  /** Set once a statement was lost; the transaction can then only be ended. */
-  readonly lost: boolean
+  readonly state: TransactionState
 }
 
+/** State of an open transaction. */
+export type TransactionState =
+  | 'open'
+  /** Rolled back by this host; the caller learns of it at its next statement. */
+  | 'rolledBack'
+  /** Rolled back, and the caller knows; it can only end the transaction. */
+  | 'failed'
+
 /** State of a session. */
 export type SessionState = {
   readonly caller: Caller
--- a/test/daemon/transactions.test.ts
+++ b/test/daemon/transactions.test.ts
@@ -44,3 +44,18 @@
   timers.pass(2600)
   assert.deepEqual(rolledBack, [idle])
 })
+
+test('a stop rolls back open transactions, those with a running statement after it, and lets a COMMIT end', () => {
+  const { transactions, rolledBack } = tableOf()
+  const [idle, busy, committing, late] = [sessionOf(), sessionOf(), sessionOf(), sessionOf()]
+  transactions.open(owner, 'write', idle)
+  const running = transactions.take(transactions.open(owner, 'write', busy) ?? '', 'bindery') ?? assert.fail()
+  const commit = transactions.take(transactions.open(owner, 'write', committing) ?? '', 'bindery') ?? assert.fail()
+  transactions.remove(commit)
+  assert.equal(transactions.rollBackAll(), 2)
+  assert.deepEqual(rolledBack, [idle])
+  transactions.putBack(running)
+  assert.deepEqual(rolledBack, [idle, busy])
+  assert.equal(transactions.open(owner, 'write', late), undefined)
+  assert.equal(transactions.size, 0)
+})
--- /dev/null
+++ b/test/platform/stop.test.ts
@@ -0,0 +1,66 @@
+// Planned stop on the users' platform, with real processes.
+
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { test, type TestContext } from 'node:test'
+import { setTimeout as delay } from 'node:timers/promises'
+import type { LineAnswer, LineCaller } from '../../standins/fleet/caller.js'
+import type { Fleet } from '../../standins/fleet/set.js'
+import { openSession, outputTail, startServingFleet } from '../support/fleet.js'
+
+/** Grace time of the proxies of a fleet. */
+const graceMs = 4000
+
+/** Sends SIGTERM to the first proxy; resolves with its exit code and how long it took. */
+async function stopFirst (fleet: Fleet): Promise<{ readonly code: number | null, readonly tookMs: number }> {
+  const { process: child } = fleet.proxies[0] ?? assert.fail()
+  const exited = once(child, 'exit')
+  const startedAtMs = performance.now()
+  child.kill('SIGTERM')
+  const [code] = await exited as ReadonlyArray<number | null>
+  return { code: code ?? null, tookMs: performance.now() - startedAtMs }
+}
+
+/** Sends statements of an open transaction until one fails, then ends it; a closed connection rejects. */
+async function runUntilFailure (caller: LineCaller): Promise<{ readonly failed: LineAnswer, readonly ended: LineAnswer }> {
+  for (;;) {
+    const answer = await caller.query('WRITE open 1')
+    if (answer.code !== undefined) return { failed: answer, ended: await caller.query('ROLLBACK') }
+    await delay(100)
+  }
+}
+
+async function openTransaction (t: TestContext, fleet: Fleet, at: number): Promise<LineCaller> {
+  const caller = await openSession(fleet, at)
+  t.after(() => { caller.disconnect() })
+  assert.equal((await caller.query('BEGIN')).state, 'T')
+  return caller
+}
+
+// Guards against LOST: the requests of such transactions were cut off when the process was killed.
+test('transactions that do not end are rolled back at half of the grace time, and every request is answered', async t => {
+  const fleet = await startServingFleet(t)
+  const callers = await Promise.all(fleet.proxies.flatMap((_, at) => [openTransaction(t, fleet, at), openTransaction(t, fleet, at)]))
+  const stopped = stopFirst(fleet)
+  const ends = await Promise.all(callers.slice(0, 2).map(runUntilFailure))
+  assert.deepEqual(ends.map(({ failed, ended }) => [failed.code, failed.state, ended.code, ended.state]), [['ABORTED', 'E', undefined, 'I'], ['ABORTED', 'E', undefined, 'I']])
+  const { code, tookMs } = await stopped
+  assert.equal(code, 0, outputTail(fleet, 0))
+  assert.ok(tookMs > graceMs / 2 && tookMs < graceMs, `${tookMs} ms`)
+  // Callers of the other hosts whose transactions ran through the stopped host get a
+  // promise, too; those of transactions elsewhere go on.
+  for (const caller of callers.slice(2)) {
+    const answer = await caller.query('WRITE open 2')
+    assert.equal(answer.code ?? 'ABORTED', 'ABORTED')
+    assert.equal((await caller.query('ROLLBACK')).state, 'I')
+  }
+  assert.deepEqual(fleet.servers.flatMap(server => server.node.log).filter(({ item }) => item === 'open'), [])
+})
+
+test('a caller that rests in a transaction does not keep the process from its exit', async t => {
+  const fleet = await startServingFleet(t)
+  await openTransaction(t, fleet, 0)
+  const { code, tookMs } = await stopFirst(fleet)
+  assert.equal(code, 0, outputTail(fleet, 0))
+  assert.ok(tookMs < graceMs, `${tookMs} ms`)
+})
--- a/test/request/pipe.test.ts
+++ b/test/request/pipe.test.ts
@@ -79,7 +79,7 @@
 })
 
 test('a schema change is refused inside a transaction, which it would commit', async () => {
-  const transaction = { id: 't1', database: 'orders', server: 's1', dispatcher: 'h1', account: 'a', route: { name: 'orders', database: 'orders', access: { kind: 'open' } }, lost: false } as const
+  const transaction = { id: 't1', database: 'orders', server: 's1', dispatcher: 'h1', account: 'a', route: { name: 'orders', database: 'orders', access: { kind: 'open' } }, state: 'open' } as const
   const run = await serve({ ...anonymous, transaction }, 'CREATE TABLE u (a INT)', [])
   assert.equal(run.sent.length, 0)
   assert.equal(run.served.outcome.kind, 'notRun')
