--- a/test/platform/stop.test.ts
+++ b/test/platform/stop.test.ts
@@ -6,7 +6,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import type { LineAnswer, LineCaller } from '../../standins/fleet/caller.js'
 import type { Fleet } from '../../standins/fleet/set.js'
-import { openSession, outputTail, startServingFleet } from '../support/fleet.js'
+import { openSession, outputTail, startServingFleet, untilServed } from '../support/fleet.js'
 
 /** Grace time of the proxies of a fleet. */
 const graceMs = 4000
@@ -64,3 +64,14 @@
   assert.equal(code, 0, outputTail(fleet, 0))
   assert.ok(tookMs < graceMs, `${tookMs} ms`)
 })
+
+// KNOWN-RED: the quota partitions of the stopped host are not used by the others.
+test('after a planned stop of some seconds the other hosts serve an account within its rate', async t => {
+  const fleet = await startServingFleet(t)
+  const callers = await Promise.all(fleet.proxies.flatMap((_, at) => [openTransaction(t, fleet, at), openTransaction(t, fleet, at)]))
+  const stopped = stopFirst(fleet)
+  await delay(graceMs / 2 + 200)
+  for (const caller of callers.slice(0, 2)) await caller.query('ROLLBACK')
+  assert.equal((await stopped).code, 0)
+  for (const at of [1, 2]) await untilServed(fleet, at, 'READ folio-1')
+})
