A second SIGTERM does not end a process that is stopping

Callers saw: when a stopping host got SIGTERM again, all connections closed at once, with requests running on them.

Cause: the listener for the signal was registered once; after the first signal the default action was in force again.

Test: platform/stop "a second SIGTERM does not end a process that is stopping" passes.

--- a/src/daemon/index.ts
+++ b/src/daemon/index.ts
@@ -7,7 +7,8 @@
 export * from './proxy.js'
 
 /**
- * Runs a proxy until SIGTERM or SIGINT stops the process.
+ * Runs a proxy until SIGTERM or SIGINT stops the process. Further signals do not
+ * shorten the stop.
  * @param settings - the settings of this host
  * @param ports - front end, database driver, store and sources of the proxy
  * @returns the exit code
@@ -20,7 +21,7 @@
   for (const event of ['uncaughtException', 'unhandledRejection'] as const) process.on(event, error => { proxy.recordError(asError(error)) })
   process.on('SIGHUP', () => { proxy.reload() })
   await new Promise<void>(resolve => {
-    for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => { resolve() })
+    for (const signal of ['SIGTERM', 'SIGINT'] as const) process.on(signal, () => { resolve() })
   })
   await proxy.stop()
   return 0
--- a/test/platform/stop.test.ts
+++ b/test/platform/stop.test.ts
@@ -65,6 +65,19 @@
   assert.ok(tookMs < graceMs, `${tookMs} ms`)
 })
 
+// Guards against LOST: the default action of a second signal ended the process at once.
+test('a second SIGTERM does not end a process that is stopping', async t => {
+  const fleet = await startServingFleet(t)
+  const caller = await openTransaction(t, fleet, 0)
+  const stopped = stopFirst(fleet)
+  await delay(200)
+  fleet.proxies[0]?.process.kill('SIGTERM')
+  await delay(200)
+  assert.notEqual((await caller.query('WRITE twice 1')).signature, undefined)
+  assert.notEqual((await caller.query('COMMIT')).signature, undefined)
+  assert.equal((await stopped).code, 0)
+})
+
 // KNOWN-RED: the quota partitions of the stopped host are not used by the others.
 test('after a planned stop of some seconds the other hosts serve an account within its rate', async t => {
   const fleet = await startServingFleet(t)
