Requests that wait are answered when what they wait for is stopped

Cause: a task ended by handling its queued messages; the reply callbacks of requests that it had accepted were dropped with its state. So did the queue in front of a server's slots, and the task of a database with writes that wait for a quorum and reads that wait for a minimum position.

Change: startTask has answerWaiting, the effects that answer what waits when the task ends. The queue refuses with noServer, so the statements go to the new dispatcher; the database reports no quorum (outcome unknown) and no minimum position (retried).

Tests: daemon/dispatcher-queue (exact), daemon/database-step, platform/stop with 42 statements. The stand-in of a caller rejects a query on a closed connection, where it had waited for ever.

--- a/src/daemon/database-step.ts
+++ b/src/daemon/database-step.ts
@@ -358,3 +358,14 @@
   const reply = state.minPositionReplies.get(effect.id)
   return reply === undefined ? [] : [{ kind: 'answerMinPosition', reply, minPosition: effect.kind === 'minPosition' ? effect.position : undefined }]
 }
+
+/**
+ * Lists the answers to all waiting requests, for the end of the task.
+ * @param state - the state
+ * @returns no quorum for the writes, no minimum position for the reads
+ */
+export function waitingAnswers (state: DatabaseState): readonly DatabaseEffect[] {
+  const writes = [...state.quorumReplies.values()].map((reply): DatabaseEffect => ({ kind: 'answerQuorumWait', reply, hasQuorum: false }))
+  const reads = [...state.minPositionReplies.values()].map((reply): DatabaseEffect => ({ kind: 'answerMinPosition', reply, minPosition: undefined }))
+  return [...writes, ...reads]
+}
--- a/src/daemon/database-task.ts
+++ b/src/daemon/database-task.ts
@@ -8,7 +8,7 @@
 import { ask, derivedSnapshot, SnapshotPublisher, startTask, type Port, type Snapshot } from '../pipe/index.js'
 import type { PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
-import { databaseDueAtMs, databaseStep, initialState, observationOf, viewOf, type DatabaseEffect, type DatabaseMessage, type DatabaseState, type DatabaseView } from './database-step.js'
+import { databaseDueAtMs, databaseStep, initialState, observationOf, viewOf, waitingAnswers, type DatabaseEffect, type DatabaseMessage, type DatabaseState, type DatabaseView } from './database-step.js'
 import type { LedgerCommand } from './server-watch.js'
 import { Watches } from './watches.js'
 
@@ -86,7 +86,8 @@
       published.publish(transition.state)
       return transition
     },
-    perform: (effect, port) => { perform(spec, watches, effect, port) }
+    perform: (effect, port) => { perform(spec, watches, effect, port) },
+    answerWaiting: waitingAnswers
   })
   watches.change(database.servers, task.port)
   return {
--- a/src/daemon/dispatcher-queue.ts
+++ b/src/daemon/dispatcher-queue.ts
@@ -18,7 +18,7 @@
 
 type QueueEffect =
   | { readonly kind: 'answer', readonly reply: Reply<Permit>, readonly effect: FairQueueEffect }
-  | { readonly kind: 'reject', readonly reply: Reply<Permit> }
+  | { readonly kind: 'reject', readonly reply: Reply<Permit>, readonly reason: 'noPrimary' | 'noServer' }
 
 type WaitingRequest = { readonly reply: Reply<Permit>, readonly isRead: boolean }
 
@@ -34,6 +34,7 @@
   readonly requestPermit: (request: DispatchRequest) => Promise<Permit>
   /** Rejects waiting writes: the server is no longer the primary. */
   readonly rejectWrites: () => void
+  /** Refuses the waiting requests, which can go to another dispatcher, and ends the task. */
   readonly stop: () => Promise<void>
 }
 
@@ -51,20 +52,25 @@
     capacity: mailboxCapacity,
     onError: context.onTaskError(`queue ${server.name}`),
     step: queueStep,
+    answerWaiting: state => [...state.replies.values()].map(({ reply }) => ({ kind: 'reject', reply, reason: 'noServer' })),
     schedule: { timers, dueAtMs: state => state.queue.waitingCount > 0 ? timers.nowMs() + queueTickMs : Infinity, tick: nowMs => ({ kind: 'tick', nowMs }) },
     perform: (effect, port) => {
       switch (effect.kind) {
-        case 'reject': return effect.reply({ kind: 'refused', reason: 'noPrimary' })
+        case 'reject': return effect.reply({ kind: 'refused', reason: effect.reason })
         case 'answer': return effect.reply(permitFor(effect.effect, timers.nowMs(), (id, tookMs) => {
           port.send({ kind: 'finished', id, tookMs, nowMs: timers.nowMs() })
         }, timers.nowMs))
       }
     }
   })
+  let isStopped = false
   return {
-    requestPermit: async request => await ask<QueueMessage, Permit>(task.port, reply => ({ kind: 'requestPermit', request, nowMs: timers.nowMs(), reply }), { kind: 'refused', reason: 'queueFull' }),
+    requestPermit: async request => await ask<QueueMessage, Permit>(task.port, reply => ({ kind: 'requestPermit', request, nowMs: timers.nowMs(), reply }), { kind: 'refused', reason: isStopped ? 'noServer' : 'queueFull' }),
     rejectWrites: () => { task.port.send({ kind: 'rejectWrites', nowMs: timers.nowMs() }) },
-    stop: task.stop
+    async stop () {
+      isStopped = true
+      await task.stop()
+    }
   }
 }
 
@@ -80,7 +86,7 @@
 
 function rejectPendingWrites (state: QueueState, nowMs: number): Transition<QueueState, QueueEffect> {
   const writes = [...state.replies].filter(([, waiting]) => !waiting.isRead)
-  const rejected = writes.map(([, { reply }]): QueueEffect => ({ kind: 'reject', reply }))
+  const rejected = writes.map(([, { reply }]): QueueEffect => ({ kind: 'reject', reply, reason: 'noPrimary' }))
   const remaining = { ...state, replies: withoutAnswered(state.replies, writes.map(([id]) => id)) }
   return writes.reduce<Transition<QueueState, QueueEffect>>((done, [id]) => {
     const after = answerAll(done.state, fairQueueStep(done.state.queue, { kind: 'cancelled', id, nowMs }))
--- a/src/pipe/task.ts
+++ b/src/pipe/task.ts
@@ -34,6 +34,11 @@
   readonly step: Step<S, M, E>
   /** Carries out one effect; must not block, and reports back through the port. */
   readonly perform: (effect: E, self: Port<M>) => void
+  /**
+   * Effects of the end of the task: the answers to the requests that still wait.
+   * None by default, for a task that keeps no reply callbacks.
+   */
+  readonly answerWaiting?: (state: S) => readonly E[]
   /** Ticks of the task; none by default. */
   readonly schedule?: Schedule<S, M>
   /** Maximum number of messages in the mailbox. */
@@ -46,7 +51,7 @@
 export type Task<M> = {
   readonly name: string
   readonly port: Port<M>
-  /** Handles the queued messages, then ends the task. */
+  /** Handles the queued messages, answers the requests that wait, then ends the task. */
   readonly stop: () => Promise<void>
 }
 
@@ -80,17 +85,24 @@
   for (;;) {
     alarm?.set(spec.schedule?.dueAtMs(state) ?? Infinity)
     const received = await mailbox.receive()
-    if (received.kind === 'closed') {
-      alarm?.stop()
-      return
-    }
-    try {
+    if (received.kind === 'closed') break
+    catchErrors(spec, () => {
       const transition = spec.step(state, received.message)
       state = transition.state
       for (const effect of transition.effects) spec.perform(effect, mailbox)
-    } catch (error) {
-      spec.onError(error instanceof Error ? error : new Error(String(error)))
-    }
+    })
+  }
+  alarm?.stop()
+  catchErrors(spec, () => {
+    for (const effect of spec.answerWaiting?.(state) ?? []) spec.perform(effect, mailbox)
+  })
+}
+
+function catchErrors<S, M, E> (spec: TaskSpec<S, M, E>, act: () => void): void {
+  try {
+    act()
+  } catch (error) {
+    spec.onError(error instanceof Error ? error : new Error(String(error)))
   }
 }
 
--- a/standins/fleet/caller.ts
+++ b/standins/fleet/caller.ts
@@ -87,6 +87,7 @@
   }
 
   async #send (text: string): Promise<LineAnswer> {
+    if (this.#socket.destroyed) throw new Error('the connection was closed')
     return await new Promise<LineAnswer>((resolve, reject) => {
       this.#rows = []
       this.#signature = undefined
--- a/standins/fleet/set.ts
+++ b/standins/fleet/set.ts
@@ -21,6 +21,8 @@
   readonly keys: Readonly<Record<string, readonly string[]>>
   readonly ratePerS: number
   readonly burst: number
+  /** Connections that each server accepts. */
+  readonly maxConnections: number
 }
 
 /** Options of a set. */
@@ -36,14 +38,13 @@
 export const defaultFleetOptions: FleetOptions = {
   hosts: 3,
   times: { receiveMs: 2, applyMs: 5, promoteMs: 100 },
-  configuration: { version: 3, keys: { bindery: ['key-of-bindery'] }, ratePerS: 1000, burst: 1000 },
+  configuration: { version: 3, keys: { bindery: ['key-of-bindery'] }, ratePerS: 1000, burst: 1000, maxConnections: 60 },
   program: builtProgram('platform/main.js')
 }
 
 const zones = ['medina', 'plateau', 'hlm'] as const
 const service = 'ledger-group'
 const slots = 5
-const maxConnections = 60
 const maxStartAttempts = 5
 const listenPollMs = 20
 
@@ -226,7 +227,7 @@
       { ...route, Name: 'r-3', Host: 'notes', Kind: 'read_your_writes', Priority: 2, MaxStalenessMs: 2500 },
       { ...route, Name: 'r-4', Host: 'board', Kind: 'bounded_staleness', Priority: 2, MaxStalenessMs: 1500, Public: true }
     ],
-    Services: [{ Name: service, HealthPath: '/health', MaxConns: maxConnections, Protocol: 'h1', Tls: false, SyncReplicas: 0 }],
+    Services: [{ Name: service, HealthPath: '/health', MaxConns: configuration.maxConnections, Protocol: 'h1', Tls: false, SyncReplicas: 0 }],
     Limits: { TxIdleMs: 1000 },
     Tenants: Object.entries(configuration.keys).map(([name, keys]) => ({ Name: name, ApiKeys: keys, Priority: 1, RatePerS: configuration.ratePerS, Burst: configuration.burst }))
   }
--- /dev/null
+++ b/test/daemon/dispatcher-queue.test.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { DaemonContext } from '../../src/daemon/context.js'
+import { startQueue, type QueueTask } from '../../src/daemon/dispatcher-queue.js'
+import type { DispatchRequest } from '../../src/dispatch/index.js'
+import type { ServerDeclaration } from '../../src/model/index.js'
+import { fakeTimers } from '../support/timers.js'
+
+/** The queue of a server with one slot. */
+function startOneSlotQueue (): QueueTask {
+  const context = { timers: fakeTimers(), settings: { limits: { queueLength: 10 } }, onTaskError: () => assert.fail } as unknown as DaemonContext
+  return startQueue(context, { name: 's1', slots: 1 } as unknown as ServerDeclaration)
+}
+
+function writeRequest (): DispatchRequest {
+  return { request: { account: 'bindery', weight: 1, mode: { kind: 'write', requestId: undefined } }, deadlineAtMs: 1000 } as unknown as DispatchRequest
+}
+
+// Guards against LOST: statements that waited when their queue stopped got no answer.
+test('statements that wait when their queue stops, or come later, are refused and can go elsewhere', async () => {
+  const queue = startOneSlotQueue()
+  const running = await queue.requestPermit(writeRequest())
+  const waiting = [queue.requestPermit(writeRequest()), queue.requestPermit(writeRequest())]
+  await queue.stop()
+  assert.equal(running.kind, 'granted')
+  const refused = { kind: 'refused', reason: 'noServer' }
+  assert.deepEqual(await Promise.all([...waiting, queue.requestPermit(writeRequest())]), [refused, refused, refused])
+})
--- a/test/platform/stop.test.ts
+++ b/test/platform/stop.test.ts
@@ -11,6 +11,9 @@
 /** Grace time of the proxies of a fleet. */
 const graceMs = 4000
 
+/** Time in which every statement has its answer: the route's timeout, and some for the way. */
+const maxAnswerMs = 2500
+
 /** Sends SIGTERM to the first proxy; resolves with its exit code and how long it took. */
 async function stopFirst (fleet: Fleet): Promise<{ readonly code: number | null, readonly tookMs: number }> {
   const { process: child } = fleet.proxies[0] ?? assert.fail()
@@ -78,6 +81,19 @@
   assert.equal((await stopped).code, 0)
 })
 
+// Guards against LOST: statements that waited for a slot got no answer when their dispatcher stopped.
+test('statements that wait for a slot are answered when the connection limit of their server changes', async t => {
+  const fleet = await startServingFleet(t)
+  for (const server of fleet.servers) server.setBehaviour({ serviceMs: 100 })
+  const callers = await Promise.all(Array.from({ length: 42 }, async (_, at) => await openSession(fleet, at % 3)))
+  t.after(() => { for (const caller of callers) caller.disconnect() })
+  const answers = Promise.all(callers.map(async (caller, at) => await caller.query(`WRITE waits-${at} 1`)))
+  await delay(150)
+  fleet.configure({ maxConnections: 70 })
+  const codes = (await Promise.race([answers, delay(maxAnswerMs, undefined, { ref: false })]))?.map(({ code }) => code)
+  assert.deepEqual(codes, callers.map(() => undefined))
+})
+
 // KNOWN-RED: the quota partitions of the stopped host are not used by the others.
 test('after a planned stop of some seconds the other hosts serve an account within its rate', async t => {
   const fleet = await startServingFleet(t)
