Session values: names that every object inherits are names like others

Cause: contextSteps asked a plain object for the name without asking whether the property is its own; the schema of peer messages drops __proto__ from a record.

Tests: dispatch/context (fuzz, with such names) failed before with the counterexample __proto__, and wire/peer-link "session values arrive under the names that their caller chose" failed; both pass.

--- a/src/dispatch/context.ts
+++ b/src/dispatch/context.ts
@@ -55,7 +55,8 @@
  * @returns the steps in order
  */
 export function contextSteps (current: ServerContext, required: RequiredContext): readonly ContextStep[] {
-  const mustReset = Object.keys(current.values).some(name => required.values[name] === undefined)
+  // Own names only: a caller may choose a name that every object inherits.
+  const mustReset = Object.keys(current.values).some(name => !Object.hasOwn(required.values, name))
   const base = mustReset ? emptyContext : current
   const valueSteps = Object.entries(required.values)
     .filter(([name, value]) => base.values[name] !== value)
--- a/src/wire/peer-schema.ts
+++ b/src/wire/peer-schema.ts
@@ -6,7 +6,7 @@
 
 import { isIP } from 'node:net'
 import * as z from 'zod'
-import type { PeerMethod, PeerMethods, PeerParams, PeerResult } from '../model/index.js'
+import type { PeerMethod, PeerMethods, PeerParams, PeerResult, SessionValues } from '../model/index.js'
 import { WireError } from '../ports/index.js'
 
 const maxPort = 65_535
@@ -46,6 +46,9 @@
   prepared: z.object({ statement: z.object({ access, shape: text }), argument: text }).optional()
 })
 
+// Passed as it is: a record of the schema library drops the name `__proto__`.
+const sessionValues = z.custom<SessionValues>(value => typeof value === 'object' && value !== null && !Array.isArray(value) && Object.values(value).every(each => typeof each === 'string'))
+
 const executeParams = z.object({
   from: name,
   database: name,
@@ -53,7 +56,7 @@
   account: name,
   weight: z.number().positive(),
   statement,
-  values: z.record(text, text),
+  values: sessionValues,
   mode,
   // Negative once the deadline has passed.
   remainingMs: z.number()
--- a/test/dispatch/context.test.ts
+++ b/test/dispatch/context.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check'
 import { applyContextStep, emptyContext, preparedStatementName, contextSteps, type RequiredContext, type ServerContext } from '../../src/dispatch/index.js'
 
-const values = fc.dictionary(fc.constantFrom('a', 'b', 'c'), fc.constantFrom('1', '2'))
+const values = fc.dictionary(fc.constantFrom('a', 'b', 'constructor', '__proto__'), fc.constantFrom('1', '2'))
 const prepared = fc.option(fc.record({ access: fc.constantFrom('read' as const, 'write' as const), shape: fc.constantFrom('q1', 'q2') }), { nil: undefined })
 const requirements = fc.array(fc.record({ values, prepared }), { minLength: 1, maxLength: 12 })
 
@@ -16,7 +16,7 @@
     let context = emptyContext
     for (const required of list) {
       context = applySteps(context, required)
-      assert.deepEqual({ ...context.values }, { ...required.values })
+      assert.deepEqual(Object.entries(context.values).sort(), Object.entries(required.values).sort())
       if (required.prepared !== undefined) assert.ok(context.prepared.has(preparedStatementName(required.prepared)))
     }
   }))
--- a/test/wire/peer-link.test.ts
+++ b/test/wire/peer-link.test.ts
@@ -51,6 +51,13 @@
   })
 }
 
+test('session values arrive under the names that their caller chose', () => {
+  const sent = JSON.parse('{"__proto__":"1","constructor":"2","a b":"3"}') as Readonly<Record<string, string>>
+  const request = { from: 'h', database: 'd', server: 's', account: 'a', weight: 1, statement: { text: 'READ x' }, values: sent, mode: { kind: 'write' }, remainingMs: 5 }
+  assert.deepEqual(Object.entries(decodeParams('execute', request).values), Object.entries(sent))
+  for (const values of [undefined, null, [], 'a', { a: 1 }]) assert.throws(() => decodeParams('execute', { ...request, values }))
+})
+
 test('line ends in a value do not end its line', async t => {
   const sent: MemberState = { ...state, host: 'entry-1\r\n{}\nnull' }
   const { client } = await startLink(t, () => sent)
