--- a/test/platform/framing.test.ts
+++ b/test/platform/framing.test.ts
@@ -1,10 +1,11 @@
 // Messages end at CR LF and nowhere else, whatever bytes their fields hold.
 
 import assert from 'node:assert/strict'
+import net from 'node:net'
 import { test } from 'node:test'
 import fc from 'fast-check'
 import { encodeMessage, errorLine, maxMessageBytes, splitMessages, type SplitResult } from '../../platform/framing.js'
-import { openSession, startServingFleet } from '../support/fleet.js'
+import { defaultKey, openSession, startServingFleet } from '../support/fleet.js'
 
 /** Bytes with many blanks, line feeds and carriage returns among them. */
 const bytes = fc.array(fc.oneof(fc.constantFrom(' ', '\r', '\n', '\r\n', 'QUERY'), fc.integer({ min: 0, max: 255 }).map(code => String.fromCharCode(code))), { maxLength: 20 }).map(parts => parts.join(''))
@@ -73,3 +74,11 @@
   caller.sendRaw('\n')
   assert.deepEqual((await rest).rows, ['1\r'])
 })
+
+test('a login that is refused gets its error, also with statements sent along', async t => {
+  const fleet = await startServingFleet(t, { hosts: 1 })
+  const socket = net.connect({ host: '127.0.0.1', port: fleet.proxies[0]?.port ?? 0 })
+  t.after(() => { socket.destroy() })
+  socket.write(`STARTUP nowhere ${defaultKey}\r\nQUERY q1 READ a\r\nQUERY q2 READ a\r\n`)
+  assert.match((await socket.setEncoding('latin1').toArray() as readonly string[]).join(''), /^ERROR NODB [^\r]*\r\n$/)
+})
