Observability: which server leaves, known from where, and what a promotion waits for (DRAIN)

Two events: serverStateChanged (4006) on every host, with the source and the age of its list, and promotionProgress (4007) on the host that drives the failover.

--- a/src/daemon/database-task.ts
+++ b/src/daemon/database-task.ts
@@ -4,6 +4,7 @@
 // `database-step`; this module queries the servers and sends the calls that
 // change their roles.
 
+import { promotionProgress, type PromotionProgress } from '../failover/index.js'
 import { originPosition, type DatabaseDeclaration, type DatabaseName, type Observation, type Position, type PrimaryView, type ServerName } from '../model/index.js'
 import { ask, derivedSnapshot, SnapshotPublisher, startTask, type Port, type Snapshot } from '../pipe/index.js'
 import type { PromotionResult } from '../ports/index.js'
@@ -28,6 +29,8 @@
   readonly onConnectionLost: (server: ServerName) => void
   /** Orders the platform to promote a server, where the platform does promotions. */
   readonly orderPromotion: (database: DatabaseName, server: ServerName) => Promise<PromotionResult>
+  /** Called when the progress of a promotion that this host drives has changed. */
+  readonly onPromotionProgress: (database: DatabaseName, progress: PromotionProgress) => void
   /** Writes the view to the store; may fail. */
   readonly publish: (view: PrimaryView) => void
 }
@@ -75,6 +78,7 @@
   const published = new SnapshotPublisher(initial)
   const view = derivedSnapshot(published, viewOf)
   const watches = new Watches({ ...spec, view: view.get })
+  const reportProgress = changeReporter<PromotionProgress>({ kind: 'none' }, progress => { spec.onPromotionProgress(database.name, progress) })
   const task = startTask<DatabaseState, DatabaseMessage, DatabaseEffect>({
     name: `database ${database.name}`,
     initial,
@@ -84,6 +88,7 @@
     step: (state, message) => {
       const transition = databaseStep(state, message)
       published.publish(transition.state)
+      if (message.kind === 'tick') reportProgress(promotionProgress(transition.state.failover, message.nowMs))
       return transition
     },
     perform: (effect, port) => { perform(spec, watches, effect, port) },
@@ -107,6 +112,17 @@
   }
 }
 
+// Calls `report` with each value that differs from the one before.
+function changeReporter<T> (initial: T, report: (value: T) => void): (value: T) => void {
+  let last = JSON.stringify(initial)
+  return value => {
+    const text = JSON.stringify(value)
+    if (text === last) return
+    last = text
+    report(value)
+  }
+}
+
 function perform (spec: DatabaseSpec, watches: Watches, effect: DatabaseEffect, port: Port<DatabaseMessage>): void {
   switch (effect.kind) {
     case 'probe': return void probe(spec.context, watches, effect.server, port)
--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -3,6 +3,7 @@
 // server.
 
 import type { DispatchReply } from '../dispatch/index.js'
+import type { PromotionProgress } from '../failover/index.js'
 import { capableMembers, dispatcherRanks, dispatchersOf, rendezvousOrder, type Member } from '../members/index.js'
 import { notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PrimaryView, type ServerDeclaration, type ServerName } from '../model/index.js'
 import { startAlarm, type Alarm } from '../pipe/index.js'
@@ -15,6 +16,7 @@
 export type DatabasesSpec = {
   readonly context: DaemonContext
   readonly onPrimaryChanged: (view: PrimaryView) => void
+  readonly onPromotionProgress: (database: DatabaseName, progress: PromotionProgress) => void
   readonly publish: (view: PrimaryView) => void
   readonly orderPromotion: (database: DatabaseName, server: ServerName) => Promise<PromotionResult>
   readonly onFailure: (server: ServerName, failure: string) => void
@@ -236,12 +238,13 @@
   #entryFor (declared: DatabaseDeclaration): DatabaseEntry {
     const existing = this.#entries.get(declared.name)
     if (existing !== undefined) return existing
-    const { context, publish, orderPromotion } = this.#spec
+    const { context, publish, orderPromotion, onPromotionProgress } = this.#spec
     const task = startDatabase({
       context,
       database: declared,
       publish,
       orderPromotion,
+      onPromotionProgress,
       isWatched: () => this.isWatched(declared.name),
       onConnectionLost: server => { this.#spec.onConnectionLost(declared.name, server) },
       onPrimaryChanged: view => { this.#notifyPrimary(view) },
--- a/src/daemon/discovery-task.ts
+++ b/src/daemon/discovery-task.ts
@@ -11,6 +11,22 @@
 import { listDigest } from './list-digest.js'
 import type { PeerLinks } from './peers.js'
 
+/** Where a list or change of the servers came from. */
+export type ListOrigin = {
+  /** `store`, or the host that sent its list. */
+  readonly source: 'store' | HostName
+  /** Time since the store's response that the list is from. */
+  readonly ageMs: number
+}
+
+type Message =
+  | { readonly kind: 'received', readonly event: ServersEvent, readonly origin: ListOrigin }
+  | { readonly kind: 'tick', readonly nowMs: number }
+
+type Effect =
+  | { readonly kind: 'serversChanged', readonly state: ServersState }
+  | { readonly kind: 'serverStateChanged', readonly server: DiscoveredServer, readonly origin: ListOrigin }
+
 /** Dependencies of the task. */
 export type DiscoverySpec = {
   readonly context: DaemonContext
@@ -23,6 +39,8 @@
   readonly onServers: (state: ServersState) => void
   /** Called with the state that a watcher sent with its list. */
   readonly onPeerState: (from: MemberState, sentAtMs: number) => void
+  /** Called when a server that was known before has announced that it leaves, or is active again. */
+  readonly onServerStateChanged: (server: DiscoveredServer, list: ListOrigin) => void
   readonly onStoreFailure: () => void
   /** Called once with the name of each entry that is no valid server. */
   readonly onInvalidEntry: (name: string) => void
@@ -40,6 +58,7 @@
   readonly stop: () => Promise<void>
 }
 
+const fromStore: ListOrigin = { source: 'store', ageMs: 0 }
 const mailboxCapacity = 1024
 const watchMs = 5000
 /** Shortest time between two checks for missing entries whose time is over. */
@@ -65,18 +84,23 @@
   const { context } = spec
   const { timers } = context
   const published = new SnapshotPublisher(noServers)
-  const task = startTask<ServersState, ServersEvent, ServersState>({
+  const task = startTask<ServersState, Message, Effect>({
     name: 'discovery',
     initial: noServers,
     capacity: mailboxCapacity,
     onError: context.onTaskError('discovery'),
     schedule: { timers, dueAtMs: state => expiryCheckAtMs(state, timers.nowMs()), tick: nowMs => ({ kind: 'tick', nowMs }) },
-    step: (state, event) => {
-      const next = serversStep(state, event)
+    step: (state, message) => {
+      const next = serversStep(state, message.kind === 'tick' ? message : message.event)
       published.publish(next)
-      return { state: next, effects: hasSameServers(state, next) ? [] : [next] }
+      return { state: next, effects: hasSameServers(state, next) ? [] : [...stateChanges(state, next, message), { kind: 'serversChanged', state: next }] }
     },
-    perform: state => { spec.onServers(state) }
+    perform: effect => {
+      switch (effect.kind) {
+        case 'serversChanged': return spec.onServers(effect.state)
+        case 'serverStateChanged': return spec.onServerStateChanged(effect.server, effect.origin)
+      }
+    }
   })
   const stopping = { now: false }
   return {
@@ -96,6 +120,13 @@
   }
 }
 
+function stateChanges (before: ServersState, after: ServersState, message: Message): readonly Effect[] {
+  if (message.kind === 'tick') return []
+  return [...after.servers.values()]
+    .filter(({ server }) => (before.servers.get(server.name)?.server.state ?? 'active') !== server.state)
+    .map(({ server }) => ({ kind: 'serverStateChanged', server, origin: message.origin }))
+}
+
 // An entry whose time is over stays while the store does not respond.
 function expiryCheckAtMs (state: ServersState, nowMs: number): number {
   return Math.max(serversDueAtMs(state), nowMs + minExpiryCheckMs)
@@ -121,7 +152,7 @@
 
 const noWatch: WatchState = { revision: undefined, listedAtMs: -Infinity, ignored: new Set() }
 
-async function run (spec: DiscoverySpec, port: Port<ServersEvent>, state: Snapshot<ServersState>, stopping: { readonly now: boolean }): Promise<void> {
+async function run (spec: DiscoverySpec, port: Port<Message>, state: Snapshot<ServersState>, stopping: { readonly now: boolean }): Promise<void> {
   const { timers, random } = spec.context
   let watch = noWatch
   while (!stopping.now) {
@@ -142,7 +173,7 @@
   }
 }
 
-async function watchOnce (spec: DiscoverySpec, port: Port<ServersEvent>, watch: WatchState): Promise<WatchState> {
+async function watchOnce (spec: DiscoverySpec, port: Port<Message>, watch: WatchState): Promise<WatchState> {
   const { timers, ports: { store } } = spec.context
   const { objectKind } = spec.source
   const { revision, listedAtMs } = watch
@@ -150,13 +181,13 @@
     const list = await store.listObjects(objectKind)
     const nowMs = timers.nowMs()
     const { servers, invalid } = decoded(spec, list.objects)
-    port.send({ kind: 'listed', servers, nowMs })
+    port.send({ kind: 'received', event: { kind: 'listed', servers, nowMs }, origin: fromStore })
     reportInvalid(spec, invalid, watch.ignored)
     return { revision: list.revision, listedAtMs: nowMs, ignored: new Set(invalid) }
   }
   const changes = await store.watch(objectKind, revision, watchMs)
   const { servers, invalid } = decoded(spec, changes.objects)
-  port.send({ kind: 'changed', servers, removed: [...changes.removed, ...invalid], nowMs: timers.nowMs() })
+  port.send({ kind: 'received', event: { kind: 'changed', servers, removed: [...changes.removed, ...invalid], nowMs: timers.nowMs() }, origin: fromStore })
   reportInvalid(spec, invalid, watch.ignored)
   return { revision: changes.revision, listedAtMs, ignored: new Set([...watch.ignored, ...invalid]) }
 }
@@ -179,7 +210,7 @@
 }
 
 // True where a watcher sent its list and the list is recent.
-async function queryWatcher (spec: DiscoverySpec, port: Port<ServersEvent>, state: Snapshot<ServersState>): Promise<boolean> {
+async function queryWatcher (spec: DiscoverySpec, port: Port<Message>, state: Snapshot<ServersState>): Promise<boolean> {
   const { timers, random } = spec.context
   const watchers = spec.watchers()
   const watcher = watchers[Math.floor(random() * watchers.length)]
@@ -189,6 +220,6 @@
   const { list, from } = await spec.links.call(watcher, 'listServers', { known: listDigest(local) }, queryTimeoutMs).catch(() => ({ list: undefined, from: undefined }))
   if (from !== undefined) spec.onPeerState(from, sentAtMs)
   if (list === undefined || list.agoMs > maxWatcherListMs) return false
-  port.send({ kind: 'listed', servers: list.servers ?? local, nowMs: timers.nowMs() })
+  port.send({ kind: 'received', event: { kind: 'listed', servers: list.servers ?? local, nowMs: timers.nowMs() }, origin: { source: watcher, ageMs: list.agoMs } })
   return true
 }
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -3,9 +3,11 @@
 
 import { randomBytes, randomUUID } from 'node:crypto'
 import { confirmedUntilMs, contactUntilMs, containsKey, type Settings } from '../config/index.js'
+import type { PromotionProgress } from '../failover/index.js'
 import type { ExecuteReply, ExecuteRequest, HostName, MemberState, PrimaryView } from '../model/index.js'
 import { sleep, systemTimers } from '../pipe/index.js'
 import { asWireError, updateObject, type ObjectStore, type ProxyPorts } from '../ports/index.js'
+import type { EventFields } from '../report/index.js'
 import { requestPipe, type AttemptResult, type ConfigurationInForce, type OpenTransaction, type RequestServices } from '../request/index.js'
 import { listenForPeers, type PeerHandlers } from '../wire/peer-link.js'
 import { decodeToken, encodeToken } from '../wire/session-token.js'
@@ -131,6 +133,7 @@
       if (leaderTask?.isLeader() === true) announcePrimary(context, members, links, view)
       reports.event('primaryChanged', { database: view.database, term: view.term, primary: view.primary ?? 'none' })
     },
+    onPromotionProgress: (database, progress) => { reports.event('promotionProgress', { database, ...progressFields(progress) }) },
     publish: view => { void publishPrimary(context, store, view).catch(() => { reports.event('storeUnreachable', { what: 'primary' }) }) },
     orderPromotion: async (database, server) => await leaderTask?.orderPromotion(database, server) ?? 'refused',
     onFailure: (server, failure) => { reports.event('serverConnectionFailed', { server, failure }) },
@@ -191,6 +194,9 @@
         effectiveManifest.applyServers(state)
         reports.event('serversChanged', { servers: state.servers.size })
       },
+      onServerStateChanged: ({ name: server, database, state }, { source, ageMs }) => {
+        reports.event('serverStateChanged', { server, database, state, source, listAgeMs: Math.round(ageMs) })
+      },
       onStoreFailure: () => { reports.event('storeUnreachable', { what: 'servers' }) },
       onInvalidEntry: name => { reports.event('serverEntryIgnored', { entry: name.slice(0, maxLoggedNameLength) }) }
     })
@@ -253,6 +259,14 @@
   })
 }
 
+function progressFields (progress: PromotionProgress): Omit<EventFields<'promotionProgress'>, 'database'> {
+  switch (progress.kind) {
+    case 'none': return { progress: 'none', reason: '', waitsFor: '' }
+    case 'running': return { progress: progress.step, reason: '', waitsFor: '' }
+    case 'waiting': return { progress: 'waiting', reason: progress.reason, waitsFor: progress.blocker }
+  }
+}
+
 // Watchers rank first, in quorum order; all other hosts share the rank after them.
 function leaderRank (view: MembersView, self: HostName): number {
   const rank = view.quorum.indexOf(self)
--- a/src/failover/promotion-policy.ts
+++ b/src/failover/promotion-policy.ts
@@ -20,7 +20,7 @@
   if (isPrimaryDead(state, view.primary, view.term, nowMs)) return 'dead'
   if (hasSteppedDown(state.group.lastStatuses[view.primary], view.term)) return 'demoted'
   if (state.settings.promotionMethod === 'byQuorum' && serversFencedAbove(state.group, view.term).length > 0) return 'fencedOff'
-  if (!state.active.includes(view.primary) && isSuccessorReachable(state, nowMs)) return 'leaving'
+  if (isPrimaryLeaving(state) && isSuccessorReachable(state, nowMs)) return 'leaving'
   return undefined
 }
 
@@ -50,6 +50,9 @@
   return reachableServers(state.health, state.active, state.settings, nowMs).length > 0
 }
 
+/** What a dispatcher waits for before it proposes a new primary. */
+export type PromotionBlocker = 'successor' | 'rank' | 'rival' | 'retryTime' | 'majority'
+
 /**
  * Whether this dispatcher may propose a new primary now.
  * @param state - the failover state; `failureSinceMs` is set
@@ -57,16 +60,48 @@
  * @returns true if its rank delay is over and a majority of the servers is reachable
  */
 export function canPropose (state: FailoverState, nowMs: number): boolean {
+  return promotionBlocker(state, nowMs) === undefined
+}
+
+function promotionBlocker (state: FailoverState, nowMs: number): PromotionBlocker | undefined {
   const { settings, rank, failureSinceMs, retryAtMs, group } = state
-  if (rank === undefined || failureSinceMs === undefined || nowMs < retryAtMs) return false
+  if (rank === undefined || failureSinceMs === undefined) return 'rank'
+  if (nowMs < retryAtMs) return 'retryTime'
   const rankWaitMs = rank * settings.rankDelayMs
-  if (nowMs < failureSinceMs + rankWaitMs) return false
-  if (isRivalActive(state) && nowMs < group.highestTermSeenAtMs + settings.rivalTimeoutMs + rankWaitMs) return false
-  return reachableServers(state.health, group.servers, settings, nowMs).length >= majorityOf(group.servers.length)
+  if (nowMs < failureSinceMs + rankWaitMs) return 'rank'
+  if (isRivalActive(state) && nowMs < group.highestTermSeenAtMs + settings.rivalTimeoutMs + rankWaitMs) return 'rival'
+  return reachableServers(state.health, group.servers, settings, nowMs).length >= majorityOf(group.servers.length) ? undefined : 'majority'
+}
+
+/**
+ * Progress of the promotion that a database needs, for reports: none is needed, the
+ * step of the current attempt, or what the next attempt waits for.
+ */
+export type PromotionProgress =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'running', readonly step: Exclude<FailoverState['proposal']['kind'], 'idle'> }
+  | { readonly kind: 'waiting', readonly reason: PromotionReason, readonly blocker: PromotionBlocker }
+
+/**
+ * Describes the progress of a promotion.
+ * @param state - the failover state
+ * @param nowMs - monotonic time
+ * @returns the progress; `none` also on a host that does not drive the failover
+ */
+export function promotionProgress (state: FailoverState, nowMs: number): PromotionProgress {
+  if (state.rank === undefined) return { kind: 'none' }
+  if (state.proposal.kind !== 'idle') return { kind: 'running', step: state.proposal.kind }
+  const reason = promotionReason(state, nowMs)
+  if (reason === undefined) return isPrimaryLeaving(state) ? { kind: 'waiting', reason: 'leaving', blocker: 'successor' } : { kind: 'none' }
+  const blocker = promotionBlocker(state, nowMs)
+  return blocker === undefined ? { kind: 'none' } : { kind: 'waiting', reason, blocker }
+}
+
+function isPrimaryLeaving (state: FailoverState): boolean {
+  const { primary } = primaryView(state.group)
+  return primary !== undefined && !state.active.includes(primary)
 }
 
-// A term above that of the last primary shows that another dispatcher may be
-// about to promote.
 function isRivalActive (state: FailoverState): boolean {
   if (state.settings.promotionMethod === 'byLeader') return false
   const { highestTerm, termPrimary } = state.group
