--- a/src/daemon/leader-task.ts
+++ b/src/daemon/leader-task.ts
@@ -5,7 +5,7 @@
 
 import * as z from 'zod'
 import { initialLease, leaseDueAtMs, leaseStep, heldToken, type LeaseEffect, type LeaseEvent, type LeaseRecord, type LeaseState } from '../leader/index.js'
-import type { DatabaseName, ServerName } from '../model/index.js'
+import type { DatabaseName, LeaseRenewal, ServerName } from '../model/index.js'
 import { sleep, SnapshotPublisher, startTask, type Port } from '../pipe/index.js'
 import { asError, StoreError, type PromotionMethod, type PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
@@ -25,7 +25,9 @@
 export type LeaderTask = {
   readonly isLeader: () => boolean
   /** Records that another member reported in a heartbeat that it holds the lease. */
-  readonly recordOtherLeader: () => void
+  readonly recordOtherLeader: (lease: LeaseRenewal | undefined) => void
+  /** The last acknowledged renewal while this host holds the lease. */
+  readonly renewal: () => LeaseRenewal | undefined
   readonly changeRank: (rank: number | undefined, isWatcher: boolean) => void
   readonly orderPromotion: (database: DatabaseName, server: ServerName) => Promise<PromotionResult>
   /**
@@ -82,7 +84,8 @@
   const token = (): number | undefined => heldToken(published.get(), timers.nowMs())
   return {
     isLeader: () => token() !== undefined,
-    recordOtherLeader: () => { task.port.send({ kind: 'otherHolderReported', nowMs: timers.nowMs() }) },
+    recordOtherLeader: lease => { task.port.send({ kind: 'otherHolderReported', lease, nowMs: timers.nowMs() }) },
+    renewal: () => token() === undefined ? undefined : renewalOf(published.get().observed?.record),
     changeRank: (rank, isWatcher) => { task.port.send({ kind: 'rankChanged', rank, isWatcher }) },
     async orderPromotion (database, server) {
       const held = token()
@@ -102,6 +105,10 @@
   }
 }
 
+function renewalOf (record: LeaseRecord | undefined): LeaseRenewal | undefined {
+  return record === undefined ? undefined : { token: record.token, renewal: record.renewal }
+}
+
 function reportChange (spec: LeaderSpec, before: LeaseState, after: LeaseState): void {
   if ((before.held === undefined) === (after.held === undefined)) return
   spec.onLeaseChange(after.held !== undefined, after.held?.token ?? before.held?.token ?? 0)
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -174,7 +174,7 @@
   const recordLeader = (from: MemberState): void => {
     if (from.holdsDuty !== true) return
     leader = from.host
-    leaderTask?.recordOtherLeader()
+    leaderTask?.recordOtherLeader(from.lease)
   }
   const recordPeerState = (from: MemberState, sentAtMs: number): void => {
     configuration.recordPeerState(from, sentAtMs)
@@ -216,7 +216,7 @@
     failureDomain: settings.host.failureDomain,
     incarnation: context.incarnation,
     state: stopping() ? 'stopping' : 'serving',
-    ...(leaderTask === undefined ? {} : { holdsDuty: leaderTask.isLeader() }),
+    ...(leaderTask === undefined ? {} : { holdsDuty: leaderTask.isLeader(), lease: leaderTask.renewal() }),
     ...configuration.advertised()
   })
   const members: MembersTask = startMembers({
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -16,7 +16,7 @@
 // (see the timer service). Clock rates of two hosts are assumed to differ by less
 // than 0.5% (docs/PROOFS.md); the holder's margin covers that difference.
 
-import type { HostName } from '../model/index.js'
+import type { HostName, LeaseRenewal } from '../model/index.js'
 import { withoutEffects, type Transition } from '../pipe/index.js'
 
 /** The lease record in the store. */
@@ -116,7 +116,7 @@
   /** The read or the write failed; a failed write may still take effect. */
   | { readonly kind: 'callFailed', readonly nowMs: number }
   /** Another member reported in a heartbeat or its answer that it holds the lease. */
-  | { readonly kind: 'otherHolderReported', readonly nowMs: number }
+  | { readonly kind: 'otherHolderReported', readonly lease: LeaseRenewal | undefined, readonly nowMs: number }
   /** This host stops. */
   | { readonly kind: 'release' }
   | { readonly kind: 'rankChanged', readonly rank: number | undefined, readonly isWatcher: boolean }
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -63,6 +63,12 @@
   readonly applied: Position | undefined
 }
 
+/** A renewal of the leader lease: token of its holder, and number of the renewal. */
+export type LeaseRenewal = {
+  readonly token: number
+  readonly renewal: number
+}
+
 /** State that a member reports in heartbeats and in replies to them. */
 export type MemberState = {
   readonly host: HostName
@@ -79,6 +85,11 @@
    * it to order promotions. Omitted where servers are promoted by quorum.
    */
   readonly holdsDuty?: boolean
+  /**
+   * The last acknowledged renewal of the leader lease, while the member holds it; a
+   * proxy of an earlier version does not send it.
+   */
+  readonly lease?: LeaseRenewal | undefined
   /**
    * Gossip entries (`rumours` on the wire): observations of other members. Sent
    * in large fleets only.
--- a/src/wire/peer-schema.ts
+++ b/src/wire/peer-schema.ts
@@ -102,6 +102,7 @@
   generation: count,
   storeConfirmedAgoMs: amount.optional(),
   holdsDuty: z.boolean().optional(),
+  lease: z.object({ token: count, renewal: count }).optional(),
   rumours: z.array(z.object({ host: name, observer: name, silent: z.boolean(), agoMs: amount })).optional()
 })
 
--- a/test/leader/lease.test.ts
+++ b/test/leader/lease.test.ts
@@ -55,7 +55,7 @@
 })
 
 test('a host with recent contact to the holder does not call the store', () => {
-  const { effects } = run(hostOf('a'), { kind: 'otherHolderReported', nowMs: 0 }, { kind: 'tick', nowMs: 500 })
+  const { effects } = run(hostOf('a'), { kind: 'otherHolderReported', lease: { token: 4, renewal: 9 }, nowMs: 0 }, { kind: 'tick', nowMs: 500 })
   assert.deepEqual(effects, [])
 })
 
@@ -85,6 +85,38 @@
   assert.deepEqual(effects, [])
 })
 
+const heartbeatMs = 1000
+const storeAnswerMs = 5
+/** Longest time from the holder's last renewal to its successor: a heartbeat, the lease duration and the takeover itself. */
+const maxSuccessionMs = heartbeatMs + durationMs + 200
+
+/** When a host of rank 0 writes its takeover, if it hears from a holder that can't renew its lease after `lastRenewalMs`. */
+function takeoverMs (lastRenewalMs: number, heartbeatAtMs: number): number {
+  const heldUntilMs = lastRenewalMs + durationMs - marginMs
+  const renewalAt = (nowMs: number): number => Math.floor(Math.min(nowMs, lastRenewalMs) / defaultLeaseSettings.renewEveryMs)
+  let host = hostOf('b')
+  for (let nowMs = 0; ; nowMs += 10) {
+    const renewal = renewalAt(nowMs)
+    const isHeartbeat = nowMs % heartbeatMs === heartbeatAtMs && nowMs < heldUntilMs
+    const events: readonly LeaseEvent[] = isHeartbeat ? [{ kind: 'otherHolderReported', lease: { token: 4, renewal }, nowMs }] : []
+    const { state, effects } = run(host, ...events, { kind: 'tick', nowMs })
+    if (effects.some(effect => effect.kind === 'write')) return nowMs
+    const read: LeaseEvent = { kind: 'read', record: recordOf({ renewal }), version: 100 + renewal, nowMs: nowMs + storeAnswerMs }
+    const after = effects.some(effect => effect.kind === 'read') ? run(state, read) : { state, effects: [] }
+    if (after.effects.some(effect => effect.kind === 'write')) return nowMs + storeAnswerMs
+    host = after.state
+  }
+}
+
+// Guards against DRAIN: the lease duration was counted only from the end of the contact with the old holder, so a leaving primary was replaced too late.
+test('a host that heard of the last renewal takes over one lease duration after it heard of it', () => {
+  const lastRenewalMs = 7 * defaultLeaseSettings.renewEveryMs
+  for (const heartbeatAtMs of [0, 200, 400, 600, 800]) {
+    const tookMs = takeoverMs(lastRenewalMs, heartbeatAtMs) - lastRenewalMs
+    assert.ok(tookMs >= durationMs && tookMs <= maxSuccessionMs, `${tookMs} ms with heartbeats at ${heartbeatAtMs}`)
+  }
+})
+
 /** One host of the model: its lease state, and until when it is suspended. */
 type ModelHost = { readonly state: LeaseState, readonly suspendedUntilMs: number, readonly inFlight: readonly InFlight[] }
 type InFlight = { readonly atMs: number, readonly sentAtMs: number, readonly effect: LeaseEffect, readonly delivery: 'answered' | 'lost' | 'never' }
@@ -105,7 +137,8 @@
           return result.events
         })
         if (nowMs < host.suspendedUntilMs) return { ...host, inFlight: host.inFlight.map(call => due.includes(call) ? { ...call, atMs: host.suspendedUntilMs } : call) }
-        const { state, effects } = run(host.state, ...events, { kind: 'tick', nowMs })
+        const reports = reportsTo(host.state, hosts, nowMs)
+        const { state, effects } = run(host.state, ...events, ...reports, { kind: 'tick', nowMs })
         const plan = plans[next % plans.length]
         const calls = effects.map((effect): InFlight => {
           next += 1
@@ -124,6 +157,16 @@
   }), { numRuns: 150 })
 })
 
+/** What the other hosts that hold the lease tell a host in their heartbeats. */
+function reportsTo (self: LeaseState, hosts: readonly ModelHost[], nowMs: number): readonly LeaseEvent[] {
+  return hosts.flatMap(({ state, suspendedUntilMs }): readonly LeaseEvent[] => {
+    const record = state.observed?.record
+    const isReporting = nowMs % 400 === 0 && nowMs >= suspendedUntilMs && state.self.host !== self.self.host
+    if (!isReporting || record === undefined || heldToken(state, nowMs) === undefined) return []
+    return [{ kind: 'otherHolderReported', lease: { token: record.token, renewal: record.renewal }, nowMs }]
+  })
+}
+
 type Stored = { readonly record: LeaseRecord | undefined, readonly version: number }
 
 function performCall (call: InFlight, stored: Stored, nowMs: number): { readonly stored: Stored, readonly events: readonly LeaseEvent[] } {
