--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -7,12 +7,16 @@
 // before: if its observation is outdated, the store rejects the write by its
 // version.
 //
+// A host that hears in heartbeats which renewal the holder has made counts the lease
+// duration from when it first heard of that renewal, so it need not read the store
+// while the holder renews.
+//
 // Why two hosts never hold it at the same time. The holder counts the lease
 // duration from before it sent the renewal that the store acknowledged. Another
-// host counts it from a response that showed the renewal, which is later, and
-// its takeover is conditional on the version in that response. A renewal
-// without a response extends nothing; if it takes effect late, it only makes the
-// other hosts wait longer. Monotonic time advances while a host is suspended
+// host counts it from a response or a heartbeat that showed the renewal, which is
+// later, and its takeover is conditional on the version in a response that shows the
+// same renewal. A renewal without a response extends nothing; if it takes effect late,
+// it only makes the other hosts wait longer. Monotonic time advances while a host is suspended
 // (see the timer service). Clock rates of two hosts are assumed to differ by less
 // than 0.5% (docs/PROOFS.md); the holder's margin covers that difference.
 
@@ -89,8 +93,13 @@
   /** A call to the store is in progress. */
   readonly callInProgress: boolean
   readonly nextCallMs: number
-  /** When another member last reported that it holds the lease. */
+  /**
+   * When another member last reported a new renewal, or, from a member that does not
+   * report renewals, that it holds the lease.
+   */
   readonly lastContactAtMs: number
+  /** The last renewal that another member reported, and when it was first reported. */
+  readonly reported: { readonly lease: LeaseRenewal, readonly sinceMs: number } | undefined
   /**
    * Rank among the candidates: watchers in the order of their names, and then all
    * other hosts with one common rank (`leaderRank` in daemon/proxy). Undefined
@@ -135,7 +144,7 @@
  * @returns the initial state, without the lease
  */
 export function initialLease (self: LeaseState['self'], settings: LeaseSettings = defaultLeaseSettings): LeaseState {
-  return { self, settings, observed: undefined, held: undefined, callInProgress: false, nextCallMs: 0, lastContactAtMs: -Infinity, rank: undefined, isWatcher: false }
+  return { self, settings, observed: undefined, held: undefined, callInProgress: false, nextCallMs: 0, lastContactAtMs: -Infinity, reported: undefined, rank: undefined, isWatcher: false }
 }
 
 /**
@@ -152,7 +161,7 @@
     // After a failed read or write the lease is read first: a write may have taken
     // effect. The wait for a takeover starts again with that read.
     case 'callFailed': return withoutEffects({ ...state, callInProgress: false, observed: undefined, nextCallMs: event.nowMs + pollPeriodMs(state) })
-    case 'otherHolderReported': return withoutEffects({ ...state, lastContactAtMs: event.nowMs })
+    case 'otherHolderReported': return withoutEffects(recordReport(state, event.lease, event.nowMs))
     case 'release': return release({ ...state, rank: undefined })
     // A host that becomes a candidate does not wait for the end of its long poll period.
     case 'rankChanged': return withoutEffects({ ...state, rank: event.rank, isWatcher: event.isWatcher, nextCallMs: event.isWatcher && !state.isWatcher ? Math.min(state.nextCallMs, 0) : state.nextCallMs })
@@ -195,9 +204,27 @@
   return state.held !== undefined && nowMs >= state.held.untilMs ? { ...state, held: undefined } : state
 }
 
+// Heartbeats of several members may arrive in another order than they were sent in.
+function recordReport (state: LeaseState, lease: LeaseRenewal | undefined, nowMs: number): LeaseState {
+  if (lease === undefined) return { ...state, lastContactAtMs: nowMs }
+  if (state.reported !== undefined && !isLater(lease, state.reported.lease)) return state
+  return { ...state, lastContactAtMs: nowMs, reported: { lease, sinceMs: nowMs } }
+}
+
+function isLater (a: LeaseRenewal, b: LeaseRenewal): boolean {
+  return a.token > b.token || (a.token === b.token && a.renewal > b.renewal)
+}
+
+// Since when the lease is known to be as it was read.
+function unchangedSinceMs (state: LeaseState, record: LeaseRecord | undefined, version: number, nowMs: number): number {
+  const { observed, reported } = state
+  if (observed?.version === version) return observed.sinceMs
+  const isReported = record !== undefined && reported?.lease.token === record.token && reported.lease.renewal === record.renewal
+  return isReported ? reported.sinceMs : nowMs
+}
+
 function recordRead (state: LeaseState, record: LeaseRecord | undefined, version: number, nowMs: number): LeaseState {
-  const isUnchanged = state.observed?.version === version
-  return { ...state, observed: { record, version, sinceMs: isUnchanged ? state.observed.sinceMs : nowMs, seenMs: nowMs }, nextCallMs: nowMs + pollPeriodMs(state) }
+  return { ...state, observed: { record, version, sinceMs: unchangedSinceMs(state, record, version, nowMs), seenMs: nowMs }, nextCallMs: nowMs + pollPeriodMs(state) }
 }
 
 function recordWritten (state: LeaseState, event: Extract<LeaseEvent, { readonly kind: 'written' }>): LeaseState {
