Tests: rendered settings against the stated bounds; a new configuration has 4 s, not 3 (listed)

The chain of intervals behind ConfigApplyMs ends with the age of a confirmation, 4,000 ms by default, above the bound of 3,000 ms.

--- /dev/null
+++ b/test/platform/bounds.test.ts
@@ -0,0 +1,50 @@
+// The settings that the platform renders, against the bounds that its users state.
+
+import assert from 'node:assert/strict'
+import { readFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { test } from 'node:test'
+import { parseSettings, type Settings } from '../../src/config/index.js'
+import { builtProgram } from '../../standins/set/process.js'
+
+type Bounds = { readonly DrainMs: number, readonly ConfigApplyMs: number, readonly RevokeMs: number, readonly GraceS: number }
+
+const bounds: Bounds = { DrainMs: 7000, ConfigApplyMs: 3000, RevokeMs: 5000, GraceS: 6 }
+
+/** Settings of a host as the platform renders the template, with the given bounds. */
+function renderedSettings (stated: Bounds): Settings {
+  const fields: Readonly<Record<string, string | number>> = {
+    NodeName: 'h-1',
+    Zone: 'medina',
+    Ip: '10.1.0.26',
+    'PortRange.0': 7560,
+    'Limits.CpuShare': 0.459,
+    'Limits.Cores': 1,
+    'Listen.Frontend': '10.1.0.26:8465',
+    'Listen.Readiness': '10.1.0.26:8460',
+    'platform.Addr': '10.200.1.7:8466',
+    'Cloud.Addr': '10.200.0.2:8466',
+    ...Object.fromEntries(Object.entries(stated).map(([name, value]) => [`Bounds.${name}`, value]))
+  }
+  const template = readFileSync(join(builtProgram('..'), 'deploy', 'settings.toml'), 'utf8')
+  const text = template.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_, name: string, json?: string) => json === undefined ? String(fields[name]) : JSON.stringify(fields[name]))
+  const result = parseSettings(text, 'settings.toml')
+  assert.deepEqual(result.kind === 'invalid' ? result.errors : [], [])
+  return (result as Extract<typeof result, { readonly kind: 'valid' }>).settings
+}
+
+// Guards against DRAIN: the drain time was no setting, and nothing compared it with the bound.
+test('the drain time and the grace time are those that the users state', () => {
+  for (const DrainMs of [7000, 4000]) assert.equal(renderedSettings({ ...bounds, DrainMs }).control.drainMs, DrainMs)
+  assert.equal(renderedSettings(bounds).stop.graceMs, bounds.GraceS * 1000)
+})
+
+test('a host without a confirmation of its configuration stops within the bound for withdrawn keys', () => {
+  assert.ok(renderedSettings(bounds).control.confirmWithinMs <= bounds.RevokeMs)
+})
+
+// KNOWN-RED. Guards against CONFIG: a host that hears of no newer version serves the old one longer than the bound allows.
+test('a host without a confirmation of its configuration stops within the bound for a new configuration', () => {
+  const { confirmWithinMs } = renderedSettings(bounds).control
+  assert.ok(confirmWithinMs <= bounds.ConfigApplyMs, `${confirmWithinMs} ms`)
+})
