--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -4,12 +4,12 @@
 import { randomBytes, randomUUID } from 'node:crypto'
 import { confirmedUntilMs, contactUntilMs, containsKey, type Settings } from '../config/index.js'
 import type { PromotionProgress } from '../failover/index.js'
-import type { ExecuteReply, ExecuteRequest, HostName, MemberState, PrimaryView } from '../model/index.js'
+import type { HostName, MemberState, PrimaryView } from '../model/index.js'
 import { sleep, systemTimers } from '../pipe/index.js'
-import { asWireError, updateObject, type ObjectStore, type ProxyPorts } from '../ports/index.js'
+import { updateObject, type ObjectStore, type ProxyPorts } from '../ports/index.js'
 import type { EventFields } from '../report/index.js'
-import { requestPipe, type AttemptResult, type ConfigurationInForce, type OpenTransaction, type RequestServices } from '../request/index.js'
-import { listenForPeers, type PeerHandlers } from '../wire/peer-link.js'
+import { requestPipe, type ConfigurationInForce, type RequestServices } from '../request/index.js'
+import { listenForPeers } from '../wire/peer-link.js'
 import { decodeToken, encodeToken } from '../wire/session-token.js'
 import { startCallers } from './callers.js'
 import { startConfiguration } from './configuration-task.js'
@@ -22,9 +22,11 @@
 import { startLimits } from './limits-task.js'
 import { startMembers, type MembersTask, type MembersView } from './members-task.js'
 import type { ProxyComponents } from './components.js'
-import { localObservation, startObservationRelay } from './observation-relay.js'
+import { startObservationRelay } from './observation-relay.js'
+import { peerHandlers } from './peer-handlers.js'
 import { PeerLinks, tlsOf } from './peers.js'
 import { startRegistry } from './registry-task.js'
+import { executeAt, rollBack } from './remote-statements.js'
 import { startReports } from './reports.js'
 import { RoutingTable } from './routing.js'
 import { stopComponents } from './stop.js'
@@ -42,12 +44,6 @@
   readonly stop: () => Promise<void>
 }
 
-/**
- * Time after a statement's deadline in which the dispatcher's answer is still
- * awaited.
- */
-const answerMarginMs = 250
-const rollBackTimeoutMs = 1000
 const publishDeadlineMs = 5000
 /** Random bytes of the incarnation, which is part of every heartbeat. */
 const incarnationBytes = 6
@@ -317,39 +313,6 @@
   })
 }
 
-function peerHandlers (components: ProxyComponents): PeerHandlers {
-  const { configuration, databases, members, limits, reports } = components
-  return {
-    execute: async request => await databases.execute(request),
-    heartbeat: async from => {
-      components.recordLeader(from)
-      return await members.answerHeartbeat(from)
-    },
-    pullConfiguration: async ({ above }) => {
-      const accepted = configuration.inForce()
-      return { accepted: accepted !== undefined && accepted.generation > above ? accepted : undefined }
-    },
-    offerConfiguration: async ({ accepted }) => {
-      configuration.receiveOffer(accepted)
-      return { generation: configuration.advertised().generation }
-    },
-    listHosts: async ({ known }) => ({ list: members.list(known), from: components.localState() }),
-    observe: async ({ database }) => ({ observation: localObservation(components.observationRelay, database) }),
-    suspect: async ({ database, server }) => {
-      databases.task(database)?.suspect(server)
-      return { accepted: true }
-    },
-    listServers: async ({ known }) => ({ list: components.discovery?.list(known), from: components.localState() }),
-    primaryChanged: async ({ view }) => {
-      components.routing.recordPrimary(view)
-      return { accepted: true }
-    },
-    borrow: async params => await limits.lend(params),
-    resetLoans: async ({ from }) => await limits.resetLoans(from),
-    report: async ({ report }) => ({ accepted: reports.collectReport(report) })
-  }
-}
-
 function requestServices (components: ProxyComponents, configuration: () => ConfigurationInForce): RequestServices {
   const { context, routing, limits } = components
   const { timers } = context
@@ -367,41 +330,3 @@
     containsKey
   }
 }
-
-async function executeAt (components: ProxyComponents, dispatcher: HostName, request: ExecuteRequest): Promise<AttemptResult> {
-  try {
-    const reply = await callDispatcher(components, dispatcher, request)
-    components.routing.recordPrimary(reply.primary)
-    if (isStopping(reply)) components.members.send({ kind: 'linkFailed', host: dispatcher, nowMs: components.context.timers.nowMs() })
-    return { kind: 'replied', reply }
-  } catch (error) {
-    return asWireError(error).failure === 'refused' ? { kind: 'unsent' } : { kind: 'lost' }
-  }
-}
-
-// Where this host is the dispatcher itself, no link is used.
-async function callDispatcher (components: ProxyComponents, dispatcher: HostName, request: ExecuteRequest): Promise<ExecuteReply> {
-  if (dispatcher === components.context.settings.host.name) return await components.databases.execute(request)
-  return await components.links.call(dispatcher, 'execute', request, request.remainingMs + answerMarginMs)
-}
-
-// `linkFailed` starts an exchange of heartbeats, which shows at once that the
-// dispatcher's host is stopping, so that another host takes over.
-function isStopping (reply: ExecuteReply): boolean {
-  return reply.outcome.kind === 'notRun' && reply.outcome.reason === 'stopping'
-}
-
-async function rollBack (components: ProxyComponents, transaction: OpenTransaction): Promise<void> {
-  const request: ExecuteRequest = {
-    from: components.context.settings.host.name,
-    database: transaction.database,
-    server: transaction.server,
-    account: transaction.account,
-    weight: 1,
-    statement: { id: undefined, text: 'ROLLBACK', prepared: undefined },
-    values: {},
-    mode: { kind: 'rollback', transaction: transaction.id },
-    remainingMs: rollBackTimeoutMs
-  }
-  await executeAt(components, transaction.dispatcher, request)
-}
--- a/src/failover/promotion-policy.ts
+++ b/src/failover/promotion-policy.ts
@@ -102,6 +102,8 @@
   return primary !== undefined && !state.active.includes(primary)
 }
 
+// A term above that of the last primary shows that another dispatcher may be
+// about to promote.
 function isRivalActive (state: FailoverState): boolean {
   if (state.settings.promotionMethod === 'byLeader') return false
   const { highestTerm, termPrimary } = state.group
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -16,9 +16,9 @@
 // host counts it from a response or a heartbeat that showed the renewal, which is
 // later, and its takeover is conditional on the version in a response that shows the
 // same renewal. A renewal without a response extends nothing; if it takes effect late,
-// it only makes the other hosts wait longer. Monotonic time advances while a host is suspended
-// (see the timer service). Clock rates of two hosts are assumed to differ by less
-// than 0.5% (docs/PROOFS.md); the holder's margin covers that difference.
+// it only makes the other hosts wait longer. Monotonic time advances while a host is
+// suspended (see the timer service). Clock rates of two hosts are assumed to differ by
+// less than 0.5% (docs/PROOFS.md); the holder's margin covers that difference.
 
 import type { HostName, LeaseRenewal } from '../model/index.js'
 import { withoutEffects, type Transition } from '../pipe/index.js'
