--- a/standins/fleet/set.ts
+++ b/standins/fleet/set.ts
@@ -32,6 +32,14 @@
   readonly configuration: FleetConfiguration
   /** Path of the proxy program. */
   readonly program: string
+  /** Settings of the proxies that follow from the users' bounds. */
+  readonly bounds: FleetBounds
+}
+
+/** Bounds that the users state for their fleet. */
+export type FleetBounds = {
+  readonly drainMs: number
+  readonly graceMs: number
 }
 
 /** Three hosts, servers with short delays and one client account. */
@@ -39,7 +47,8 @@
   hosts: 3,
   times: { receiveMs: 2, applyMs: 5, promoteMs: 100 },
   configuration: { version: 3, keys: { bindery: ['key-of-bindery'] }, ratePerS: 1000, burst: 1000, maxConnections: 60 },
-  program: builtProgram('platform/main.js')
+  program: builtProgram('platform/main.js'),
+  bounds: { drainMs: 7000, graceMs: 4000 }
 }
 
 const zones = ['medina', 'plateau', 'hlm'] as const
@@ -104,8 +113,8 @@
   // Proxies skip a server record that does not match their schema.
   store.put('servers', 'i-broken', { Service: 7 })
   const folder = mkdtempSync(join(tmpdir(), 'limpetmoor-fleet-'))
-  const ports = { store: storePort, promotions: (promoter.address() as AddressInfo).port }
-  const proxies = await Promise.all(Array.from({ length: options.hosts }, async (_, index) => await startFleetProxy(folder, index, options.program, ports)))
+  const place = { folder, program: options.program, bounds: options.bounds, storePort, promotionsPort: (promoter.address() as AddressInfo).port }
+  const proxies = await Promise.all(Array.from({ length: options.hosts }, async (_, index) => await startFleetProxy(place, index)))
   return {
     store,
     servers,
@@ -142,9 +151,9 @@
 
 // Another process may take a free port before the proxy listens on it, so a start
 // that fails for this reason is retried with other ports.
-async function startFleetProxy (folder: string, at: number, program: string, ports: StorePorts): Promise<FleetProxy> {
+async function startFleetProxy (place: ProxyPlace, at: number): Promise<FleetProxy> {
   for (let attempt = 1; ; attempt += 1) {
-    const proxy = await spawnFleetProxy(folder, at, program, ports)
+    const proxy = await spawnFleetProxy(place, at)
     if (await isListening(proxy)) return proxy
     const isTaken = proxy.output().some(line => line.includes('EADDRINUSE'))
     if (!isTaken || attempt === maxStartAttempts) throw new Error(`${proxy.name} did not start\n${proxy.output().join('\n')}`)
@@ -159,9 +168,16 @@
   return false
 }
 
-type StorePorts = { readonly store: number, readonly promotions: number }
+/** What all proxies of a set share. */
+type ProxyPlace = {
+  readonly folder: string
+  readonly program: string
+  readonly bounds: FleetBounds
+  readonly storePort: number
+  readonly promotionsPort: number
+}
 
-async function spawnFleetProxy (folder: string, at: number, program: string, ports: StorePorts): Promise<FleetProxy> {
+async function spawnFleetProxy ({ folder, program, bounds, storePort, promotionsPort }: ProxyPlace, at: number): Promise<FleetProxy> {
   const name = `entry-${at + 1}`
   const [peerPort = 0, callerPort = 0, readinessPort = 0] = await freePorts(3)
   const file = join(folder, `${name}.toml`)
@@ -177,8 +193,8 @@
 readiness = "127.0.0.1:${readinessPort}"
 
 [platform]
-url = "http://127.0.0.1:${ports.store}"
-promotions_url = "http://127.0.0.1:${ports.promotions}"
+url = "http://127.0.0.1:${storePort}"
+promotions_url = "http://127.0.0.1:${promotionsPort}"
 call_timeout_ms = 500
 watch_ms = 1000
 
@@ -189,9 +205,10 @@
 [control]
 heartbeat_ms = 200
 confirm_within_ms = 2000
+drain_ms = ${bounds.drainMs}
 
 [stop]
-grace_ms = 4000
+grace_ms = ${bounds.graceMs}
 `)
   const child = spawn(process.execPath, [program], { env: { PATH: process.env['PATH'], LIMPETMOOR_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
   const lines: string[] = []
--- a/test/platform/bounds.test.ts
+++ b/test/platform/bounds.test.ts
@@ -4,6 +4,7 @@
 import { readFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { test } from 'node:test'
+import fc from 'fast-check'
 import { parseSettings, type Settings } from '../../src/config/index.js'
 import { builtProgram } from '../../standins/set/process.js'
 
@@ -39,6 +40,22 @@
   assert.equal(renderedSettings(bounds).stop.graceMs, bounds.GraceS * 1000)
 })
 
+const drawnBounds: fc.Arbitrary<Bounds> = fc.record({
+  DrainMs: fc.oneof(fc.integer({ min: 1000, max: 60_000 }), fc.integer({ min: 2000, max: 120_000 }).map(halves => halves / 2)),
+  ConfigApplyMs: fc.integer({ min: 1000, max: 60_000 }),
+  RevokeMs: fc.integer({ min: 1000, max: 60_000 }),
+  GraceS: fc.oneof(fc.integer({ min: 1, max: 120 }), fc.integer({ min: 10, max: 1200 }).map(tenths => tenths / 10))
+})
+
+// Guards against SHORT: bounds are whole numbers or fractions, and nothing had tried any but those of the two small fleets.
+test('the settings are valid for any bounds that the users state, and no time is longer than its bound', () => {
+  fc.assert(fc.property(drawnBounds, stated => {
+    const { control, stop } = renderedSettings(stated)
+    assert.ok(control.drainMs <= stated.DrainMs && control.drainMs > stated.DrainMs - 1, `${control.drainMs} ms`)
+    assert.ok(stop.graceMs <= stated.GraceS * 1000 && stop.graceMs > stated.GraceS * 1000 - 1, `${stop.graceMs} ms`)
+  }), { seed: 31, numRuns: 200 })
+})
+
 test('a host without a confirmation of its configuration stops within the bound for withdrawn keys', () => {
   assert.ok(renderedSettings(bounds).control.confirmWithinMs <= bounds.RevokeMs)
 })
--- a/test/platform/fleet.test.ts
+++ b/test/platform/fleet.test.ts
@@ -2,6 +2,7 @@
 import { execFile } from 'node:child_process'
 import { join } from 'node:path'
 import { test } from 'node:test'
+import { setTimeout as delay } from 'node:timers/promises'
 import { promisify } from 'node:util'
 import { openSession, startServingFleet, outputTail, untilServed, defaultKey } from '../support/fleet.js'
 import { builtProgram } from '../../standins/set/process.js'
@@ -189,3 +190,20 @@
   assert.deepEqual(fleet.proxies.map(proxy => proxy.process.exitCode), [null, null, null])
   assert.equal(fleet.proxies.some(proxy => proxy.output().some(line => line.includes('taskFailed'))), false)
 })
+
+/** A drain time that no period divides. */
+const oddDrainMs = 10_000
+const observedMs = 4000
+/** Calls of one host in that time: two watches end, two begin and the servers are listed once. */
+const maxServerCalls = 5
+
+// Guards against SHORT: a task that failed in a circle listed all servers anew each 300 ms, and only an unread log line told of it.
+test('with bounds that are no multiples of the periods no task fails, and the servers are watched', async t => {
+  const fleet = await startServingFleet(t, { bounds: { drainMs: oddDrainMs, graceMs: 4001 } })
+  const calls = (): number => fleet.store.calls().get('GET servers') ?? 0
+  const before = calls()
+  await delay(observedMs)
+  const failures = fleet.proxies.flatMap(proxy => proxy.output().filter(line => line.includes('"taskFailed"')))
+  assert.deepEqual(failures.slice(0, 1), [])
+  assert.ok(calls() - before <= fleet.proxies.length * maxServerCalls, `${calls() - before} calls`)
+})
