--- a/src/pipe/deadline.ts
+++ b/src/pipe/deadline.ts
@@ -1,4 +1,5 @@
-// Timeouts for promises that depend on sockets.
+// Timeouts for promises that depend on sockets, and durations for interfaces that
+// take whole milliseconds only.
 
 import type { TimerService } from './timer.js'
 
@@ -23,3 +24,12 @@
     )
   })
 }
+
+/**
+ * Converts a duration for an interface that takes whole milliseconds.
+ * @param durationMs - the duration, which may be a quotient or have a random factor
+ * @returns the next whole number of milliseconds, at least 0
+ */
+export function wholeMs (durationMs: number): number {
+  return Math.max(0, Math.ceil(durationMs))
+}
--- a/src/wire/database-client.ts
+++ b/src/wire/database-client.ts
@@ -7,7 +7,7 @@
 import mysql, { type Connection, type FieldPacket, type QueryError, type ResultSetHeader } from 'mysql2'
 import type { Address, Answer, Cell, Column, Position, ServerName, ServerStatus } from '../model/index.js'
 import { emptyContext, type ControlCall, type QueryResult } from '../dispatch/index.js'
-import { withTimeout, type TimerService } from '../pipe/index.js'
+import { wholeMs, withTimeout, type TimerService } from '../pipe/index.js'
 import { WireError, type DatabaseSession, type LedgerResponse, type LedgerCalls } from '../ports/index.js'
 
 /** Credentials with which the proxy logs in to database servers. */
@@ -162,7 +162,7 @@
     status: async timeoutMs => statusOf(await call('CALL ledger_status()', timeoutMs)),
     wait: async (lastStatus, waitMs, timeoutMs) => {
       const { received, applied } = lastStatus
-      const values = [received.term, received.index, applied.term, applied.index, lastStatus.fencedTerm, waitMs]
+      const values = [received.term, received.index, applied.term, applied.index, lastStatus.fencedTerm, wholeMs(waitMs)]
       return statusOf(await call(`CALL ledger_wait(${values.join(', ')})`, timeoutMs))
     },
     fence: async (term, proposer, timeoutMs) => ledgerResponse(await call(`CALL ledger_fence(${term}, ${quote(proposer)})`, timeoutMs)),
--- a/src/wire/json-http.ts
+++ b/src/wire/json-http.ts
@@ -6,6 +6,7 @@
 import * as https from 'node:https'
 import type { z } from 'zod'
 import type { Address } from '../model/index.js'
+import { wholeMs } from '../pipe/index.js'
 import { StoreError, type StoreFault } from '../ports/index.js'
 
 /** Configuration of a client. */
@@ -90,7 +91,7 @@
    *   `StoreError` where none arrived
    */
   async send (request: HttpRequest): Promise<HttpResponse> {
-    const timeoutMs = (request.timeoutMs ?? this.#spec.callTimeoutMs) + (request.waitMs ?? 0)
+    const timeoutMs = wholeMs((request.timeoutMs ?? this.#spec.callTimeoutMs) + (request.waitMs ?? 0))
     // One signal limits connecting, waiting and reading the whole body.
     const signal = AbortSignal.timeout(timeoutMs)
     try {
--- a/src/wire/platform-client.ts
+++ b/src/wire/platform-client.ts
@@ -4,6 +4,7 @@
 
 import * as z from 'zod'
 import type { Address, FailureDomain, HostName } from '../model/index.js'
+import { wholeMs } from '../pipe/index.js'
 import { StoreError, type ObjectStore } from '../ports/index.js'
 import { httpStatus, JsonHttpClient, type HttpResponse, type JsonHttpSpec } from './json-http.js'
 
@@ -62,7 +63,7 @@
       if (response.status !== httpStatus.notFound) response.decodeSuccess(z.unknown())
     },
     async watch (kind, sinceRevision, waitMs) {
-      const query = `?since=${sinceRevision}&timeoutMs=${Math.round(waitMs)}`
+      const query = `?since=${sinceRevision}&timeoutMs=${wholeMs(waitMs)}`
       const response = await transport.send({ method: 'GET', path: path('watch', kind) + query, waitMs })
       // This watch reports no deletions. Only the discovery of registered servers
       // uses them, and with this store the manifest declares the servers.
