--- a/src/config/fields.ts
+++ b/src/config/fields.ts
@@ -35,6 +35,18 @@
   return z.number({ error: allowed }).int(allowed).min(min, allowed).max(max, allowed)
 }
 
+/**
+ * Type of a duration, which the text may give with a fraction.
+ * @param min - the minimum
+ * @param max - the maximum
+ * @returns the field type; its value is rounded down to a whole number, so that
+ *   the duration is never longer than the one given
+ */
+export function duration (min: number, max: number): z.ZodType<number, number> {
+  const allowed = `a number from ${min} to ${max}`
+  return z.number({ error: allowed }).min(min, allowed).max(max, allowed).transform(Math.floor)
+}
+
 /**
  * Type of a finite number above zero.
  * @param max - the maximum
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -7,7 +7,7 @@
 import type { Address, FailureDomain, HostName } from '../model/index.js'
 import { camelFields } from './camel.js'
 import { fieldErrors, type FieldError } from './field-error.js'
-import { addressText, choice, ipText, name, portNumber, positiveNumber, text, wholeNumber } from './fields.js'
+import { addressText, choice, duration, ipText, name, portNumber, positiveNumber, text, wholeNumber } from './fields.js'
 
 /** Identity of the host, and the address on which it listens for peers. */
 export type HostSettings = {
@@ -121,6 +121,8 @@
   | { readonly kind: 'invalid', readonly errors: readonly string[] }
 
 const dayMs = 86_400_000
+const dayS = 86_400
+const graceSeconds = `a number from 0 to ${dayS}`
 const maxStatementBytes = 16_000_000
 const maxCores = 1024
 
@@ -180,11 +182,12 @@
     pull_ms: wholeNumber(10, dayMs).default(1_000),
     report_ms: wholeNumber(10, dayMs).default(5_000),
     watchers_per_domain: wholeNumber(1, 100).default(2),
-    drain_ms: wholeNumber(100, dayMs).default(7_000)
+    drain_ms: duration(100, dayMs).default(7_000)
   }),
   metrics: z.strictObject(statsdFields).superRefine(allOrNone(statsdFields)),
   stop: z.strictObject({
-    grace_ms: wholeNumber(0, dayMs).default(30_000)
+    grace_ms: duration(0, dayMs).default(30_000),
+    grace_s: z.number({ error: graceSeconds }).min(0, graceSeconds).max(dayS, graceSeconds).optional()
   }),
   log: z.strictObject({
     level: choice(['debug', 'info', 'warn', 'error']).default('info'),
@@ -262,7 +265,7 @@
     limits: camelFields(sections.limits),
     control: camelFields(sections.control),
     metrics: metricsOf(sections.metrics),
-    stop: camelFields(sections.stop),
+    stop: stopOf(sections.stop),
     log: sections.log,
     links: sections.links
   }
@@ -287,6 +290,10 @@
   return { kind: 'mutualTls', certPem, keyPem, caPem }
 }
 
+function stopOf ({ grace_ms: graceMs, grace_s: graceS }: z.infer<typeof settingsSections.stop>): Settings['stop'] {
+  return { graceMs: graceS === undefined ? graceMs : Math.floor(graceS * 1000) }
+}
+
 function metricsOf (metrics: z.infer<typeof settingsSections.metrics>): MetricsSettings {
   const { statsd_ip: ip, statsd_port: port } = metrics
   if (ip === undefined || port === undefined) return { kind: 'off' }
