--- a/src/daemon/context.ts
+++ b/src/daemon/context.ts
@@ -1,15 +1,18 @@
 // Context that is shared by all tasks of the daemon: settings, ports, timers,
-// random numbers and the incarnation of the process.
+// counts, random numbers and the incarnation of the process.
 
 import type { Settings } from '../config/index.js'
 import type { TimerService } from '../pipe/index.js'
 import type { ProxyPorts } from '../ports/index.js'
+import type { Activity } from '../report/index.js'
 
 /** Context that is shared by all tasks of the daemon. */
 export type DaemonContext = {
   readonly settings: Settings
   readonly timers: TimerService
   readonly ports: ProxyPorts
+  /** Counts of what this process does. */
+  readonly activity: Activity
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   readonly random: () => number
   /** Id that differs at each start of the process. */
--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -71,6 +71,7 @@
    * @returns the result; throws a `WireError`
    */
   async call<M extends PeerMethod> (host: HostName, method: M, params: PeerParams<M>, timeoutMs: number): Promise<PeerResult<M>> {
+    this.#context.activity.add('peerCall', method)
     const peer = this.#peerFor(host)
     if (peer === undefined) throw new WireError('refused', `the host ${host} is not listed`)
     const calledAtMs = this.#context.timers.nowMs()
@@ -95,7 +96,8 @@
    * @returns the result; throws a `WireError`
    */
   async callAddress<M extends PeerMethod> (address: Address, method: M, params: PeerParams<M>, timeoutMs: number): Promise<PeerResult<M>> {
-    const { settings, timers } = this.#context
+    const { settings, timers, activity } = this.#context
+    activity.add('peerCall', method)
     const client = peerClient(redirectedAddress(settings.links, address), timers, tlsOf(settings.peers))
     try {
       return await client.call(method, params, timeoutMs)
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -7,13 +7,14 @@
 import type { HostName, MemberState, PrimaryView } from '../model/index.js'
 import { sleep, systemTimers } from '../pipe/index.js'
 import { updateObject, type ObjectStore, type ProxyPorts } from '../ports/index.js'
-import type { EventFields } from '../report/index.js'
+import { Activity, type EventFields } from '../report/index.js'
 import { requestPipe, type ConfigurationInForce, type RequestServices } from '../request/index.js'
 import { listenForPeers } from '../wire/peer-link.js'
 import { decodeToken, encodeToken } from '../wire/session-token.js'
 import { startCallers } from './callers.js'
 import { startConfiguration } from './configuration-task.js'
 import type { DaemonContext } from './context.js'
+import { countedHandlers, countedPorts } from './counted-ports.js'
 import { Databases } from './databases.js'
 import { decodePrimary, decodePartitionTable } from './decode.js'
 import { startDiscovery } from './discovery-task.js'
@@ -65,7 +66,7 @@
   const isStopping = (): boolean => signal.phase() !== 'serving'
   const components = createComponents(settings, ports, isStopping)
   const { context, reports } = components
-  const peers = await listenForPeers({ ip: settings.host.ip, port: settings.host.peerPort }, peerHandlers(components), tlsOf(settings.peers), context.onTaskError('peers'))
+  const peers = await listenForPeers({ ip: settings.host.ip, port: settings.host.peerPort }, countedHandlers(peerHandlers(components), context.activity), tlsOf(settings.peers), context.onTaskError('peers'))
   const configuration = (): ConfigurationInForce => ({ manifest: components.effectiveManifest.current(), confirmed: components.configuration.canServeAuthenticated() })
   const generation = (): number => components.configuration.inForce()?.generation ?? 0
   const pipe = requestPipe(requestServices(components, configuration), {
@@ -105,18 +106,21 @@
   }
 }
 
-function createComponents (settings: Settings, ports: ProxyPorts, stopping: () => boolean): ProxyComponents {
-  const timers = systemTimers()
+function createComponents (settings: Settings, uncounted: ProxyPorts, stopping: () => boolean): ProxyComponents {
+  const activity = new Activity()
+  const timers = systemTimers(() => { activity.add('timer') })
+  const ports = countedPorts(uncounted, activity)
   const incarnation = randomBytes(incarnationBytes).toString('hex')
   const random = Math.random
-  const reports = startReports({ settings, timers, incarnation, random })
+  const reports = startReports({ settings, timers, incarnation, random, activity })
   const context: DaemonContext = {
     settings,
     timers,
     ports,
+    activity,
     random,
     incarnation,
-    onTaskError: task => error => { reports.event('taskFailed', { task, error: error.message }) }
+    onTaskError: task => error => { reports.recordTaskFailure(task, error) }
   }
   const { store } = ports
   const routing = new RoutingTable()
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -9,7 +9,7 @@
 import { anonymousAccount, type DatabaseReport, type HostName, type HostReport, type IncomingStatement, type Outcome } from '../model/index.js'
 import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
 import type { AccountStatsTable } from '../report/account-stats.js'
-import { eventLog, reportCollectorStep, initialReportCollector, combineMetrics, noMetrics, outcomeTag, type EventFields, type EventName, type ReportCollectorEffect, type ReportCollectorEvent, type ReportCollectorState, type Metrics } from '../report/index.js'
+import { activityText, addedCounts, eventLog, processTotals, reportCollectorStep, initialReportCollector, combineMetrics, noMetrics, outcomeTag, type Activity, type ActivityCount, type EventFields, type EventLog, type EventName, type ProcessTotals, type ReportCollectorEffect, type ReportCollectorEvent, type ReportCollectorState, type Metrics } from '../report/index.js'
 import { updateObject, type ObjectStore } from '../ports/index.js'
 import type { ConfigurationTask } from './configuration-task.js'
 import type { Databases } from './databases.js'
@@ -23,6 +23,7 @@
   readonly timers: TimerService
   readonly incarnation: string
   readonly random: () => number
+  readonly activity: Activity
 }
 
 /** Components whose state goes into the reports. */
@@ -39,6 +40,8 @@
 /** The running reports. */
 export type Reports = {
   readonly event: <N extends EventName>(name: N, fields: EventFields<N>) => void
+  /** Records an unexpected error that a task survived. */
+  readonly recordTaskFailure: (task: string, error: Error) => void
   readonly recordServed: (statement: IncomingStatement, outcome: Outcome, tookMs: number, generation: number) => void
   /**
    * Adds the report of another host of the failure domain; false where it was
@@ -84,8 +87,14 @@
   let collector: Task<ReportCollectorEvent> | undefined
   return {
     event: log.write,
+    recordTaskFailure (task, error) {
+      spec.activity.add('taskFailure', task)
+      metrics.count('task.failures', { task })
+      log.write('taskFailed', { task, error: error.message })
+    },
     recordServed (statement, outcome, tookMs, generation) {
       const { caller } = statement
+      spec.activity.add('statement')
       const account = caller.kind === 'account' ? caller.account : anonymousAccount
       if (outcome.kind !== 'answered') log.write('statementNotServed', { ...notServedFields(statement, outcome), account, tookMs: Math.round(tookMs), generation })
       accountStats?.record(account, outcome, tookMs)
@@ -99,6 +108,15 @@
       const started = startCollector(spec, components)
       collector = started
       timers.every(settings.control.reportMs, { send: () => { void sendReport(spec, components, accountStats, metrics, started.port); return 'accepted' } })
+      let lastReading = readActivity(spec)
+      timers.every(settings.control.reportMs, {
+        send: () => {
+          const reading = readActivity(spec)
+          reportActivity(log, metrics, lastReading, reading)
+          lastReading = reading
+          return 'accepted'
+        }
+      })
       let wasConfirmed = true
       timers.every(confirmationCheckMs, {
         send: () => {
@@ -116,6 +134,22 @@
   }
 }
 
+type ActivityReading = { readonly atMs: number, readonly totals: ProcessTotals, readonly counts: readonly ActivityCount[] }
+
+function readActivity ({ timers, activity }: ReportsSpec): ActivityReading {
+  return { atMs: timers.nowMs(), totals: processTotals(), counts: activity.counts() }
+}
+
+function reportActivity (log: EventLog, metrics: Metrics, before: ActivityReading, now: ActivityReading): void {
+  const cpuMs = now.totals.cpuMs - before.totals.cpuMs
+  const wakes = now.totals.wakes - before.totals.wakes
+  const added = addedCounts(now.counts, before.counts)
+  metrics.count('process.cpu_ms', {}, cpuMs)
+  metrics.count('process.wakes', {}, wakes)
+  for (const { kind, name, count } of added) metrics.count('process.activity', { kind, name }, count)
+  log.write('activity', { periodMs: Math.round(now.atMs - before.atMs), cpuMs: Math.round(cpuMs), wakes, counts: activityText(added) })
+}
+
 function notServedFields (statement: IncomingStatement, outcome: Exclude<Outcome, { readonly kind: 'answered' }>): Omit<EventFields<'statementNotServed'>, 'account' | 'tookMs' | 'generation'> {
   const fields = { request: statement.id ?? '', route: statement.route, statement: statement.statementClass.kind, outcome: outcome.kind }
   switch (outcome.kind) {
--- a/src/pipe/timer.ts
+++ b/src/pipe/timer.ts
@@ -58,9 +58,10 @@
 
 /**
  * Creates a timer service on the clocks of this process.
+ * @param onTimer - called each time a timer goes off
  * @returns the service; its periodic timers do not keep the process alive
  */
-export function systemTimers (): TimerService {
+export function systemTimers (onTimer: () => void = () => {}): TimerService {
   const live = new Set<NodeJS.Timeout>()
   const nowMs = elapsedClock(() => performance.now(), () => Date.now())
   const cancel = (timer: NodeJS.Timeout): Unsubscribe => () => {
@@ -70,13 +71,17 @@
   return {
     nowMs,
     every (periodMs, port) {
-      const timer = setInterval(() => port.send({ kind: 'tick', nowMs: nowMs() }), periodMs).unref()
+      const timer = setInterval(() => {
+        onTimer()
+        port.send({ kind: 'tick', nowMs: nowMs() })
+      }, periodMs).unref()
       live.add(timer)
       return cancel(timer)
     },
     after (delayMs, port) {
       const timer = setTimeout(() => {
         live.delete(timer)
+        onTimer()
         port.send({ kind: 'tick', nowMs: nowMs() })
       }, delayMs)
       live.add(timer)
--- a/src/report/metrics.ts
+++ b/src/report/metrics.ts
@@ -21,6 +21,10 @@
   'read.served_by': defineMetric('counter', 'Reads by the role of the server that served them.', ['role']),
   'configuration.generation': defineMetric('gauge', 'Generation of the manifest in force.', []),
   'members.live': defineMetric('gauge', 'Hosts that answer, this one included.', []),
+  'process.cpu_ms': defineMetric('counter', 'Processor time of this process, in milliseconds.', []),
+  'process.wakes': defineMetric('counter', 'Iterations of the event loop.', []),
+  'process.activity': defineMetric('counter', 'Timers, statements and calls by kind and name.', ['kind', 'name']),
+  'task.failures': defineMetric('counter', 'Unexpected errors that a task survived; each is event 1005. Alarm on any, and on a rate above 0.1 a second at once.', ['task']),
   'callers.open': defineMetric('gauge', 'Connections of callers that are open.', [])
 } as const satisfies Readonly<Record<string, MetricDefinition>>
 
@@ -29,7 +33,8 @@
 
 /** A metrics backend. */
 export type Metrics = {
-  readonly count: (name: MetricName, tags: Readonly<Record<string, string>>) => void
+  /** Adds to a counter; `amount` defaults to 1. */
+  readonly count: (name: MetricName, tags: Readonly<Record<string, string>>, amount?: number) => void
   readonly time: (name: MetricName, valueMs: number, tags: Readonly<Record<string, string>>) => void
   readonly gauge: (name: MetricName, value: number) => void
   readonly close: () => void
@@ -45,7 +50,7 @@
  */
 export function combineMetrics (backends: readonly Metrics[]): Metrics {
   return {
-    count: (name, tags) => { for (const backend of backends) backend.count(name, tags) },
+    count: (name, tags, amount) => { for (const backend of backends) backend.count(name, tags, amount) },
     time: (name, valueMs, tags) => { for (const backend of backends) backend.time(name, valueMs, tags) },
     gauge: (name, value) => { for (const backend of backends) backend.gauge(name, value) },
     close: () => { for (const backend of backends) backend.close() }
--- a/src/report/prometheus.ts
+++ b/src/report/prometheus.ts
@@ -53,7 +53,7 @@
   server.on('error', onFailure)
   server.listen(address.port, address.ip)
   return {
-    count: (name, tags) => { counters.get(name)?.inc(tags) },
+    count: (name, tags, amount = 1) => { counters.get(name)?.inc(tags, amount) },
     time: (name, valueMs, tags) => { histograms.get(name)?.observe(tags, valueMs) },
     gauge: (name, value) => { gauges.get(name)?.set(value) },
     close: () => { server.close() }
--- a/src/report/statsd.ts
+++ b/src/report/statsd.ts
@@ -22,7 +22,7 @@
     errorHandler: () => {}
   })
   return {
-    count: (name, tags) => { client.increment(name, 1, tags) },
+    count: (name, tags, amount = 1) => { client.increment(name, amount, tags) },
     time: (name, valueMs, tags) => { client.timing(name, valueMs, tags) },
     gauge: (name, value) => { client.gauge(name, value) },
     close: () => { client.close(() => {}) }
--- a/standins/fleet/set.ts
+++ b/standins/fleet/set.ts
@@ -34,6 +34,8 @@
   readonly program: string
   /** Settings of the proxies that follow from the users' bounds. */
   readonly bounds: FleetBounds
+  /** Periods of the proxies: shorter ones for tests, or those of deploy/settings.toml. */
+  readonly pace: 'fast' | 'deployed'
 }
 
 /** Bounds that the users state for their fleet. */
@@ -48,9 +50,25 @@
   times: { receiveMs: 2, applyMs: 5, promoteMs: 100 },
   configuration: { version: 3, keys: { bindery: ['key-of-bindery'] }, ratePerS: 1000, burst: 1000, maxConnections: 60 },
   program: builtProgram('platform/main.js'),
-  bounds: { drainMs: 7000, graceMs: 4000 }
+  bounds: { drainMs: 7000, graceMs: 4000 },
+  pace: 'fast'
 }
 
+/**
+ * Flags of the runtime. Those of deploy/system.toml keep garbage collection and
+ * compilation on the main thread, whose wakes are counted.
+ */
+const runtimeFlags = {
+  fast: [],
+  deployed: ['--v8-pool-size=0', '--single-threaded-gc', '--max-old-space-size=160']
+} as const
+
+/** Settings of each pace. */
+const periods = {
+  fast: { callTimeoutMs: 500, watchMs: 1000, heartbeatMs: 200, confirmWithinMs: 2000, probeMs: 150, watchersPerDomain: 2 },
+  deployed: { callTimeoutMs: 1000, watchMs: 5000, heartbeatMs: 1000, confirmWithinMs: 4000, probeMs: 300, watchersPerDomain: 1 }
+} as const
+
 const zones = ['medina', 'plateau', 'hlm'] as const
 const service = 'ledger-group'
 const slots = 5
@@ -113,7 +131,7 @@
   // Proxies skip a server record that does not match their schema.
   store.put('servers', 'i-broken', { Service: 7 })
   const folder = mkdtempSync(join(tmpdir(), 'limpetmoor-fleet-'))
-  const place = { folder, program: options.program, bounds: options.bounds, storePort, promotionsPort: (promoter.address() as AddressInfo).port }
+  const place = { ...options, folder, storePort, promotionsPort: (promoter.address() as AddressInfo).port }
   const proxies = await Promise.all(Array.from({ length: options.hosts }, async (_, index) => await startFleetProxy(place, index)))
   return {
     store,
@@ -169,15 +187,13 @@
 }
 
 /** What all proxies of a set share. */
-type ProxyPlace = {
+type ProxyPlace = Pick<FleetOptions, 'program' | 'bounds' | 'pace'> & {
   readonly folder: string
-  readonly program: string
-  readonly bounds: FleetBounds
   readonly storePort: number
   readonly promotionsPort: number
 }
 
-async function spawnFleetProxy ({ folder, program, bounds, storePort, promotionsPort }: ProxyPlace, at: number): Promise<FleetProxy> {
+async function spawnFleetProxy ({ folder, program, bounds, pace, storePort, promotionsPort }: ProxyPlace, at: number): Promise<FleetProxy> {
   const name = `entry-${at + 1}`
   const [peerPort = 0, callerPort = 0, readinessPort = 0] = await freePorts(3)
   const file = join(folder, `${name}.toml`)
@@ -195,22 +211,24 @@
 [platform]
 url = "http://127.0.0.1:${storePort}"
 promotions_url = "http://127.0.0.1:${promotionsPort}"
-call_timeout_ms = 500
-watch_ms = 1000
+call_timeout_ms = ${periods[pace].callTimeoutMs}
+watch_ms = ${periods[pace].watchMs}
 
 [database_login]
 user = "limpetmoor"
 password = ""
 
 [control]
-heartbeat_ms = 200
-confirm_within_ms = 2000
+heartbeat_ms = ${periods[pace].heartbeatMs}
+confirm_within_ms = ${periods[pace].confirmWithinMs}
+probe_ms = ${periods[pace].probeMs}
+watchers_per_domain = ${periods[pace].watchersPerDomain}
 drain_ms = ${bounds.drainMs}
 
 [stop]
 grace_ms = ${bounds.graceMs}
 `)
-  const child = spawn(process.execPath, [program], { env: { PATH: process.env['PATH'], LIMPETMOOR_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
+  const child = spawn(process.execPath, [...runtimeFlags[pace], program], { env: { PATH: process.env['PATH'], LIMPETMOOR_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
   const lines: string[] = []
   for (const stream of [child.stdout, child.stderr]) createInterface(stream).on('line', line => { lines.push(line) })
   return { name, port: callerPort, readinessPort, process: child, output: () => lines }
