--- a/test/platform/fleet.test.ts
+++ b/test/platform/fleet.test.ts
@@ -165,7 +165,7 @@
 test('the bundled program serves statements', async t => {
   const folder = builtProgram('bundled')
   await promisify(execFile)(process.execPath, [builtProgram('../deploy/bundle.js'), builtProgram('platform/main.js'), folder])
-  const fleet = await startServingFleet(t, { hosts: 1, program: join(folder, 'main.js') })
+  const fleet = await startServingFleet(t, { hosts: 1, program: join(folder, 'main.cjs') })
   const caller = await openSession(fleet, 0)
   assert.notEqual((await caller.query('WRITE bundled served')).signature, undefined)
   assert.deepEqual(fleet.proxies[0]?.output().filter(line => /Error/.test(line)), [])
