The collector does not shrink idle heaps or drop compiled functions (SHORT)

One more collection, 10 to 20 ms, fell into each start.

Change: flags of the runtime; the stand-in fleet runs with the same.

--- a/standins/fleet/set.ts
+++ b/standins/fleet/set.ts
@@ -60,7 +60,7 @@
  */
 const runtimeFlags = {
   fast: [],
-  deployed: ['--v8-pool-size=0', '--single-threaded-gc', '--max-old-space-size=160']
+  deployed: ['--v8-pool-size=0', '--single-threaded-gc', '--max-old-space-size=160', '--initial-old-space-size=32', '--no-memory-reducer', '--no-flush-bytecode']
 } as const
 
 /** Settings of each pace. */
