Periods and long pauses of a host share wakes (SHORT)

Cause: at rest a host wakes for its timers, one for each period, pause and due time of a task, and pays for the wake more than for what it does then.

Change: periods and pauses of 200 ms and longer end at shared wakes, multiples of 100 ms of the process's clock: a pause at most 100 ms early, a due time of a task at most 100 ms late, periods on average as long as before. Shorter delays and timeouts are exact.

--- a/src/pipe/timer.ts
+++ b/src/pipe/timer.ts
@@ -20,10 +20,20 @@
 export type TimerService = {
   /** Monotonic time in milliseconds. */
   readonly nowMs: () => number
-  /** Sends a tick to the port every `periodMs` until unsubscribed. */
+  /**
+   * Sends a tick to the port every `periodMs` until unsubscribed, together with
+   * other ticks where the period is 200 ms or longer.
+   */
   readonly every: (periodMs: number, port: Port<Tick>) => Unsubscribe
   /** Sends one tick to the port after `delayMs` unless unsubscribed. */
   readonly after: (delayMs: number, port: Port<Tick>) => Unsubscribe
+  /**
+   * Like `after`, up to 100 ms earlier where the delay is 200 ms or longer, so that
+   * pauses end together and wake the process once.
+   */
+  readonly about: (delayMs: number, port: Port<Tick>) => Unsubscribe
+  /** Like `after`, up to 100 ms later where the delay is 200 ms or longer. */
+  readonly atLeast: (delayMs: number, port: Port<Tick>) => Unsubscribe
   /** Ends all subscriptions. */
   readonly stop: () => void
 }
@@ -56,40 +66,115 @@
   }
 }
 
+/** Times at which periodic work and long pauses end, so that they share wakes. */
+const sharedWakeMs = 100
+/** A shorter delay than this is kept exactly. */
+const minSharedDelayMs = 2 * sharedWakeMs
+
+/**
+ * Finds the shared wake for a delay.
+ * @param nowMs - the time
+ * @param delayMs - the delay
+ * @param side - the last wake by the end of the delay, or the first from it on
+ * @returns the time of the wake; undefined for a delay that is too short to be changed
+ */
+export function sharedWakeAtMs (nowMs: number, delayMs: number, side: 'before' | 'after'): number | undefined {
+  if (delayMs < minSharedDelayMs) return undefined
+  const wakes = (nowMs + delayMs) / sharedWakeMs
+  switch (side) {
+    case 'before': return Math.floor(wakes) * sharedWakeMs
+    case 'after': return Math.ceil(wakes) * sharedWakeMs
+  }
+}
+
+/** One timer of the runtime for all that ends at one shared wake. */
+type SharedWake = { readonly timer: NodeJS.Timeout, readonly ports: ReadonlySet<Port<Tick>> }
+
 /**
  * Creates a timer service on the clocks of this process.
- * @param onTimer - called each time a timer goes off
+ * @param onTimer - called each time a timer of the runtime goes off
  * @returns the service; its periodic timers do not keep the process alive
  */
 export function systemTimers (onTimer: () => void = () => {}): TimerService {
   const live = new Set<NodeJS.Timeout>()
+  const wakes = new Map<number, SharedWake>()
   const nowMs = elapsedClock(() => performance.now(), () => Date.now())
+  const start = (delayMs: number, fire: () => void): NodeJS.Timeout => {
+    const timer = setTimeout(() => {
+      live.delete(timer)
+      onTimer()
+      fire()
+    }, delayMs)
+    live.add(timer)
+    return timer
+  }
   const cancel = (timer: NodeJS.Timeout): Unsubscribe => () => {
     clearTimeout(timer)
     live.delete(timer)
   }
+  const after: TimerService['after'] = (delayMs, port) => cancel(start(delayMs, () => { port.send({ kind: 'tick', nowMs: nowMs() }) }))
+  const ring = (atMs: number): void => {
+    const ports = wakes.get(atMs)?.ports ?? []
+    wakes.delete(atMs)
+    for (const port of ports) port.send({ kind: 'tick', nowMs: nowMs() })
+  }
+  const join = (atMs: number, port: Port<Tick>): NodeJS.Timeout => {
+    const { timer, ports } = wakes.get(atMs) ?? { timer: start(atMs - nowMs(), () => { ring(atMs) }).unref(), ports: [] }
+    wakes.set(atMs, { timer, ports: new Set(ports).add(port) })
+    return timer
+  }
+  const leave = (atMs: number, port: Port<Tick>): void => {
+    const wake = wakes.get(atMs)
+    if (wake === undefined) return
+    const ports = new Set([...wake.ports].filter(other => other !== port))
+    if (ports.size > 0) {
+      wakes.set(atMs, { ...wake, ports })
+      return
+    }
+    wakes.delete(atMs)
+    cancel(wake.timer)()
+  }
+  const shared = (side: 'before' | 'after'): TimerService['after'] => (delayMs, port) => {
+    const atMs = sharedWakeAtMs(nowMs(), delayMs, side)
+    if (atMs === undefined) return after(delayMs, port)
+    join(atMs, port).ref()
+    return () => { leave(atMs, port) }
+  }
+  const interval = (periodMs: number, port: Port<Tick>): Unsubscribe => {
+    const timer = setInterval(() => {
+      onTimer()
+      port.send({ kind: 'tick', nowMs: nowMs() })
+    }, periodMs).unref()
+    live.add(timer)
+    return cancel(timer)
+  }
+  const every: TimerService['every'] = (periodMs, port) => {
+    if (periodMs < minSharedDelayMs) return interval(periodMs, port)
+    let isEnded = false
+    let dueAtMs = nowMs()
+    const joinNext = (): void => {
+      // Ticks that fell into a suspension are skipped.
+      dueAtMs = Math.max(dueAtMs + periodMs, nowMs())
+      join(Math.ceil(dueAtMs / sharedWakeMs) * sharedWakeMs, { send })
+    }
+    const send = (tick: Tick): SendResult => {
+      if (isEnded) return 'closed'
+      joinNext()
+      return port.send(tick)
+    }
+    joinNext()
+    return () => { isEnded = true }
+  }
   return {
     nowMs,
-    every (periodMs, port) {
-      const timer = setInterval(() => {
-        onTimer()
-        port.send({ kind: 'tick', nowMs: nowMs() })
-      }, periodMs).unref()
-      live.add(timer)
-      return cancel(timer)
-    },
-    after (delayMs, port) {
-      const timer = setTimeout(() => {
-        live.delete(timer)
-        onTimer()
-        port.send({ kind: 'tick', nowMs: nowMs() })
-      }, delayMs)
-      live.add(timer)
-      return cancel(timer)
-    },
+    every,
+    after,
+    about: shared('before'),
+    atLeast: shared('after'),
     stop () {
       for (const timer of live) clearTimeout(timer)
       live.clear()
+      wakes.clear()
     }
   }
 }
@@ -122,7 +207,7 @@
     if (atMs >= dueAtMs) return
     cancel()
     dueAtMs = atMs
-    cancel = timers.after(Math.max(minAlarmDelayMs, atMs - timers.nowMs()), { send: ring })
+    cancel = timers.atLeast(Math.max(minAlarmDelayMs, atMs - timers.nowMs()), { send: ring })
   }
   const ring = (tick: Tick): SendResult => {
     dueAtMs = Infinity
@@ -144,35 +229,12 @@
 }
 
 /**
- * Waits without blocking.
+ * Waits without blocking, see `TimerService.about`.
  * @param timers - the timer service
  * @param delayMs - the delay
  */
 export async function sleep (timers: TimerService, delayMs: number): Promise<void> {
   await new Promise<void>(resolve => {
-    timers.after(delayMs, { send: () => { resolve(); return 'accepted' } })
+    timers.about(delayMs, { send: () => { resolve(); return 'accepted' } })
   })
 }
-
-/**
- * Sends ticks with a period that is determined anew after each tick, so that an
- * idle component rarely wakes the process.
- * @param timers - the timer service
- * @param periodMs - returns the time until the next tick
- * @param port - receives the ticks
- * @returns a function that ends the subscription
- */
-export function pacedTicks (timers: TimerService, periodMs: () => number, port: Port<Tick>): Unsubscribe {
-  let cancel = (): void => {}
-  const next = (): void => {
-    cancel = timers.after(periodMs(), {
-      send: tick => {
-        const result = port.send(tick)
-        next()
-        return result
-      }
-    })
-  }
-  next()
-  return () => { cancel() }
-}
--- a/test/pipe/timer.test.ts
+++ b/test/pipe/timer.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { elapsedClock, startAlarm, type SendResult, type TimerService } from '../../src/pipe/index.js'
+import { setTimeout as delay } from 'node:timers/promises'
+import fc from 'fast-check'
+import { elapsedClock, sharedWakeAtMs, startAlarm, systemTimers, type Port, type SendResult, type Tick, type TimerService } from '../../src/pipe/index.js'
 import { fakeTimers } from '../support/timers.js'
 
 /** An elapsed clock over a steady clock and a wall clock that the test advances. */
@@ -69,3 +71,53 @@
   timers.pass(1000)
   assert.equal(times.length, 3)
 })
+
+/** Ticks of periods and pauses on the clocks of this process, with the number of timers that went off. */
+async function runTimers (durationMs: number, subscribe: (timers: TimerService, record: (name: string) => Port<Tick>) => void): Promise<{ readonly ticks: ReadonlyMap<string, readonly number[]>, readonly wakes: number }> {
+  let wakes = 0
+  const ticks = new Map<string, number[]>()
+  const timers = systemTimers(() => { wakes += 1 })
+  subscribe(timers, name => ({
+    send: ({ nowMs }) => {
+      ticks.set(name, [...ticks.get(name) ?? [], nowMs])
+      return 'accepted'
+    }
+  }))
+  await delay(durationMs)
+  timers.stop()
+  return { ticks, wakes }
+}
+
+// Guards against SHORT: each period of a host had a timer of its own, and each woke the process.
+test('periods and long pauses share wakes, and no period is shorter than asked', async () => {
+  const { ticks, wakes } = await runTimers(2050, (timers, record) => {
+    for (const periodMs of [200, 300, 400, 500, 700, 1000]) timers.every(periodMs, record(String(periodMs)))
+    timers.about(950, record('pause'))
+  })
+  for (const periodMs of [200, 300, 400, 500, 700, 1000]) {
+    const count = ticks.get(String(periodMs))?.length ?? 0
+    assert.ok(count >= Math.floor(2050 / periodMs) - 1 && count <= Math.floor(2050 / periodMs), `${count} ticks of ${periodMs} ms`)
+  }
+  assert.equal(ticks.get('pause')?.length, 1)
+  assert.ok(wakes <= 21, `${wakes} timers`)
+})
+
+test('a shared wake is at most 100 ms early or late, and short delays are exact', () => {
+  const timeMs = fc.integer({ min: 0, max: 1e8 }).map(tenths => tenths / 10)
+  fc.assert(fc.property(timeMs, timeMs, (nowMs, delayMs) => {
+    const [before, after] = [sharedWakeAtMs(nowMs, delayMs, 'before'), sharedWakeAtMs(nowMs, delayMs, 'after')]
+    if (delayMs < 200) return assert.deepEqual([before, after], [undefined, undefined])
+    const endMs = nowMs + delayMs
+    assert.ok(before !== undefined && before > endMs - 100.001 && before <= endMs + 0.001)
+    assert.ok(after !== undefined && after < endMs + 100.001 && after >= endMs - 0.001)
+  }), { seed: 31 })
+})
+
+test('a subscription that ended does not tick, and the others of its wake do', async () => {
+  const { ticks } = await runTimers(450, (timers, record) => {
+    timers.atLeast(250, record('ended'))()
+    timers.atLeast(250, record('kept'))
+    timers.every(200, record('ended period'))()
+  })
+  assert.deepEqual([...ticks.keys()], ['kept'])
+})
--- a/test/ports/store-update.test.ts
+++ b/test/ports/store-update.test.ts
@@ -56,13 +56,13 @@
   return { client: client as ObjectStore, value: () => stored === undefined ? undefined : decodeCounter(stored.value) }
 }
 
-const instantTimers: TimerService = {
-  nowMs: () => 0,
-  every: () => () => {},
-  after: (_delayMs, port) => { port.send({ kind: 'tick', nowMs: 0 }); return () => {} },
-  stop: () => {}
+const tickAtOnce: TimerService['after'] = (_delayMs, port) => {
+  port.send({ kind: 'tick', nowMs: 0 })
+  return () => {}
 }
 
+const instantTimers: TimerService = { nowMs: () => 0, every: () => () => {}, after: tickAtOnce, about: tickAtOnce, atLeast: tickAtOnce, stop: () => {} }
+
 function increment (by: string): UpdateSpec<Counter> {
   return {
     kind: 'test',
--- a/test/support/timers.ts
+++ b/test/support/timers.ts
@@ -42,5 +42,5 @@
     }
     nowMs = untilMs
   }
-  return { nowMs: () => nowMs, every, after, stop: () => {}, pass }
+  return { nowMs: () => nowMs, every, after, about: after, atLeast: after, stop: () => {}, pass }
 }
