--- a/bench/slopes-members.ts
+++ b/bench/slopes-members.ts
@@ -4,7 +4,7 @@
 //
 //   node --expose-gc dist/bench/slopes-members.js
 
-import { confirmedUntil, initialLimits, initialPartitions, limitsStep, partitionFraction, partitionRange, partitionsStep, type LimitsEvent, type LimitsState, type PartitionTable } from '../src/limits/index.js'
+import { confirmedUntil, initialLimits, initialPartitions, limitsStep, partitionFractions, partitionRange, partitionsStep, type LimitsEvent, type LimitsState, type PartitionTable } from '../src/limits/index.js'
 import { quotaCoordinator, defaultMembershipSettings, dispatchersOf, initialMembership, membershipStep, type ListedHost, type MembershipEvent, type MembershipState } from '../src/members/index.js'
 import type { DatabaseDeclaration, Manifest } from '../src/model/index.js'
 
@@ -92,7 +92,7 @@
     'hosts in table': range.hosts.length,
     'table read us': timeOf(20, at => { state = partitionsStep(state, { kind: 'tableRead', table, version: at + 1, nowMs: at }).state }).toFixed(0),
     'read period s': Math.max(5, count * 0.05),
-    'partitions of account': Array.from({ length: partitionCount }, (_, partition) => partitionFraction('account-1', 101, partition, partitionCount)).filter(fraction => fraction > 0).length
+    'partitions of account': Array.from({ length: partitionCount }, (_, partition) => partitionFractions('account-1', { ratePerS: 101, partitionCount })(partition)).filter(fraction => fraction > 0).length
   }
 }
 
--- a/src/limits/division.ts
+++ b/src/limits/division.ts
@@ -47,18 +47,18 @@
 }
 
 /**
- * Computes the fraction of an account's limit that belongs to a partition.
+ * Computes how an account's limit is divided, once for all partitions.
  * @param account - the account
- * @param ratePerS - rate of the account
- * @param partition - the partition
- * @param partitionCount - number of partitions in the manifest
- * @returns the fraction; 0 for a partition that the account does not use
+ * @param division - rate of the account and number of partitions in the manifest
+ * @returns the fraction of the limit that belongs to a partition; 0 for one that
+ *   the account does not use
  */
-export function partitionFraction (account: AccountName, ratePerS: number, partition: number, partitionCount: number): number {
-  if (partition >= partitionCount) return 0
+export function partitionFractions (account: AccountName, { ratePerS, partitionCount }: Division): (partition: number) => number {
+  if (partitionCount === 0) return () => 0
   const stride = partitionStride(ratePerS, partitionCount)
   const offset = hashOf(account) % stride
-  return partition % stride === offset ? 1 / Math.ceil((partitionCount - offset) / stride) : 0
+  const fraction = 1 / Math.ceil((partitionCount - offset) / stride)
+  return partition => partition < partitionCount && partition % stride === offset ? fraction : 0
 }
 
 /**
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -26,15 +26,10 @@
 import { demandRate, withRequests } from './demand.js'
 import { lend } from './lending.js'
 import { isShort, neededFraction } from './quota-target.js'
-import { firstOwner, isSameDivision, partitionFraction } from './division.js'
+import { firstOwner, isSameDivision, partitionFractions } from './division.js'
 import { confirmationChanged, loansCleared, ownedFractions, partitionsChanged, resetLoans } from './ownership.js'
 import { aggregationIdleMs, divisionChangeDelayMs, idleTickMs, limitsTickMs, minWaitMs, maxWaitingRequests, maxWaitMs } from './settings.js'
 
-/**
- * Below this number of other hosts, a coordinator borrows from all of them
- * while the owners are unknown.
- */
-const smallFleetSize = 32
 /** An account with less demand requires no ticks. */
 const idleDemandPerS = 0.1
 /** Bounds of the retry delay that is returned with a rejection. */
@@ -305,15 +300,28 @@
 // The order differs by account, so that no host is the first lender of all accounts.
 function quotaOwners (state: LimitsState, { account, limit }: AccountLimit): readonly QuotaOwner[] {
   const fractions = new Map<HostName, number>()
+  const fractionOf = partitionFractions(account, { ratePerS: limit.ratePerS, partitionCount: state.partitionCount })
   for (const [partition, host] of state.partitionOwners) {
-    fractions.set(host, (fractions.get(host) ?? 0) + partitionFraction(account, limit.ratePerS, partition, state.partitionCount))
+    const fraction = fractionOf(partition)
+    if (fraction > 0) fractions.set(host, (fractions.get(host) ?? 0) + fraction)
   }
-  const candidates = fractions.size === 0 ? capableMembers(state.members) : state.members
-  const assumedFraction = fractions.size === 0 ? 1 / candidates.length : 0
-  const owners = candidates.flatMap(({ host }) => host === state.self ? [] : [{ host, fraction: fractions.get(host) ?? assumedFraction }])
+  if (state.partitionOwners.size === 0) return rotated(assumedOwners(state), account)
+  const owners = state.members.flatMap(({ host }) => {
+    const fraction = host === state.self ? undefined : fractions.get(host)
+    return fraction === undefined ? [] : [{ host, fraction }]
+  })
+  return rotated(owners, account)
+}
+
+// While the owners are unknown, each capable member may own the same fraction.
+function assumedOwners (state: LimitsState): readonly QuotaOwner[] {
+  const capable = capableMembers(state.members)
+  return capable.flatMap(({ host }) => host === state.self ? [] : [{ host, fraction: 1 / capable.length }])
+}
+
+function rotated (owners: readonly QuotaOwner[], account: AccountName): readonly QuotaOwner[] {
   const first = firstOwner(account, owners.length)
-  const inOrder = [...owners.slice(first), ...owners.slice(0, first)]
-  return fractions.size === 0 && owners.length < smallFleetSize ? inOrder : inOrder.filter(({ fraction }) => fraction > 0)
+  return [...owners.slice(first), ...owners.slice(0, first)]
 }
 
 type RequestStep = (to: { readonly account: AccountLimit, readonly sequence: number }) => BorrowResult
--- a/src/limits/ownership.ts
+++ b/src/limits/ownership.ts
@@ -5,7 +5,7 @@
 import type { Transition } from '../pipe/index.js'
 import { advanced, lentExpiryMs, ownFraction, refreshed, withoutLender, type AccountLimit, type OwnedFraction } from './account.js'
 import { allAccounts, withAccount } from './accounts.js'
-import { partitionFraction } from './division.js'
+import { partitionFractions } from './division.js'
 import type { Confirmation, LimitsEffect, LimitsEvent, LimitsState } from './limits.js'
 import { partitionHandoverMs } from './settings.js'
 
@@ -19,8 +19,9 @@
  */
 export function ownedFractions (usableFromMs: ReadonlyMap<number, number>, account: AccountName, ratePerS: number, partitionCount: number): readonly OwnedFraction[] {
   const byTime = new Map<number, number>()
+  const fractionOf = partitionFractions(account, { ratePerS, partitionCount })
   for (const [partition, fromMs] of usableFromMs) {
-    const fraction = partitionFraction(account, ratePerS, partition, partitionCount)
+    const fraction = fractionOf(partition)
     if (fraction > 0) byTime.set(fromMs, (byTime.get(fromMs) ?? 0) + fraction)
   }
   return [...byTime].map(([fromMs, fraction]) => ({ fromMs, fraction }))
@@ -32,11 +33,13 @@
  * Applies the own partitions of a table.
  * @param state - the state
  * @param change - the own partitions, and which of them the previous process owned
- * @param partitionOwners - owners of all partitions of the table
+ * @param owners - owners of all partitions of the table
  * @param nowMs - the time
  * @returns the new state
  */
-export function partitionsChanged (state: LimitsState, { owned, reacquired }: PartitionChange, partitionOwners: ReadonlyMap<number, HostName>, nowMs: number): LimitsState {
+export function partitionsChanged (state: LimitsState, { owned, reacquired }: PartitionChange, owners: ReadonlyMap<number, HostName>, nowMs: number): LimitsState {
+  // Unchanged owners stay the same object, which the accounts' sources compare.
+  const partitionOwners = isSameOwners(state.partitionOwners, owners) ? state.partitionOwners : owners
   const isSame = owned.length === state.usableFromMs.size && owned.every(partition => state.usableFromMs.has(partition))
   if (isSame) return { ...state, reacquired, partitionOwners }
   const handoverEndMs = (partition: number): number => reacquired.has(partition) && state.expiredMs === -Infinity
@@ -46,6 +49,10 @@
   return withUsablePartitions({ ...state, reacquired, partitionOwners }, usableFromMs, nowMs)
 }
 
+function isSameOwners (a: ReadonlyMap<number, HostName>, b: ReadonlyMap<number, HostName>): boolean {
+  return a.size === b.size && [...a].every(([partition, host]) => b.get(partition) === host)
+}
+
 function withUsablePartitions (state: LimitsState, usableFromMs: ReadonlyMap<number, number>, nowMs: number): LimitsState {
   let { accounts } = state
   for (const account of allAccounts(state.accounts)) {
--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -314,3 +314,23 @@
     assert.ok(capExceeded(fleet.results, 'mill', 100, 100) <= 1e-6)
   }
 })
+
+// Guards against SHORT: each read of the partition table, changed or not, made a host hash every account again for every partition.
+test('a read of the partition table that changes nothing keeps what the accounts derive from it', () => {
+  const host = 'h-0'
+  const members = [host, 'h-1'].map(name => ({ host: name, failureDomain: 'd', ip: '127.0.0.1', port: 1 }))
+  const tableRead = (nowMs: number): LimitsEvent => ({ kind: 'partitionsChanged', owned: [0], reacquired: new Set(), owners: new Map([[0, host], [1, 'h-1']]), tableReadSentMs: nowMs, nowMs })
+  const events: readonly LimitsEvent[] = [
+    { kind: 'confirmationChanged', confirmation: confirmedUntil(Infinity), nowMs: 0 },
+    { kind: 'membersChanged', live: members, nowMs: 0 },
+    { kind: 'manifestApplied', manifest: accountsManifest(2, [{ name: 'mill', ratePerS: 2, burst: 2 }]), nowMs: 0 },
+    tableRead(0),
+    { kind: 'admit', account: 'mill', id: 'r1', deadlineMs: 1000, nowMs: 1 }
+  ]
+  const served = events.reduce((state, event) => limitsStep(state, event).state, initialLimits(host, 0))
+  const reread = limitsStep(served, tableRead(100)).state
+  assert.equal(reread.partitionOwners, served.partitionOwners)
+  const sourcesOf = (state: LimitsState): unknown => accountOf(state.accounts, 'mill')?.sources
+  assert.notEqual(sourcesOf(served), undefined)
+  assert.equal(sourcesOf(limitsStep(reread, { kind: 'tick', nowMs: 110 }).state), sourcesOf(served))
+})
--- a/test/limits/partitions.test.ts
+++ b/test/limits/partitions.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import {
-  initialPartitions, planPartitions, applyPlan, isSameDivision, partitionFraction, partitionRange, partitionsStep,
+  initialPartitions, planPartitions, applyPlan, isSameDivision, partitionFractions, partitionRange, partitionsStep,
   type PartitionOwner, type PartitionsEffect, type PartitionsEvent, type PartitionsState, type PartitionTable, type PartitionView
 } from '../../src/limits/index.js'
 import type { ListedHost } from '../../src/members/index.js'
@@ -128,7 +128,7 @@
 
 test('the fractions of all partitions sum to the whole limit', () => {
   for (const [partitionCount, ratePerS] of [[64, 10], [8192, 3], [8192, 900], [7001, 50_000]] as const) {
-    const fractions = Array.from({ length: partitionCount }, (_, partition) => partitionFraction('mill', ratePerS, partition, partitionCount))
+    const fractions = Array.from({ length: partitionCount }, (_, partition) => partitionFractions('mill', { ratePerS, partitionCount })(partition))
     const sum = fractions.reduce((a, b) => a + b, 0)
     assert.ok(Math.abs(sum - 1) < 1e-9, `${partitionCount} partitions: ${sum}`)
   }
