--- a/src/limits/division.ts
+++ b/src/limits/division.ts
@@ -6,8 +6,7 @@
 // `minPartitionsPerAccount` if there are as many. With several tables, the stride
 // also depends on the rate: an account with a high rate uses more partitions.
 
-import { createHash } from 'node:crypto'
-import type { AccountName, HostName } from '../model/index.js'
+import { nameHash, type AccountName, type HostName } from '../model/index.js'
 
 /** Maximum number of partitions in one table. */
 const maxPartitionsPerTable = 256
@@ -40,10 +39,10 @@
 export function partitionRange (host: HostName, hosts: readonly HostName[], partitionCount: number): PartitionRange {
   const tables = Math.ceil(partitionCount / maxPartitionsPerTable)
   if (tables <= 1) return { table: 'table', firstPartition: 0, size: partitionCount, hosts }
-  const at = hashOf(host) % tables
+  const at = nameHash(host) % tables
   const firstPartition = Math.floor(partitionCount * at / tables)
   const size = Math.floor(partitionCount * (at + 1) / tables) - firstPartition
-  return { table: `table-${at}`, firstPartition, size, hosts: hosts.filter(other => hashOf(other) % tables === at) }
+  return { table: `table-${at}`, firstPartition, size, hosts: hosts.filter(other => nameHash(other) % tables === at) }
 }
 
 /**
@@ -56,7 +55,7 @@
 export function partitionFractions (account: AccountName, { ratePerS, partitionCount }: Division): (partition: number) => number {
   if (partitionCount === 0) return () => 0
   const stride = partitionStride(ratePerS, partitionCount)
-  const offset = hashOf(account) % stride
+  const offset = nameHash(account) % stride
   const fraction = 1 / Math.ceil((partitionCount - offset) / stride)
   return partition => partition < partitionCount && partition % stride === offset ? fraction : 0
 }
@@ -88,9 +87,5 @@
  * @returns the index of the owner
  */
 export function firstOwner (account: AccountName, ownerCount: number): number {
-  return ownerCount === 0 ? 0 : hashOf(account) % ownerCount
-}
-
-function hashOf (name: string): number {
-  return createHash('sha256').update(name).digest().readUInt32LE(0)
+  return ownerCount === 0 ? 0 : nameHash(account) % ownerCount
 }
--- a/src/members/rendezvous.ts
+++ b/src/members/rendezvous.ts
@@ -3,7 +3,7 @@
 // needs no election and no agreement. While two views differ, two members may
 // hold the same assignment; see membership.ts for what protects against this.
 //
-// Each name is hashed once by SHA-256; the score of a pair mixes the two
+// Each name is hashed by SHA-256 (model/name-hash.ts); the score of a pair mixes the two
 // hashes with integer arithmetic, so ranking thousands of members for one key
 // takes microseconds. Hashed member lists are cached by list object.
 //
@@ -18,8 +18,7 @@
 // be equal; `failover/`: rank of a database's dispatchers; `account/`: quota
 // coordinator of an account; `watcher/`: watchers of a failure domain.
 
-import { createHash } from 'node:crypto'
-import type { AccountName, DatabaseDeclaration, FailureDomain, HostName, ServerDeclaration, ServerName } from '../model/index.js'
+import { nameHash, type AccountName, type DatabaseDeclaration, type FailureDomain, type HostName, type ServerDeclaration, type ServerName } from '../model/index.js'
 
 /** A proxy host with its address for other members. */
 export type Member = {
@@ -56,12 +55,8 @@
 
 const indexes = new WeakMap<readonly Member[], MemberIndex>()
 
-function hashOf (name: string): number {
-  return createHash('sha256').update(name).digest().readUInt32LE(0)
-}
-
 function hashed (name: string): HashedName {
-  return { name, hash: hashOf(name) }
+  return { name, hash: nameHash(name) }
 }
 
 // Finalizer of MurmurHash3: each input bit changes half of the output bits on
@@ -83,7 +78,7 @@
 }
 
 function firstRanked (key: string, names: readonly HashedName[]): string | undefined {
-  const keyHash = hashOf(key)
+  const keyHash = nameHash(key)
   let best: HashedName | undefined
   for (const name of names) {
     if (best === undefined || ranksBefore(name, best, keyHash)) best = name
@@ -92,7 +87,7 @@
 }
 
 function rankAll (key: string, names: readonly HashedName[]): readonly string[] {
-  const keyHash = hashOf(key)
+  const keyHash = nameHash(key)
   return [...names].sort((a, b) => ranksBefore(a, b, keyHash) ? -1 : 1).map(hash => hash.name)
 }
 
