Accounts without a waiting request keep their period (SHORT)

Cause: while a request of any account waited for a token, the ticks of 10 ms advanced every account in use and looked for a loan for each.

Change: an account is checked when a request of it waits, and otherwise each 100 ms, as when none waits anywhere.

The new test fails on the code before, where the account's state is another object after each tick (by reading; not run there).

--- a/src/limits/account.ts
+++ b/src/limits/account.ts
@@ -93,6 +93,8 @@
   /** Last time at which this host was short of tokens or a borrower requested some. */
   readonly lastShortageMs: number
   readonly sources: QuotaSources | undefined
+  /** When this host last checked whether to request quota. */
+  readonly checkedMs: number
   /** Tokens that a borrower requested for waiting requests and did not receive. */
   readonly unmet: { readonly tokens: number, readonly atMs: number }
 }
@@ -124,6 +126,7 @@
     waiting: [],
     lastShortageMs: -Infinity,
     sources: undefined,
+    checkedMs: -Infinity,
     unmet: { tokens: 0, atMs: -Infinity }
   }
 }
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -259,7 +259,7 @@
   }
   const served = account.waiting.length === 0 ? current : { ...current, waiting }
   if (!isConfirmed) return { state: { ...state, accounts: withAccount(state.accounts, served) }, effects }
-  const requested = requestQuota(state, served, nowMs)
+  const requested = requestQuota(state, { ...served, checkedMs: nowMs }, nowMs)
   return { state: requested.state, effects: [...effects, ...requested.effects] }
 }
 
@@ -366,7 +366,7 @@
   let current = state
   for (const name of state.active) {
     const account = accountOf(current.accounts, name)
-    if (account === undefined) continue
+    if (account === undefined || !isCheckDue(account, nowMs)) continue
     const served = serveWaiting(current, advanced(account, nowMs), nowMs)
     effects.push(...served.effects)
     current = served.state
@@ -374,6 +374,12 @@
   return { state: { ...current, active: stillActive(current, nowMs) }, effects }
 }
 
+// Requests of one account that wait make the ticks frequent; the others keep their
+// period.
+function isCheckDue (account: AccountLimit, nowMs: number): boolean {
+  return account.waiting.length > 0 || nowMs - account.checkedMs >= idleTickMs
+}
+
 /**
  * Returns the time at which the next tick is due.
  * @param state - the state
--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -334,3 +334,23 @@
   assert.notEqual(sourcesOf(served), undefined)
   assert.equal(sourcesOf(limitsStep(reread, { kind: 'tick', nowMs: 110 }).state), sourcesOf(served))
 })
+
+// Guards against SHORT: while one request waited, each tick of 10 ms copied the state of every account in use.
+test('while a request of one account waits, the other accounts keep their period', () => {
+  const manifest = accountsManifest(1, [{ name: 'mill', ratePerS: 2, burst: 2 }, { name: 'inn', ratePerS: 2, burst: 2 }])
+  const admit = (account: string, nowMs: number): LimitsEvent => ({ kind: 'admit', account, id: `${account} ${nowMs}`, deadlineMs: 10_000, nowMs })
+  const events: readonly LimitsEvent[] = [
+    { kind: 'confirmationChanged', confirmation: confirmedUntil(Infinity), nowMs: 0 },
+    { kind: 'membersChanged', live: ['h-0', 'h-1'].map(host => ({ host, failureDomain: 'd', ip: '127.0.0.1', port: 1 })), nowMs: 0 },
+    { kind: 'manifestApplied', manifest, nowMs: 0 },
+    admit('inn', 0),
+    admit('mill', 90)
+  ]
+  const waiting = events.reduce((state, event) => limitsStep(state, event).state, initialLimits('h-0', 0))
+  const ticked = limitsStep(waiting, { kind: 'tick', nowMs: 95 }).state
+  assert.notEqual(accountOf(ticked.accounts, 'mill'), accountOf(waiting.accounts, 'mill'))
+  const served = limitsStep(waiting, { kind: 'tick', nowMs: 300 }).state
+  assert.equal(accountOf(served.accounts, 'inn')?.checkedMs, 300)
+  const early = limitsStep(served, { kind: 'tick', nowMs: 310 }).state
+  assert.equal(accountOf(early.accounts, 'inn'), accountOf(served.accounts, 'inn'))
+})
