--- a/src/report/account-stats.ts
+++ b/src/report/account-stats.ts
@@ -1,9 +1,14 @@
 // Statistics of each client account on this host: counts of statements, and a
 // histogram of the time from a statement's arrival to its outcome.
 
-import { build, type Histogram } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+// The entry module of the library also loads its compression and WebAssembly parts.
+import histogramModule from 'hdr-histogram-js/dist/Int32Histogram.js'
 import type { AccountName, AccountReport, LatencySummary, Outcome } from '../model/index.js'
 
+const { default: Int32Histogram } = histogramModule
+
+const minLatencyUs = 1
 /** Upper end of a histogram's range, in microseconds; higher values are clamped. */
 const maxLatencyUs = 600_000_000
 const significantDigits = 2
@@ -34,7 +39,7 @@
       return
     }
     this.#accounts.set(account, { ...stats, admitted: stats.admitted + 1 })
-    stats.histogram.recordValue(Math.min(maxLatencyUs, Math.max(1, Math.round(tookMs * usPerMs))))
+    stats.histogram.recordValue(Math.min(maxLatencyUs, Math.max(minLatencyUs, Math.round(tookMs * usPerMs))))
   }
 
   /**
@@ -50,7 +55,7 @@
   #statsOf (account: AccountName): AccountStats {
     const existing = this.#accounts.get(account)
     if (existing !== undefined) return existing
-    const histogram = build({ highestTrackableValue: maxLatencyUs, numberOfSignificantValueDigits: significantDigits })
+    const histogram = new Int32Histogram(minLatencyUs, maxLatencyUs, significantDigits)
     return { histogram, admitted: 0, refusedByRate: 0 }
   }
 }
