Shared wakes are times of the steady clock

Cause, found by reading: a wake that was pending when the host was suspended was keyed by the elapsed time, which advances during the suspension, while its timer does not. A pause or due time that began after it and fell on the same wake would have ended late by up to the length of the suspension, a lease renewal among them. Not seen in a run; no test suspends a process.

Change: shared wakes are counted on the steady clock. quotaOwners has a module of its own.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -122,7 +122,7 @@
 
 const dayMs = 86_400_000
 const dayS = 86_400
-const graceSeconds = `a number from 0 to ${dayS}`
+const graceAllowed = `a number from 0 to ${dayS}`
 const maxStatementBytes = 16_000_000
 const maxCores = 1024
 
@@ -187,7 +187,7 @@
   metrics: z.strictObject(statsdFields).superRefine(allOrNone(statsdFields)),
   stop: z.strictObject({
     grace_ms: duration(0, dayMs).default(30_000),
-    grace_s: z.number({ error: graceSeconds }).min(0, graceSeconds).max(dayS, graceSeconds).optional()
+    grace_s: z.number({ error: graceAllowed }).min(0, graceAllowed).max(dayS, graceAllowed).optional()
   }),
   log: z.strictObject({
     level: choice(['debug', 'info', 'warn', 'error']).default('info'),
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -19,14 +19,15 @@
 
 import { anonymousAccount, type AccountName, type BorrowRequest, type HostName, type Manifest, type Quota, type QuotaGrant } from '../model/index.js'
 import type { Transition } from '../pipe/index.js'
-import { capableMembers, quotaCoordinator, type Member } from '../members/index.js'
+import { quotaCoordinator, type Member } from '../members/index.js'
 import { advanced, hasToken, newAccount, ownFraction, refreshed, withoutToken, type AccountLimit, type QuotaOwner, type QuotaSources, type WaitingRequest } from './account.js'
 import { accountOf, allAccounts, noAccounts, withAccount, type Accounts } from './accounts.js'
 import { requestFromCoordinator, borrowFromOwner, canReceiveTokens, missingTokens, applyAnswer, type BorrowResult } from './borrowing.js'
 import { demandRate, withRequests } from './demand.js'
 import { lend } from './lending.js'
 import { isShort, neededFraction } from './quota-target.js'
-import { firstOwner, isSameDivision, partitionFractions } from './division.js'
+import { isSameDivision } from './division.js'
+import { quotaOwners } from './owners.js'
 import { confirmationChanged, loansCleared, ownedFractions, partitionsChanged, resetLoans } from './ownership.js'
 import { aggregationIdleMs, divisionChangeDelayMs, idleTickMs, limitsTickMs, minWaitMs, maxWaitingRequests, maxWaitMs } from './settings.js'
 
@@ -297,33 +298,6 @@
   return { located: { ...account, sources }, sources }
 }
 
-// The order differs by account, so that no host is the first lender of all accounts.
-function quotaOwners (state: LimitsState, { account, limit }: AccountLimit): readonly QuotaOwner[] {
-  const fractions = new Map<HostName, number>()
-  const fractionOf = partitionFractions(account, { ratePerS: limit.ratePerS, partitionCount: state.partitionCount })
-  for (const [partition, host] of state.partitionOwners) {
-    const fraction = fractionOf(partition)
-    if (fraction > 0) fractions.set(host, (fractions.get(host) ?? 0) + fraction)
-  }
-  if (state.partitionOwners.size === 0) return rotated(assumedOwners(state), account)
-  const owners = state.members.flatMap(({ host }) => {
-    const fraction = host === state.self ? undefined : fractions.get(host)
-    return fraction === undefined ? [] : [{ host, fraction }]
-  })
-  return rotated(owners, account)
-}
-
-// While the owners are unknown, each capable member may own the same fraction.
-function assumedOwners (state: LimitsState): readonly QuotaOwner[] {
-  const capable = capableMembers(state.members)
-  return capable.flatMap(({ host }) => host === state.self ? [] : [{ host, fraction: 1 / capable.length }])
-}
-
-function rotated (owners: readonly QuotaOwner[], account: AccountName): readonly QuotaOwner[] {
-  const first = firstOwner(account, owners.length)
-  return [...owners.slice(first), ...owners.slice(0, first)]
-}
-
 type RequestStep = (to: { readonly account: AccountLimit, readonly sequence: number }) => BorrowResult
 
 function sendAll (state: LimitsState, steps: readonly RequestStep[], account: AccountLimit): Next {
--- a/src/pipe/timer.ts
+++ b/src/pipe/timer.ts
@@ -66,6 +66,10 @@
   }
 }
 
+function steadyMs (): number {
+  return performance.now()
+}
+
 /** Times at which periodic work and long pauses end, so that they share wakes. */
 const sharedWakeMs = 100
 /** A shorter delay than this is kept exactly. */
@@ -73,7 +77,7 @@
 
 /**
  * Finds the shared wake for a delay.
- * @param nowMs - the time
+ * @param nowMs - the time of the steady clock
  * @param delayMs - the delay
  * @param side - the last wake by the end of the delay, or the first from it on
  * @returns the time of the wake; undefined for a delay that is too short to be changed
@@ -87,7 +91,11 @@
   }
 }
 
-/** One timer of the runtime for all that ends at one shared wake. */
+/**
+ * One timer of the runtime for all that ends at one shared wake. Wakes are times of
+ * the steady clock, as the runtime's timers are: after a suspension, the elapsed time
+ * has advanced and a pending timer has not.
+ */
 type SharedWake = { readonly timer: NodeJS.Timeout, readonly ports: ReadonlySet<Port<Tick>> }
 
 /**
@@ -98,7 +106,7 @@
 export function systemTimers (onTimer: () => void = () => {}): TimerService {
   const live = new Set<NodeJS.Timeout>()
   const wakes = new Map<number, SharedWake>()
-  const nowMs = elapsedClock(() => performance.now(), () => Date.now())
+  const nowMs = elapsedClock(steadyMs, () => Date.now())
   const start = (delayMs: number, fire: () => void): NodeJS.Timeout => {
     const timer = setTimeout(() => {
       live.delete(timer)
@@ -119,7 +127,7 @@
     for (const port of ports) port.send({ kind: 'tick', nowMs: nowMs() })
   }
   const join = (atMs: number, port: Port<Tick>): NodeJS.Timeout => {
-    const { timer, ports } = wakes.get(atMs) ?? { timer: start(atMs - nowMs(), () => { ring(atMs) }).unref(), ports: [] }
+    const { timer, ports } = wakes.get(atMs) ?? { timer: start(atMs - steadyMs(), () => { ring(atMs) }).unref(), ports: [] }
     wakes.set(atMs, { timer, ports: new Set(ports).add(port) })
     return timer
   }
@@ -135,7 +143,7 @@
     cancel(wake.timer)()
   }
   const shared = (side: 'before' | 'after'): TimerService['after'] => (delayMs, port) => {
-    const atMs = sharedWakeAtMs(nowMs(), delayMs, side)
+    const atMs = sharedWakeAtMs(steadyMs(), delayMs, side)
     if (atMs === undefined) return after(delayMs, port)
     join(atMs, port).ref()
     return () => { leave(atMs, port) }
@@ -151,10 +159,10 @@
   const every: TimerService['every'] = (periodMs, port) => {
     if (periodMs < minSharedDelayMs) return interval(periodMs, port)
     let isEnded = false
-    let dueAtMs = nowMs()
+    let dueAtMs = steadyMs()
     const joinNext = (): void => {
-      // Ticks that fell into a suspension are skipped.
-      dueAtMs = Math.max(dueAtMs + periodMs, nowMs())
+      // Ticks that fell into a pause of the process are skipped.
+      dueAtMs = Math.max(dueAtMs + periodMs, steadyMs())
       join(Math.ceil(dueAtMs / sharedWakeMs) * sharedWakeMs, { send })
     }
     const send = (tick: Tick): SendResult => {
