--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -186,7 +186,7 @@
   }),
   metrics: z.strictObject(statsdFields).superRefine(allOrNone(statsdFields)),
   stop: z.strictObject({
-    grace_ms: duration(0, dayMs).default(30_000),
+    grace_ms: wholeNumber(0, dayMs).default(30_000),
     grace_s: z.number({ error: graceAllowed }).min(0, graceAllowed).max(dayS, graceAllowed).optional()
   }),
   log: z.strictObject({
