--- a/src/daemon/peer-handlers.ts
+++ b/src/daemon/peer-handlers.ts
@@ -14,6 +14,8 @@
   const { configuration, databases, members, limits, reports } = components
   return {
     execute: async request => await databases.execute(request),
+    // Not used yet: a waiting statement stays until its deadline.
+    cancel: async () => ({ accepted: false }),
     heartbeat: async from => {
       components.recordLeader(from)
       return await members.answerHeartbeat(from)
--- a/src/model/outcome.ts
+++ b/src/model/outcome.ts
@@ -42,6 +42,8 @@
   | 'unsupported'
   | 'rateExceeded'
   | 'queueFull'
+  /** The entry host has too little processor time; never sent between hosts. */
+  | 'overloaded'
   | 'deadlinePassed'
   | 'unconfirmedConfiguration'
   | 'noPrimary'
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -49,8 +49,34 @@
    * different hosts are not comparable.
    */
   readonly remainingMs: number
+  /** Priority of the route, 0 is the highest; a proxy of an earlier version does not send it. */
+  readonly priority?: number | undefined
+  /** Time left until the route's latency objective; negative once it has passed. */
+  readonly goalLeftMs?: number | undefined
+  /**
+   * Whether the dispatcher takes the token of the account's rate limit, because
+   * the entry host took none.
+   */
+  readonly takesToken?: boolean | undefined
+  /** Unique among the statements of the entry host; `cancel` names the statement by it. */
+  readonly callId?: string | undefined
+}
+
+/** Load of a server at its dispatcher. */
+export type ServerLoad = {
+  /** Time until a statement that arrives now is expected to start. */
+  readonly expectedWaitMs: number
+  /** Average service time of the server's statements. */
+  readonly serviceMs: number
+  /** Number of statements that wait. */
+  readonly waiting: number
+  /** Number of statements that may run at once now. */
+  readonly slots: number
 }
 
+/** Load of a host's own processor. */
+export type HostLoad = 'normal' | 'busy' | 'overloaded'
+
 /** Result of a statement at the dispatcher of a server. */
 export type ExecuteReply = {
   readonly outcome: Outcome
@@ -61,6 +87,10 @@
   readonly newest: Position | undefined
   /** Applied position of the server that the dispatcher last observed. */
   readonly applied: Position | undefined
+  /** Whether the dispatcher took the token of the account's rate limit. */
+  readonly tookToken?: boolean | undefined
+  /** Load of the server; a proxy of an earlier version does not send it. */
+  readonly serverLoad?: ServerLoad | undefined
 }
 
 /** A renewal of the leader lease: token of its holder, and number of the renewal. */
@@ -95,8 +125,18 @@
    * in large fleets only.
    */
   readonly rumours?: readonly GossipEntry[]
+  /** Load of the member's processor; a proxy of an earlier version does not send it. */
+  readonly load?: HostLoad | undefined
+  /** Optional parts of the protocol that the member supports. */
+  readonly features?: readonly PeerFeature[] | undefined
 }
 
+/**
+ * Optional part of the protocol. `dispatcherAdmission`: the dispatcher takes tokens
+ * for entry hosts; `weightedPlacement`: dispatchers are placed by capacity.
+ */
+export type PeerFeature = 'dispatcherAdmission' | 'weightedPlacement'
+
 /**
  * Gossip entry: whether a member is unresponsive, as another member observed
  * it; relayed in heartbeats.
@@ -238,6 +278,8 @@
 /** Parameters and results of each method. */
 export type PeerMethods = {
   readonly execute: { readonly params: ExecuteRequest, readonly result: ExecuteReply }
+  /** Drops a statement that waits at the dispatcher and is no longer needed. */
+  readonly cancel: { readonly params: { readonly from: HostName, readonly database: DatabaseName, readonly server: ServerName, readonly callId: string }, readonly result: { readonly accepted: boolean } }
   readonly heartbeat: { readonly params: MemberState, readonly result: MemberState }
   readonly pullConfiguration: { readonly params: { readonly above: Generation }, readonly result: { readonly accepted: AcceptedManifest | undefined } }
   readonly offerConfiguration: { readonly params: { readonly accepted: AcceptedManifest }, readonly result: { readonly generation: Generation } }
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -79,6 +79,7 @@
     case 'unsupported':
     case 'rateExceeded':
     case 'queueFull':
+    case 'overloaded':
     case 'deadlinePassed':
     case 'unconfirmedConfiguration':
     case 'leaving':
--- a/src/wire/mysql-errors.ts
+++ b/src/wire/mysql-errors.ts
@@ -33,6 +33,7 @@
     case 'hintMalformed':
     case 'statementHoldsKey':
     case 'queueFull':
+    case 'overloaded':
     case 'deadlinePassed':
     case 'unconfirmedConfiguration':
     case 'noPrimary':
--- a/src/wire/peer-codec.ts
+++ b/src/wire/peer-codec.ts
@@ -16,7 +16,9 @@
   'mode', 'newest', 'observation', 'outcome', 'position', 'prepared', 'primary', 'proposer', 'purpose', 'ratePerS',
   'reason', 'received', 'remainingMs', 'request', 'requestId', 'returnedTokens', 'role', 'rows', 'sequence',
   'server', 'servedBy', 'servers', 'signature', 'state', 'statement', 'status', 'storeConfirmedAgoMs', 'term',
-  'text', 'tokens', 'transaction', 'validMs', 'view', 'want', 'wantTokens', 'weight'
+  'text', 'tokens', 'transaction', 'validMs', 'view', 'want', 'wantTokens', 'weight',
+  // Added later: an earlier version drops these codes as unknown fields.
+  'priority', 'goalLeftMs', 'takesToken', 'callId', 'tookToken', 'serverLoad', 'expectedWaitMs', 'serviceMs', 'waiting', 'load', 'features'
 ] as const
 
 /** Prefix of codes. A field name that starts with it is escaped by another prefix. */
--- a/src/wire/peer-schema.ts
+++ b/src/wire/peer-schema.ts
@@ -59,9 +59,15 @@
   values: sessionValues,
   mode,
   // Negative once the deadline has passed.
-  remainingMs: z.number()
+  remainingMs: z.number(),
+  priority: count.optional(),
+  goalLeftMs: z.number().optional(),
+  takesToken: z.boolean().optional(),
+  callId: name.optional()
 })
 
+const serverLoad = z.object({ expectedWaitMs: amount, serviceMs: amount, waiting: count, slots: count })
+
 const column = z.object({ name: text, type: count, flags: count, length: count, decimals: count, characterSet: count })
 
 const answer = z.discriminatedUnion('kind', [
@@ -91,7 +97,9 @@
   transaction: name.optional(),
   primary: primaryView,
   newest: position.optional(),
-  applied: position.optional()
+  applied: position.optional(),
+  tookToken: z.boolean().optional(),
+  serverLoad: serverLoad.optional()
 })
 
 const memberState = z.object({
@@ -103,7 +111,10 @@
   storeConfirmedAgoMs: amount.optional(),
   holdsDuty: z.boolean().optional(),
   lease: z.object({ token: count, renewal: count }).optional(),
-  rumours: z.array(z.object({ host: name, observer: name, silent: z.boolean(), agoMs: amount })).optional()
+  rumours: z.array(z.object({ host: name, observer: name, silent: z.boolean(), agoMs: amount })).optional(),
+  load: z.enum(['normal', 'busy', 'overloaded']).optional(),
+  // Features of a later version are dropped.
+  features: validEntries(z.enum(['dispatcherAdmission', 'weightedPlacement'])).optional()
 })
 
 const server = z.object({ name, ip, port, failureDomain: name, slots: z.int().min(1).max(maxSlots), state: z.enum(['active', 'leaving']) })
@@ -212,6 +223,7 @@
 
 const schemas: MethodSchemas = {
   execute: { params: executeParams, result: executeResult },
+  cancel: { params: z.object({ from: name, database: name, server: name, callId: name }), result: acknowledgement },
   heartbeat: { params: memberState, result: memberState },
   pullConfiguration: { params: z.object({ above: count }), result: z.object({ accepted: accepted.optional() }) },
   offerConfiguration: { params: z.object({ accepted }), result: z.object({ generation: count }) },
