The failover leader opens no connection to servers that other hosts watch

Cause: the leader probed a server after 500 ms without a contact, over a new connection. It hears of replicas only every 600 ms and with up to 400 ms of delay, so it opened connections to every replica all the time.

Change: the leader probes after 1,200 ms without a contact, and again every 500 ms once a probe has failed. A contact counts for 1,300 ms. A lost connection still requests a probe at once, on this host or by `suspect`.

Evidence: the new test fails with the previous settings.

--- a/src/daemon/database-step.ts
+++ b/src/daemon/database-step.ts
@@ -127,7 +127,7 @@
 
 function failoverSettingsFor (method: PromotionMethodKind, control: DaemonContext['settings']['control']): FailoverSettings {
   switch (method) {
-    case 'byQuorum': return { ...defaultFailoverSettings, probeEveryMs: control.probeMs, probeTimeoutMs: control.probeTimeoutMs, rankDelayMs: control.promotionDelayMs }
+    case 'byQuorum': return { ...defaultFailoverSettings, probeEveryMs: control.probeMs, reprobeEveryMs: control.probeMs, probeTimeoutMs: control.probeTimeoutMs, rankDelayMs: control.promotionDelayMs }
     // The platform promotes on the order of the failover leader, and a fence only
     // pauses replication (see failover/settings.ts).
     case 'byLeader': return { ...leaderFailoverSettings, probeTimeoutMs: control.probeTimeoutMs }
--- a/src/failover/health.ts
+++ b/src/failover/health.ts
@@ -111,9 +111,10 @@
  */
 export function dueProbes (health: Health, servers: readonly ServerName[], settings: FailoverSettings, nowMs: number): readonly ServerName[] {
   return servers.filter(server => {
-    const { lastContactAtMs, probeSentAtMs, probeOutstanding, probeRequested } = healthOf(health, server)
+    const { lastContactAtMs, probeSentAtMs, probeOutstanding, probeRequested, consecutiveFailures } = healthOf(health, server)
     if (probeRequested && !probeOutstanding) return true
-    const waitMs = probeOutstanding ? settings.probeTimeoutMs * abandonedProbeTimeouts : settings.probeEveryMs
+    const idleMs = consecutiveFailures > 0 ? settings.reprobeEveryMs : settings.probeEveryMs
+    const waitMs = probeOutstanding ? settings.probeTimeoutMs * abandonedProbeTimeouts : idleMs
     const lastActivityAtMs = Math.max(lastContactAtMs ?? -Infinity, probeSentAtMs ?? -Infinity)
     return nowMs - lastActivityAtMs >= waitMs
   })
--- a/src/failover/settings.ts
+++ b/src/failover/settings.ts
@@ -18,6 +18,8 @@
   readonly promotionMethod: PromotionMethodKind
   /** A server without a contact for this time is probed. */
   readonly probeEveryMs: number
+  /** Interval of further probes to a server whose last probe failed. */
+  readonly reprobeEveryMs: number
   /** A probe that has no answer after this time is overdue. */
   readonly probeTimeoutMs: number
   /** Consecutive refused probes after which a server counts as dead. */
@@ -62,6 +64,7 @@
 export const defaultFailoverSettings: FailoverSettings = {
   promotionMethod: 'byQuorum',
   probeEveryMs: 100,
+  reprobeEveryMs: 100,
   probeTimeoutMs: 250,
   deadAfterRefusals: 2,
   deadAfterFailures: 2,
@@ -81,12 +84,17 @@
 
 /**
  * Settings for a platform that promotes on the failover leader's order, some
- * hundred milliseconds after the order.
+ * hundred milliseconds after the order. The leader hears of most servers from the
+ * hosts that watch them: a status is up to 600 ms old when the watching host repeats
+ * it, and reaches the leader within 400 ms. A server without a contact for longer
+ * than that is probed; a connection lost anywhere requests a probe at once.
  */
 export const leaderFailoverSettings: FailoverSettings = {
   ...defaultFailoverSettings,
   promotionMethod: 'byLeader',
-  probeEveryMs: 500,
+  probeEveryMs: 1200,
+  reprobeEveryMs: 500,
+  reachableForMs: 1300,
   rivalTimeoutMs: 0,
   stepTimeoutMs: 1500,
   resendEveryMs: 600
--- a/test/failover/failover.test.ts
+++ b/test/failover/failover.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { emptyGroupView, recordStatus, nextPrimary, primaryView, type FailoverEffect, type FailoverEvent } from '../../src/failover/index.js'
+import { emptyGroupView, leaderFailoverSettings, recordStatus, nextPrimary, primaryView, type FailoverEffect, type FailoverEvent } from '../../src/failover/index.js'
 import { originPosition } from '../../src/model/index.js'
 import { databaseOf, dispatcherState, effectNames, applyEvents, healthyDispatcher, statuses, statusOf, tickAt } from './fixtures.js'
 
@@ -107,3 +107,24 @@
   assert.equal(nextPrimary({ a: at(2, 3), c: at(2, 3) }, candidates), 'c')
   assert.equal(nextPrimary({ c: at(2, 3) }, candidates), undefined)
 })
+
+// Guards against probes over new connections to servers that another host watches:
+// each occupies a slot of the server for the time of a login.
+test('a leader that hears of the servers from other hosts opens no connection to them', () => {
+  const leader = { ...healthyDispatcher(0, 1000), settings: leaderFailoverSettings }
+  const events = Array.from({ length: 40 }, (_, at): readonly FailoverEvent[] => {
+    const nowMs = 1100 + at * 100
+    const relayed = ['a', 'b', 'c'].map((server): FailoverEvent => ({ kind: 'statusRelayed', status: statusOf(server, { role: server === 'a' ? 'primary' : 'replica' }), heardAgoMs: 300 + (at % 7) * 100, nowMs }))
+    return [...relayed, tickAt(nowMs)]
+  })
+  assert.deepEqual(effectNames(applyEvents(leader, events.flat()).effects).filter(name => name.startsWith('probe')), [])
+})
+
+test('a server that failed a probe is probed again sooner than one without a contact', () => {
+  const leader = { ...healthyDispatcher(0, 1000), settings: { ...leaderFailoverSettings, localPauseMs: Infinity } }
+  const lost = applyEvents(leader, [{ kind: 'connectionLost', server: 'a', nowMs: 1050 }, tickAt(1100)])
+  assert.deepEqual(effectNames(lost.effects), ['probe a'])
+  const failed = applyEvents(lost.state, [refused('a', 1110), tickAt(1500)])
+  assert.deepEqual(effectNames(failed.effects), [])
+  assert.deepEqual(effectNames(applyEvents(failed.state, [tickAt(1600)]).effects), ['probe a'])
+})
