Peer messages are written and read directly, without a JSON-RPC library

Cause: on a host with little processor time, a call between proxies cost as much in the JSON-RPC library, in the copies of messages under short names and in schema checks as in everything else.

Change: json-rpc.ts writes and reads the same texts, peer-link.ts keeps the calls of a link in one map, and readers decode execute, borrow and heartbeat from their short names. What a reader does not recognize goes to the schema, so nothing is accepted that was rejected before.

--- a/src/daemon/counted-ports.ts
+++ b/src/daemon/counted-ports.ts
@@ -21,9 +21,9 @@
  * @returns the same handlers, counted
  */
 export function countedHandlers (handlers: PeerHandlers, activity: Activity): PeerHandlers {
-  const counted = Object.entries(handlers).map(([method, handle]) => [method, async (params: never) => {
+  const counted = Object.entries(handlers).map(([method, handle]) => [method, (params: never) => {
     activity.add('peerRequest', method)
-    return await (handle as (params: never) => Promise<unknown>)(params)
+    return (handle as (params: never) => Promise<unknown>)(params)
   }])
   return Object.fromEntries(counted) as PeerHandlers
 }
--- a/src/wire/peer-codec.ts
+++ b/src/wire/peer-codec.ts
@@ -1,6 +1,7 @@
 // Compact encoding of messages between proxies: field names are sent as short
 // codes, and some durations as integers, which makes the messages smaller. The
-// values of a few fields are sent unchanged.
+// values of a few fields are sent unchanged. The JSON text is written directly,
+// because a copy of the message with other names costs as much as the text itself.
 
 /**
  * Field names that are sent as codes. The code of a name is its index, so all
@@ -25,15 +26,23 @@
 const codePrefix = '~'
 const codeRadix = 36
 
+/** Name of a field that is sent as a code. */
+type ShortenedName = typeof shortenedNames[number]
+
 const codes: ReadonlyMap<string, string> = new Map(shortenedNames.map((name, at) => [name, codePrefix + at.toString(codeRadix)]))
 const names: ReadonlyMap<string, string> = new Map([...codes].map(([name, code]) => [code, name]))
 
+/** Codes by the field names that they stand for. */
+export const fieldCodes = Object.fromEntries(codes) as Readonly<Record<ShortenedName, string>>
+
 /**
  * Fields that are sent unchanged, neither shortened nor rounded. The field names
  * within `values` are not fixed by the protocol; the others have types in
  * src/model.
  */
 const opaqueFields: ReadonlySet<string> = new Set(['values', 'accepted', 'report', 'hosts'])
+/** Fields without a coded name or a duration in their values: their text is that of `JSON.stringify`. */
+const plainFields: ReadonlySet<string> = new Set([...opaqueFields, 'rows', 'columns'])
 /** Fields that hold an age; rounded up, so that data never appears newer than it is. */
 const ageFields: ReadonlySet<string> = new Set(['agoMs', 'heardAgoMs', 'storeConfirmedAgoMs'])
 /**
@@ -42,22 +51,58 @@
  */
 const remainingTimeFields: ReadonlySet<string> = new Set(['remainingMs'])
 
+/** How the value of a field is written. */
+type FieldEncoding = {
+  /** The field's code as JSON text, with the colon. */
+  readonly prefix: string
+  readonly kind: 'plain' | 'age' | 'remainingTime' | 'nested'
+}
+
+const encodings: ReadonlyMap<string, FieldEncoding> = new Map([...shortenedNames, ...plainFields].map(name => [name, encodingOf(name)]))
+
 /**
- * Encodes a value with short field names.
+ * Writes a value as JSON text with short field names.
  * @param value - parameters or a result
- * @returns the value to send
+ * @returns the text; `null` for undefined
  */
-export function shorten (value: unknown): unknown {
-  if (Array.isArray(value)) return value.map(shorten)
-  if (typeof value !== 'object' || value === null) return value
-  return Object.fromEntries(Object.entries(value)
-    .filter(([, inner]) => inner !== undefined)
-    .map(([name, inner]) => [codeOf(name), shortenField(name, inner)]))
+export function shortText (value: unknown): string {
+  if (typeof value === 'string') return JSON.stringify(value)
+  if (typeof value !== 'object') return numberOrBooleanText(value)
+  if (value === null) return 'null'
+  if (Array.isArray(value)) return `[${value.map(shortText).join(',')}]`
+  let text = ''
+  for (const [name, inner] of Object.entries(value)) {
+    if (inner === undefined) continue
+    const { prefix, kind } = encodings.get(name) ?? encodingOf(name)
+    text += (text === '' ? prefix : ',' + prefix) + fieldText(kind, inner)
+  }
+  return `{${text}}`
+}
+
+function fieldText (kind: FieldEncoding['kind'], value: unknown): string {
+  switch (kind) {
+    case 'plain': return JSON.stringify(value)
+    case 'age': return shortText(typeof value === 'number' ? Math.ceil(value) : value)
+    case 'remainingTime': return shortText(typeof value === 'number' ? Math.floor(value) : value)
+    case 'nested': return shortText(value)
+  }
 }
 
-function shortenField (name: string, value: unknown): unknown {
-  if (opaqueFields.has(name)) return value
-  return typeof value === 'number' ? rounded(name, value) : shorten(value)
+// JSON has no infinity; it is written as null, as JSON.stringify does.
+function numberOrBooleanText (value: unknown): string {
+  if (typeof value === 'number') return Number.isFinite(value) ? String(value) : 'null'
+  return typeof value === 'boolean' ? String(value) : 'null'
+}
+
+function encodingOf (name: string): FieldEncoding {
+  const code = codes.get(name) ?? (name.startsWith(codePrefix) ? codePrefix + name : name)
+  return { prefix: JSON.stringify(code) + ':', kind: kindOf(name) }
+}
+
+function kindOf (name: string): FieldEncoding['kind'] {
+  if (plainFields.has(name)) return 'plain'
+  if (ageFields.has(name)) return 'age'
+  return remainingTimeFields.has(name) ? 'remainingTime' : 'nested'
 }
 
 /**
@@ -74,15 +119,6 @@
   }))
 }
 
-function codeOf (name: string): string {
-  return codes.get(name) ?? (name.startsWith(codePrefix) ? codePrefix + name : name)
-}
-
 function nameOf (code: string): string {
   return names.get(code) ?? (code.startsWith(codePrefix) ? code.slice(codePrefix.length) : code)
 }
-
-function rounded (name: string, value: number): number {
-  if (ageFields.has(name)) return Math.ceil(value)
-  return remainingTimeFields.has(name) ? Math.floor(value) : value
-}
--- a/src/wire/peer-link.ts
+++ b/src/wire/peer-link.ts
@@ -5,15 +5,14 @@
 // timeout does not close the link, because other calls on it may still get a
 // response. A call that was lost or timed out may have been executed.
 
-import { JSONRPCClient, JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0'
 import net from 'node:net'
 import tls from 'node:tls'
 import type { Address, PeerMethod, PeerParams, PeerResult } from '../model/index.js'
-import { withTimeout, type TimerService } from '../pipe/index.js'
+import type { TimerService } from '../pipe/index.js'
 import { asError, WireError } from '../ports/index.js'
-import { readLines, writeLine } from './lines.js'
-import { restore, shorten } from './peer-codec.js'
-import { decodeParams, decodeResult } from './peer-schema.js'
+import { errorText, failedMethodCode, invalidRequestCode, parseAnswer, parseRequest, requestText, resultText, unknownMethodCode, type RpcAnswer, type RpcRequest } from './json-rpc.js'
+import { readLines } from './lines.js'
+import { receivedParams, receivedResult } from './peer-message.js'
 
 /** Certificates for mutual TLS between proxies. */
 export type PeerTls = {
@@ -57,13 +56,17 @@
  */
 const unresponsiveLinkMs = 1000
 
+/** End of a call on a link. */
+type CallEnd = RpcAnswer | { readonly kind: 'overdue' }
+
 type OpenLink = {
   readonly socket: net.Socket
-  readonly rpc: JSONRPCClient
   /** Whether the link is established; before that, no part of a call has left this host. */
   readonly connected: () => boolean
-  /** Records that a call is sent. */
-  readonly recordCall: () => void
+  /** Sends a request and waits for the answer. */
+  readonly request: (method: PeerMethod, params: unknown, timeoutMs: number) => Promise<CallEnd>
+  /** Ends the calls in progress with an error. */
+  readonly endCalls: (message: string) => void
   /** Time since the first call after the last received message. */
   readonly unresponsiveMs: () => number
 }
@@ -79,40 +82,26 @@
   let currentLink: OpenLink | undefined
   const closeLink = (link: OpenLink, failure: Error): void => {
     if (currentLink === link) currentLink = undefined
-    link.rpc.rejectAllPendingRequests(failure.message)
+    link.endCalls(failure.message)
     link.socket.destroy()
   }
   const connect = (): OpenLink => {
     const socket = connectSocket(address, security)
-    const rpc = new JSONRPCClient(request => { writeLine(socket, request) })
-    let connected = false
-    socket.once(security === undefined ? 'connect' : 'secureConnect', () => { connected = true })
-    let unansweredSinceMs: number | undefined
-    const link: OpenLink = {
-      socket,
-      rpc,
-      connected: () => connected,
-      recordCall: () => { unansweredSinceMs ??= timers.nowMs() },
-      unresponsiveMs: () => unansweredSinceMs === undefined ? 0 : timers.nowMs() - unansweredSinceMs
-    }
-    readLines(socket, line => {
-      unansweredSinceMs = undefined
-      parseLine(line, value => { rpc.receive(value) }, () => { closeLink(link, new Error('received a line that is not JSON')) })
-    })
-    socket.on('error', error => { closeLink(link, error) })
-    socket.on('close', () => { closeLink(link, new Error('link closed')) })
+    const link = openLink(socket, security === undefined ? 'connect' : 'secureConnect', timers, failure => { closeLink(link, failure) })
     return link
   }
   return {
     async call (method, params, timeoutMs) {
       currentLink ??= connect()
       const link = currentLink
-      link.recordCall()
-      const result = await withTimeout(timers, timeoutMs, Promise.resolve(link.rpc.request(method, shorten(params))))
-        .catch(error => { throw new WireError(link.connected() ? 'lost' : 'refused', `the link to ${address.ip}:${address.port} was lost`, asError(error)) })
-      if (result.kind === 'done') return decodeResult(method, restoredResult(result.value, address))
-      if (link.unresponsiveMs() >= unresponsiveLinkMs) closeLink(link, new Error('link unresponsive'))
-      throw new WireError(link.connected() ? 'overdue' : 'refused', `${address.ip}:${address.port} did not respond to ${method} in ${timeoutMs} ms`)
+      const end = await link.request(method, params, timeoutMs)
+      switch (end.kind) {
+        case 'result': return receivedResult(method, end.value)
+        case 'error': throw new WireError(link.connected() ? 'lost' : 'refused', `the link to ${address.ip}:${address.port} was lost`, new Error(end.message))
+        case 'overdue':
+          if (link.unresponsiveMs() >= unresponsiveLinkMs) closeLink(link, new Error('link unresponsive'))
+          throw new WireError(link.connected() ? 'overdue' : 'refused', `${address.ip}:${address.port} did not respond to ${method} in ${timeoutMs} ms`)
+      }
     },
     unresponsiveMs: () => currentLink?.unresponsiveMs() ?? 0,
     disconnect () {
@@ -124,6 +113,41 @@
   }
 }
 
+function openLink (socket: net.Socket, connectedEvent: 'connect' | 'secureConnect', timers: TimerService, onClose: (failure: Error) => void): OpenLink {
+  const waiting = new Map<unknown, (end: CallEnd) => void>()
+  let connected = false
+  let requests = 0
+  let unansweredSinceMs: number | undefined
+  const endCall = (id: unknown, end: CallEnd): void => {
+    waiting.get(id)?.(end)
+    waiting.delete(id)
+  }
+  socket.once(connectedEvent, () => { connected = true })
+  readLines(socket, line => {
+    unansweredSinceMs = undefined
+    const answer = answerIn(line)
+    if (answer === undefined) onClose(new Error('received a line that is not JSON'))
+    else endCall(answer.id, answer)
+  })
+  socket.on('error', onClose)
+  socket.on('close', () => { onClose(new Error('link closed')) })
+  return {
+    socket,
+    connected: () => connected,
+    request: (method, params, timeoutMs) => new Promise(resolve => {
+      unansweredSinceMs ??= timers.nowMs()
+      const id = ++requests
+      socket.write(requestText(id, method, params) + '\n')
+      const cancel = timers.after(timeoutMs, { send: () => { endCall(id, { kind: 'overdue' }); return 'accepted' } })
+      waiting.set(id, end => { cancel(); resolve(end) })
+    }),
+    endCalls (message) {
+      for (const id of [...waiting.keys()]) endCall(id, { kind: 'error', id, message })
+    },
+    unresponsiveMs: () => unansweredSinceMs === undefined ? 0 : timers.nowMs() - unansweredSinceMs
+  }
+}
+
 /**
  * Listens for other proxies.
  * @param address - the address to listen on; port 0 selects a free port
@@ -176,37 +200,39 @@
 }
 
 function serveRequests (socket: net.Socket, handlers: PeerHandlers, onError: (error: Error) => void): void {
-  const rpc = new JSONRPCServer({ errorListener: (_message, error) => { onError(asError(error)) } })
-  for (const method of Object.keys(handlers) as readonly PeerMethod[]) addMethod(rpc, handlers, method)
   readLines(socket, line => {
-    void serveLine(socket, rpc, line).catch(() => { socket.destroy() })
+    void serveLine(socket, handlers, onError, line).catch(() => { socket.destroy() })
   })
 }
 
-// A line that is no request, or whose response can't be written, ends its link and
+// A line that is no request, or whose answer can't be written, ends its link and
 // nothing else.
-async function serveLine (socket: net.Socket, rpc: JSONRPCServer, line: string): Promise<void> {
-  const response = await rpc.receive(JSON.parse(line) as JSONRPCRequest)
-  if (response !== null && socket.writable) writeLine(socket, response)
+async function serveLine (socket: net.Socket, handlers: PeerHandlers, onError: (error: Error) => void, line: string): Promise<void> {
+  const request = parseRequest(line)
+  const answer = await answerTo(request, handlers, onError)
+  if (request.id !== undefined && socket.writable) socket.write(answer + '\n')
 }
 
-function addMethod<M extends PeerMethod> (rpc: JSONRPCServer, handlers: PeerHandlers, method: M): void {
-  rpc.addMethod(method, async (params: unknown) => shorten(await handlers[method](decodeParams(method, restore(params)))))
-}
-
-// A result may be nested too deeply to be restored.
-function restoredResult (value: unknown, address: Address): unknown {
+async function answerTo (request: RpcRequest, handlers: PeerHandlers, onError: (error: Error) => void): Promise<string> {
+  if (request.kind === 'invalid') return errorText(request.id, invalidRequestCode, 'Invalid Request')
+  const { id, method, params } = request
+  if (!isMethod(handlers, method)) return errorText(id, unknownMethodCode, 'Method not found')
   try {
-    return restore(value)
+    return resultText(id, await handlers[method](receivedParams(method, params) as never))
   } catch (error) {
-    throw new WireError('rejected', `${address.ip}:${address.port} sent a malformed result`, asError(error))
+    onError(asError(error))
+    return errorText(id, failedMethodCode, asError(error).message)
   }
 }
 
-function parseLine (line: string, onValue: (value: never) => void, onMalformed: () => void): void {
+function isMethod (handlers: PeerHandlers, method: unknown): method is PeerMethod {
+  return typeof method === 'string' && Object.hasOwn(handlers, method)
+}
+
+function answerIn (line: string): RpcAnswer | undefined {
   try {
-    onValue(JSON.parse(line) as never)
+    return parseAnswer(line)
   } catch {
-    onMalformed()
+    return undefined
   }
 }
