--- a/bench/slopes-members.ts
+++ b/bench/slopes-members.ts
@@ -110,7 +110,7 @@
   let state = start()
   return {
     accounts: accountCount,
-    'admit us': timeOf(runs, at => { state = limitsStep(state, { kind: 'admit', account: `account-${at % 100}`, id: 'r', deadlineMs: Infinity, nowMs: 60_000 + at }).state }).toFixed(1),
+    'admit us': timeOf(runs, at => { state = limitsStep(state, { kind: 'admit', account: `account-${at % 100}`, id: 'r', deadlineMs: Infinity, mode: 'local', nowMs: 60_000 + at }).state }).toFixed(1),
     'borrow request us': timeOf(runs, at => {
       const request = { account: `account-${at % 10}`, purpose: 'use', sequence: at, held: { ratePerS: 0, capacity: 0 }, answered: 0, want: { ratePerS: 1, capacity: 1 }, wantTokens: 1, aheadTokens: 0, returnedTokens: 0, isUrgent: false } as const
       state = limitsStep(state, { kind: 'borrowRequested', callId: 'c', from: `host-${at % count}`, incarnation: 'a', request, nowMs: 70_000 + at }).state
--- a/docs/examples/embed-request-pipe.ts
+++ b/docs/examples/embed-request-pipe.ts
@@ -59,6 +59,9 @@
     sleep: async () => {},
     configuration: () => ({ manifest: exampleManifest, confirmed: true }),
     admit: async () => undefined,
+    admitOrDelegate: async () => ({ kind: 'admitted' }),
+    dispatcherSupport: () => 'unsupported',
+    onDelegationRefused: () => {},
     routing: database => ({ primary: { database, term: 1, primary: 's1' }, dispatchers: new Map([['s1', 'here']]), applied: new Map() }),
     execute: async (_home, asked) => ({
       kind: 'replied',
--- a/src/daemon/components.ts
+++ b/src/daemon/components.ts
@@ -13,6 +13,7 @@
 import type { LimitsTask } from './limits-task.js'
 import type { MembersTask } from './members-task.js'
 import type { PeerLinks } from './peers.js'
+import type { PeerSupportTable } from './peer-support.js'
 import type { Reports } from './reports.js'
 import type { RoutingTable } from './routing.js'
 
@@ -23,6 +24,8 @@
   readonly store: ObjectStore
   readonly links: PeerLinks
   readonly members: MembersTask
+  /** Which other hosts take tokens for entry hosts. */
+  readonly peerSupport: PeerSupportTable
   readonly configuration: ConfigurationTask
   readonly databases: Databases
   readonly routing: RoutingTable
--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -9,6 +9,7 @@
 import { startAlarm, type Alarm } from '../pipe/index.js'
 import type { PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
+import { runAdmitted, type DelegatedAdmissionSpec } from './delegated-admission.js'
 import { startDatabase, type DatabaseTask } from './database-task.js'
 import { startDispatcher, type DispatcherTask } from './dispatcher-task.js'
 
@@ -16,6 +17,7 @@
 export type DatabasesSpec = {
   readonly context: DaemonContext
   readonly onPrimaryChanged: (view: PrimaryView) => void
+  readonly takeToken: DelegatedAdmissionSpec['takeToken']
   readonly onPromotionProgress: (database: DatabaseName, progress: PromotionProgress) => void
   readonly publish: (view: PrimaryView) => void
   readonly orderPromotion: (database: DatabaseName, server: ServerName) => Promise<PromotionResult>
@@ -50,6 +52,9 @@
 /** Number of hosts, in rendezvous order, that accept statements for one server. */
 const maxCandidates = 2
 
+const stoppingReply: DispatchReply = { outcome: notRun('stopping', 'this host is stopping'), transaction: undefined, newest: undefined }
+const wrongHomeReply: DispatchReply = { outcome: notRun('wrongHome', 'this host does not dispatch for the server'), transaction: undefined, newest: undefined }
+
 /** The databases that are assigned to this host. */
 export class Databases {
   readonly #spec: DatabasesSpec
@@ -133,7 +138,12 @@
    */
   async execute (request: ExecuteRequest): Promise<ExecuteReply> {
     this.#lastRequestAtMs = this.#spec.context.timers.nowMs()
-    const reply = await this.#run(request)
+    const reply = await runAdmitted({
+      nowMs: this.#spec.context.timers.nowMs,
+      takeToken: this.#spec.takeToken,
+      refusal: statement => this.#refusal(statement),
+      run: async statement => await this.#run(statement)
+    }, request)
     const view = this.#entries.get(request.database)?.task.view.get()
     return {
       ...reply,
@@ -210,10 +220,17 @@
   }
 
   async #run (request: ExecuteRequest): Promise<DispatchReply> {
-    if (this.#stopping && !belongsToTransaction(request)) return { outcome: notRun('stopping', 'this host is stopping'), transaction: undefined, newest: undefined }
-    const dispatcher = this.#dispatcherFor(request)
-    if (dispatcher === undefined) return { outcome: notRun('wrongHome', 'this host does not dispatch for the server'), transaction: undefined, newest: undefined }
-    return await dispatcher.execute(request)
+    if (this.#isStoppingFor(request)) return stoppingReply
+    return await this.#dispatcherFor(request)?.execute(request) ?? wrongHomeReply
+  }
+
+  #refusal (request: ExecuteRequest): DispatchReply | undefined {
+    if (this.#isStoppingFor(request)) return stoppingReply
+    return this.#dispatcherFor(request) === undefined ? wrongHomeReply : undefined
+  }
+
+  #isStoppingFor (request: ExecuteRequest): boolean {
+    return this.#stopping && !belongsToTransaction(request)
   }
 
   #updateAssignments (): void {
--- a/src/daemon/limits-task.ts
+++ b/src/daemon/limits-task.ts
@@ -3,7 +3,8 @@
 // from and keeps their table in the platform's store. The time of an event is read
 // when the event is handled, because the host may be paused while the event waits.
 
-import { initialLimits, initialPartitions, limitsDueAtMs, limitsStep, partitionHandoverMs, partitionsDueAtMs, partitionsStep, type Confirmation, type LimitsEffect, type LimitsEvent, type LimitsState, type PartitionsEffect, type PartitionsEvent, type PartitionsState, type PartitionTable } from '../limits/index.js'
+import type { Admission } from '../admission/index.js'
+import { initialLimits, initialPartitions, limitsDueAtMs, limitsStep, partitionHandoverMs, partitionsDueAtMs, partitionsStep, type Confirmation, type AdmissionMode, type LimitsEffect, type LimitsEvent, type LimitsState, type PartitionsEffect, type PartitionsEvent, type PartitionsState, type PartitionTable } from '../limits/index.js'
 import type { ListedHost, Member } from '../members/index.js'
 import { notRun, type AccountName, type HostName, type LoanReset, type Manifest, type Outcome, type PeerParams, type PeerResult } from '../model/index.js'
 import { ask, sleep, startTask, withoutAnswered, type Port, type Reply } from '../pipe/index.js'
@@ -24,10 +25,12 @@
 /** The running limits and partitions tasks. */
 export type LimitsTask = {
   /**
-   * Takes one token; returns the refusal where no token is available by the
-   * deadline.
+   * Takes one token, or lets the dispatcher take it where the mode is `delegable`; a
+   * refusal where no token is available by the deadline.
    */
-  readonly admit: (account: AccountName, deadlineAtMs: number) => Promise<Outcome | undefined>
+  readonly admit: (account: AccountName, deadlineAtMs: number, mode: AdmissionMode) => Promise<Admission>
+  /** Records that a dispatcher refused a statement of the account for its rate. */
+  readonly delegationRefused: (account: AccountName) => void
   /** Gives up the loans of a member's previous process. */
   readonly resetLoans: (lender: HostName) => Promise<PeerResult<'resetLoans'>>
   /** Answers the borrow request of another member. */
@@ -50,17 +53,17 @@
 
 type Message =
   | { readonly kind: 'event', readonly event: Untimed<LimitsEvent> }
-  | { readonly kind: 'admitRequest', readonly account: AccountName, readonly deadlineAtMs: number, readonly reply: Reply<Outcome | undefined> }
+  | { readonly kind: 'admitRequest', readonly account: AccountName, readonly deadlineAtMs: number, readonly mode: AdmissionMode, readonly reply: Reply<Admission> }
   | { readonly kind: 'resetRequest', readonly lender: HostName, readonly reply: Reply<PeerResult<'resetLoans'>> }
   | { readonly kind: 'lendRequest', readonly params: PeerParams<'borrow'>, readonly reply: Reply<PeerResult<'borrow'>> }
 
 type Effect =
   | Extract<LimitsEffect, { readonly kind: 'borrow' }>
-  | { readonly kind: 'answerAdmit', readonly reply: Reply<Outcome | undefined>, readonly outcome: Outcome | undefined }
+  | { readonly kind: 'answerAdmit', readonly reply: Reply<Admission>, readonly admission: Admission }
   | { readonly kind: 'answerReset', readonly reply: Reply<PeerResult<'resetLoans'>>, readonly result: PeerResult<'resetLoans'> }
   | { readonly kind: 'answerLend', readonly reply: Reply<PeerResult<'borrow'>>, readonly result: PeerResult<'borrow'> }
 
-type WaitingAdmission = { readonly account: AccountName, readonly reply: Reply<Outcome | undefined> }
+type WaitingAdmission = { readonly account: AccountName, readonly mode: AdmissionMode, readonly reply: Reply<Admission> }
 
 type State = {
   readonly limits: LimitsState
@@ -125,7 +128,10 @@
     send: () => task.port.send({ kind: 'event', event: { kind: 'tick' } })
   })
   return {
-    admit: async (account, deadlineAtMs) => await ask<Message, Outcome | undefined>(task.port, reply => ({ kind: 'admitRequest', account, deadlineAtMs, reply }), notRun('queueFull', 'too many requests wait for a token')),
+    admit: async (account, deadlineAtMs, mode) => await ask<Message, Admission>(task.port, reply => ({ kind: 'admitRequest', account, deadlineAtMs, mode, reply }), { kind: 'refused', outcome: notRun('queueFull', 'too many requests wait for a token') }),
+    delegationRefused (account) {
+      send({ kind: 'delegationRefused', account })
+    },
     resetLoans: async lender => await ask<Message, PeerResult<'resetLoans'>>(task.port, reply => ({ kind: 'resetRequest', lender, reply }), { reset: undefined }),
     lend: async params => await ask<Message, PeerResult<'borrow'>>(task.port, reply => ({ kind: 'lendRequest', params, reply }), { grant: undefined }),
     applyManifest (manifest) {
@@ -165,9 +171,9 @@
   switch (message.kind) {
     case 'event': return decide(state, { ...message.event, nowMs } as LimitsEvent)
     case 'admitRequest': {
-      const { account, deadlineAtMs: deadlineMs, reply } = message
-      const admissions = new Map(state.admissions).set(id, { account, reply })
-      return decide({ ...advanced, admissions }, { kind: 'admit', account, id, deadlineMs, nowMs })
+      const { account, deadlineAtMs: deadlineMs, mode, reply } = message
+      const admissions = new Map(state.admissions).set(id, { account, mode, reply })
+      return decide({ ...advanced, admissions }, { kind: 'admit', account, id, deadlineMs, mode, nowMs })
     }
     case 'resetRequest': {
       const resets = new Map(state.resets).set(id, message.reply)
@@ -183,7 +189,7 @@
 function decide (state: State, event: LimitsEvent): Next {
   const { state: limits, effects } = limitsStep(state.limits, event)
   if (effects.length === 0) return { state: { ...state, limits }, effects: [] }
-  const admissions = withoutAnswered(state.admissions, effects.flatMap(effect => effect.kind === 'admitted' || effect.kind === 'refused' ? [effect.id] : []))
+  const admissions = withoutAnswered(state.admissions, effects.flatMap(effect => effect.kind === 'admitted' || effect.kind === 'delegated' || effect.kind === 'refused' ? [effect.id] : []))
   const loans = withoutAnswered(state.loans, effects.flatMap(effect => effect.kind === 'lend' ? [effect.callId] : []))
   const resets = withoutAnswered(state.resets, effects.flatMap(effect => effect.kind === 'loansReset' ? [effect.callId] : []))
   return { state: { ...state, limits, admissions, loans, resets }, effects: effects.flatMap(effect => toEffects(state, effect)) }
@@ -192,8 +198,9 @@
 function toEffects (state: State, effect: LimitsEffect): readonly Effect[] {
   switch (effect.kind) {
     case 'borrow': return [effect]
-    case 'admitted': return answerAdmit(state, effect.id, () => undefined)
-    case 'refused': return answerAdmit(state, effect.id, account => notRun('rateExceeded', `${account} is above its rate; retry after ${Math.ceil(effect.retryAfterMs)} ms`))
+    case 'admitted': return answerAdmit(state, effect.id, () => ({ kind: 'admitted' }))
+    case 'delegated': return answerAdmit(state, effect.id, () => ({ kind: 'delegated' }))
+    case 'refused': return answerAdmit(state, effect.id, admission => ({ kind: 'refused', outcome: refusalOf(admission, effect) }))
     case 'loansReset': {
       const reply = state.resets.get(effect.callId)
       return reply === undefined ? [] : [{ kind: 'answerReset', reply, result: { reset: { clearInMs: effect.clearInMs, unusedMs: effect.unusedMs } } }]
@@ -205,15 +212,22 @@
   }
 }
 
-function answerAdmit (state: State, id: string, outcome: (account: AccountName) => Outcome | undefined): readonly Effect[] {
+// The entry host of a delegated statement may be confirmed where this host is not; it
+// then takes the token itself.
+function refusalOf ({ account, mode }: WaitingAdmission, { cause, retryAfterMs }: Extract<LimitsEffect, { readonly kind: 'refused' }>): Outcome {
+  if (mode === 'delegated' && cause === 'unconfirmed') return notRun('unconfirmedConfiguration', 'the configuration of the dispatcher is not confirmed')
+  return notRun('rateExceeded', `${account} is above its rate; retry after ${Math.ceil(retryAfterMs)} ms`)
+}
+
+function answerAdmit (state: State, id: string, admission: (waiting: WaitingAdmission) => Admission): readonly Effect[] {
   const waiting = state.admissions.get(id)
-  return waiting === undefined ? [] : [{ kind: 'answerAdmit', reply: waiting.reply, outcome: outcome(waiting.account) }]
+  return waiting === undefined ? [] : [{ kind: 'answerAdmit', reply: waiting.reply, admission: admission(waiting) }]
 }
 
 function perform (spec: LimitsTaskSpec, effect: Effect, port: Port<Message>): void {
   switch (effect.kind) {
     case 'borrow': return void borrow(spec, effect, port)
-    case 'answerAdmit': return effect.reply(effect.outcome)
+    case 'answerAdmit': return effect.reply(effect.admission)
     case 'answerReset': return effect.reply(effect.result)
     case 'answerLend': return effect.reply(effect.result)
   }
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -2,9 +2,10 @@
 // and stops without interrupting a request.
 
 import { randomBytes, randomUUID } from 'node:crypto'
+import { ownFeatures, type Admission } from '../admission/index.js'
 import { confirmedUntilMs, contactUntilMs, containsKey, type Settings } from '../config/index.js'
 import type { PromotionProgress } from '../failover/index.js'
-import type { HostName, MemberState, PrimaryView } from '../model/index.js'
+import type { HostName, MemberState, Outcome, PrimaryView } from '../model/index.js'
 import { sleep, systemTimers } from '../pipe/index.js'
 import { updateObject, type ObjectStore, type ProxyPorts } from '../ports/index.js'
 import { Activity, type EventFields } from '../report/index.js'
@@ -26,6 +27,7 @@
 import { startObservationRelay } from './observation-relay.js'
 import { peerHandlers } from './peer-handlers.js'
 import { PeerLinks, tlsOf } from './peers.js'
+import { PeerSupportTable } from './peer-support.js'
 import { startRegistry } from './registry-task.js'
 import { executeAt, rollBack } from './remote-statements.js'
 import { startReports } from './reports.js'
@@ -124,10 +126,15 @@
   }
   const { store } = ports
   const routing = new RoutingTable()
-  const links = new PeerLinks(context, host => { members.send({ kind: 'linkFailed', host, nowMs: timers.nowMs() }) })
+  const peerSupport = new PeerSupportTable(settings.host.name, timers.nowMs)
+  const links = new PeerLinks(context, host => {
+    peerSupport.record({ kind: 'linkFailed', host })
+    members.send({ kind: 'linkFailed', host, nowMs: timers.nowMs() })
+  })
   let leader: HostName | undefined
   const databases = new Databases({
     context,
+    takeToken: async (account, deadlineAtMs) => refusalOf(await limits.admit(account, deadlineAtMs, 'delegated')),
     onPrimaryChanged: view => {
       routing.recordPrimary(view)
       if (leaderTask?.isLeader() === true) announcePrimary(context, members, links, view)
@@ -178,6 +185,7 @@
   }
   const recordPeerState = (from: MemberState, sentAtMs: number): void => {
     configuration.recordPeerState(from, sentAtMs)
+    peerSupport.record({ kind: 'stateAnswered', state: from, nowMs: timers.nowMs() })
     recordLeader(from)
   }
   const leaderTask = createLeaderTask(context, reports, isLeader => { databases.setLeader(isLeader) })
@@ -216,6 +224,7 @@
     failureDomain: settings.host.failureDomain,
     incarnation: context.incarnation,
     state: stopping() ? 'stopping' : 'serving',
+    features: ownFeatures,
     ...(leaderTask === undefined ? {} : { holdsDuty: leaderTask.isLeader(), lease: leaderTask.renewal() }),
     ...configuration.advertised()
   })
@@ -239,7 +248,12 @@
   const observationRelay = { context, links, databases, routing }
   if (ports.driver.statusDelivery === 'polled') startObservationRelay(observationRelay)
   reports.attach({ store, members, configuration, databases, routing, links, stopping })
-  return { context, reports, store, links, members, configuration, databases, routing, limits, effectiveManifest, leaderTask, discovery, registry, observationRelay, recordLeader, stopping, localState }
+  return { context, reports, store, links, members, peerSupport, configuration, databases, routing, limits, effectiveManifest, leaderTask, discovery, registry, observationRelay, recordLeader, stopping, localState }
+}
+
+// The refusal of an admission that is not delegated.
+function refusalOf (admission: Admission): Outcome | undefined {
+  return admission.kind === 'refused' ? admission.outcome : undefined
 }
 
 // Event names and the value of `what` keep the earlier word duty for the leader
@@ -318,13 +332,16 @@
 }
 
 function requestServices (components: ProxyComponents, configuration: () => ConfigurationInForce): RequestServices {
-  const { context, routing, limits } = components
+  const { context, routing, limits, peerSupport } = components
   const { timers } = context
   return {
     nowMs: timers.nowMs,
     sleep: async delayMs => { await sleep(timers, delayMs) },
     configuration,
-    admit: limits.admit,
+    admit: async (account, deadlineAtMs) => refusalOf(await limits.admit(account, deadlineAtMs, 'local')),
+    admitOrDelegate: async (account, deadlineAtMs) => await limits.admit(account, deadlineAtMs, 'delegable'),
+    dispatcherSupport: dispatcher => peerSupport.supportOf(dispatcher),
+    onDelegationRefused: limits.delegationRefused,
     routing: database => routing.view(database),
     execute: async (dispatcher, request) => await executeAt(components, dispatcher, request),
     onAppliedPosition: (server, applied) => { routing.recordApplied(server, applied, timers.nowMs()) },
--- a/src/daemon/remote-statements.ts
+++ b/src/daemon/remote-statements.ts
@@ -24,6 +24,7 @@
   try {
     const reply = await callDispatcher(components, dispatcher, request)
     components.routing.recordPrimary(reply.primary)
+    if (request.takesToken !== undefined) components.peerSupport.record({ kind: 'replied', host: dispatcher, tookToken: reply.tookToken, nowMs: components.context.timers.nowMs() })
     if (isStopping(reply)) components.members.send({ kind: 'linkFailed', host: dispatcher, nowMs: components.context.timers.nowMs() })
     return { kind: 'replied', reply }
   } catch (error) {
--- a/src/limits/account.ts
+++ b/src/limits/account.ts
@@ -95,6 +95,8 @@
   readonly sources: QuotaSources | undefined
   /** When this host last checked whether to request quota. */
   readonly checkedMs: number
+  /** Time from which this host may delegate admissions again; see delegation.ts. */
+  readonly delegatesFromMs: number
   /** Tokens that a borrower requested for waiting requests and did not receive. */
   readonly unmet: { readonly tokens: number, readonly atMs: number }
 }
@@ -127,6 +129,7 @@
     lastShortageMs: -Infinity,
     sources: undefined,
     checkedMs: -Infinity,
+    delegatesFromMs: -Infinity,
     unmet: { tokens: 0, atMs: -Infinity }
   }
 }
--- a/src/limits/index.ts
+++ b/src/limits/index.ts
@@ -1,6 +1,7 @@
 // Rate limits: across all hosts, no account exceeds its rate and burst.
 
 export * from './limits.js'
+export type { AdmissionMode } from './delegation.js'
 export { partitionHandoverMs } from './settings.js'
 export * from './division.js'
 export * from './partitions.js'
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -7,7 +7,8 @@
 // the quota that other owners do not need and re-lends it. Loans expire without a
 // message, first at the borrower and then at the lender, so no host needs to
 // detect the failure of another. A request that finds no token waits a short time
-// for a loan before it is rejected.
+// for a loan before it is rejected. A host without partitions of the account delegates
+// the admission to the dispatcher instead (delegation.ts).
 //
 // docs/DESIGN.md compares this design, lent quota, with two others. A leased
 // keeper, one host that holds the whole limit under a lease, is out of service
@@ -24,12 +25,13 @@
 import { accountOf, allAccounts, noAccounts, withAccount, type Accounts } from './accounts.js'
 import { requestFromCoordinator, borrowFromOwner, canReceiveTokens, missingTokens, applyAnswer, type BorrowResult } from './borrowing.js'
 import { demandRate, withRequests } from './demand.js'
+import { delegates, delegationRefused, waitingRequest, type AdmissionMode } from './delegation.js'
 import { lend } from './lending.js'
 import { isShort, neededFraction } from './quota-target.js'
 import { isSameDivision } from './division.js'
 import { quotaOwners } from './owners.js'
 import { confirmationChanged, loansCleared, ownedFractions, partitionsChanged, resetLoans } from './ownership.js'
-import { aggregationIdleMs, divisionChangeDelayMs, idleTickMs, limitsTickMs, minWaitMs, maxWaitingRequests, maxWaitMs } from './settings.js'
+import { aggregationIdleMs, divisionChangeDelayMs, idleTickMs, limitsTickMs, maxWaitingRequests } from './settings.js'
 
 /** An account with less demand requires no ticks. */
 const idleDemandPerS = 0.1
@@ -102,7 +104,9 @@
   | { readonly kind: 'partitionsChanged', readonly owned: readonly number[], readonly reacquired: ReadonlySet<number>, readonly owners: ReadonlyMap<number, HostName>, readonly tableReadSentMs: number, readonly nowMs: number }
   | { readonly kind: 'membersChanged', readonly live: readonly Member[], readonly nowMs: number }
   | { readonly kind: 'confirmationChanged', readonly confirmation: Confirmation, readonly nowMs: number }
-  | { readonly kind: 'admit', readonly account: AccountName, readonly id: string, readonly deadlineMs: number, readonly nowMs: number }
+  | { readonly kind: 'admit', readonly account: AccountName, readonly id: string, readonly deadlineMs: number, readonly mode: AdmissionMode, readonly nowMs: number }
+  /** A dispatcher has refused a delegated statement for its rate. */
+  | { readonly kind: 'delegationRefused', readonly account: AccountName, readonly nowMs: number }
   | { readonly kind: 'borrowRequested', readonly callId: string, readonly from: HostName, readonly incarnation: string, readonly request: BorrowRequest, readonly nowMs: number }
   /** Answer of a lender; without a grant also if the call failed. */
   | { readonly kind: 'borrowAnswered', readonly from: HostName, readonly account: AccountName, readonly sequence: number, readonly grant: QuotaGrant | undefined, readonly nowMs: number }
@@ -115,7 +119,10 @@
 /** Effects of the limits. */
 export type LimitsEffect =
   | { readonly kind: 'admitted', readonly id: string }
-  | { readonly kind: 'refused', readonly id: string, readonly retryAfterMs: number }
+  /** `unconfirmed`: not because of the rate; this host cannot decide. */
+  | { readonly kind: 'refused', readonly id: string, readonly retryAfterMs: number, readonly cause: 'noToken' | 'unconfirmed' }
+  /** No token was taken; the dispatcher is to take it. */
+  | { readonly kind: 'delegated', readonly id: string }
   | { readonly kind: 'borrow', readonly to: HostName, readonly request: BorrowRequest }
   /** Answer to `borrowRequested`. */
   | { readonly kind: 'lend', readonly callId: string, readonly grant: QuotaGrant | undefined }
@@ -166,7 +173,8 @@
     }
     case 'membersChanged': return { state: { ...state, members: event.live }, effects: [] }
     case 'confirmationChanged': return { state: confirmationChanged(state, event.confirmation, event.nowMs), effects: [] }
-    case 'admit': return admit(state, event.account, waitingRequest(event.id, event.deadlineMs, event.nowMs), event.nowMs)
+    case 'admit': return admit(state, event)
+    case 'delegationRefused': return { state: delegationRefused(state, event.account, event.nowMs), effects: [] }
     case 'borrowRequested': return borrowRequested(state, event)
     case 'borrowAnswered': return borrowAnswered(state, event)
     case 'loansCleared': return { state: loansCleared(state, event), effects: [] }
@@ -203,32 +211,32 @@
   return refreshed({ ...before, limit, ownedFractions: fractions, ceiling })
 }
 
-function refusal (account: AccountLimit, id: string): LimitsEffect {
+function refusal (account: AccountLimit, id: string, cause: 'noToken' | 'unconfirmed' = 'noToken'): LimitsEffect {
   const ratePerS = Math.max(account.available.ratePerS, account.limit.ratePerS / 2)
   const missing = account.waiting.length + 1 - account.level
   const retryAfterMs = Math.min(retryMs.max, Math.max(retryMs.min, Math.ceil(missing * 1000 / ratePerS)))
-  return { kind: 'refused', id, retryAfterMs }
+  return { kind: 'refused', id, retryAfterMs, cause }
 }
 
-function admit (state: LimitsState, name: AccountName, request: WaitingRequest, nowMs: number): Next {
+function admit (state: LimitsState, event: Extract<LimitsEvent, { readonly kind: 'admit' }>): Next {
+  const { account: name, mode, nowMs } = event
+  const request = waitingRequest(event)
   const known = accountOf(state.accounts, name)
-  if (known === undefined || nowMs >= state.confirmation.confirmedUntilMs) return { state, effects: [{ kind: 'refused', id: request.id, retryAfterMs: retryMs.max }] }
-  const current = advanced(known, nowMs)
-  const requested = { ...current, demand: withRequests(current.demand, nowMs) }
+  if (known === undefined || nowMs >= state.confirmation.confirmedUntilMs) return { state, effects: [{ kind: 'refused', id: request.id, retryAfterMs: retryMs.max, cause: 'unconfirmed' }] }
+  const current = mode === 'delegable' ? withSources(state, advanced(known, nowMs)).located : advanced(known, nowMs)
+  const isDelegated = mode === 'delegable' && delegates(state, current, nowMs)
+  const requested = isDelegated ? current : { ...current, demand: withRequests(current.demand, nowMs) }
   if (requested.waiting.length === 0 && hasToken(requested)) {
     const next = { ...state, accounts: withAccount(state.accounts, withoutToken(requested)) }
     return { state: activated(next, name), effects: [{ kind: 'admitted', id: request.id }] }
   }
+  if (isDelegated) return { state: { ...state, accounts: withAccount(state.accounts, requested) }, effects: [{ kind: 'delegated', id: request.id }] }
   if (requested.waiting.length >= maxWaitingRequests) {
     return { state: { ...state, accounts: withAccount(state.accounts, requested) }, effects: [refusal(requested, request.id)] }
   }
   return serveWaiting(activated(state, name), { ...requested, waiting: [...requested.waiting, request] }, nowMs)
 }
 
-function waitingRequest (id: string, deadlineMs: number, nowMs: number): WaitingRequest {
-  return { id, minWaitUntilMs: Math.min(deadlineMs, nowMs + minWaitMs), maxWaitUntilMs: Math.min(deadlineMs, nowMs + maxWaitMs) }
-}
-
 // A lender that has not answered yet may have tokens. One that answered has none,
 // except shortly after its first empty answer, while it aggregates quota.
 function cannotObtainToken (account: AccountLimit, request: WaitingRequest, nowMs: number): boolean {
@@ -248,7 +256,7 @@
   let current = account
   for (const request of account.waiting) {
     if (request.maxWaitUntilMs <= nowMs || !isConfirmed) {
-      effects.push(refusal(current, request.id))
+      effects.push(refusal(current, request.id, isConfirmed ? 'noToken' : 'unconfirmed'))
     } else if (hasToken(current)) {
       effects.push({ kind: 'admitted', id: request.id })
       current = withoutToken(current)
--- a/src/limits/settings.ts
+++ b/src/limits/settings.ts
@@ -43,6 +43,16 @@
 export const maxWaitMs = 250
 /** Time for which a borrower's unmet demand makes the coordinator aggregate urgently. */
 export const unmetDemandMs = 20
+/**
+ * Time that a delegated request has spent on its way to the dispatcher and back, at
+ * most; it waits for that much less. Hops between failure domains take 1 to 3 ms.
+ */
+export const hopAllowanceMs = 10
+/**
+ * Time for which a host borrows after a dispatcher has refused a statement of the
+ * account for its rate: about the time in which its demand is smoothed.
+ */
+export const delegationPauseMs = 1000
 /** Maximum number of waiting requests of one account on one host. */
 export const maxWaitingRequests = 256
 /** Time between two requests for quota while no caller's request waits. */
--- a/src/request/admit.ts
+++ b/src/request/admit.ts
@@ -2,11 +2,13 @@
 // `statement`, statements inside a transaction take a token too, except COMMIT
 // and ROLLBACK, so that an account at its limit can still release its locks and
 // its slot. With the rate unit `operation`, a transaction takes one token when
-// it begins.
+// it begins. Where this host has no token and owns no partition of the account, the
+// token is left to the dispatcher (src/admission).
 
+import { tokenDelegated, tokenTaken } from '../admission/index.js'
 import { anonymousAccount, type StatementClass } from '../model/index.js'
 import { end, next, type Filter } from '../pipe/index.js'
-import { requestResult, type Classified, type RequestResult } from './message.js'
+import { requestResult, type Admitted, type Classified, type RequestResult } from './message.js'
 import type { RequestServices, SessionRules } from './services.js'
 
 /**
@@ -15,12 +17,16 @@
  * @param rules - defines what takes a token
  * @returns the filter
  */
-export function admit (services: Pick<RequestServices, 'admit'>, rules: SessionRules): Filter<Classified, Classified, RequestResult> {
+export function admit (services: Pick<RequestServices, 'admitOrDelegate'>, rules: SessionRules): Filter<Classified, Admitted, RequestResult> {
   return async message => {
     const { statement } = message
-    if (message.session.transaction !== undefined && isExempt(statement.statementClass.kind, rules)) return next(message)
-    const refusal = await services.admit(message.account?.name ?? anonymousAccount, statement.deadlineAtMs)
-    return refusal === undefined ? next(message) : end(requestResult(message, refusal))
+    if (message.session.transaction !== undefined && isExempt(statement.statementClass.kind, rules)) return next({ ...message, token: tokenTaken })
+    const admission = await services.admitOrDelegate(message.account?.name ?? anonymousAccount, statement.deadlineAtMs)
+    switch (admission.kind) {
+      case 'admitted': return next({ ...message, token: tokenTaken })
+      case 'delegated': return next({ ...message, token: tokenDelegated })
+      case 'refused': return end(requestResult(message, admission.outcome))
+    }
   }
 }
 
--- a/src/request/consistency.ts
+++ b/src/request/consistency.ts
@@ -11,13 +11,13 @@
 
 import { originPosition, type ReadConsistency, type Position, type RouteConsistency } from '../model/index.js'
 import { next, type Filter } from '../pipe/index.js'
-import type { Classified, ConsistencyResolved, RequestResult } from './message.js'
+import type { Admitted, Classified, ConsistencyResolved, RequestResult } from './message.js'
 
 /**
  * Creates the consistency filter.
  * @returns the filter
  */
-export function resolveConsistency (): Filter<Classified, ConsistencyResolved, RequestResult> {
+export function resolveConsistency (): Filter<Admitted, ConsistencyResolved, RequestResult> {
   return message => next({ ...message, consistency: consistencyOf(message) })
 }
 
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -1,6 +1,7 @@
 // Last filter: sends the statement to the dispatcher of a server and retries,
 // where that is safe, until there is an answer or the deadline passes.
 
+import type { TokenState } from '../admission/index.js'
 import { anonymousAccount, notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecutionMode, type ReadConsistency, type NotRunReason, type Outcome, type ServerName, type StatementClass } from '../model/index.js'
 import { end, type Filter } from '../pipe/index.js'
 import type { ConsistencyResolved, RequestResult } from './message.js'
@@ -8,6 +9,7 @@
 import { chooseRoute, type Route } from './route.js'
 import { raiseMinPosition, type OpenTransaction, type SessionState } from './session.js'
 import type { RequestBounds, RequestServices } from './services.js'
+import { sendWithToken, type TokenResult } from './token.js'
 
 /**
  * Upper bound of the delay before the second attempt; doubles with each
@@ -18,7 +20,7 @@
 /** Weight in the fair queue of callers without a key. */
 const anonymousWeight = 1
 
-type Services = Pick<RequestServices, 'nowMs' | 'sleep' | 'routing' | 'execute' | 'onAppliedPosition' | 'random'>
+type Services = Pick<RequestServices, 'nowMs' | 'sleep' | 'routing' | 'execute' | 'onAppliedPosition' | 'random' | 'admit' | 'dispatcherSupport' | 'onDelegationRefused'>
 
 /** Result of the attempts for one statement so far. */
 type Progress = {
@@ -27,6 +29,7 @@
   readonly mayHaveRun: boolean
   readonly reason: NotRunReason
   readonly consistency: ReadConsistency
+  readonly token: TokenState
 }
 
 /**
@@ -45,11 +48,11 @@
 
 async function runOutsideTransaction (services: Services, bounds: RequestBounds, message: ConsistencyResolved): Promise<RequestResult> {
   const repeatable: Repeatable = isRepeatable(message.statement.statementClass) && !message.statement.hints.once ? 'yes' : 'no'
-  let progress: Progress = { attempts: 0, avoid: new Set(), mayHaveRun: false, reason: 'deadlinePassed', consistency: message.consistency }
+  let progress: Progress = { attempts: 0, avoid: new Set(), mayHaveRun: false, reason: 'deadlinePassed', consistency: message.consistency, token: message.token }
   for (;;) {
     if (services.nowMs() >= message.statement.deadlineAtMs) return deadlineExceeded(message, progress)
     const route = chooseRoute(routingInput(services, bounds, message, progress), services.routing(message.database.name))
-    const attempt = await attemptOnce(services, bounds, message, route)
+    const { attempt, token } = await attemptOnce(services, bounds, message, route, progress.token)
     const decision = decideRetry(attempt, repeatable)
     if (decision.kind === 'answer') return statementResult(message, decision.outcome, route, attempt)
     progress = {
@@ -57,7 +60,8 @@
       avoid: decision.avoidServer && route.kind === 'send' ? new Set([...progress.avoid, route.server]) : progress.avoid,
       mayHaveRun: progress.mayHaveRun || decision.mayHaveRun,
       reason: decision.reason,
-      consistency: consistencyAfter(progress.consistency, attempt)
+      consistency: consistencyAfter(progress.consistency, attempt),
+      token
     }
     if (needsDelay(decision.reason, progress)) await services.sleep(retryDelayMs(progress.attempts, services.random()))
   }
@@ -90,8 +94,14 @@
   }
 }
 
-async function attemptOnce (services: Services, bounds: RequestBounds, message: ConsistencyResolved, route: Route): Promise<AttemptResult> {
-  if (route.kind === 'none') return { kind: 'noRoute', missing: route.missing }
+// The token of the statement is taken with the attempt, here or at the dispatcher.
+async function attemptOnce (services: Services, bounds: RequestBounds, message: ConsistencyResolved, route: Route, token: TokenState): Promise<TokenResult> {
+  if (route.kind === 'none') return { attempt: { kind: 'noRoute', missing: route.missing }, token }
+  const use = { account: accountName(message), deadlineAtMs: message.statement.deadlineAtMs, dispatcher: route.dispatcher, token }
+  return await sendWithToken(services, use, async takesToken => await sendTo(services, bounds, message, route, takesToken))
+}
+
+async function sendTo (services: Services, bounds: RequestBounds, message: ConsistencyResolved, route: Extract<Route, { readonly kind: 'send' }>, takesToken: boolean | undefined): Promise<AttemptResult> {
   const attempt = await services.execute(route.dispatcher, {
     from: bounds.self,
     database: message.database.name,
@@ -101,7 +111,8 @@
     statement: { id: message.statement.id, text: message.statement.text, prepared: message.prepared },
     values: message.session.values,
     mode: route.mode,
-    remainingMs: message.statement.deadlineAtMs - services.nowMs()
+    remainingMs: message.statement.deadlineAtMs - services.nowMs(),
+    takesToken
   })
   if (attempt.kind === 'replied' && attempt.reply.applied !== undefined) services.onAppliedPosition(route.server, attempt.reply.applied)
   return attempt
@@ -156,7 +167,7 @@
   if (statementClass.kind === 'begin') return { outcome: notRun('unsupported', 'a transaction is already open'), session: message.session }
   const mode = transactionMode(statementClass, transaction)
   const route: Route = { kind: 'send', server: transaction.server, dispatcher: transaction.dispatcher, mode }
-  const attempt = await attemptOnce(services, bounds, message, route)
+  const { attempt } = await attemptOnce(services, bounds, message, route, message.token)
   return transactionResult(message, transaction, mode, attempt)
 }
 
@@ -192,6 +203,7 @@
   const lost: SessionState = { ...message.session, transaction: { ...transaction, state: 'failed' } }
   switch (attempt.kind) {
     case 'replied': return replyResult(message, transaction, mode, attempt.reply)
+    case 'refused': return { outcome: attempt.outcome, session: message.session }
     case 'unsent':
     case 'noRoute': return { outcome: notRun('transactionLost', 'the transaction was lost and is rolled back'), session: mode.kind === 'inTransaction' ? lost : ended }
     case 'lost': {
--- a/src/request/message.ts
+++ b/src/request/message.ts
@@ -1,6 +1,7 @@
 // Messages of the request pipe. Each filter takes one message type and passes on
 // the next, which adds what the filter has determined.
 
+import type { TokenState } from '../admission/index.js'
 import type { AccountDeclaration, StatementWithDeadline, DatabaseDeclaration, ReadConsistency, IncomingStatement, Outcome, RouteDeclaration, ServerStatement } from '../model/index.js'
 import type { SessionState } from './session.js'
 
@@ -24,8 +25,13 @@
   readonly prepared: ServerStatement['prepared']
 }
 
+/** A statement within its account's rate, as far as the entry host decides that. */
+export type Admitted = Classified & {
+  readonly token: TokenState
+}
+
 /** A statement with its read consistency. */
-export type ConsistencyResolved = Classified & {
+export type ConsistencyResolved = Admitted & {
   readonly consistency: ReadConsistency
 }
 
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -12,6 +12,8 @@
   | { readonly kind: 'unsent' }
   /** The dispatcher may have received the statement, but no answer came. */
   | { readonly kind: 'lost' }
+  /** No token was available on this host; nothing was sent. */
+  | { readonly kind: 'refused', readonly outcome: Outcome }
   /** See `none` of `Route`. */
   | { readonly kind: 'noRoute', readonly missing: Extract<Route, { readonly kind: 'none' }>['missing'] }
 
@@ -32,6 +34,7 @@
 export function decideRetry (attempt: AttemptResult, repeatable: Repeatable): RetryDecision {
   switch (attempt.kind) {
     case 'noRoute': return decideWithoutRoute(attempt.missing)
+    case 'refused': return { kind: 'answer', outcome: attempt.outcome }
     case 'unsent': return { kind: 'retry', avoidServer: true, mayHaveRun: false, reason: 'noServer' }
     case 'lost': return decideAfterLoss(unknownOutcome('connectionLost', 'the connection was lost while the statement ran'), repeatable)
     case 'replied': return decideAfterOutcome(attempt.reply.outcome, repeatable)
--- a/src/request/services.ts
+++ b/src/request/services.ts
@@ -1,6 +1,7 @@
 // Services that the request pipe needs from the tasks around it. The daemon
 // supplies the real ones; tests and embedders supply their own.
 
+import type { Admission, PeerSupport } from '../admission/index.js'
 import type { AccountName, DatabaseName, ExecuteRequest, MinPositions, HostName, Manifest, Outcome, Position, ServerName } from '../model/index.js'
 import type { AttemptResult } from './retry.js'
 import type { RoutingView } from './route.js'
@@ -23,6 +24,12 @@
    * request is refused.
    */
   readonly admit: (account: AccountName, deadlineAtMs: number) => Promise<Outcome | undefined>
+  /** As `admit`, but without a token here it may leave the token to the dispatcher. */
+  readonly admitOrDelegate: (account: AccountName, deadlineAtMs: number) => Promise<Admission>
+  /** Whether a dispatcher takes tokens for entry hosts. */
+  readonly dispatcherSupport: (dispatcher: HostName) => PeerSupport
+  /** Called with the account of a statement that a dispatcher refused for its rate. */
+  readonly onDelegationRefused: (account: AccountName) => void
   readonly routing: (database: DatabaseName) => RoutingView
   readonly execute: (dispatcher: HostName, request: ExecuteRequest) => Promise<AttemptResult>
   /** Called with the applied position of a server that a reply contains. */
--- a/standins/fleet/set.ts
+++ b/standins/fleet/set.ts
@@ -28,6 +28,8 @@
 /** Options of a set. */
 export type FleetOptions = {
   readonly hosts: number
+  /** Processor share of each host, in turn. */
+  readonly cpuShares: readonly number[]
   readonly times: GroupTimes
   readonly configuration: FleetConfiguration
   /** Path of the proxy program. */
@@ -47,6 +49,7 @@
 /** Three hosts, servers with short delays and one client account. */
 export const defaultFleetOptions: FleetOptions = {
   hosts: 3,
+  cpuShares: [1],
   times: { receiveMs: 2, applyMs: 5, promoteMs: 100 },
   configuration: { version: 3, keys: { bindery: ['key-of-bindery'] }, ratePerS: 1000, burst: 1000, maxConnections: 60 },
   program: builtProgram('platform/main.js'),
@@ -187,13 +190,13 @@
 }
 
 /** What all proxies of a set share. */
-type ProxyPlace = Pick<FleetOptions, 'program' | 'bounds' | 'pace'> & {
+type ProxyPlace = Pick<FleetOptions, 'program' | 'bounds' | 'pace' | 'cpuShares'> & {
   readonly folder: string
   readonly storePort: number
   readonly promotionsPort: number
 }
 
-async function spawnFleetProxy ({ folder, program, bounds, pace, storePort, promotionsPort }: ProxyPlace, at: number): Promise<FleetProxy> {
+async function spawnFleetProxy ({ folder, program, bounds, pace, cpuShares, storePort, promotionsPort }: ProxyPlace, at: number): Promise<FleetProxy> {
   const name = `entry-${at + 1}`
   const [peerPort = 0, callerPort = 0, readinessPort = 0] = await freePorts(3)
   const file = join(folder, `${name}.toml`)
@@ -203,6 +206,7 @@
 failure_domain = "${zones[at % zones.length] ?? ''}"
 ip = "127.0.0.1"
 peer_port = ${peerPort}
+cpu_share = ${cpuShares[at % cpuShares.length] ?? 1}
 
 [listen]
 callers = "127.0.0.1:${callerPort}"
--- a/test/limits/fuzz.test.ts
+++ b/test/limits/fuzz.test.ts
@@ -1,7 +1,8 @@
 // Stateful fuzzing of the limits against two oracles: a single token bucket for
 // the whole fleet, which checks the admissions, and the sum of the quota
 // available on all hosts at any moment, which detects quota that two hosts hold
-// at once even before too many requests are admitted.
+// at once even before too many requests are admitted. Where only some hosts own
+// partitions, the others delegate admissions to dispatchers.
 
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
@@ -22,6 +23,7 @@
 const action = fc.oneof(
   { weight: 6, arbitrary: fc.record({ kind: fc.constant('burst' as const), host, account: fc.nat({ max: 1 }), count: fc.integer({ min: 1, max: 80 }) }) },
   { weight: 6, arbitrary: fc.record({ kind: fc.constant('flow' as const), host, account: fc.nat({ max: 1 }), ratePerS: fc.integer({ min: 5, max: 200 }), forMs: fc.integer({ min: 200, max: 4000 }) }) },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('delegated' as const), host, dispatcher: host, account: fc.nat({ max: 1 }), count: fc.integer({ min: 1, max: 80 }), gapMs: fc.constantFrom(0, 5, 50) }) },
   { weight: 3, arbitrary: fc.record({ kind: fc.constant('cut' as const), host, peer: host }) },
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('network' as const), lossRate: fc.constantFrom(0, 0.1, 0.5), delayMs: fc.constantFrom(1, 40, 700) }) },
   { weight: 3, arbitrary: fc.record({ kind: fc.constant('pause' as const), host }) },
@@ -58,11 +60,12 @@
 type FuzzResult = { readonly excessTokens: number, readonly overAllocation: number }
 
 /** Performs the actions and returns the largest excess over the limits. */
-function runActions (actions: readonly Action[], seed: number): FuzzResult {
+function runActions (actions: readonly Action[], seed: number, capableHosts: number): FuzzResult {
   const cuts = new Set<string>()
   let network: Link = { isCut: false, lossRate: 0, delayMs: 1 }
   const fleet = limitFleet({
     hosts,
+    capableHosts,
     seed,
     drift,
     manifest: accountsManifest(12, accounts),
@@ -91,6 +94,10 @@
         for (let inMs = 0; inMs < next.forMs; inMs += gapMs) fleet.at(fleet.now() + inMs, () => fleet.request(nameOf(next.host), accounts[next.account]?.name ?? 'mill'))
         return
       }
+      case 'delegated': {
+        for (let count = 0; count < next.count; count += 1) fleet.at(fleet.now() + count * next.gapMs, () => fleet.requestVia(nameOf(next.host), nameOf(next.dispatcher), accounts[next.account]?.name ?? 'mill'))
+        return
+      }
       case 'cut': {
         const link = `${nameOf(next.host)}/${nameOf(next.peer)}`
         if (!cuts.delete(link)) cuts.add(link)
@@ -135,10 +142,10 @@
   return { excessTokens: Math.max(...excess), overAllocation: maxOverAllocation }
 }
 
-for (const seed of [11, 12, 13]) {
-  test(`no account exceeds burst + rate * window under any fault (seed ${seed})`, () => {
+for (const [seed, capableHosts] of [[11, hosts], [12, hosts], [13, hosts], [14, 2], [15, 3]] as const) {
+  test(`no account exceeds burst + rate * window under any fault (seed ${seed}, partitions on ${capableHosts} hosts)`, () => {
     fc.assert(fc.property(fc.array(action, { minLength: 10, maxLength: 60, size: 'max' }), fc.integer(), (actions, simulationSeed) => {
-      const result = runActions(actions, simulationSeed)
+      const result = runActions(actions, simulationSeed, capableHosts)
       assert.ok(result.excessTokens < 1e-3, `${result.excessTokens} tokens above the limit`)
       assert.ok(result.overAllocation < 1e-6, `${result.overAllocation} of a limit allocated twice`)
     }), { seed, numRuns: 60, endOnFailure: true })
--- a/test/limits/limits.test.ts
+++ b/test/limits/limits.test.ts
@@ -192,7 +192,7 @@
   const returning = borrowRequest(6, { held: { ratePerS: 0, capacity: 0 }, want: { ratePerS: 0, capacity: 0 }, wantTokens: 0, returnedTokens: 50, isUrgent: false })
   const levelOf = (state: LimitsState): number => (accountOf(state.accounts, 'mill') as AccountLimit).level
   const empty = Array.from({ length: 100 }, (_, at) => at).reduce<LimitsState>((state, at) =>
-    limitsStep(state, { kind: 'admit', account: 'mill', id: String(at), deadlineMs: Infinity, nowMs: laterMs }).state, singleOwner())
+    limitsStep(state, { kind: 'admit', account: 'mill', id: String(at), deadlineMs: Infinity, mode: 'local', nowMs: laterMs }).state, singleOwner())
   assert.ok(levelOf(empty) < 1)
   assert.ok(levelOf(borrow(empty, returning, laterMs).after) < 1)
   const lent = borrow(singleOwner(), borrowRequest(5), laterMs)
@@ -226,7 +226,7 @@
 test('a host that is behind a newer manifest admits and lends nothing, and keeps its partitions for the time after', () => {
   const confirmation = { confirmedUntilMs: -Infinity, contactUntilMs: laterMs + 5000 }
   const behind = limitsStep(singleOwner(), { kind: 'confirmationChanged', confirmation, nowMs: laterMs }).state
-  const admit = (state: LimitsState, nowMs: number): readonly string[] => limitsStep(state, { kind: 'admit', account: 'mill', id: 'r', deadlineMs: Infinity, nowMs }).effects.map(({ kind }) => kind)
+  const admit = (state: LimitsState, nowMs: number): readonly string[] => limitsStep(state, { kind: 'admit', account: 'mill', id: 'r', deadlineMs: Infinity, mode: 'local', nowMs }).effects.map(({ kind }) => kind)
   assert.deepEqual(admit(behind, laterMs + 10), ['refused'])
   assert.equal(borrow(behind, borrowRequest(1), laterMs + 10).grant, undefined)
   const current = limitsStep(behind, { kind: 'confirmationChanged', confirmation: confirmedUntil(laterMs + 5000), nowMs: laterMs + 500 }).state
@@ -250,7 +250,7 @@
 
 test('an unconfirmed host neither admits requests nor lends quota', () => {
   const state = limitsStep(singleOwner(), { kind: 'confirmationChanged', confirmation: confirmedUntil(laterMs + 5000), nowMs: laterMs }).state
-  const admit: LimitsEvent = { kind: 'admit', account: 'mill', id: 'r', deadlineMs: Infinity, nowMs: laterMs + 6000 }
+  const admit: LimitsEvent = { kind: 'admit', account: 'mill', id: 'r', deadlineMs: Infinity, mode: 'local', nowMs: laterMs + 6000 }
   assert.deepEqual(limitsStep(state, admit).effects.map(({ kind }) => kind), ['refused'])
   assert.equal(borrow(state, borrowRequest(1), laterMs + 6000).grant, undefined)
 })
@@ -275,7 +275,7 @@
   const fleet = limitFleet({ hosts: 1, seed: 1, manifest: accountsManifest(4, [{ name: 'mill', ratePerS: 1, burst: 1 }]) })
   fleet.run(10_000)
   const nowMs = fleet.clock('h0')
-  const admit = (id: string, deadlineMs: number): LimitsEvent => ({ kind: 'admit', account: 'mill', id, deadlineMs, nowMs })
+  const admit = (id: string, deadlineMs: number): LimitsEvent => ({ kind: 'admit', account: 'mill', id, deadlineMs, mode: 'local', nowMs })
   const events: readonly LimitsEvent[] = [admit('a', Infinity), admit('b', nowMs + 10), admit('c', Infinity), { kind: 'tick', nowMs: nowMs + 11 }, { kind: 'tick', nowMs: nowMs + 101 }]
   let state = fleet.stateOf('h0')
   const seen = events.map(event => {
@@ -325,7 +325,7 @@
     { kind: 'membersChanged', live: members, nowMs: 0 },
     { kind: 'manifestApplied', manifest: accountsManifest(2, [{ name: 'mill', ratePerS: 2, burst: 2 }]), nowMs: 0 },
     tableRead(0),
-    { kind: 'admit', account: 'mill', id: 'r1', deadlineMs: 1000, nowMs: 1 }
+    { kind: 'admit', account: 'mill', id: 'r1', deadlineMs: 1000, mode: 'local', nowMs: 1 }
   ]
   const served = events.reduce((state, event) => limitsStep(state, event).state, initialLimits(host, 0))
   const reread = limitsStep(served, tableRead(100)).state
@@ -338,7 +338,7 @@
 // Guards against SHORT: while one request waited, each tick of 10 ms copied the state of every account in use.
 test('while a request of one account waits, the other accounts keep their period', () => {
   const manifest = accountsManifest(1, [{ name: 'mill', ratePerS: 2, burst: 2 }, { name: 'inn', ratePerS: 2, burst: 2 }])
-  const admit = (account: string, nowMs: number): LimitsEvent => ({ kind: 'admit', account, id: `${account} ${nowMs}`, deadlineMs: 10_000, nowMs })
+  const admit = (account: string, nowMs: number): LimitsEvent => ({ kind: 'admit', account, id: `${account} ${nowMs}`, deadlineMs: 10_000, mode: 'local', nowMs })
   const events: readonly LimitsEvent[] = [
     { kind: 'confirmationChanged', confirmation: confirmedUntil(Infinity), nowMs: 0 },
     { kind: 'membersChanged', live: ['h-0', 'h-1'].map(host => ({ host, failureDomain: 'd', ip: '127.0.0.1', port: 1 })), nowMs: 0 },
--- a/test/request/pipe.test.ts
+++ b/test/request/pipe.test.ts
@@ -35,6 +35,9 @@
     sleep: async () => {},
     configuration: () => ({ manifest, confirmed: true }),
     admit: async () => undefined,
+    admitOrDelegate: async () => ({ kind: 'admitted' }),
+    dispatcherSupport: () => 'unsupported',
+    onDelegationRefused: () => {},
     routing: database => ({ primary: { database, term: 2, primary: 's1' }, dispatchers: new Map([['s1', 'h1'], ['s2', 'h2']]), applied: new Map() }),
     execute: async (_dispatcher, request) => {
       sent.push(request)
--- a/test/support/limit-fleet.ts
+++ b/test/support/limit-fleet.ts
@@ -2,7 +2,7 @@
 // a network with message loss, delay and cut links, and hosts that can be paused
 // and killed. Each host has its own clock.
 
-import { confirmedUntil, limitsStep, initialLimits, limitsTickMs, partitionHandoverMs, type LimitsEffect, type LimitsEvent, type LimitsState } from '../../src/limits/index.js'
+import { confirmedUntil, limitsStep, initialLimits, limitsTickMs, partitionHandoverMs, type AdmissionMode, type LimitsEffect, type LimitsEvent, type LimitsState } from '../../src/limits/index.js'
 import type { Member } from '../../src/members/index.js'
 import type { HostName, LoanReset, Manifest } from '../../src/model/index.js'
 
@@ -90,11 +90,16 @@
 /** Faults of the network link between two hosts. */
 export type Link = { readonly isCut: boolean, readonly lossRate: number, readonly delayMs: number }
 
+/** `host`: where the request waits; `entry`: where it came in. */
+type PendingRequest = { readonly account: string, readonly host: HostName, readonly entry: HostName, readonly dispatcher: HostName, readonly requestedMs: number }
+
 /** Result of one request. */
 export type AdmissionResult = { readonly account: string, readonly host: HostName, readonly requestedMs: number, readonly atMs: number, readonly isAdmitted: boolean }
 
 export type FleetOptions = {
   readonly hosts: number
+  /** The first hosts, which own all partitions and are dispatchers; all hosts by default. */
+  readonly capableHosts?: number
   readonly manifest: Manifest
   readonly seed: number
   readonly link?: (from: HostName, to: HostName) => Link
@@ -117,15 +122,16 @@
 const goodLink: Link = { isCut: false, lossRate: 0, delayMs: 1 }
 
 /** Creates a fleet; no time passes until `run` is called. */
-export function limitFleet ({ hosts, manifest, seed, link = () => goodLink, drift = 0, assignsPartitions = true, isConfirmed = true }: FleetOptions) {
+export function limitFleet ({ hosts, capableHosts = hosts, manifest, seed, link = () => goodLink, drift = 0, assignsPartitions = true, isConfirmed = true }: FleetOptions) {
   const random = randomFrom(seed)
   const queue = eventQueue()
   const names = Array.from({ length: hosts }, (_, at) => `h${at}`)
   const results: AdmissionResult[] = []
-  const pending = new Map<string, { readonly account: string, readonly host: HostName, readonly requestedMs: number }>()
-  const counts = { messages: 0, requests: 0 }
+  const pending = new Map<string, PendingRequest>()
+  /** `messages`: for quota; statements sent to dispatchers are `delegated`. */
+  const counts = { messages: 0, requests: 0, delegated: 0 }
   const clocks = new Map(names.map(name => [name, { offsetMs: random() * 1e6, speed: 1 + (2 * random() - 1) * drift }]))
-  const members: readonly Member[] = names.map((host, at) => ({ host, failureDomain: `d${at % 3}`, ip: '127.0.0.1', port: at }))
+  const members: readonly Member[] = names.map((host, at) => ({ host, failureDomain: `d${at % 3}`, ip: '127.0.0.1', port: at, capacityCores: at < capableHosts ? 1 : 0.25 }))
   const nodes = new Map<HostName, FleetNode>()
 
   function clock (host: HostName): number {
@@ -156,6 +162,10 @@
 
   function send (from: HostName, to: HostName, run: () => void): void {
     counts.messages += 1
+    transmit(from, to, run)
+  }
+
+  function transmit (from: HostName, to: HostName, run: () => void): void {
     const { isCut, lossRate, delayMs } = link(from, to)
     if (isCut || random() < lossRate) return
     const incarnation = node(to).incarnation
@@ -195,7 +205,8 @@
   function perform (host: HostName, effect: LimitsEffect): void {
     switch (effect.kind) {
       case 'admitted': return complete(effect.id, true)
-      case 'refused': return complete(effect.id, false)
+      case 'refused': return refuse(host, effect)
+      case 'delegated': return delegate(host, effect.id)
       case 'borrow': {
         const { to, request } = effect
         const callId = `${host}/${node(host).incarnation}/${request.sequence}`
@@ -218,11 +229,39 @@
     }
   }
 
+  // The statement waits at the dispatcher from now on: it may run although its entry
+  // host ends or the answer is lost.
+  function delegate (host: HostName, id: string): void {
+    const request = pending.get(id)
+    if (request === undefined) return
+    const { account, dispatcher } = request
+    counts.delegated += 1
+    pending.set(id, { ...request, host: dispatcher })
+    const run = (): void => { step(dispatcher, { kind: 'admit', account, id, deadlineMs: Infinity, mode: 'delegated', nowMs: clock(dispatcher) }) }
+    if (dispatcher === host) run()
+    else transmit(host, dispatcher, run)
+  }
+
+  // As request/token.ts: the entry host takes the token itself where the dispatcher
+  // could not decide, and borrows for a while after a refusal.
+  function refuse (host: HostName, { id, cause }: Extract<LimitsEffect, { readonly kind: 'refused' }>): void {
+    const request = pending.get(id)
+    if (request === undefined || request.entry === host) return complete(id, false)
+    const { entry, account } = request
+    if (cause === 'noToken') complete(id, false)
+    transmit(host, entry, () => {
+      if (cause === 'noToken') return step(entry, { kind: 'delegationRefused', account, nowMs: clock(entry) })
+      pending.set(id, { ...request, host: entry })
+      step(entry, { kind: 'admit', account, id, deadlineMs: Infinity, mode: 'local', nowMs: clock(entry) })
+    })
+  }
+
   function complete (id: string, isAdmitted: boolean): void {
     const request = pending.get(id)
     if (request === undefined) return
     pending.delete(id)
-    results.push({ ...request, atMs: queue.now(), isAdmitted })
+    const { account, host, requestedMs } = request
+    results.push({ account, host, requestedMs, atMs: queue.now(), isAdmitted })
   }
 
   function start (host: HostName, incarnation: number): void {
@@ -235,7 +274,7 @@
 
   function evenPartitions (host: HostName): readonly number[] {
     const at = names.indexOf(host)
-    return Array.from({ length: manifest.seats }, (_, partition) => partition).filter(partition => Math.floor(partition * hosts / manifest.seats) === at)
+    return Array.from({ length: manifest.seats }, (_, partition) => partition).filter(partition => Math.floor(partition * capableHosts / manifest.seats) === at)
   }
 
   function evenOwners (): ReadonlyMap<number, HostName> {
@@ -255,6 +294,14 @@
     queue.at(queue.now() + limitsTickMs, tick)
   }
 
+  function admit (entry: HostName, dispatcher: HostName, account: string, mode: AdmissionMode): void {
+    counts.requests += 1
+    const id = `r${counts.requests}`
+    pending.set(id, { account, host: entry, entry, dispatcher, requestedMs: queue.now() })
+    if (!node(entry).isUp) return complete(id, false)
+    whenRunning(entry, () => step(entry, { kind: 'admit', account, id, deadlineMs: Infinity, mode, nowMs: clock(entry) }))
+  }
+
   for (const host of names) start(host, 0)
   tick()
   return {
@@ -267,12 +314,13 @@
     assignPartitions,
     evenPartitions,
     request (host: HostName, account: string): void {
-      counts.requests += 1
-      const id = `r${counts.requests}`
-      pending.set(id, { account, host, requestedMs: queue.now() })
-      if (!node(host).isUp) return complete(id, false)
-      whenRunning(host, () => step(host, { kind: 'admit', account, id, deadlineMs: Infinity, nowMs: clock(host) }))
+      admit(host, host, account, 'local')
+    },
+    /** A request whose token the dispatcher takes where the host has none. */
+    requestVia (host: HostName, dispatcher: HostName, account: string): void {
+      admit(host, dispatcher, account, 'delegable')
     },
+    capacityOf: (host: HostName): number | undefined => members.find(member => member.host === host)?.capacityCores,
     pause (host: HostName): void { updateNode(host, { isPaused: true }) },
     resume (host: HostName): void {
       const { backlog } = node(host)
--- a/test/support/partition-store.ts
+++ b/test/support/partition-store.ts
@@ -43,7 +43,7 @@
   function listed (): readonly ListedHost[] {
     return fleet.names
       .filter(host => fleet.now() - (downSinceMs.get(host) ?? fleet.now()) < listLagMs)
-      .map((host, at) => ({ host, failureDomain: 'd', ip: '127.0.0.1', port: at, state: 'live' }))
+      .map((host, at) => ({ host, failureDomain: 'd', ip: '127.0.0.1', port: at, capacityCores: fleet.capacityOf(host), state: 'live' }))
   }
 
   // Members that confirm a configuration during an outage use the last list received.
