Route reads by the expected wait at the servers

Cause: reads always went to the local replica, however long its queue was, while replicas in other failure domains and the primary were idle.

Without load the choice is as before. Writes and strong reads at the primary are not affected.

--- a/src/daemon/remote-statements.ts
+++ b/src/daemon/remote-statements.ts
@@ -14,13 +14,22 @@
 const rollBackTimeoutMs = 1000
 
 /**
- * Runs a statement at a dispatcher and records what its reply tells of the primary.
+ * Runs a statement at a dispatcher and records what its reply tells of the primary and
+ * of the server.
  * @param components - the components of this proxy
  * @param dispatcher - host of the dispatcher
  * @param request - the statement
  * @returns the result of the attempt
  */
 export async function executeAt (components: ProxyComponents, dispatcher: HostName, request: ExecuteRequest): Promise<AttemptResult> {
+  const { nowMs } = components.context.timers
+  const sentAtMs = nowMs()
+  const attempt = await attemptAt(components, dispatcher, request)
+  components.routing.recordAttempt(request, attempt, { sentAtMs, endedAtMs: nowMs() })
+  return attempt
+}
+
+async function attemptAt (components: ProxyComponents, dispatcher: HostName, request: ExecuteRequest): Promise<AttemptResult> {
   try {
     const reply = await callDispatcher(components, dispatcher, request)
     components.routing.recordPrimary(reply.primary)
--- a/src/daemon/routing.ts
+++ b/src/daemon/routing.ts
@@ -1,10 +1,14 @@
-// Routing table of this host: the live members, the primary of each database and
-// the last observed applied position of each server. Replies from dispatchers keep
-// it up to date.
+// Routing table of this host: the live members, the primary of each database, and
+// the last observed applied position and the expected wait of each server. Replies
+// from dispatchers keep it up to date.
 
 import { dispatchersOf, type Member } from '../members/index.js'
-import type { DatabaseDeclaration, DatabaseName, HostName, Position, PrimaryView, ServerName } from '../model/index.js'
-import type { ObservedPosition, RoutingView } from '../request/index.js'
+import type { DatabaseDeclaration, DatabaseName, ExecuteRequest, HostName, Position, PrimaryView, ServerName } from '../model/index.js'
+import { feedbackOf, isTimed, type AttemptResult, type ObservedPosition, type RoutingView, type ServerFeedback } from '../request/index.js'
+import { noEstimate, recordLoad, recordNoRoom, recordReplyTime, type ServerEstimate } from '../routing/index.js'
+
+/** Monotonic times at which a statement was sent and its attempt ended. */
+export type AttemptTimes = { readonly sentAtMs: number, readonly endedAtMs: number }
 
 /** Routing table of this host. */
 export class RoutingTable {
@@ -13,6 +17,7 @@
   readonly #dispatchers = new Map<DatabaseName, ReadonlyMap<ServerName, HostName>>()
   readonly #primaries = new Map<DatabaseName, PrimaryView>()
   readonly #applied = new Map<ServerName, ObservedPosition>()
+  readonly #estimates = new Map<ServerName, ServerEstimate>()
 
   /**
    * Applies a change of the live members.
@@ -30,6 +35,8 @@
   updateDatabases (databases: readonly DatabaseDeclaration[]): void {
     this.#databases = new Map(databases.map(database => [database.name, database]))
     this.#dispatchers.clear()
+    const declared = new Set(databases.flatMap(({ servers }) => servers.map(({ name }) => name)))
+    for (const name of this.#estimates.keys()) if (!declared.has(name)) this.#estimates.delete(name)
   }
 
   /**
@@ -52,6 +59,18 @@
     this.#applied.set(server, { applied, observedAtMs: nowMs })
   }
 
+  /**
+   * Records what an attempt tells of its server.
+   * @param request - the statement
+   * @param attempt - result of the attempt
+   * @param times - when the statement was sent and the attempt ended
+   */
+  recordAttempt (request: ExecuteRequest, attempt: AttemptResult, times: AttemptTimes): void {
+    const estimate = this.#estimates.get(request.server) ?? noEstimate
+    const changed = estimateAfter(estimate, { request, attempt, feedback: feedbackOf(attempt), times })
+    if (changed !== estimate) this.#estimates.set(request.server, changed)
+  }
+
   /**
    * Finds the dispatcher of each server of a database.
    * @param database - the database
@@ -69,10 +88,23 @@
   /**
    * Returns the data that the routing of a statement uses.
    * @param database - the database
-   * @returns primary, dispatchers and applied positions
+   * @returns primary, dispatchers, applied positions and estimates
    */
   view (database: DatabaseName): RoutingView {
     const primary = this.#primaries.get(database) ?? { database, term: 0, primary: undefined }
-    return { primary, dispatchers: this.dispatchers(database), applied: this.#applied }
+    return { primary, dispatchers: this.dispatchers(database), applied: this.#applied, estimates: this.#estimates }
+  }
+}
+
+type EndedAttempt = { readonly request: ExecuteRequest, readonly attempt: AttemptResult, readonly feedback: ServerFeedback, readonly times: AttemptTimes }
+
+function estimateAfter (estimate: ServerEstimate, { request, attempt, feedback, times: { sentAtMs, endedAtMs } }: EndedAttempt): ServerEstimate {
+  const load = attempt.kind === 'replied' ? attempt.reply.serverLoad : undefined
+  if (load !== undefined) return recordLoad(estimate, load, endedAtMs)
+  switch (feedback.kind) {
+    case 'noRoom': return recordNoRoom(estimate, endedAtMs - sentAtMs, endedAtMs)
+    case 'served': return isTimed(request) ? recordReplyTime(estimate, endedAtMs - sentAtMs, endedAtMs) : estimate
+    case 'failed':
+    case 'none': return estimate
   }
 }
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -1,11 +1,13 @@
 // Chooses the server for a statement. Writes go to the primary. Reads go to a
 // replica that probably covers the minimum position, preferably in the failure
-// domain of this host; if there is none, they go to the primary. A replica whose
-// applied position was not observed recently is tried, too. The server's
-// dispatcher makes the final check and rejects a read that its server cannot
-// serve.
+// domain of this host; if there is none, they go to the primary. Where the waits at
+// the servers differ by more than a margin, reads also go to other servers
+// (src/routing). A replica whose applied position was not observed recently is tried,
+// too. The server's dispatcher makes the final check and rejects a read that its
+// server cannot serve.
 
 import { acceptsNewWork, covers, type Access, type DatabaseDeclaration, type ExecutionMode, type FailureDomain, type ReadConsistency, type HostName, type Position, type PrimaryView, type ServerDeclaration, type ServerName, type StatementClass } from '../model/index.js'
+import { chooseOption, expectedWaitMs, nextBestOption, type Estimates, type RouteDraws, type RouteOption } from '../routing/index.js'
 
 /** Applied position of a server as this host last observed it. */
 export type ObservedPosition = {
@@ -18,6 +20,8 @@
   readonly primary: PrimaryView
   readonly dispatchers: ReadonlyMap<ServerName, HostName>
   readonly applied: ReadonlyMap<ServerName, ObservedPosition>
+  /** Waits at the servers; undefined where the embedder records none. */
+  readonly estimates?: Estimates | undefined
 }
 
 /** Routing input for a statement. */
@@ -33,6 +37,7 @@
   readonly avoid: ReadonlySet<ServerName>
   /** A non-negative integer that selects among equal candidates. */
   readonly tieBreaker: number
+  readonly draws: RouteDraws
   readonly nowMs: number
 }
 
@@ -100,9 +105,30 @@
 
 function preferReplica (request: RouteRequest, view: RoutingView, mode: ExecutionMode): Route {
   if (request.consistency.kind === 'newest' && request.strongReadsAt === 'primary' && !isPrimaryExcluded(request, view)) return routeToPrimary(view, request, mode)
-  const replica = chooseReplica(request, view)
-  if (replica !== undefined) return { kind: 'send', server: replica.server, dispatcher: replica.dispatcher, mode }
-  return routeToPrimary(view, request, mode)
+  const option = chooseForRead(request, view)
+  return option === undefined ? routeToPrimary(view, request, mode) : { kind: 'send', server: option.server, dispatcher: option.dispatcher, mode }
+}
+
+// A server that was just tried is chosen again only if there is no other one. A
+// replica that was observed below the minimum position may have caught up, so it is
+// tried before such a server.
+function chooseForRead (request: RouteRequest, view: RoutingView): RouteOption | undefined {
+  const untried = request.database.servers
+    .filter(server => server.state === 'active' && acceptsNewWork(server, request.nowMs) && !request.avoid.has(server.name))
+  const covering = untried.filter(({ name }) => name === view.primary.primary || mayServe(request, view.applied.get(name)))
+  const options = optionsOf(request, view, covering)
+  // A leaving primary serves reads too while it accepts new work, if no replica does.
+  if (options.length === 0 && !isPrimaryExcluded(request, view)) return undefined
+  const usable = options.length === 0 ? optionsOf(request, view, untried) : options
+  return request.avoid.size === 0 ? chooseOption(usable, request.tieBreaker, request.draws) : nextBestOption(usable, request.tieBreaker)
+}
+
+function optionsOf (request: RouteRequest, view: RoutingView, servers: readonly ServerDeclaration[]): readonly RouteOption[] {
+  return servers.flatMap(server => candidateFor(request, view, server)).map(candidate => ({
+    ...candidate,
+    isPrimary: candidate.server === view.primary.primary,
+    waitMs: expectedWaitMs(view.estimates?.get(candidate.server), request.nowMs)
+  }))
 }
 
 function isPrimaryExcluded (request: RouteRequest, view: RoutingView): boolean {
@@ -116,16 +142,6 @@
 
 type Candidate = { readonly server: ServerName, readonly dispatcher: HostName, readonly isLocal: boolean }
 
-function chooseReplica (request: RouteRequest, view: RoutingView): Candidate | undefined {
-  const candidates = request.database.servers
-    .filter(server => server.state === 'active' && acceptsNewWork(server, request.nowMs) && server.name !== view.primary.primary && !request.avoid.has(server.name))
-    .filter(server => mayServe(request, view.applied.get(server.name)))
-    .flatMap(server => candidateFor(request, view, server))
-  const local = candidates.filter(each => each.isLocal)
-  const pool = local.length > 0 ? local : candidates
-  return pool[request.tieBreaker % Math.max(pool.length, 1)]
-}
-
 function candidateFor (request: RouteRequest, view: RoutingView, server: ServerDeclaration): readonly Candidate[] {
   const dispatcher = view.dispatchers.get(server.name)
   if (dispatcher === undefined) return []
--- a/test/request/route.test.ts
+++ b/test/request/route.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import { notRun, unknownOutcome, type DatabaseDeclaration, type ExecuteReply, type Outcome, type Position, type PrimaryView, type ServerDeclaration } from '../../src/model/index.js'
 import { chooseRoute, decideRetry, deadlineOutcome, type ObservedPosition, type Route, type RouteRequest, type RoutingView } from '../../src/request/index.js'
+import { noEstimate, recordLoad } from '../../src/routing/index.js'
 
 function server (name: string, failureDomain: string, state: 'active' | 'leaving' = 'active'): ServerDeclaration {
   return { name, ip: '127.0.0.1', port: 1, failureDomain, slots: 5, maxConnections: 75, state }
@@ -32,6 +33,7 @@
     strongReadsAt: 'anyServer',
     avoid: new Set(),
     tieBreaker: 0,
+    draws: { other: 0, move: 0 },
     nowMs: 1000,
     ...change
   }
@@ -103,3 +105,16 @@
   assert.equal(deadlineOutcome('noServer', true).kind, 'unknown')
   assert.equal(deadlineOutcome('noServer', false).kind, 'notRun')
 })
+
+// Guards against reads that pile up at one server while another one is idle, and
+// against writes that follow them.
+test('reads leave a loaded replica for any server that may serve them, writes stay', () => {
+  const estimates = new Map([['s2', recordLoad(noEstimate, { expectedWaitMs: 2000 }, 990)]])
+  const toOther = (other: number): string => targetOf(chooseRoute(readFrom({ draws: { other, move: 0 } }), viewOf({ estimates })))
+  assert.deepEqual([toOther(0), toOther(0.9)], ['s1@h1', 's3@h3'])
+  const lagging = viewOf({ estimates, applied: new Map([['s3', observed(9, 990)]]) })
+  assert.equal(targetOf(chooseRoute(readFrom({ draws: { other: 0.9, move: 0 } }), lagging)), 's1@h1')
+  const loadedPrimary = viewOf({ estimates: new Map([['s1', recordLoad(noEstimate, { expectedWaitMs: 2000 }, 990)]]) })
+  const strong = readFrom({ consistency: { kind: 'newest' }, strongReadsAt: 'primary' })
+  for (const request of [readFrom({ statementClass: { kind: 'write' } }), strong]) assert.equal(targetOf(chooseRoute(request, loadedPrimary)), 's1@h1')
+})
