Eject servers by the outcomes of their statements

Cause: a server that accepts connections but fails its statements, times out or answers BUSY kept its share of the reads as long as health checks passed.

Each host counts the outcomes of its statements at each server. Writes go to the primary as before. Events 4020 and 4021, metric route.ejections.

--- a/src/daemon/remote-statements.ts
+++ b/src/daemon/remote-statements.ts
@@ -25,7 +25,8 @@
   const { nowMs } = components.context.timers
   const sentAtMs = nowMs()
   const attempt = await attemptAt(components, dispatcher, request)
-  components.routing.recordAttempt(request, attempt, { sentAtMs, endedAtMs: nowMs() })
+  const change = components.routing.recordAttempt(request, attempt, { sentAtMs, endedAtMs: nowMs() })
+  components.reports.recordEjection(request.database, change)
   return attempt
 }
 
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -6,11 +6,12 @@
 import { randomUUID } from 'node:crypto'
 import type { Settings } from '../config/index.js'
 import { watchersOf } from '../members/index.js'
-import { anonymousAccount, type DatabaseReport, type HostName, type HostReport, type IncomingStatement, type Outcome } from '../model/index.js'
+import { anonymousAccount, type DatabaseName, type DatabaseReport, type HostName, type HostReport, type IncomingStatement, type Outcome } from '../model/index.js'
 import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
 import type { AccountStatsTable } from '../report/account-stats.js'
 import { activityText, addedCounts, eventLog, processTotals, reportCollectorStep, initialReportCollector, combineMetrics, noMetrics, outcomeTag, type Activity, type ActivityCount, type EventFields, type EventLog, type EventName, type ProcessTotals, type ReportCollectorEffect, type ReportCollectorEvent, type ReportCollectorState, type Metrics } from '../report/index.js'
 import { updateObject, type ObjectStore } from '../ports/index.js'
+import type { EjectionChange } from '../routing/index.js'
 import type { ConfigurationTask } from './configuration-task.js'
 import type { Databases } from './databases.js'
 import type { MembersTask } from './members-task.js'
@@ -43,6 +44,7 @@
   /** Records an unexpected error that a task survived. */
   readonly recordTaskFailure: (task: string, error: Error) => void
   readonly recordServed: (statement: IncomingStatement, outcome: Outcome, tookMs: number, generation: number) => void
+  readonly recordEjection: (database: DatabaseName, change: EjectionChange) => void
   /**
    * Adds the report of another host of the failure domain; false where it was
    * not accepted.
@@ -101,6 +103,7 @@
       countStatement(metrics, { account, route: statement.route }, outcome, tookMs)
       if (outcome.kind === 'answered' && statement.statementClass.kind === 'read') metrics.count('read.served_by', { role: outcome.servedBy })
     },
+    recordEjection (database, change) { reportEjection(log, metrics, database, change) },
     collectReport (report) {
       return collector?.port.send({ kind: 'reported', report, nowMs: timers.nowMs() }) === 'accepted'
     },
@@ -134,6 +137,22 @@
   }
 }
 
+function reportEjection (log: EventLog, metrics: Metrics, database: DatabaseName, change: EjectionChange): void {
+  switch (change.kind) {
+    case 'none': break
+    case 'ejected': {
+      const { server, failedFraction, pauseMs } = change
+      log.write('serverEjected', { database, server, failedPercent: Math.round(failedFraction * 100), pauseMs })
+      metrics.count('route.ejections', { database, server })
+      break
+    }
+    case 'returned': {
+      log.write('serverReturned', { database, server: change.server })
+      break
+    }
+  }
+}
+
 type ActivityReading = { readonly atMs: number, readonly totals: ProcessTotals, readonly counts: readonly ActivityCount[] }
 
 function readActivity ({ timers, activity }: ReportsSpec): ActivityReading {
--- a/src/daemon/routing.ts
+++ b/src/daemon/routing.ts
@@ -5,7 +5,7 @@
 import { dispatchersOf, type Member } from '../members/index.js'
 import type { DatabaseDeclaration, DatabaseName, ExecuteRequest, HostName, Position, PrimaryView, ServerName } from '../model/index.js'
 import { feedbackOf, isTimed, type AttemptResult, type ObservedPosition, type RoutingView, type ServerFeedback } from '../request/index.js'
-import { noEstimate, recordLoad, recordNoRoom, recordReplyTime, type ServerEstimate } from '../routing/index.js'
+import { initialHealth, noEstimate, recordLoad, recordNoRoom, recordOutcome, recordReplyTime, type DatabaseHealth, type EjectionChange, type ServerEstimate } from '../routing/index.js'
 
 /** Monotonic times at which a statement was sent and its attempt ended. */
 export type AttemptTimes = { readonly sentAtMs: number, readonly endedAtMs: number }
@@ -17,6 +17,7 @@
   readonly #dispatchers = new Map<DatabaseName, ReadonlyMap<ServerName, HostName>>()
   readonly #primaries = new Map<DatabaseName, PrimaryView>()
   readonly #applied = new Map<ServerName, ObservedPosition>()
+  readonly #health = new Map<DatabaseName, DatabaseHealth>()
   readonly #estimates = new Map<ServerName, ServerEstimate>()
 
   /**
@@ -37,6 +38,7 @@
     this.#dispatchers.clear()
     const declared = new Set(databases.flatMap(({ servers }) => servers.map(({ name }) => name)))
     for (const name of this.#estimates.keys()) if (!declared.has(name)) this.#estimates.delete(name)
+    for (const name of this.#health.keys()) if (!this.#databases.has(name)) this.#health.delete(name)
   }
 
   /**
@@ -64,11 +66,26 @@
    * @param request - the statement
    * @param attempt - result of the attempt
    * @param times - when the statement was sent and the attempt ended
+   * @returns the change of the ejected server of the database
    */
-  recordAttempt (request: ExecuteRequest, attempt: AttemptResult, times: AttemptTimes): void {
+  recordAttempt (request: ExecuteRequest, attempt: AttemptResult, times: AttemptTimes): EjectionChange {
     const estimate = this.#estimates.get(request.server) ?? noEstimate
-    const changed = estimateAfter(estimate, { request, attempt, feedback: feedbackOf(attempt), times })
+    const feedback = feedbackOf(attempt)
+    const changed = estimateAfter(estimate, { request, attempt, feedback, times })
     if (changed !== estimate) this.#estimates.set(request.server, changed)
+    switch (feedback.kind) {
+      case 'served':
+      case 'failed': return this.#recordOutcome(request, feedback.kind, times.endedAtMs)
+      case 'noRoom':
+      case 'none': return { kind: 'none' }
+    }
+  }
+
+  #recordOutcome ({ database, server }: ExecuteRequest, result: 'served' | 'failed', nowMs: number): EjectionChange {
+    const servers = this.#databases.get(database)?.servers.filter(({ state }) => state === 'active') ?? []
+    const { health, change } = recordOutcome(this.#health.get(database) ?? initialHealth, servers.map(({ name }) => name), { server, result, nowMs })
+    this.#health.set(database, health)
+    return change
   }
 
   /**
@@ -88,11 +105,11 @@
   /**
    * Returns the data that the routing of a statement uses.
    * @param database - the database
-   * @returns primary, dispatchers, applied positions and estimates
+   * @returns primary, dispatchers, applied positions, estimates and outcomes
    */
   view (database: DatabaseName): RoutingView {
     const primary = this.#primaries.get(database) ?? { database, term: 0, primary: undefined }
-    return { primary, dispatchers: this.dispatchers(database), applied: this.#applied, estimates: this.#estimates }
+    return { primary, dispatchers: this.dispatchers(database), applied: this.#applied, estimates: this.#estimates, health: this.#health.get(database) }
   }
 }
 
--- a/src/report/events.ts
+++ b/src/report/events.ts
@@ -42,6 +42,8 @@
   serverEntryIgnored: defineEvent(4005, 'warn', 'An entry among the registered servers is not one of a server, and is ignored. Find out which program wrote it.', ['entry']),
   serverStateChanged: defineEvent(4006, 'info', 'A registered server has announced that it leaves, or counts as active again. `source` is the store or the host whose list showed it, `listAgeMs` the age of that list when it was received.', ['server', 'database', 'state', 'source', 'listAgeMs']),
   promotionProgress: defineEvent(4007, 'info', 'Progress of the promotion that a database needs, on the host that drives it: the step of the current attempt, or why a new primary is needed and what the next attempt waits for.', ['database', 'progress', 'reason', 'waitsFor']),
+  serverEjected: defineEvent(4020, 'warn', 'Statements at a server failed, timed out or were refused as busy; this host sends it no reads for the pause, and then a growing share of them. `failedPercent` is the percentage of failures in the last seconds.', ['database', 'server', 'failedPercent', 'pauseMs']),
+  serverReturned: defineEvent(4021, 'info', 'A server that was ejected gets its whole share of the reads of this host again.', ['database', 'server']),
   membersChanged: defineEvent(5001, 'info', 'The set of responsive hosts has changed.', ['live', 'listed']),
   hostForgotten: defineEvent(5002, 'info', 'The entry of a host that was unresponsive for a long time was removed from the registry.', ['forgotten']),
   dutyTaken: defineEvent(5003, 'info', 'This host acquired the leader lease, which allows it to order promotions.', ['token']),
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -86,7 +86,7 @@
     strongReadsAt: bounds.strongReadsAt,
     avoid,
     tieBreaker: Math.floor(services.random() * database.servers.length * 1000),
-    draws: { other: services.random(), move: services.random() },
+    draws: { other: services.random(), move: services.random(), share: services.random() },
     nowMs: services.nowMs()
   }
 }
--- a/src/request/route.ts
+++ b/src/request/route.ts
@@ -7,7 +7,7 @@
 // server cannot serve.
 
 import { acceptsNewWork, covers, type Access, type DatabaseDeclaration, type ExecutionMode, type FailureDomain, type ReadConsistency, type HostName, type Position, type PrimaryView, type ServerDeclaration, type ServerName, type StatementClass } from '../model/index.js'
-import { chooseOption, expectedWaitMs, nextBestOption, type Estimates, type RouteDraws, type RouteOption } from '../routing/index.js'
+import { chooseOption, expectedWaitMs, nextBestOption, readShare, type DatabaseHealth, type Estimates, type RouteDraws, type RouteOption } from '../routing/index.js'
 
 /** Applied position of a server as this host last observed it. */
 export type ObservedPosition = {
@@ -22,6 +22,8 @@
   readonly applied: ReadonlyMap<ServerName, ObservedPosition>
   /** Waits at the servers; undefined where the embedder records none. */
   readonly estimates?: Estimates | undefined
+  /** Outcomes at the servers; undefined where there were none yet. */
+  readonly health?: DatabaseHealth | undefined
 }
 
 /** Routing input for a statement. */
@@ -120,14 +122,15 @@
   // A leaving primary serves reads too while it accepts new work, if no replica does.
   if (options.length === 0 && !isPrimaryExcluded(request, view)) return undefined
   const usable = options.length === 0 ? optionsOf(request, view, untried) : options
-  return request.avoid.size === 0 ? chooseOption(usable, request.tieBreaker, request.draws) : nextBestOption(usable, request.tieBreaker)
+  return request.avoid.size === 0 ? chooseOption(usable, request.tieBreaker, request.draws) : nextBestOption(usable, request.tieBreaker, request.draws)
 }
 
 function optionsOf (request: RouteRequest, view: RoutingView, servers: readonly ServerDeclaration[]): readonly RouteOption[] {
   return servers.flatMap(server => candidateFor(request, view, server)).map(candidate => ({
     ...candidate,
     isPrimary: candidate.server === view.primary.primary,
-    waitMs: expectedWaitMs(view.estimates?.get(candidate.server), request.nowMs)
+    waitMs: expectedWaitMs(view.estimates?.get(candidate.server), request.nowMs),
+    share: readShare(view.health, candidate.server, request.nowMs)
   }))
 }
 
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -4,7 +4,8 @@
 // there with a probability that grows with the difference of the waits. Many hosts
 // decide by the same reports, which are late by a round trip: if each of them sent
 // all statements to the server with the shortest wait, they would overload one server
-// after another.
+// after another. An ejected server is considered only for its share of the reads, or
+// where no other one may serve.
 
 import type { HostName, ServerName } from '../model/index.js'
 
@@ -15,6 +16,8 @@
   readonly isLocal: boolean
   readonly isPrimary: boolean
   readonly waitMs: number
+  /** See `readShare`. */
+  readonly share: number
 }
 
 /** Random numbers for one choice, each from 0 up to, not including, 1. */
@@ -23,6 +26,8 @@
   readonly other: number
   /** Decides whether the statement leaves the nearest server. */
   readonly move: number
+  /** Decides whether a server that returns from an ejection is considered. */
+  readonly share: number
 }
 
 /**
@@ -49,9 +54,10 @@
  * @returns the server; undefined if there is none
  */
 export function chooseOption (options: readonly RouteOption[], tieBreaker: number, draws: RouteDraws): RouteOption | undefined {
-  const nearest = nearestOf(options)
+  const considered = consideredOf(options, draws)
+  const nearest = nearestOf(considered)
   const first = nearest[tieBreaker % Math.max(nearest.length, 1)]
-  const others = options.filter(option => option !== first)
+  const others = considered.filter(option => option !== first)
   const second = others[Math.floor(draws.other * others.length)]
   if (first === undefined || second === undefined) return first
   return draws.move < moveProbability(first, second) ? second : first
@@ -61,13 +67,20 @@
  * Chooses a server after an attempt at another one did not run.
  * @param options - the servers that may run the statement and were not tried
  * @param tieBreaker - a non-negative integer that selects among equally near servers
+ * @param draws - random numbers
  * @returns the server with the lowest wait and cost; undefined if there is none
  */
-export function nextBestOption (options: readonly RouteOption[], tieBreaker: number): RouteOption | undefined {
-  const nearest = nearestOf(options)
+export function nextBestOption (options: readonly RouteOption[], tieBreaker: number, draws: RouteDraws): RouteOption | undefined {
+  const considered = consideredOf(options, draws)
+  const nearest = nearestOf(considered)
   const first = nearest[tieBreaker % Math.max(nearest.length, 1)]
   if (first === undefined) return undefined
-  return options.reduce((best, option) => gainMs(best, option) > 0 ? option : best, first)
+  return considered.reduce((best, option) => gainMs(best, option) > 0 ? option : best, first)
+}
+
+function consideredOf (options: readonly RouteOption[], draws: RouteDraws): readonly RouteOption[] {
+  const considered = options.filter(({ share }) => draws.share < share)
+  return considered.length > 0 ? considered : options
 }
 
 // The servers that are used without load; they are equally near.
--- a/test/request/route.test.ts
+++ b/test/request/route.test.ts
@@ -33,7 +33,7 @@
     strongReadsAt: 'anyServer',
     avoid: new Set(),
     tieBreaker: 0,
-    draws: { other: 0, move: 0 },
+    draws: { other: 0, move: 0, share: 0 },
     nowMs: 1000,
     ...change
   }
@@ -110,10 +110,10 @@
 // against writes that follow them.
 test('reads leave a loaded replica for any server that may serve them, writes stay', () => {
   const estimates = new Map([['s2', recordLoad(noEstimate, { expectedWaitMs: 2000 }, 990)]])
-  const toOther = (other: number): string => targetOf(chooseRoute(readFrom({ draws: { other, move: 0 } }), viewOf({ estimates })))
+  const toOther = (other: number): string => targetOf(chooseRoute(readFrom({ draws: { other, move: 0, share: 0 } }), viewOf({ estimates })))
   assert.deepEqual([toOther(0), toOther(0.9)], ['s1@h1', 's3@h3'])
   const lagging = viewOf({ estimates, applied: new Map([['s3', observed(9, 990)]]) })
-  assert.equal(targetOf(chooseRoute(readFrom({ draws: { other: 0.9, move: 0 } }), lagging)), 's1@h1')
+  assert.equal(targetOf(chooseRoute(readFrom({ draws: { other: 0.9, move: 0, share: 0 } }), lagging)), 's1@h1')
   const loadedPrimary = viewOf({ estimates: new Map([['s1', recordLoad(noEstimate, { expectedWaitMs: 2000 }, 990)]]) })
   const strong = readFrom({ consistency: { kind: 'newest' }, strongReadsAt: 'primary' })
   for (const request of [readFrom({ statementClass: { kind: 'write' } }), strong]) assert.equal(targetOf(chooseRoute(request, loadedPrimary)), 's1@h1')
--- a/test/routing/herd.test.ts
+++ b/test/routing/herd.test.ts
@@ -42,7 +42,7 @@
     for (const [domain, sent] of sentPerStep.entries()) {
       for (let each = 0; each < sent; each += 1) {
         const host = domain * hostsPerDomain + Math.floor(random() * hostsPerDomain)
-        const options = queues.map((_, at) => ({ server: `s${at}`, dispatcher: `h${at}`, isLocal: at === domain, isPrimary: false, waitMs: expectedWaitMs(estimates[host]?.[at], nowMs) }))
+        const options = queues.map((_, at) => ({ server: `s${at}`, dispatcher: `h${at}`, isLocal: at === domain, isPrimary: false, waitMs: expectedWaitMs(estimates[host]?.[at], nowMs), share: 1 }))
         const server = Number(chooseOption(options, 0, draw(random))?.server.slice(1))
         const waitMs = (queues[server] as number) / servedPerStep * stepMs
         queues[server] = (queues[server] as number) + 1
@@ -61,9 +61,9 @@
 // Guards against hosts that follow a late report all at once and overload one server
 // after another.
 test('hosts that see late reports of the same queues spread their statements', () => {
-  const damped = waits(random => ({ other: random(), move: random() }))
-  const allAtOnce = waits(random => ({ other: random(), move: 0 }))
-  const staying = waits(random => ({ other: random(), move: 1 }))
+  const damped = waits(random => ({ other: random(), move: random(), share: 0 }))
+  const allAtOnce = waits(random => ({ other: random(), move: 0, share: 0 }))
+  const staying = waits(random => ({ other: random(), move: 1, share: 0 }))
   assert.ok(damped.maxMs < allAtOnce.maxMs * 0.6, `${damped.maxMs} ms against ${allAtOnce.maxMs} ms`)
   assert.ok(damped.meanMs < allAtOnce.meanMs * 0.5, `${damped.meanMs} ms against ${allAtOnce.meanMs} ms`)
   assert.ok(damped.meanMs < staying.meanMs * 0.05, `${damped.meanMs} ms against ${staying.meanMs} ms without moves`)
--- a/test/routing/routing.test.ts
+++ b/test/routing/routing.test.ts
@@ -3,7 +3,7 @@
 import { chooseOption, expectedWaitMs, nextBestOption, noEstimate, recordLoad, recordReplyTime, type RouteOption, type ServerEstimate } from '../../src/routing/index.js'
 
 function option (server: string, change: Partial<RouteOption> = {}): RouteOption {
-  return { server, dispatcher: `${server}-host`, isLocal: false, isPrimary: false, waitMs: 0, ...change }
+  return { server, dispatcher: `${server}-host`, isLocal: false, isPrimary: false, waitMs: 0, share: 1, ...change }
 }
 
 function estimateOf (tooksMs: readonly number[], atMs: number, before = noEstimate): ServerEstimate {
@@ -12,7 +12,7 @@
 
 /** Fraction of evenly spread draws with which a statement goes to another server than the first option. */
 function movedFraction (options: readonly RouteOption[]): number {
-  const draws = Array.from({ length: 400 }, (_, at) => ({ other: (at % 20) / 20, move: Math.floor(at / 20) / 20 }))
+  const draws = Array.from({ length: 400 }, (_, at) => ({ other: (at % 20) / 20, move: Math.floor(at / 20) / 20, share: 0 }))
   return draws.filter(draw => chooseOption(options, 0, draw) !== options[0]).length / draws.length
 }
 
@@ -47,8 +47,9 @@
 
 // Guards against a retry at a server that is known to be full.
 test('a retry goes to the server with the lowest wait and cost', () => {
+  const draws = { other: 0, move: 0, share: 0 }
   const options = [option('s1', { isLocal: true, waitMs: 300 }), option('s2', { waitMs: 90 }), option('s3', { isPrimary: true })]
-  assert.equal(nextBestOption(options, 0)?.server, 's3')
-  assert.equal(nextBestOption(options.slice(0, 2), 0)?.server, 's2')
-  assert.equal(nextBestOption([], 0), undefined)
+  assert.equal(nextBestOption(options, 0, draws)?.server, 's3')
+  assert.equal(nextBestOption(options.slice(0, 2), 0, draws)?.server, 's2')
+  assert.equal(nextBestOption([], 0, draws), undefined)
 })
