Try the next server at once after a refusal without running

Change: after serverBusy, noServer or behind a read goes on without delay while servers are left that were not tried, to the one with the lowest wait and cost. All but the last tried server become eligible again. Writes wait as before.

The fixture of request/pipe counts the delays.

--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -4,7 +4,7 @@
 import { anonymousAccount, notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecutionMode, type ReadConsistency, type NotRunReason, type Outcome, type ServerName, type StatementClass } from '../model/index.js'
 import { end, type Filter } from '../pipe/index.js'
 import type { ConsistencyResolved, RequestResult } from './message.js'
-import { decideRetry, deadlineOutcome, type AttemptResult, type Repeatable } from './retry.js'
+import { decideRetry, deadlineOutcome, triesNextAtOnce, type AttemptResult, type Repeatable } from './retry.js'
 import { chooseRoute, type Route } from './route.js'
 import { raiseMinPosition, type OpenTransaction, type SessionState } from './session.js'
 import type { RequestBounds, RequestServices } from './services.js'
@@ -54,15 +54,21 @@
     if (decision.kind === 'answer') return statementResult(message, decision.outcome, route, attempt)
     progress = {
       attempts: progress.attempts + 1,
-      avoid: decision.avoidServer && route.kind === 'send' ? new Set([...progress.avoid, route.server]) : progress.avoid,
+      avoid: decision.avoidServer && route.kind === 'send' ? avoidedAfter(progress.avoid, route.server, message.database.servers.length) : progress.avoid,
       mayHaveRun: progress.mayHaveRun || decision.mayHaveRun,
       reason: decision.reason,
       consistency: consistencyAfter(progress.consistency, attempt)
     }
-    if (needsDelay(decision.reason, progress)) await services.sleep(retryDelayMs(progress.attempts, services.random()))
+    if (needsDelay(message, decision.reason, progress)) await services.sleep(retryDelayMs(progress.attempts, services.random()))
   }
 }
 
+// Once all servers have been tried, all but the last one become eligible again.
+function avoidedAfter (avoid: ReadonlySet<ServerName>, tried: ServerName, servers: number): ReadonlySet<ServerName> {
+  const triedAll = new Set([...avoid, tried])
+  return triedAll.size >= servers ? new Set([tried]) : triedAll
+}
+
 // A begin may be repeated: the dispatcher rolls back a transaction that is never
 // used.
 function isRepeatable (statementClass: StatementClass): boolean {
@@ -75,8 +81,6 @@
 
 function routingInput (services: Services, bounds: RequestBounds, message: ConsistencyResolved, progress: Progress): Parameters<typeof chooseRoute>[0] {
   const { statement, database } = message
-  // Once all servers have been tried, all become eligible again.
-  const avoid = progress.avoid.size >= database.servers.length ? new Set<ServerName>() : progress.avoid
   return {
     database,
     statementClass: statement.statementClass,
@@ -84,7 +88,7 @@
     requestId: statement.hints.requestId,
     localFailureDomain: bounds.localFailureDomain,
     strongReadsAt: bounds.strongReadsAt,
-    avoid,
+    avoid: progress.avoid,
     tieBreaker: Math.floor(services.random() * database.servers.length * 1000),
     draws: { other: services.random(), move: services.random(), share: services.random() },
     nowMs: services.nowMs()
@@ -120,10 +124,11 @@
   return message.account?.name ?? anonymousAccount
 }
 
-// After a lagging replica the first two retries are sent without delay; any
-// other failure needs time to recover.
-function needsDelay (reason: NotRunReason, progress: Progress): boolean {
-  return reason !== 'behind' || progress.attempts > 2
+// Writes have no other server than the primary, so they wait for it.
+function needsDelay (message: ConsistencyResolved, reason: NotRunReason, progress: Progress): boolean {
+  const { statementClass } = message.statement
+  const mayUseReplicas = statementClass.kind === 'read' || (statementClass.kind === 'begin' && statementClass.access === 'read')
+  return !triesNextAtOnce(reason, progress.attempts, mayUseReplicas ? message.database.servers.length : 1)
 }
 
 /**
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -89,6 +89,24 @@
   }
 }
 
+/**
+ * Reasons of one server that tell nothing of the others: another server that may run
+ * the statement is tried without delay.
+ */
+const serverReasons: ReadonlySet<NotRunReason> = new Set(['behind', 'serverBusy', 'noServer'])
+
+/**
+ * Decides whether the next attempt is made without delay.
+ * @param reason - why the last attempt did not run
+ * @param attempts - number of attempts so far
+ * @param servers - number of servers that may run the statement
+ * @returns true while servers are left that were not tried; any other failure needs
+ *   time to recover
+ */
+export function triesNextAtOnce (reason: NotRunReason, attempts: number, servers: number): boolean {
+  return serverReasons.has(reason) && attempts < servers
+}
+
 /**
  * Creates the outcome of a statement whose deadline ended the attempts.
  * @param reason - why the last attempt did not run
--- a/test/request/pipe.test.ts
+++ b/test/request/pipe.test.ts
@@ -25,14 +25,15 @@
   return { kind: 'replied', reply }
 }
 
-type ServedStatement = { readonly sent: readonly ExecuteRequest[], readonly served: RequestResult }
+type ServedStatement = { readonly sent: readonly ExecuteRequest[], readonly delays: number, readonly served: RequestResult }
 
 /** Runs one statement; each attempt returns the next of the given results. */
 async function serve (session: SessionState, sql: string, results: readonly AttemptResult[]): Promise<ServedStatement> {
   const sent: ExecuteRequest[] = []
+  let delays = 0
   const services: RequestServices = {
     nowMs: () => 0,
-    sleep: async () => {},
+    sleep: async () => { delays += 1 },
     configuration: () => ({ manifest, confirmed: true }),
     admit: async () => undefined,
     routing: database => ({ primary: { database, term: 2, primary: 's1' }, dispatchers: new Map([['s1', 'h1'], ['s2', 'h2']]), applied: new Map() }),
@@ -48,7 +49,7 @@
   }
   const pipe = requestPipe(services, { self: 'h9', localFailureDomain: 'd1', defaultDeadlineMs: 1000, maxDeadlineMs: 1000, rules: mysqlSessionRules, strongReadsAt: 'anyServer' })
   const served = await runPipe(pipe, { session, statement: { caller: session.caller, route: session.route, ...parseSql(sql), receivedAtMs: 0 } })
-  return { sent, served }
+  return { sent, delays, served }
 }
 
 const anonymous = openSessionState({ kind: 'anonymous' }, 'orders', undefined)
@@ -96,3 +97,16 @@
   assert.equal((await serve(anonymous, 'SELECT 1', [{ kind: 'lost' }])).sent.length, 2)
   assert.equal((await serve(anonymous, '/* limpetmoor once */ SELECT 1', [{ kind: 'lost' }])).sent.length, 1)
 })
+
+// Guards against time lost at a server that has just refused the statement, while
+// another one may serve it.
+test('a read that a server refused goes to another one at once, never to the one just tried', async () => {
+  for (const reason of ['serverBusy', 'noServer', 'behind'] as const) {
+    const refused = replyOf(notRun(reason, ''))
+    const run = await serve(anonymous, 'SELECT 1', [refused, refused, refused])
+    assert.deepEqual(run.sent.map(({ server }) => server), ['s2', 's1', 's2', 's1'])
+    assert.equal(run.delays, 2)
+  }
+  const write = await serve(anonymous, 'UPDATE t SET a = 1', [replyOf(notRun('serverBusy', ''))])
+  assert.deepEqual([write.sent.map(({ server }) => server), write.delays], [['s1', 's1'], 1])
+})
--- a/test/request/route.test.ts
+++ b/test/request/route.test.ts
@@ -118,3 +118,11 @@
   const strong = readFrom({ consistency: { kind: 'newest' }, strongReadsAt: 'primary' })
   for (const request of [readFrom({ statementClass: { kind: 'write' } }), strong]) assert.equal(targetOf(chooseRoute(request, loadedPrimary)), 's1@h1')
 })
+
+// Guards against a retry at a primary that has just refused the read, and against a
+// database whose replicas all lag.
+test('a read refused by the primary tries a replica that lagged before it tries the primary again', () => {
+  const applied = new Map([['s2', observed(9, 990)], ['s3', observed(9, 990)]])
+  const after = (...tried: readonly string[]): string => targetOf(chooseRoute(readFrom({ avoid: new Set(tried) }), viewOf({ applied })))
+  assert.deepEqual([after(), after('s1'), after('s1', 's2'), after('s1', 's2', 's3')], ['s1@h1', 's2@h2', 's3@h3', 's1@h1'])
+})
