Place dispatchers by capacity with a bound for each host

Cause: on 6 large and 88 small hosts all 18 servers were placed on the large ones by unweighted rendezvous hashing, several on one: the busiest host used 0.606 of 0.675 core, the mean 0.106.

Change: members/placement. Weighted rendezvous hashing with integers only: a host has a ticket for each server that its processor can dispatch for (0.3 core each), and room for its part by capacity and a quarter more. Hosts below 0.3 core dispatch only where the others have no room. Hosts state the feature weightedPlacement in their registration; the new placement applies once all listed hosts state it and their capacities differ. Equal hosts and mixed versions are placed as before. Databases accepts statements as the dispatcher or as the host that follows if it ends. Members relay the liveness of all hosts of 0.3 core and more then. peer-schema: optional features of a listed host.

--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -4,7 +4,7 @@
 
 import type { DispatchReply } from '../dispatch/index.js'
 import type { PromotionProgress } from '../failover/index.js'
-import { capableMembers, dispatcherRanks, dispatchersOf, rendezvousOrder, type Member } from '../members/index.js'
+import { dispatcherCandidates, placeDispatchers, placedDispatchers, rankDispatchers, type Member, type Placement } from '../members/index.js'
 import { acceptsNewWork, notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PrimaryView, type ServerDeclaration, type ServerName } from '../model/index.js'
 import { startAlarm, type Alarm } from '../pipe/index.js'
 import type { PromotionResult } from '../ports/index.js'
@@ -47,20 +47,17 @@
  * assignments. Statements that arrive before open what they need.
  */
 const joinDelayMs = 500
-/** Number of hosts, in rendezvous order, that accept statements for one server. */
-const maxCandidates = 2
 
 /** The databases that are assigned to this host. */
 export class Databases {
   readonly #spec: DatabasesSpec
   readonly #entries = new Map<DatabaseName, DatabaseEntry>()
   #declared: ReadonlyMap<DatabaseName, DatabaseDeclaration> = new Map()
-  #live: readonly Member[] = []
   #stopping = false
   #isLeader = false
   #idleTransactionMs: number | undefined
   #lastRequestAtMs = -Infinity
-  #listed: readonly Member[] = []
+  #placement: Placement = placeDispatchers({ databases: [], live: [], listed: [] })
   /** Goes off once no host has joined for a while. */
   readonly #joinsSettled: Alarm
 
@@ -80,6 +77,7 @@
    */
   applyManifest (databases: readonly DatabaseDeclaration[]): void {
     this.#declared = new Map(databases.map(database => [database.name, database]))
+    this.#placement = placeDispatchers({ ...this.#placement.input, databases })
     for (const [name, entry] of this.#entries) {
       const declared = this.#declared.get(name)
       if (declared === undefined) void this.#close(name, entry)
@@ -116,9 +114,9 @@
    * @param unresponsive - members that were found unresponsive
    */
   updateMembers (live: readonly Member[], listed: readonly Member[], unresponsive: ReadonlySet<HostName>): void {
-    const hasJoined = live.some(({ host }) => !this.#live.some(other => other.host === host))
-    this.#live = live
-    this.#listed = listed
+    const { input } = this.#placement
+    const hasJoined = live.some(({ host }) => !input.live.some(other => other.host === host))
+    this.#placement = placeDispatchers({ ...input, live, listed })
     for (const { dispatchers } of this.#entries.values()) {
       for (const dispatcher of dispatchers.values()) dispatcher.recordUnresponsive(unresponsive)
     }
@@ -184,7 +182,7 @@
     const { primary } = entry.task.view.get().primary
     if (this.#isLeader || primary === undefined) return true
     if (this.#spec.context.timers.nowMs() - entry.requestedAtMs < recentRequestMs) return true
-    return dispatchersOf(entry.declaration, this.#live).get(primary) === this.#spec.context.settings.host.name
+    return placedDispatchers(this.#placement, entry.declaration).get(primary) === this.#spec.context.settings.host.name
   }
 
   /**
@@ -229,7 +227,7 @@
     switch (ports.promotionMethod.kind) {
       case 'byLeader': return this.#isLeader ? 0 : undefined
       case 'byQuorum': {
-        const rank = dispatcherRanks(declared, this.#live).indexOf(settings.host.name)
+        const rank = rankDispatchers(declared, placedDispatchers(this.#placement, declared)).indexOf(settings.host.name)
         return rank < 0 ? undefined : rank
       }
     }
@@ -291,18 +289,13 @@
   }
 
   #isAssigned (declared: DatabaseDeclaration): boolean {
-    return [...dispatchersOf(declared, this.#live).values()].includes(this.#spec.context.settings.host.name)
+    return [...placedDispatchers(this.#placement, declared).values()].includes(this.#spec.context.settings.host.name)
   }
 
-  // Membership views of hosts may differ, so the second candidate accepts
-  // statements, too. The hash key must equal that of dispatchersOf in
-  // members/rendezvous.ts.
+  // Membership views of hosts may differ, so the host that would be next accepts
+  // statements, too.
   #isCandidate (declared: DatabaseDeclaration, server: ServerDeclaration): boolean {
-    const { name: self } = this.#spec.context.settings.host
-    if (dispatchersOf(declared, this.#live).get(server.name) === self) return true
-    const near = this.#listed.filter(member => member.failureDomain === server.failureDomain)
-    const names = capableMembers(near.length > 0 ? near : this.#listed).map(member => member.host)
-    return rendezvousOrder(`home/${declared.name}/${server.name}`, names).slice(0, maxCandidates).includes(self)
+    return dispatcherCandidates(this.#placement, declared, server.name).includes(this.#spec.context.settings.host.name)
   }
 
   #openDispatcher (entry: DatabaseEntry, server: ServerDeclaration): DispatcherTask {
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -229,7 +229,10 @@
       registry?.checkRegistration(hosts)
     },
     onMembersChanged: view => {
+      const before = routing.placementKind()
       applyMembers(view, { configuration, databases, routing, limits })
+      const placement = routing.placementKind()
+      if (placement !== before) reports.event('placementChanged', { placement })
       links.dropUnresponsive(view.unresponsive)
       leaderTask?.changeRank(stopping() ? undefined : leaderRank(view, settings.host.name), isLeaderCandidate(view, settings.host.name))
       reports.event('membersChanged', { live: view.live.length, listed: view.listed.length })
@@ -301,7 +304,7 @@
 
 function applyMembers (view: MembersView, to: Pick<ProxyComponents, 'configuration' | 'databases' | 'routing' | 'limits'>): void {
   to.configuration.quorumChanged(view.quorum)
-  to.routing.updateMembers(view.live)
+  to.routing.updateMembers(view.live, view.listed)
   to.databases.updateMembers(view.live, view.listed, view.unresponsive)
   to.limits.updateMembers(view.live)
 }
--- a/src/daemon/registry-task.ts
+++ b/src/daemon/registry-task.ts
@@ -3,7 +3,7 @@
 
 import { isIP } from 'node:net'
 import * as z from 'zod'
-import { hostsToDeregister, mustRegister, recordUnresponsive, type ListedHost, type Registration, type UnresponsiveSince } from '../members/index.js'
+import { hostsToDeregister, mustRegister, recordUnresponsive, weightedPlacementFeature, type ListedHost, type Registration, type UnresponsiveSince } from '../members/index.js'
 import type { HostName } from '../model/index.js'
 import { StoreError, type HostSource, type StoredObject } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
@@ -37,6 +37,7 @@
   ip: z.string().refine(ip => isIP(ip) !== 0),
   port: z.int().min(1).max(maxPort),
   capacityCores: z.number().positive().optional(),
+  features: z.array(z.string()).optional(),
   state: z.enum(['live', 'leaving']),
   incarnation: z.string()
 })
@@ -55,6 +56,7 @@
     ip: settings.host.ip,
     port: settings.host.peerPort,
     capacityCores: settings.host.capacityCores,
+    features: [weightedPlacementFeature],
     state: 'live',
     incarnation: context.incarnation
   }
--- a/src/daemon/routing.ts
+++ b/src/daemon/routing.ts
@@ -2,7 +2,7 @@
 // the last observed applied position and the expected wait of each server. Replies
 // from dispatchers keep it up to date.
 
-import { dispatchersOf, type Member } from '../members/index.js'
+import { placeDispatchers, placedDispatchers, type Member, type Placement } from '../members/index.js'
 import type { DatabaseDeclaration, DatabaseName, ExecuteRequest, HostName, Position, PrimaryView, ServerName } from '../model/index.js'
 import { feedbackOf, isTimed, type AttemptResult, type ObservedPosition, type RoutingView, type ServerFeedback } from '../request/index.js'
 import { initialHealth, noEstimate, recordLoad, recordNoRoom, recordOutcome, recordReplyTime, type DatabaseHealth, type EjectionChange, type ServerEstimate } from '../routing/index.js'
@@ -12,7 +12,7 @@
 
 /** Routing table of this host. */
 export class RoutingTable {
-  #members: readonly Member[] = []
+  #placement: Placement = placeDispatchers({ databases: [], live: [], listed: [] })
   #databases: ReadonlyMap<DatabaseName, DatabaseDeclaration> = new Map()
   readonly #dispatchers = new Map<DatabaseName, ReadonlyMap<ServerName, HostName>>()
   readonly #primaries = new Map<DatabaseName, PrimaryView>()
@@ -21,12 +21,20 @@
   readonly #estimates = new Map<ServerName, ServerEstimate>()
 
   /**
-   * Applies a change of the live members.
-   * @param members - the members
+   * Applies a change of the members.
+   * @param live - members that answer
+   * @param listed - all members of the host list
    */
-  updateMembers (members: readonly Member[]): void {
-    this.#members = members
-    this.#dispatchers.clear()
+  updateMembers (live: readonly Member[], listed: readonly Member[]): void {
+    this.#place({ ...this.#placement.input, live, listed })
+  }
+
+  /**
+   * Tells how dispatchers are placed.
+   * @returns the kind of the placement
+   */
+  placementKind (): Placement['kind'] {
+    return this.#placement.kind
   }
 
   /**
@@ -35,7 +43,7 @@
    */
   updateDatabases (databases: readonly DatabaseDeclaration[]): void {
     this.#databases = new Map(databases.map(database => [database.name, database]))
-    this.#dispatchers.clear()
+    this.#place({ ...this.#placement.input, databases })
     const declared = new Set(databases.flatMap(({ servers }) => servers.map(({ name }) => name)))
     for (const name of this.#estimates.keys()) if (!declared.has(name)) this.#estimates.delete(name)
     for (const name of this.#health.keys()) if (!this.#databases.has(name)) this.#health.delete(name)
@@ -81,6 +89,11 @@
     }
   }
 
+  #place (input: Placement['input']): void {
+    this.#placement = placeDispatchers(input)
+    this.#dispatchers.clear()
+  }
+
   #recordOutcome ({ database, server }: ExecuteRequest, result: 'served' | 'failed', nowMs: number): EjectionChange {
     const servers = this.#databases.get(database)?.servers.filter(({ state }) => state === 'active') ?? []
     const { health, change } = recordOutcome(this.#health.get(database) ?? initialHealth, servers.map(({ name }) => name), { server, result, nowMs })
@@ -97,7 +110,7 @@
     const cached = this.#dispatchers.get(database)
     if (cached !== undefined) return cached
     const declared = this.#databases.get(database)
-    const dispatchers = declared === undefined ? new Map<ServerName, HostName>() : dispatchersOf(declared, this.#members)
+    const dispatchers = declared === undefined ? new Map<ServerName, HostName>() : placedDispatchers(this.#placement, declared)
     this.#dispatchers.set(database, dispatchers)
     return dispatchers
   }
--- a/src/members/membership.ts
+++ b/src/members/membership.ts
@@ -26,6 +26,7 @@
 import type { Transition } from '../pipe/index.js'
 import { expireObservations, isRelayed, mergeGossip, unresponsiveByGossip, gossipEntries, type LivenessObservation } from './gossip.js'
 import { isFullMesh, peerPeriodFactor } from './periods.js'
+import { dispatcherHosts } from './placement.js'
 import { capableMembers, ringNeighbours, watchersOf, type Member } from './rendezvous.js'
 
 /**
@@ -236,7 +237,7 @@
     const isNew = !state.observed.has(host) && !peer.unresponsive
     peers.set(host, isNew ? { ...peer, lastContactMs: nowMs } : peer)
   }
-  const capable = new Set(capableMembers(hosts).map(({ host }) => host))
+  const capable = new Set([...capableMembers(hosts), ...dispatcherHosts(hosts)].map(({ host }) => host))
   return { ...state, listed: hosts, listedByName, quorum, capable, observed, peers, observations }
 }
 
@@ -249,7 +250,7 @@
 }
 
 function isSameHost (a: ListedHost, b: ListedHost | undefined): boolean {
-  return a.host === b?.host && a.state === b.state && a.ip === b.ip && a.port === b.port && a.failureDomain === b.failureDomain && a.capacityCores === b.capacityCores
+  return a.host === b?.host && a.state === b.state && a.ip === b.ip && a.port === b.port && a.failureDomain === b.failureDomain && a.capacityCores === b.capacityCores && String(a.features) === String(b.features)
 }
 
 function recordContact (state: MembershipState, from: MemberState, answered: boolean, nowMs: number): Next {
--- a/src/members/rendezvous.ts
+++ b/src/members/rendezvous.ts
@@ -11,11 +11,12 @@
 // least half of the largest processor capacity. A fleet may consist of a few large
 // hosts and many small ones, and a small one could not run the statements of a whole
 // server. While the capacity of a member is not known, as in a fleet that is being
-// upgraded, all members count as capable.
+// upgraded, all members count as capable. Dispatchers are placed by placement.ts in
+// fleets of unlike hosts.
 //
 // The key prefixes are part of the hash input: changing one moves the assignments.
-// `home/`: dispatcher of a server, also used by daemon/databases, where it has to
-// be equal; `failover/`: rank of a database's dispatchers; `account/`: quota
+// `home/`: dispatcher of a server, also used by placement.ts, where it has to be
+// equal; `failover/`: rank of a database's dispatchers; `account/`: quota
 // coordinator of an account; `watcher/`: watchers of a failure domain.
 
 import { nameHash, type AccountName, type DatabaseDeclaration, type FailureDomain, type HostName, type ServerDeclaration, type ServerName } from '../model/index.js'
@@ -28,6 +29,8 @@
   readonly port: number
   /** Processor capacity in cores; undefined where the host does not state it. */
   readonly capacityCores?: number | undefined
+  /** Optional parts of the protocol that the host states in its registration; see `PeerFeature`. */
+  readonly features?: readonly string[] | undefined
 }
 
 /** Fraction of the largest capacity from which a member counts as capable. */
@@ -68,12 +71,18 @@
   return (h ^ (h >>> 16)) >>> 0
 }
 
-function score (keyHash: number, name: HashedName): number {
-  return mix(Math.imul(keyHash, 31) ^ name.hash)
+/**
+ * Computes the rendezvous score of a pair.
+ * @param keyHash - hash of the key
+ * @param hostHash - hash of the host's name
+ * @returns the score, a 32-bit unsigned integer
+ */
+export function ticketScore (keyHash: number, hostHash: number): number {
+  return mix(Math.imul(keyHash, 31) ^ hostHash)
 }
 
 function ranksBefore (a: HashedName, b: HashedName, keyHash: number): boolean {
-  const difference = score(keyHash, a) - score(keyHash, b)
+  const difference = ticketScore(keyHash, a.hash) - ticketScore(keyHash, b.hash)
   return difference > 0 || (difference === 0 && a.name < b.name)
 }
 
@@ -144,8 +153,17 @@
  *   later one after a longer delay
  */
 export function dispatcherRanks (database: DatabaseDeclaration, members: readonly Member[]): readonly HostName[] {
-  const dispatchers = new Set(dispatchersOf(database, members).values())
-  return rendezvousOrder(`failover/${database.name}`, [...dispatchers])
+  return rankDispatchers(database, dispatchersOf(database, members))
+}
+
+/**
+ * Ranks given dispatchers of a database for failover.
+ * @param database - the database
+ * @param dispatchers - the dispatcher of each server
+ * @returns each dispatcher once, in the order of `dispatcherRanks`
+ */
+export function rankDispatchers (database: DatabaseDeclaration, dispatchers: ReadonlyMap<ServerName, HostName>): readonly HostName[] {
+  return rendezvousOrder(`failover/${database.name}`, [...new Set(dispatchers.values())])
 }
 
 /**
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -220,6 +220,8 @@
   readonly port: number
   /** See `Member` in src/members; a host of an earlier version does not state it. */
   readonly capacityCores?: number | undefined
+  /** Features that the host states; see `PeerFeature`. A host of an earlier version states none. */
+  readonly features?: readonly string[] | undefined
   /** `leaving`: the host is being decommissioned and is no live member, even if it responds. */
   readonly state: 'live' | 'leaving'
 }
--- a/src/report/events.ts
+++ b/src/report/events.ts
@@ -45,6 +45,7 @@
   serverEjected: defineEvent(4020, 'warn', 'Statements at a server failed, timed out or were refused as busy; this host sends it no reads for the pause, and then a growing share of them. `failedPercent` is the percentage of failures in the last seconds.', ['database', 'server', 'failedPercent', 'pauseMs']),
   serverReturned: defineEvent(4021, 'info', 'A server that was ejected gets its whole share of the reads of this host again.', ['database', 'server']),
   membersChanged: defineEvent(5001, 'info', 'The set of responsive hosts has changed.', ['live', 'listed']),
+  placementChanged: defineEvent(5020, 'info', 'How dispatchers are placed on the hosts: `weighted` by capacity, once all listed hosts state that they support it and their capacities differ; else `unweighted`.', ['placement']),
   hostForgotten: defineEvent(5002, 'info', 'The entry of a host that was unresponsive for a long time was removed from the registry.', ['forgotten']),
   dutyTaken: defineEvent(5003, 'info', 'This host acquired the leader lease, which allows it to order promotions.', ['token']),
   dutyLost: defineEvent(5004, 'warn', 'This host no longer holds the leader lease.', ['token']),
--- a/src/wire/peer-schema.ts
+++ b/src/wire/peer-schema.ts
@@ -170,7 +170,7 @@
 
 const grant = quota.extend({ tokens: amount, validMs: amount })
 
-const listedHost = z.object({ host: name, failureDomain: name, ip, port, capacityCores: z.number().positive().optional(), state: z.enum(['live', 'leaving']) })
+const listedHost = z.object({ host: name, failureDomain: name, ip, port, capacityCores: z.number().positive().optional(), features: z.array(name).optional(), state: z.enum(['live', 'leaving']) })
 
 const discoveredServer = server.extend({ database: name })
 
