--- a/src/daemon/remote-statements.ts
+++ b/src/daemon/remote-statements.ts
@@ -24,12 +24,18 @@
 export async function executeAt (components: ProxyComponents, dispatcher: HostName, request: ExecuteRequest): Promise<AttemptResult> {
   const { nowMs } = components.context.timers
   const sentAtMs = nowMs()
+  recordSent(components, request)
   const attempt = await attemptAt(components, dispatcher, request)
   const change = components.routing.recordAttempt(request, attempt, { sentAtMs, endedAtMs: nowMs() })
   components.reports.recordEjection(request.database, change)
   return attempt
 }
 
+function recordSent ({ routing, reports, context }: ProxyComponents, request: ExecuteRequest): void {
+  const { role, failureDomain } = routing.placeOf(request.database, request.server)
+  reports.recordSent(request.server, role, failureDomain === context.settings.host.failureDomain ? 'local' : 'other')
+}
+
 async function attemptAt (components: ProxyComponents, dispatcher: HostName, request: ExecuteRequest): Promise<AttemptResult> {
   try {
     const reply = await callDispatcher(components, dispatcher, request)
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -6,7 +6,7 @@
 import { randomUUID } from 'node:crypto'
 import type { Settings } from '../config/index.js'
 import { watchersOf } from '../members/index.js'
-import { anonymousAccount, type DatabaseName, type DatabaseReport, type HostName, type HostReport, type IncomingStatement, type Outcome } from '../model/index.js'
+import { anonymousAccount, type DatabaseName, type DatabaseReport, type HostName, type HostReport, type IncomingStatement, type Outcome, type ServerName } from '../model/index.js'
 import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
 import type { AccountStatsTable } from '../report/account-stats.js'
 import { activityText, addedCounts, eventLog, processTotals, reportCollectorStep, initialReportCollector, combineMetrics, noMetrics, outcomeTag, type Activity, type ActivityCount, type EventFields, type EventLog, type EventName, type ProcessTotals, type ReportCollectorEffect, type ReportCollectorEvent, type ReportCollectorState, type Metrics } from '../report/index.js'
@@ -44,6 +44,8 @@
   /** Records an unexpected error that a task survived. */
   readonly recordTaskFailure: (task: string, error: Error) => void
   readonly recordServed: (statement: IncomingStatement, outcome: Outcome, tookMs: number, generation: number) => void
+  /** Counts a statement that was sent to the dispatcher of a server. */
+  readonly recordSent: (server: ServerName, role: 'primary' | 'replica', domain: 'local' | 'other') => void
   readonly recordEjection: (database: DatabaseName, change: EjectionChange) => void
   /**
    * Adds the report of another host of the failure domain; false where it was
@@ -103,6 +105,7 @@
       countStatement(metrics, { account, route: statement.route }, outcome, tookMs)
       if (outcome.kind === 'answered' && statement.statementClass.kind === 'read') metrics.count('read.served_by', { role: outcome.servedBy })
     },
+    recordSent (server, role, domain) { metrics.count('route.sent', { server, role, domain }) },
     recordEjection (database, change) { reportEjection(log, metrics, database, change) },
     collectReport (report) {
       return collector?.port.send({ kind: 'reported', report, nowMs: timers.nowMs() }) === 'accepted'
--- a/src/daemon/routing.ts
+++ b/src/daemon/routing.ts
@@ -3,7 +3,7 @@
 // from dispatchers keep it up to date.
 
 import { placeDispatchers, placedDispatchers, type Member, type Placement } from '../members/index.js'
-import type { DatabaseDeclaration, DatabaseName, ExecuteRequest, HostName, Position, PrimaryView, ServerName } from '../model/index.js'
+import type { DatabaseDeclaration, DatabaseName, ExecuteRequest, FailureDomain, HostName, Position, PrimaryView, ServerName } from '../model/index.js'
 import { feedbackOf, isTimed, type AttemptResult, type ObservedPosition, type RoutingView, type ServerFeedback } from '../request/index.js'
 import { initialHealth, noEstimate, recordLoad, recordNoRoom, recordOutcome, recordReplyTime, type DatabaseHealth, type EjectionChange, type ServerEstimate } from '../routing/index.js'
 
@@ -115,6 +115,18 @@
     return dispatchers
   }
 
+  /**
+   * Tells where a server is.
+   * @param database - its database
+   * @param server - the server
+   * @returns its role by the last known primary, and its failure domain; undefined
+   *   domain where the server is not declared
+   */
+  placeOf (database: DatabaseName, server: ServerName): { readonly role: 'primary' | 'replica', readonly failureDomain: FailureDomain | undefined } {
+    const declared = this.#databases.get(database)?.servers.find(({ name }) => name === server)
+    return { role: this.#primaries.get(database)?.primary === server ? 'primary' : 'replica', failureDomain: declared?.failureDomain }
+  }
+
   /**
    * Returns the data that the routing of a statement uses.
    * @param database - the database
--- a/src/report/metrics.ts
+++ b/src/report/metrics.ts
@@ -19,6 +19,7 @@
   'statement.count': defineMetric('counter', 'Statements that were answered, by account, route and outcome.', ['account', 'route', 'outcome']),
   'statement.ms': defineMetric('timing', 'Time from the arrival of a statement to its answer, in milliseconds.', ['account', 'route']),
   'read.served_by': defineMetric('counter', 'Reads by the role of the server that served them.', ['role']),
+  'route.sent': defineMetric('counter', 'Statements that this host sent to dispatchers, retries included, by server, its role, and its failure domain (`local` or `other`).', ['server', 'role', 'domain']),
   'route.ejections': defineMetric('counter', 'Servers that this host ejected because their statements failed.', ['database', 'server']),
   'configuration.generation': defineMetric('gauge', 'Generation of the manifest in force.', []),
   'members.live': defineMetric('gauge', 'Hosts that answer, this one included.', []),
