--- a/src/daemon/routing.ts
+++ b/src/daemon/routing.ts
@@ -1,26 +1,40 @@
-// Routing table of this host: the live members, the primary of each database and
-// the last observed applied position of each server. Replies from dispatchers keep
-// it up to date.
+// Routing table of this host: the live members, the primary of each database, and
+// the last observed applied position and the expected wait of each server. Replies
+// from dispatchers keep it up to date.
 
-import { dispatchersOf, type Member } from '../members/index.js'
-import type { DatabaseDeclaration, DatabaseName, HostName, Position, PrimaryView, ServerName } from '../model/index.js'
-import type { ObservedPosition, RoutingView } from '../request/index.js'
+import { placeDispatchers, placedDispatchers, type Member, type Placement } from '../members/index.js'
+import type { DatabaseDeclaration, DatabaseName, ExecuteRequest, FailureDomain, HostName, Position, PrimaryView, ServerName } from '../model/index.js'
+import { feedbackOf, isTimed, type AttemptResult, type ObservedPosition, type RoutingView, type ServerFeedback } from '../request/index.js'
+import { initialHealth, noEstimate, recordLoad, recordNoRoom, recordOutcome, recordReplyTime, type DatabaseHealth, type EjectionChange, type ServerEstimate } from '../routing/index.js'
+
+/** Monotonic times at which a statement was sent and its attempt ended. */
+export type AttemptTimes = { readonly sentAtMs: number, readonly endedAtMs: number }
 
 /** Routing table of this host. */
 export class RoutingTable {
-  #members: readonly Member[] = []
+  #placement: Placement = placeDispatchers({ databases: [], live: [], listed: [] })
   #databases: ReadonlyMap<DatabaseName, DatabaseDeclaration> = new Map()
   readonly #dispatchers = new Map<DatabaseName, ReadonlyMap<ServerName, HostName>>()
   readonly #primaries = new Map<DatabaseName, PrimaryView>()
   readonly #applied = new Map<ServerName, ObservedPosition>()
+  readonly #health = new Map<DatabaseName, DatabaseHealth>()
+  readonly #estimates = new Map<ServerName, ServerEstimate>()
 
   /**
-   * Applies a change of the live members.
-   * @param members - the members
+   * Applies a change of the members.
+   * @param live - members that answer
+   * @param listed - all members of the host list
    */
-  updateMembers (members: readonly Member[]): void {
-    this.#members = members
-    this.#dispatchers.clear()
+  updateMembers (live: readonly Member[], listed: readonly Member[]): void {
+    this.#place({ ...this.#placement.input, live, listed })
+  }
+
+  /**
+   * Tells how dispatchers are placed.
+   * @returns the kind of the placement
+   */
+  placementKind (): Placement['kind'] {
+    return this.#placement.kind
   }
 
   /**
@@ -29,7 +43,10 @@
    */
   updateDatabases (databases: readonly DatabaseDeclaration[]): void {
     this.#databases = new Map(databases.map(database => [database.name, database]))
-    this.#dispatchers.clear()
+    this.#place({ ...this.#placement.input, databases })
+    const declared = new Set(databases.flatMap(({ servers }) => servers.map(({ name }) => name)))
+    for (const name of this.#estimates.keys()) if (!declared.has(name)) this.#estimates.delete(name)
+    for (const name of this.#health.keys()) if (!this.#databases.has(name)) this.#health.delete(name)
   }
 
   /**
@@ -52,6 +69,38 @@
     this.#applied.set(server, { applied, observedAtMs: nowMs })
   }
 
+  /**
+   * Records what an attempt tells of its server.
+   * @param request - the statement
+   * @param attempt - result of the attempt
+   * @param times - when the statement was sent and the attempt ended
+   * @returns the change of the ejected server of the database
+   */
+  recordAttempt (request: ExecuteRequest, attempt: AttemptResult, times: AttemptTimes): EjectionChange {
+    const estimate = this.#estimates.get(request.server) ?? noEstimate
+    const feedback = feedbackOf(attempt)
+    const changed = estimateAfter(estimate, { request, attempt, feedback, times })
+    if (changed !== estimate) this.#estimates.set(request.server, changed)
+    switch (feedback.kind) {
+      case 'served':
+      case 'failed': return this.#recordOutcome(request, feedback.kind, times.endedAtMs)
+      case 'noRoom':
+      case 'none': return { kind: 'none' }
+    }
+  }
+
+  #place (input: Placement['input']): void {
+    this.#placement = placeDispatchers(input)
+    this.#dispatchers.clear()
+  }
+
+  #recordOutcome ({ database, server }: ExecuteRequest, result: 'served' | 'failed', nowMs: number): EjectionChange {
+    const servers = this.#databases.get(database)?.servers.filter(({ state }) => state === 'active') ?? []
+    const { health, change } = recordOutcome(this.#health.get(database) ?? initialHealth, servers.map(({ name }) => name), { server, result, nowMs })
+    this.#health.set(database, health)
+    return change
+  }
+
   /**
    * Finds the dispatcher of each server of a database.
    * @param database - the database
@@ -61,18 +110,43 @@
     const cached = this.#dispatchers.get(database)
     if (cached !== undefined) return cached
     const declared = this.#databases.get(database)
-    const dispatchers = declared === undefined ? new Map<ServerName, HostName>() : dispatchersOf(declared, this.#members)
+    const dispatchers = declared === undefined ? new Map<ServerName, HostName>() : placedDispatchers(this.#placement, declared)
     this.#dispatchers.set(database, dispatchers)
     return dispatchers
   }
 
+  /**
+   * Tells where a server is.
+   * @param database - its database
+   * @param server - the server
+   * @returns its role by the last known primary, and its failure domain; undefined
+   *   domain where the server is not declared
+   */
+  placeOf (database: DatabaseName, server: ServerName): { readonly role: 'primary' | 'replica', readonly failureDomain: FailureDomain | undefined } {
+    const declared = this.#databases.get(database)?.servers.find(({ name }) => name === server)
+    return { role: this.#primaries.get(database)?.primary === server ? 'primary' : 'replica', failureDomain: declared?.failureDomain }
+  }
+
   /**
    * Returns the data that the routing of a statement uses.
    * @param database - the database
-   * @returns primary, dispatchers and applied positions
+   * @returns primary, dispatchers, applied positions, estimates and outcomes
    */
   view (database: DatabaseName): RoutingView {
     const primary = this.#primaries.get(database) ?? { database, term: 0, primary: undefined }
-    return { primary, dispatchers: this.dispatchers(database), applied: this.#applied }
+    return { primary, dispatchers: this.dispatchers(database), applied: this.#applied, estimates: this.#estimates, health: this.#health.get(database) }
+  }
+}
+
+type EndedAttempt = { readonly request: ExecuteRequest, readonly attempt: AttemptResult, readonly feedback: ServerFeedback, readonly times: AttemptTimes }
+
+function estimateAfter (estimate: ServerEstimate, { request, attempt, feedback, times: { sentAtMs, endedAtMs } }: EndedAttempt): ServerEstimate {
+  const load = attempt.kind === 'replied' ? attempt.reply.serverLoad : undefined
+  if (load !== undefined) return recordLoad(estimate, load, endedAtMs)
+  switch (feedback.kind) {
+    case 'noRoom': return recordNoRoom(estimate, endedAtMs - sentAtMs, endedAtMs)
+    case 'served': return isTimed(request) ? recordReplyTime(estimate, endedAtMs - sentAtMs, endedAtMs) : estimate
+    case 'failed':
+    case 'none': return estimate
   }
 }
