Scheduler with classes, objectives and expected waits in front of a server's slots

Cause: the fair queue knew accounts and weights only. Urgent short statements waited behind long ones, statements that could not start in time were refused at their deadline, and each step copied all accounts or all waiting statements.

Change: src/schedule takes the place of src/request/fair-queue.ts. Order: open transactions, priorities, objectives that can still be met, fair shares between accounts, time left to the objective; a lane that waits for limits.class_wait_ms gets the next slot. A statement that is not expected to start in time is refused at once with "retry in N ms". The number of slots is an event. Entry hosts send priority and goalLeftMs, replies carry serverLoad, and the dispatcher drops waiting statements that are named by cancel.

Changes to existing tests: test/request/fair-queue.test.ts moved to test/schedule/scheduler.test.ts; the same scenarios and assertions, reading the new state through entriesOf and sizeOf, with the new bound of a lane's wait in the settings. test/daemon/dispatcher-queue.test.ts: the context has the new setting and a random number.

--- a/bench/fair-queue.ts
+++ b/bench/fair-queue.ts
@@ -3,7 +3,7 @@
 // Run: node dist/bench/fair-queue.js
 
 import type { AccountName } from '../src/model/index.js'
-import { fairQueueStep, initialFairQueue } from '../src/request/fair-queue.js'
+import { schedulerStep, initialScheduler } from '../src/schedule/index.js'
 import { deficitRoundRobin, fifo, type Discipline } from './queue-disciplines.js'
 import { seededRandom, type Random } from './seeded-random.js'
 import { percentile } from './statistics.js'
@@ -48,6 +48,7 @@
 const accountCount = 8
 const slots = 5
 const maxWaiting = 512
+const maxLaneWaitMs = 500
 const durationMs = 20_000
 const deadlineMs = 1000
 const seeds = [1, 2, 3]
@@ -91,7 +92,7 @@
 }
 
 function simulate<S> (discipline: Discipline<S>, demands: readonly StatementDemand[]): ReadonlyMap<AccountName, Served> {
-  let state = discipline.initial({ slots, maxWaiting })
+  let state = discipline.initial({ slots, maxWaiting, maxLaneWaitMs })
   const byAccount = new Map<AccountName, Served>()
   let running: readonly Running[] = []
   const update = (account: AccountName, next: (before: Served) => Served): void => {
@@ -156,5 +157,5 @@
 for (const scenario of scenarios) {
   report('first in, first out', scenario, fifo)
   report('deficit round robin', scenario, deficitRoundRobin)
-  report('start-time fair queueing', scenario, { initial: initialFairQueue, step: fairQueueStep })
+  report('start-time fair queueing', scenario, { initial: initialScheduler, step: schedulerStep })
 }
--- a/bench/queue-disciplines.ts
+++ b/bench/queue-disciplines.ts
@@ -3,18 +3,18 @@
 
 import type { AccountName } from '../src/model/index.js'
 import type { Transition } from '../src/pipe/index.js'
-import type { FairQueueEffect, FairQueueEvent, FairQueueSettings } from '../src/request/fair-queue.js'
+import type { SchedulerEffect, SchedulerEvent, SchedulerSettings } from '../src/schedule/index.js'
 
-type Offered = Extract<FairQueueEvent, { readonly kind: 'offered' }>
+type Offered = Extract<SchedulerEvent, { readonly kind: 'offered' }>
 
 /** A discipline as a step function with its initial state. */
 export type Discipline<S> = {
-  readonly initial: (settings: FairQueueSettings) => S
-  readonly step: (state: S, event: FairQueueEvent) => Transition<S, FairQueueEffect>
+  readonly initial: (settings: SchedulerSettings) => S
+  readonly step: (state: S, event: SchedulerEvent) => Transition<S, SchedulerEffect>
 }
 
 export type FifoState = {
-  readonly settings: FairQueueSettings
+  readonly settings: SchedulerSettings
   readonly waiting: readonly Offered[]
   readonly running: number
 }
@@ -24,17 +24,18 @@
   step (state, event) {
     switch (event.kind) {
       case 'offered': return state.waiting.length >= state.settings.maxWaiting
-        ? { state, effects: [{ kind: 'refuse', id: event.id, reason: 'queueFull' }] }
+        ? { state, effects: [{ kind: 'refuse', id: event.id, reason: 'queueFull', expectedWaitMs: 0 }] }
         : startFifo({ ...state, waiting: [...state.waiting, event] }, event.nowMs)
       case 'finished': return startFifo({ ...state, running: state.running - 1 }, event.nowMs)
       case 'cancelled':
+      case 'slotsChanged':
       case 'tick': return { state, effects: [] }
     }
   }
 }
 
-function startFifo (state: FifoState, nowMs: number): Transition<FifoState, FairQueueEffect> {
-  const effects: FairQueueEffect[] = []
+function startFifo (state: FifoState, nowMs: number): Transition<FifoState, SchedulerEffect> {
+  const effects: SchedulerEffect[] = []
   let { running, waiting } = state
   while (running < state.settings.slots && waiting.length > 0) {
     const [first, ...rest] = waiting
@@ -42,7 +43,7 @@
     if (first === undefined) break
     const isExpired = nowMs >= first.deadlineAtMs
     if (!isExpired) running += 1
-    effects.push(isExpired ? { kind: 'refuse', id: first.id, reason: 'deadlinePassed' } : { kind: 'start', id: first.id })
+    effects.push(isExpired ? { kind: 'refuse', id: first.id, reason: 'deadlinePassed', expectedWaitMs: 0 } : { kind: 'start', id: first.id })
   }
   return { state: { ...state, running, waiting }, effects }
 }
@@ -56,7 +57,7 @@
 }
 
 export type RoundRobinState = {
-  readonly settings: FairQueueSettings
+  readonly settings: SchedulerSettings
   /** In round-robin order; the first account is served. */
   readonly accounts: readonly RoundRobinAccount[]
   readonly running: Readonly<Record<string, AccountName>>
@@ -78,27 +79,28 @@
         return startRoundRobin({ ...state, running, accounts }, event.nowMs)
       }
       case 'cancelled':
+      case 'slotsChanged':
       case 'tick': return { state, effects: [] }
     }
   }
 }
 
-function enqueueRoundRobin (state: RoundRobinState, event: Offered): Transition<RoundRobinState, FairQueueEffect> {
+function enqueueRoundRobin (state: RoundRobinState, event: Offered): Transition<RoundRobinState, SchedulerEffect> {
   const existing = state.accounts.find(account => account.name === event.account)
   const before = existing ?? { name: event.account, weight: event.weight, deficitMs: 0, waiting: [] }
   const total = state.accounts.reduce((sum, account) => sum + account.waiting.length, 0)
-  if (before.waiting.length >= state.settings.maxWaiting / 2) return { state, effects: [{ kind: 'refuse', id: event.id, reason: 'queueFull' }] }
+  if (before.waiting.length >= state.settings.maxWaiting / 2) return { state, effects: [{ kind: 'refuse', id: event.id, reason: 'queueFull', expectedWaitMs: 0 }] }
   const after = { ...before, waiting: [...before.waiting, event] }
   const accounts = existing === undefined ? [...state.accounts, after] : state.accounts.map(account => account === existing ? after : account)
   const enqueued = { ...state, accounts }
   if (total < state.settings.maxWaiting) return startRoundRobin(enqueued, event.nowMs)
   const longest = accounts.reduce((most, account) => account.waiting.length > most.waiting.length ? account : most)
   const shortened = accounts.map(account => account === longest ? { ...account, waiting: account.waiting.slice(0, -1) } : account)
-  return { state: { ...enqueued, accounts: shortened }, effects: [{ kind: 'refuse', id: longest.waiting.at(-1)?.id ?? '', reason: 'queueFull' }] }
+  return { state: { ...enqueued, accounts: shortened }, effects: [{ kind: 'refuse', id: longest.waiting.at(-1)?.id ?? '', reason: 'queueFull', expectedWaitMs: 0 }] }
 }
 
-function startRoundRobin (state: RoundRobinState, nowMs: number): Transition<RoundRobinState, FairQueueEffect> {
-  const effects: FairQueueEffect[] = []
+function startRoundRobin (state: RoundRobinState, nowMs: number): Transition<RoundRobinState, SchedulerEffect> {
+  const effects: SchedulerEffect[] = []
   const running = { ...state.running }
   let accounts = state.accounts
   while (Object.keys(running).length < state.settings.slots && accounts.some(account => account.waiting.length > 0)) {
@@ -111,7 +113,7 @@
       accounts = [...others, { ...current, deficitMs: current.deficitMs + quantumMs * current.weight }]
     } else if (nowMs >= first.deadlineAtMs) {
       accounts = [{ ...current, waiting }, ...others]
-      effects.push({ kind: 'refuse', id: first.id, reason: 'deadlinePassed' })
+      effects.push({ kind: 'refuse', id: first.id, reason: 'deadlinePassed', expectedWaitMs: 0 })
     } else {
       accounts = [{ ...current, waiting }, ...others]
       running[first.id] = current.name
--- a/bench/slopes-decisions.ts
+++ b/bench/slopes-decisions.ts
@@ -8,7 +8,7 @@
 import { quotaCoordinator, dispatcherRanks, dispatchersOf, ringNeighbours, watchersOf, type Member } from '../src/members/index.js'
 import type { AccountDeclaration, DatabaseDeclaration, Manifest, ServerStatus } from '../src/model/index.js'
 import { classify, parseHints } from '../src/wire/sql/index.js'
-import { fairQueueStep, initialFairQueue, type FairQueueState } from '../src/request/fair-queue.js'
+import { schedulerStep, initialScheduler, type SchedulerState } from '../src/schedule/index.js'
 import { meanUs, slopeTable, type MeasuredSlope } from './slope-report.js'
 
 const failureDomains = 10
@@ -120,13 +120,13 @@
 }
 
 function fairQueueUs (accounts: number): number {
-  let state: FairQueueState = initialFairQueue({ slots: 5, maxWaiting: 1000 })
+  let state: SchedulerState = initialScheduler({ slots: 5, maxWaiting: 1000, maxLaneWaitMs: 500 })
   let id = 0
   const serve = (): void => {
     id += 1
     const nowMs = id
-    state = fairQueueStep(state, { kind: 'offered', id: String(id), account: `account-${id % accounts}`, weight: 1, deadlineAtMs: nowMs + 1000, nowMs }).state
-    state = fairQueueStep(state, { kind: 'finished', id: String(id), tookMs: 1, nowMs }).state
+    state = schedulerStep(state, { kind: 'offered', id: String(id), account: `account-${id % accounts}`, weight: 1, deadlineAtMs: nowMs + 1000, nowMs }).state
+    state = schedulerStep(state, { kind: 'finished', id: String(id), tookMs: 1, nowMs }).state
   }
   return meanUs(5000, serve)
 }
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -60,6 +60,8 @@
   readonly maxConnections: number
   /** Maximum number of queued statements per server. */
   readonly queueLength: number
+  /** Longest time for which the statements of a class wait at a server without one being started. */
+  readonly classWaitMs: number
   readonly defaultDeadlineMs: number
   /** Longest wait until a majority has received a write. */
   readonly confirmTimeoutMs: number
@@ -169,6 +171,7 @@
     max_statement_bytes: wholeNumber(1, maxStatementBytes).default(1_000_000),
     max_connections: wholeNumber(1, 1_000_000).default(10_000),
     queue_length: wholeNumber(1, 1_000_000).default(1_000),
+    class_wait_ms: wholeNumber(1, dayMs).default(500),
     default_deadline_ms: wholeNumber(1, dayMs).default(10_000),
     confirm_timeout_ms: wholeNumber(1, dayMs).default(5_000),
     connect_timeout_ms: wholeNumber(1, dayMs).default(1_000)
--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -5,7 +5,7 @@
 import type { DispatchReply } from '../dispatch/index.js'
 import type { PromotionProgress } from '../failover/index.js'
 import { capableMembers, dispatcherRanks, dispatchersOf, rendezvousOrder, type Member } from '../members/index.js'
-import { acceptsNewWork, notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PrimaryView, type ServerDeclaration, type ServerName } from '../model/index.js'
+import { acceptsNewWork, notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PeerParams, type PrimaryView, type ServerDeclaration, type ServerName } from '../model/index.js'
 import { startAlarm, type Alarm } from '../pipe/index.js'
 import type { PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
@@ -138,10 +138,20 @@
     return {
       ...reply,
       primary: view?.primary ?? { database: request.database, term: 0, primary: undefined },
-      applied: view?.statuses.get(request.server)?.applied
+      applied: view?.statuses.get(request.server)?.applied,
+      serverLoad: this.#entries.get(request.database)?.dispatchers.get(request.server)?.serverLoad()
     }
   }
 
+  /**
+   * Drops a statement that waits here and that its entry host no longer needs.
+   * @param call - the statement, its database and server
+   * @returns whether a dispatcher of this host has the statement
+   */
+  cancel (call: PeerParams<'cancel'>): boolean {
+    return this.#entries.get(call.database)?.dispatchers.get(call.server)?.cancel(call) ?? false
+  }
+
   /** Refuses new work from now on; open transactions continue. */
   stopAccepting (): void {
     this.#stopping = true
--- a/src/daemon/dispatcher-task.ts
+++ b/src/daemon/dispatcher-task.ts
@@ -1,16 +1,17 @@
 // Dispatcher of one server: owns the sessions on the server, the open transactions
-// and the fair queue in front of the server's slots, and runs statements through
-// the dispatch pipe.
+// and the scheduler in front of the server's slots, and runs statements through the
+// dispatch pipe.
 
 import { redirectedAddress } from '../config/index.js'
 import { dispatchPipe, type DispatchReply, type DispatchRequest, type DispatchServices, type Permit } from '../dispatch/index.js'
-import type { DatabaseName, ExecuteRequest, HostName, PrimaryView, ServerDeclaration } from '../model/index.js'
+import type { DatabaseName, ExecuteRequest, HostName, PrimaryView, ServerDeclaration, ServerLoad } from '../model/index.js'
 import { runPipe } from '../pipe/index.js'
 import type { DatabaseDriver } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import type { DatabaseTask } from './database-task.js'
 import { checkServer } from './dispatcher-check.js'
-import { startQueue } from './dispatcher-queue.js'
+import { CallTable } from './call-table.js'
+import { cancelledPermit, startQueue, type CallName } from './dispatcher-queue.js'
 import { ServerPool } from './session-pool.js'
 import { Transactions } from './transactions.js'
 
@@ -28,6 +29,13 @@
 /** The running dispatcher of a server. */
 export type DispatcherTask = {
   readonly execute: (request: ExecuteRequest) => Promise<DispatchReply>
+  /**
+   * Drops a statement that its entry host no longer needs, unless it has started;
+   * returns whether the statement is known.
+   */
+  readonly cancel: (call: CallName) => boolean
+  /** Load of the server, for the replies to the entry hosts. */
+  readonly serverLoad: () => ServerLoad
   /** Number of statements that run or wait, plus open transactions. */
   readonly load: () => number
   /**
@@ -86,6 +94,7 @@
   })
   const transactions = new Transactions(context, Math.max(1, budget - server.slots), session => { pool.discard(session) })
   const queue = startQueue(context, server)
+  const calls = new CallTable()
   const { timers } = context
   const services: DispatchServices = {
     nowMs: timers.nowMs,
@@ -93,7 +102,10 @@
     transactions,
     acceptsNewWork: spec.acceptsNewWork,
     check: async message => await checkServer({ timers, server, database: spec.database, minPositionCheck: context.ports.driver.minPositionCheck }, message),
-    acquirePermit: async message => bypassesQueue(message, context.ports.driver.locking) ? noopPermit : await queue.requestPermit(message),
+    acquirePermit: async message => {
+      if (calls.isCancelled(message.request)) return cancelledPermit
+      return bypassesQueue(message, context.ports.driver.locking) ? noopPermit : await queue.requestPermit(message)
+    },
     awaitQuorum: async (position, deadlineAtMs) => {
       const latestAtMs = timers.nowMs() + context.settings.limits.confirmTimeoutMs
       return await spec.database.awaitQuorum(position, Math.min(deadlineAtMs, latestAtMs))
@@ -105,6 +117,12 @@
   let running = 0
   let wasPrimary = spec.database.view.get().primary.primary === server.name
   return {
+    cancel (call) {
+      const isKnown = calls.cancel(call)
+      if (isKnown) queue.cancel(call)
+      return isKnown
+    },
+    serverLoad: () => queue.load(),
     load: () => running + transactions.size,
     closeUnresponsive () {
       pool.closeIdle()
@@ -124,10 +142,12 @@
     recordUnresponsive: unresponsive => { transactions.recordUnresponsive(unresponsive) },
     async execute (request) {
       running += 1
+      calls.add(request)
       try {
         return await runPipe(pipe, { request, deadlineAtMs: timers.nowMs() + request.remainingMs })
       } finally {
         running -= 1
+        calls.remove(request)
       }
     },
     stop: async () => {
--- a/src/daemon/peer-handlers.ts
+++ b/src/daemon/peer-handlers.ts
@@ -14,8 +14,7 @@
   const { configuration, databases, members, limits, reports } = components
   return {
     execute: async request => await databases.execute(request),
-    // Not used yet: a waiting statement stays until its deadline.
-    cancel: async () => ({ accepted: false }),
+    cancel: async call => ({ accepted: databases.cancel(call) }),
     heartbeat: async from => {
       components.recordLeader(from)
       return await members.answerHeartbeat(from)
--- a/src/dispatch/message.ts
+++ b/src/dispatch/message.ts
@@ -34,12 +34,12 @@
 }
 
 /**
- * Result of waiting in the fair queue. `granted`: the statement may run;
- * `release` frees the server's slot.
+ * Result of waiting for a slot. `granted`: the statement may run; `release` frees the
+ * server's slot. `detail`: text for the caller; by default a general one.
  */
 export type Permit =
   | { readonly kind: 'granted', readonly release: () => void }
-  | { readonly kind: 'refused', readonly reason: NotRunReason }
+  | { readonly kind: 'refused', readonly reason: NotRunReason, readonly detail?: string }
 
 /** An open transaction at the dispatcher of its server. */
 export type OpenTransaction = {
--- a/src/dispatch/pipe.ts
+++ b/src/dispatch/pipe.ts
@@ -42,7 +42,7 @@
 function queueAndRun (services: DispatchServices): Filter<CheckedRequest, ExecutedRequest, DispatchReply> {
   return async message => {
     const permit = await services.acquirePermit(message)
-    if (permit.kind === 'refused') return end({ outcome: notRun(permit.reason, 'the statement got no slot on the server and was not started'), transaction: undefined, newest: undefined })
+    if (permit.kind === 'refused') return end({ outcome: notRun(permit.reason, permit.detail ?? 'the statement got no slot on the server and was not started'), transaction: undefined, newest: undefined })
     try {
       return next(await run(services, message))
     } finally {
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -1,7 +1,7 @@
 // Last filter: sends the statement to the dispatcher of a server and retries,
 // where that is safe, until there is an answer or the deadline passes.
 
-import { anonymousAccount, notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecutionMode, type ReadConsistency, type NotRunReason, type Outcome, type ServerName, type StatementClass } from '../model/index.js'
+import { anonymousAccount, notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecuteRequest, type ExecutionMode, type ReadConsistency, type NotRunReason, type Outcome, type ServerName, type StatementClass } from '../model/index.js'
 import { end, type Filter } from '../pipe/index.js'
 import type { ConsistencyResolved, RequestResult } from './message.js'
 import { decideRetry, deadlineOutcome, type AttemptResult, type Repeatable } from './retry.js'
@@ -15,7 +15,7 @@
  */
 const firstRetryDelayMs = 10
 const maxRetryDelayMs = 160
-/** Weight in the fair queue of callers without a key. */
+/** Weight at the scheduler of callers without a key. */
 const anonymousWeight = 1
 
 type Services = Pick<RequestServices, 'nowMs' | 'sleep' | 'routing' | 'execute' | 'onAppliedPosition' | 'random'>
@@ -101,12 +101,19 @@
     statement: { id: message.statement.id, text: message.statement.text, prepared: message.prepared },
     values: message.session.values,
     mode: route.mode,
-    remainingMs: message.statement.deadlineAtMs - services.nowMs()
+    remainingMs: message.statement.deadlineAtMs - services.nowMs(),
+    ...urgencyOf(message, services.nowMs())
   })
   if (attempt.kind === 'replied' && attempt.reply.applied !== undefined) services.onAppliedPosition(route.server, attempt.reply.applied)
   return attempt
 }
 
+// What the scheduler of the server orders the statement by; none without a policy.
+function urgencyOf ({ route, statement }: ConsistencyResolved, nowMs: number): Pick<ExecuteRequest, 'priority' | 'goalLeftMs'> {
+  const { policy } = route
+  return policy === undefined ? {} : { priority: policy.priority, goalLeftMs: statement.receivedAtMs + policy.goalMs - nowMs }
+}
+
 // The dispatcher queried the minimum position of a strong read after the
 // statement came in, so any server that covers it may serve the read and no
 // further query is needed.
--- a/test/daemon/dispatcher-queue.test.ts
+++ b/test/daemon/dispatcher-queue.test.ts
@@ -8,7 +8,7 @@
 
 /** The queue of a server with one slot. */
 function startOneSlotQueue (): QueueTask {
-  const context = { timers: fakeTimers(), settings: { limits: { queueLength: 10 } }, onTaskError: () => assert.fail } as unknown as DaemonContext
+  const context = { timers: fakeTimers(), settings: { limits: { queueLength: 10, classWaitMs: 500 } }, random: () => 0.5, onTaskError: () => assert.fail } as unknown as DaemonContext
   return startQueue(context, { name: 's1', slots: 1 } as unknown as ServerDeclaration)
 }
 
--- a/test/request/fair-queue.test.ts
+++ b/test/schedule/scheduler.test.ts
@@ -1,26 +1,28 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { fairQueueStep, initialFairQueue, type FairQueueEffect, type FairQueueEvent, type FairQueueState } from '../../src/request/fair-queue.js'
+import { entriesOf, initialScheduler, schedulerStep, sizeOf, type SchedulerEffect, type SchedulerEvent, type SchedulerState } from '../../src/schedule/index.js'
 
-type RunResult = { readonly state: FairQueueState, readonly effects: readonly FairQueueEffect[] }
+const bounds = { maxLaneWaitMs: 500 }
 
-function run (state: FairQueueState, events: readonly FairQueueEvent[]): RunResult {
+type RunResult = { readonly state: SchedulerState, readonly effects: readonly SchedulerEffect[] }
+
+function run (state: SchedulerState, events: readonly SchedulerEvent[]): RunResult {
   return events.reduce<RunResult>((before, event) => {
-    const next = fairQueueStep(before.state, event)
+    const next = schedulerStep(before.state, event)
     return { state: next.state, effects: [...before.effects, ...next.effects] }
   }, { state, effects: [] })
 }
 
-function offered (id: string, account: string, changes: { readonly weight?: number, readonly deadlineAtMs?: number, readonly nowMs?: number } = {}): FairQueueEvent {
+function offered (id: string, account: string, changes: { readonly weight?: number, readonly deadlineAtMs?: number, readonly nowMs?: number } = {}): SchedulerEvent {
   return { kind: 'offered', id, account, weight: 1, deadlineAtMs: 1e9, nowMs: 0, ...changes }
 }
 
-function offeredTimes (count: number, account: string, weight = 1): readonly FairQueueEvent[] {
+function offeredTimes (count: number, account: string, weight = 1): readonly SchedulerEvent[] {
   return Array.from({ length: count }, (_, index) => offered(`${account}${index}`, account, { weight }))
 }
 
-function describe (effects: readonly FairQueueEffect[]): readonly string[] {
+function describe (effects: readonly SchedulerEffect[]): readonly string[] {
   return effects.map(effect => effect.kind === 'start' ? `start ${effect.id}` : `${effect.reason} ${effect.id}`)
 }
 
@@ -28,7 +30,7 @@
  * Serves one statement after the other and counts the service time of each
  * account.
  */
-function serve (state: FairQueueState, first: string, count: number, tookMs: (account: string) => number): ReadonlyMap<string, number> {
+function serve (state: SchedulerState, first: string, count: number, tookMs: (account: string) => number): ReadonlyMap<string, number> {
   const served = new Map<string, number>()
   let running = first
   let nowMs = 0
@@ -36,7 +38,7 @@
     const account = running.charAt(0)
     nowMs += tookMs(account)
     served.set(account, (served.get(account) ?? 0) + tookMs(account))
-    const next = fairQueueStep(state, { kind: 'finished', id: running, tookMs: tookMs(account), nowMs })
+    const next = schedulerStep(state, { kind: 'finished', id: running, tookMs: tookMs(account), nowMs })
     state = next.state
     running = next.effects.find(effect => effect.kind === 'start')?.id ?? ''
   }
@@ -44,44 +46,44 @@
 }
 
 test('service time, not the number of statements, is divided by weight', () => {
-  const filled = run(initialFairQueue({ slots: 1, maxWaiting: 1000 }), [...offeredTimes(300, 'a'), ...offeredTimes(300, 'b', 3)])
+  const filled = run(initialScheduler({ ...bounds, slots: 1, maxWaiting: 1000 }), [...offeredTimes(300, 'a'), ...offeredTimes(300, 'b', 3)])
   const served = serve(filled.state, 'a0', 200, account => account === 'a' ? 10 : 2)
   const ratio = (served.get('b') ?? 0) / (served.get('a') ?? 1)
   assert.ok(ratio > 2.5 && ratio < 3.5, `ratio ${ratio}`)
 })
 
 test('a running statement is charged for the time it has used', () => {
-  const queue = initialFairQueue({ slots: 2, maxWaiting: 10 })
+  const queue = initialScheduler({ ...bounds, slots: 2, maxWaiting: 10 })
   const started = run(queue, [offered('a0', 'a'), offered('b0', 'b'), offered('a1', 'a'), offered('b1', 'b')])
   const next = run(started.state, [offered('b2', 'b', { nowMs: 1 }), { kind: 'finished', id: 'b0', tookMs: 5, nowMs: 500 }])
   assert.deepEqual(describe(next.effects), ['start b1'])
 })
 
 test('an idle account earns no credit', () => {
-  const busy = run(initialFairQueue({ slots: 1, maxWaiting: 1000 }), [offered('b0', 'b'), ...offeredTimes(400, 'a'), { kind: 'finished', id: 'b0', tookMs: 1, nowMs: 0 }])
+  const busy = run(initialScheduler({ ...bounds, slots: 1, maxWaiting: 1000 }), [offered('b0', 'b'), ...offeredTimes(400, 'a'), { kind: 'finished', id: 'b0', tookMs: 1, nowMs: 0 }])
   let state = busy.state
-  for (let index = 0; index < 100; index += 1) state = fairQueueStep(state, { kind: 'finished', id: `a${index}`, tookMs: 10, nowMs: index * 10 + 10 }).state
+  for (let index = 0; index < 100; index += 1) state = schedulerStep(state, { kind: 'finished', id: `a${index}`, tookMs: 10, nowMs: index * 10 + 10 }).state
   const back = run(state, offeredTimes(100, 'b').map(event => ({ ...event, nowMs: 1000 })))
   const served = serve(back.state, 'a100', 50, () => 10)
   assert.ok((served.get('a') ?? 0) >= 200, `account a was served ${served.get('a')} of 500 ms`)
 })
 
 test('an account with a flood of statements cannot fill the queue for others', () => {
-  const flooded = run(initialFairQueue({ slots: 1, maxWaiting: 8 }), offeredTimes(20, 'a'))
-  assert.equal(flooded.state.waitingCount, 4)
+  const flooded = run(initialScheduler({ ...bounds, slots: 1, maxWaiting: 8 }), offeredTimes(20, 'a'))
+  assert.equal(sizeOf(flooded.state.waiting), 4)
   const others = run(flooded.state, [...offeredTimes(3, 'b'), ...offeredTimes(3, 'c')])
   assert.deepEqual(describe(others.effects), ['queueFull a4', 'queueFull a3'])
 })
 
 test('a statement past its deadline is not started', () => {
-  const waiting = run(initialFairQueue({ slots: 1, maxWaiting: 8 }), [offered('a0', 'a'), offered('a1', 'a', { deadlineAtMs: 50 }), offered('a2', 'a', { deadlineAtMs: 60 })])
+  const waiting = run(initialScheduler({ ...bounds, slots: 1, maxWaiting: 8 }), [offered('a0', 'a'), offered('a1', 'a', { deadlineAtMs: 50 }), offered('a2', 'a', { deadlineAtMs: 60 })])
   const late = run(waiting.state, [{ kind: 'finished', id: 'a0', tookMs: 50, nowMs: 50 }])
   assert.deepEqual(describe(late.effects), ['deadlinePassed a1', 'start a2'])
   assert.deepEqual(describe(run(waiting.state, [{ kind: 'tick', nowMs: 70 }]).effects), ['deadlinePassed a1', 'deadlinePassed a2'])
 })
 
 test('a cancelled statement is not started', () => {
-  const waiting = run(initialFairQueue({ slots: 1, maxWaiting: 8 }), [...offeredTimes(3, 'a'), { kind: 'cancelled', id: 'a1', nowMs: 1 }])
+  const waiting = run(initialScheduler({ ...bounds, slots: 1, maxWaiting: 8 }), [...offeredTimes(3, 'a'), { kind: 'cancelled', id: 'a1', nowMs: 1 }])
   const next = run(waiting.state, [{ kind: 'finished', id: 'a0', tookMs: 2, nowMs: 2 }])
   assert.deepEqual(describe(next.effects), ['start a2'])
 })
@@ -101,22 +103,23 @@
 
 test('each statement gets one result, slots are full while statements wait, bounds hold', () => {
   fc.assert(fc.property(fc.array(action, { maxLength: 200 }), actions => {
-    let state = initialFairQueue({ slots: 2, maxWaiting: 6 })
+    let state = initialScheduler({ ...bounds, slots: 2, maxWaiting: 6 })
     let nowMs = 0
     const results = new Map<string, string>()
     const offeredIds: string[] = []
-    const step = (event: FairQueueEvent): void => {
-      const next = fairQueueStep(state, event)
+    const step = (event: SchedulerEvent): void => {
+      const next = schedulerStep(state, event)
       state = next.state
       for (const effect of next.effects) {
         assert.ok(!results.has(effect.id), `${effect.id} got two results`)
         results.set(effect.id, effect.kind)
       }
-      const waiting = Object.values(state.accounts).flatMap(account => account.waiting)
-      assert.equal(waiting.length, state.waitingCount)
-      assert.ok(state.waitingCount <= 6)
-      const runningCount = Object.keys(state.running).length
-      assert.ok(runningCount === 2 || (runningCount < 2 && state.waitingCount === 0))
+      const waitingCount = sizeOf(state.waiting)
+      const waiting = state.classes.flatMap(({ accounts }) => entriesOf(accounts)).flatMap(([, account]) => [...entriesOf(account.waiting.onTime), ...entriesOf(account.waiting.late)])
+      assert.equal(waiting.length, waitingCount)
+      assert.ok(waitingCount <= 6)
+      const runningCount = sizeOf(state.running)
+      assert.ok(runningCount === 2 || (runningCount < 2 && waitingCount === 0))
     }
     for (const action of actions) {
       switch (action.kind) {
@@ -127,7 +130,7 @@
           break
         }
         case 'finish': {
-          const entry = Object.entries(state.running)[action.which]
+          const entry = entriesOf(state.running)[action.which]
           if (entry !== undefined) step({ kind: 'finished', id: entry[0], tookMs: nowMs - entry[1].startedAtMs, nowMs })
           break
         }
@@ -142,7 +145,7 @@
         }
       }
     }
-    const waiting = new Set(Object.values(state.accounts).flatMap(account => account.waiting.map(({ id }) => id)))
+    const waiting = new Set(entriesOf(state.waiting).map(([id]) => id))
     const cancelled = new Set(actions.flatMap(action => action.kind === 'cancel' ? [`s${action.which}`] : []))
     for (const id of offeredIds) assert.ok(results.has(id) !== waiting.has(id) || cancelled.has(id), id)
   }), { seed: 7, numRuns: 300 })
