Statements that nobody waits for get no slot and no further attempt

Cause: statements whose callers had closed their connections waited for a slot and ran, and entry hosts sent attempts that could not end by the deadline.

Change: the task of a connection reads one command ahead and finds its end while a statement runs; the entry host then sends cancel to the dispatcher, which drops a statement that has not started. Before each attempt the connection is checked, before a further one also whether half of the server's average service time is left. Each execute carries a callId.

--- a/src/daemon/caller-task.ts
+++ b/src/daemon/caller-task.ts
@@ -1,13 +1,17 @@
 // Task of one caller's connection, which owns the session state. It handles one
 // command at a time: a statement runs through the request pipe, and its outcome is
-// written before the next command is read. In a planned stop each command that was
+// written before the next command is handled. While a command runs, the next one is read
+// ahead, so the task learns at once that the caller has closed its connection: then the
+// statement is dropped where it waits, and an open transaction is rolled back. A planned
+// stop that ends the wait for a statement drops it, too. In a planned stop each command that was
 // read still gets its answer, and the session closes between two commands.
 
 import { authorizeRoute } from '../config/index.js'
 import { notRun, unknownOutcome, type IncomingStatement, type Outcome, type ParsedStatement } from '../model/index.js'
 import { runPipe, type Filter } from '../pipe/index.js'
-import { proxyAnswer, accessDenied, type ConfigurationInForce, type Incoming, type OpenTransaction, type RequestResult, type SessionRules, type SessionState } from '../request/index.js'
+import { PresenceSignal, proxyAnswer, accessDenied, type ConfigurationInForce, type Incoming, type OpenTransaction, type RequestResult, type SessionRules, type SessionState } from '../request/index.js'
 import type { CallerCommand, CallerConnection, SessionStatus } from '../ports/index.js'
+import { CommandReader } from './command-reader.js'
 import type { StopPhase, StopSignal } from './stop-signal.js'
 
 /** Dependencies of a caller's task. */
@@ -37,17 +41,20 @@
 export async function serveCaller (spec: CallerSpec): Promise<void> {
   const { connection, stopSignal } = spec
   const unsubscribe = stopSignal.subscribe(() => { connection.inbox.send({ kind: 'stopPhaseChanged' }) })
+  const presence = new PresenceSignal()
+  const commands = new CommandReader(connection.inbox, () => { presence.leave() })
   let { session } = spec
   for (;;) {
     session = rollBackForStop(spec, session)
-    if (mayClose(stopSignal.phase(), session, connection.inbox.length)) {
+    if (mayClose(stopSignal.phase(), session, commands.length)) {
       connection.closeForStop()
       break
     }
-    const received = await connection.inbox.receive()
+    const received = await commands.next()
     if (received.kind === 'closed') break
     if (received.message.kind === 'stopPhaseChanged') continue
-    const result = withTransactionFailure(spec, await answerCommand(spec, session, received.message))
+    commands.readAhead()
+    const result = withTransactionFailure(spec, await answerCommand(spec, session, received.message, presence))
     session = result.session
     connection.write(result.outcome, statusOf(result))
   }
@@ -81,9 +88,12 @@
   }
 }
 
-async function answerCommand (spec: CallerSpec, session: SessionState, command: Command): Promise<RequestResult> {
+async function answerCommand (spec: CallerSpec, session: SessionState, command: Command, presence: PresenceSignal): Promise<RequestResult> {
   if (isRefused(spec.stopSignal.phase(), session)) return { outcome: hostStops, session }
-  return await untilClosing(spec.stopSignal, serveCommand(spec, session, command), () => unfinishedResult(session, command))
+  return await untilClosing(spec.stopSignal, serveCommand(spec, session, command, presence), () => {
+    presence.leave()
+    return unfinishedResult(session, command)
+  })
 }
 
 // In the second half of a stop, commands start no new work. In a transaction, which
@@ -142,9 +152,9 @@
   }
 }
 
-async function serveCommand (spec: CallerSpec, session: SessionState, command: Command): Promise<RequestResult> {
+async function serveCommand (spec: CallerSpec, session: SessionState, command: Command, presence: PresenceSignal): Promise<RequestResult> {
   switch (command.kind) {
-    case 'query': return await serveStatement(spec, session, command.statement)
+    case 'query': return await serveStatement(spec, session, command.statement, presence)
     case 'useRoute': return useRoute(spec, session, command.route)
     case 'ping': return { outcome: proxyAnswer(done), session }
     case 'reset': return await reset(spec, session)
@@ -155,10 +165,10 @@
 
 const done = { kind: 'done', affectedRows: 0, insertId: 0 } as const
 
-async function serveStatement (spec: CallerSpec, session: SessionState, parsed: ParsedStatement): Promise<RequestResult> {
+async function serveStatement (spec: CallerSpec, session: SessionState, parsed: ParsedStatement, presence: PresenceSignal): Promise<RequestResult> {
   const receivedAtMs = spec.nowMs()
   const statement = { ...parsed, caller: session.caller, route: session.route, receivedAtMs }
-  const result = await runPipe(spec.pipe, { statement, session })
+  const result = await runPipe(spec.pipe, { statement, session, presence })
   spec.onServed(statement, result.outcome, spec.nowMs() - receivedAtMs)
   return result
 }
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -27,7 +27,7 @@
 import { peerHandlers } from './peer-handlers.js'
 import { PeerLinks, tlsOf } from './peers.js'
 import { startRegistry } from './registry-task.js'
-import { executeAt, rollBack } from './remote-statements.js'
+import { cancelAt, executeAt, rollBack } from './remote-statements.js'
 import { startReports } from './reports.js'
 import { RoutingTable } from './routing.js'
 import { stopComponents } from './stop.js'
@@ -327,6 +327,7 @@
     admit: limits.admit,
     routing: database => routing.view(database),
     execute: async (dispatcher, request) => await executeAt(components, dispatcher, request),
+    cancel: (dispatcher, call) => { cancelAt(components, dispatcher, call) },
     onAppliedPosition: (server, applied) => { routing.recordApplied(server, applied, timers.nowMs()) },
     random: context.random,
     encodeToken,
--- a/src/daemon/remote-statements.ts
+++ b/src/daemon/remote-statements.ts
@@ -1,7 +1,7 @@
 // Runs statements at the dispatchers of their servers: on this host directly, on
 // another one over its peer link.
 
-import type { ExecuteReply, ExecuteRequest, HostName } from '../model/index.js'
+import type { ExecuteReply, ExecuteRequest, HostName, PeerParams } from '../model/index.js'
 import { asWireError } from '../ports/index.js'
 import type { AttemptResult, OpenTransaction } from '../request/index.js'
 import type { ProxyComponents } from './components.js'
@@ -12,6 +12,7 @@
  */
 const answerMarginMs = 250
 const rollBackTimeoutMs = 1000
+const cancelTimeoutMs = 1000
 
 /**
  * Runs a statement at a dispatcher and records what its reply tells of the primary.
@@ -37,6 +38,18 @@
   return await components.links.call(dispatcher, 'execute', request, request.remainingMs + answerMarginMs)
 }
 
+/**
+ * Tells a dispatcher that a statement is no longer needed. Where the call is lost, the
+ * statement is dropped at its deadline.
+ * @param components - the components of this proxy
+ * @param dispatcher - host of the dispatcher
+ * @param call - the statement
+ */
+export function cancelAt (components: ProxyComponents, dispatcher: HostName, call: PeerParams<'cancel'>): void {
+  if (dispatcher === components.context.settings.host.name) components.databases.cancel(call)
+  else components.links.call(dispatcher, 'cancel', call, cancelTimeoutMs).catch(() => {})
+}
+
 // `linkFailed` starts an exchange of heartbeats, which shows at once that the
 // dispatcher's host is stopping, so that another host takes over.
 function isStopping (reply: ExecuteReply): boolean {
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -2,10 +2,11 @@
 // where that is safe, until there is an answer or the deadline passes.
 
 import { anonymousAccount, notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecuteRequest, type ExecutionMode, type ReadConsistency, type NotRunReason, type Outcome, type ServerName, type StatementClass } from '../model/index.js'
-import { end, type Filter } from '../pipe/index.js'
+import { end, type Filter, type Unsubscribe } from '../pipe/index.js'
 import type { ConsistencyResolved, RequestResult } from './message.js'
 import { decideRetry, deadlineOutcome, type AttemptResult, type Repeatable } from './retry.js'
 import { chooseRoute, type Route } from './route.js'
+import { ServerLoads } from './server-loads.js'
 import { raiseMinPosition, type OpenTransaction, type SessionState } from './session.js'
 import type { RequestBounds, RequestServices } from './services.js'
 
@@ -18,7 +19,19 @@
 /** Weight at the scheduler of callers without a key. */
 const anonymousWeight = 1
 
-type Services = Pick<RequestServices, 'nowMs' | 'sleep' | 'routing' | 'execute' | 'onAppliedPosition' | 'random'>
+const callerLeft = 'the caller closed its connection'
+/** Length of the prefix that tells the calls of this process from those of an earlier one. */
+const callPrefixLength = 6
+
+type Services = Pick<RequestServices, 'nowMs' | 'sleep' | 'routing' | 'execute' | 'cancel' | 'onAppliedPosition' | 'random'>
+
+/** What the filter uses for all its statements. */
+type Attempts = {
+  readonly services: Services
+  readonly bounds: RequestBounds
+  readonly loads: ServerLoads
+  readonly nextCallId: () => string
+}
 
 /** Result of the attempts for one statement so far. */
 type Progress = {
@@ -36,20 +49,31 @@
  * @returns the filter, which always ends the pipe
  */
 export function execute (services: Services, bounds: RequestBounds): Filter<ConsistencyResolved, never, RequestResult> {
+  const attempts: Attempts = { services, bounds, loads: new ServerLoads(), nextCallId: callIds(services.random()) }
   return async message => {
     const { transaction } = message.session
-    if (transaction !== undefined) return end(await runInTransaction(services, bounds, message, transaction))
-    return end(await runOutsideTransaction(services, bounds, message))
+    if (transaction !== undefined) return end(await runInTransaction(attempts, message, transaction))
+    return end(await runOutsideTransaction(attempts, message))
   }
 }
 
-async function runOutsideTransaction (services: Services, bounds: RequestBounds, message: ConsistencyResolved): Promise<RequestResult> {
+function callIds (random: number): () => string {
+  const prefix = random.toString(36).slice(2, 2 + callPrefixLength)
+  let count = 0
+  return () => {
+    count += 1
+    return `${prefix}.${count.toString(36)}`
+  }
+}
+
+async function runOutsideTransaction (attempts: Attempts, message: ConsistencyResolved): Promise<RequestResult> {
+  const { services, bounds } = attempts
   const repeatable: Repeatable = isRepeatable(message.statement.statementClass) && !message.statement.hints.once ? 'yes' : 'no'
   let progress: Progress = { attempts: 0, avoid: new Set(), mayHaveRun: false, reason: 'deadlinePassed', consistency: message.consistency }
   for (;;) {
-    if (services.nowMs() >= message.statement.deadlineAtMs) return deadlineExceeded(message, progress)
     const route = chooseRoute(routingInput(services, bounds, message, progress), services.routing(message.database.name))
-    const attempt = await attemptOnce(services, bounds, message, route)
+    if (!mayAttempt(attempts, message, route, progress)) return withoutAnswer(message, progress)
+    const attempt = await attemptOnce(attempts, message, route)
     const decision = decideRetry(attempt, repeatable)
     if (decision.kind === 'answer') return statementResult(message, decision.outcome, route, attempt)
     progress = {
@@ -59,18 +83,29 @@
       reason: decision.reason,
       consistency: consistencyAfter(progress.consistency, attempt)
     }
-    if (needsDelay(decision.reason, progress)) await services.sleep(retryDelayMs(progress.attempts, services.random()))
+    const delayMs = needsDelay(decision.reason, progress) ? retryDelayMs(progress.attempts, services.random()) : 0
+    if (services.nowMs() + delayMs >= message.statement.deadlineAtMs) return withoutAnswer(message, progress)
+    if (delayMs > 0) await services.sleep(delayMs)
   }
 }
 
+// A further attempt is made only if it is expected to end in time; the first one
+// whenever the deadline has not passed, as some statements are far below the average.
+function mayAttempt ({ services, loads }: Attempts, message: ConsistencyResolved, route: Route, progress: Progress): boolean {
+  if (message.presence?.hasLeft() === true) return false
+  const minAttemptMs = progress.attempts > 0 && route.kind === 'send' ? loads.minAttemptMs(route.server) : 0
+  return services.nowMs() + minAttemptMs < message.statement.deadlineAtMs
+}
+
 // A begin may be repeated: the dispatcher rolls back a transaction that is never
 // used.
 function isRepeatable (statementClass: StatementClass): boolean {
   return statementClass.kind === 'read' || statementClass.kind === 'begin'
 }
 
-function deadlineExceeded (message: ConsistencyResolved, progress: Progress): RequestResult {
-  return { outcome: deadlineOutcome(progress.reason, progress.mayHaveRun), session: message.session }
+function withoutAnswer (message: ConsistencyResolved, progress: Progress): RequestResult {
+  const cause = message.presence?.hasLeft() === true ? callerLeft : undefined
+  return { outcome: deadlineOutcome(progress.reason, progress.mayHaveRun, cause), session: message.session }
 }
 
 function routingInput (services: Services, bounds: RequestBounds, message: ConsistencyResolved, progress: Progress): Parameters<typeof chooseRoute>[0] {
@@ -90,8 +125,11 @@
   }
 }
 
-async function attemptOnce (services: Services, bounds: RequestBounds, message: ConsistencyResolved, route: Route): Promise<AttemptResult> {
+async function attemptOnce (attempts: Attempts, message: ConsistencyResolved, route: Route): Promise<AttemptResult> {
   if (route.kind === 'none') return { kind: 'noRoute', missing: route.missing }
+  const { services, bounds, loads } = attempts
+  const callId = attempts.nextCallId()
+  const unsubscribe = cancelledOnLeave(attempts, message, route, callId)
   const attempt = await services.execute(route.dispatcher, {
     from: bounds.self,
     database: message.database.name,
@@ -102,12 +140,35 @@
     values: message.session.values,
     mode: route.mode,
     remainingMs: message.statement.deadlineAtMs - services.nowMs(),
+    callId,
     ...urgencyOf(message, services.nowMs())
   })
+  unsubscribe?.()
+  if (attempt.kind === 'replied') loads.record(route.dispatcher, route.server, attempt.reply.serverLoad)
   if (attempt.kind === 'replied' && attempt.reply.applied !== undefined) services.onAppliedPosition(route.server, attempt.reply.applied)
   return attempt
 }
 
+// Where the caller leaves while its statement waits at the dispatcher, the statement is
+// dropped. The end of a transaction is not: it releases locks.
+function cancelledOnLeave ({ services, bounds, loads }: Attempts, message: ConsistencyResolved, route: Extract<Route, { readonly kind: 'send' }>, callId: string): Unsubscribe | undefined {
+  if (endsTransaction(route.mode)) return undefined
+  return message.presence?.onLeave(() => {
+    if (loads.takesCancel(route.dispatcher)) services.cancel?.(route.dispatcher, { from: bounds.self, database: message.database.name, server: route.server, callId })
+  })
+}
+
+function endsTransaction (mode: ExecutionMode): boolean {
+  switch (mode.kind) {
+    case 'commit':
+    case 'rollback': return true
+    case 'read':
+    case 'write':
+    case 'begin':
+    case 'inTransaction': return false
+  }
+}
+
 // What the scheduler of the server orders the statement by; none without a policy.
 function urgencyOf ({ route, statement }: ConsistencyResolved, nowMs: number): Pick<ExecuteRequest, 'priority' | 'goalLeftMs'> {
   const { policy } = route
@@ -157,13 +218,15 @@
   return raiseMinPosition(session, database, outcome.position)
 }
 
-async function runInTransaction (services: Services, bounds: RequestBounds, message: ConsistencyResolved, transaction: OpenTransaction): Promise<RequestResult> {
+async function runInTransaction (attempts: Attempts, message: ConsistencyResolved, transaction: OpenTransaction): Promise<RequestResult> {
   const { statementClass } = message.statement
   if (transaction.state !== 'open') return lostTransactionResult(message, transaction, statementClass.kind)
   if (statementClass.kind === 'begin') return { outcome: notRun('unsupported', 'a transaction is already open'), session: message.session }
   const mode = transactionMode(statementClass, transaction)
+  // The task of the connection rolls the transaction back.
+  if (message.presence?.hasLeft() === true && !endsTransaction(mode)) return { outcome: deadlineOutcome('deadlinePassed', false, callerLeft), session: message.session }
   const route: Route = { kind: 'send', server: transaction.server, dispatcher: transaction.dispatcher, mode }
-  const attempt = await attemptOnce(services, bounds, message, route)
+  const attempt = await attemptOnce(attempts, message, route)
   return transactionResult(message, transaction, mode, attempt)
 }
 
@@ -212,9 +275,8 @@
 
 function replyResult (message: ConsistencyResolved, transaction: OpenTransaction, mode: ExecutionMode, reply: ExecuteReply): RequestResult {
   const { outcome } = reply
-  const endsTransaction = mode.kind === 'commit' || mode.kind === 'rollback'
   const raised = withMinPosition(message.session, transaction.database, outcome)
-  if (endsTransaction) return { outcome, session: { ...raised, transaction: undefined } }
+  if (endsTransaction(mode)) return { outcome, session: { ...raised, transaction: undefined } }
   const isLost = outcome.kind === 'unknown' || (outcome.kind === 'notRun' && outcome.reason === 'transactionLost')
   if (!isLost) return { outcome, session: message.session }
   return { outcome: notRun('transactionLost', 'the transaction was lost and is rolled back'), session: { ...message.session, transaction: { ...transaction, state: 'failed' } } }
--- a/src/request/message.ts
+++ b/src/request/message.ts
@@ -2,12 +2,15 @@
 // the next, which adds what the filter has determined.
 
 import type { AccountDeclaration, StatementWithDeadline, DatabaseDeclaration, ReadConsistency, IncomingStatement, Outcome, RouteDeclaration, ServerStatement } from '../model/index.js'
+import type { CallerPresence } from './presence.js'
 import type { SessionState } from './session.js'
 
 /** A statement received on a session. */
 export type Incoming = {
   readonly statement: IncomingStatement
   readonly session: SessionState
+  /** Whether the caller still waits; undefined: it does. */
+  readonly presence?: CallerPresence | undefined
 }
 
 /** A statement whose caller may use the route. */
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -90,12 +90,13 @@
 }
 
 /**
- * Creates the outcome of a statement whose deadline ended the attempts.
+ * Creates the outcome of a statement for which no further attempt is made.
  * @param reason - why the last attempt did not run
  * @param mayHaveRun - whether an earlier attempt was lost after it was sent
+ * @param cause - why there is no further attempt; the deadline by default
  * @returns an unknown outcome if an attempt may have run, otherwise not run
  */
-export function deadlineOutcome (reason: NotRunReason, mayHaveRun: boolean): Outcome {
-  if (mayHaveRun) return unknownOutcome('answerOverdue', 'the deadline passed and an earlier attempt was lost')
-  return notRun(reason, 'the deadline passed before a server accepted the statement')
+export function deadlineOutcome (reason: NotRunReason, mayHaveRun: boolean, cause = 'the deadline passed'): Outcome {
+  if (mayHaveRun) return unknownOutcome('answerOverdue', `${cause} and an earlier attempt was lost`)
+  return notRun(reason, `${cause} before a server accepted the statement`)
 }
--- a/src/request/services.ts
+++ b/src/request/services.ts
@@ -1,7 +1,7 @@
 // Services that the request pipe needs from the tasks around it. The daemon
 // supplies the real ones; tests and embedders supply their own.
 
-import type { AccountName, DatabaseName, ExecuteRequest, MinPositions, HostName, Manifest, Outcome, Position, ServerName } from '../model/index.js'
+import type { AccountName, DatabaseName, ExecuteRequest, MinPositions, HostName, Manifest, Outcome, PeerParams, Position, ServerName } from '../model/index.js'
 import type { AttemptResult } from './retry.js'
 import type { RoutingView } from './route.js'
 
@@ -25,6 +25,8 @@
   readonly admit: (account: AccountName, deadlineAtMs: number) => Promise<Outcome | undefined>
   readonly routing: (database: DatabaseName) => RoutingView
   readonly execute: (dispatcher: HostName, request: ExecuteRequest) => Promise<AttemptResult>
+  /** Tells a dispatcher that a statement is no longer needed; omitted where none waits. */
+  readonly cancel?: (dispatcher: HostName, call: PeerParams<'cancel'>) => void
   /** Called with the applied position of a server that a reply contains. */
   readonly onAppliedPosition: (server: ServerName, applied: Position) => void
   /** A random number from 0 up to, not including, 1. */
--- a/test/daemon/caller-task.test.ts
+++ b/test/daemon/caller-task.test.ts
@@ -3,6 +3,7 @@
 
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { CommandReader } from '../../src/daemon/command-reader.js'
 import { serveCaller } from '../../src/daemon/caller-task.js'
 import { StopSignal, stopSchedule } from '../../src/daemon/stop-signal.js'
 import { noHints, notRun, type Outcome, type ParsedStatement, type StatementClass } from '../../src/model/index.js'
@@ -166,3 +167,22 @@
   assert.deepEqual(caller.answers.map(({ atMs, outcome }) => [atMs, outcome]), [[2000, 'answered'], [3500, 'answered'], [3500, 'stopping'], [3500, 'stopping']])
   assert.equal(caller.closedAtMs(), 3500)
 })
+
+// Guards against work for callers that have gone: it kept the slots of servers.
+test('the end of a connection is found while a command runs, after all commands that were read', async () => {
+  const inbox = new Mailbox<CallerCommand>(16)
+  let hasClosed = false
+  const commands = new CommandReader(inbox, () => { hasClosed = true })
+  for (const command of [{ kind: 'ping' }, { kind: 'reset' }] as const) inbox.send(command)
+  const kinds: string[] = []
+  for (let at = 0; at < 2; at += 1) {
+    const received = await commands.next()
+    kinds.push(received.kind === 'message' ? received.message.kind : received.kind)
+    commands.readAhead()
+    inbox.send({ kind: 'stopPhaseChanged' })
+    if (at === 0) inbox.close()
+    await settle()
+    assert.equal(hasClosed, at === 1)
+  }
+  assert.deepEqual([...kinds, (await commands.next()).kind], ['ping', 'reset', 'closed'])
+})
--- /dev/null
+++ b/test/request/attempts.test.ts
@@ -0,0 +1,94 @@
+// Attempts of the execution filter that are not worth making.
+
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { notRun, type ExecuteRequest, type Manifest, type Outcome, type PeerParams, type ServerLoad } from '../../src/model/index.js'
+import { runPipe } from '../../src/pipe/index.js'
+import { mysqlSessionRules, openSessionState, PresenceSignal, requestPipe, type AttemptResult, type RequestBounds, type RequestServices } from '../../src/request/index.js'
+import { parseSql } from '../../src/wire/sql/index.js'
+
+const manifest: Manifest = {
+  accounts: [],
+  databases: [{ name: 'orders', state: 'active', servers: [{ name: 's1', ip: '127.0.0.1', port: 1, failureDomain: 'd1', slots: 5, maxConnections: 75, state: 'active' }] }],
+  routes: [{ name: 'orders', database: 'orders', access: { kind: 'open' }, policy: { freshness: { kind: 'newest' }, timeoutMs: 1000, goalMs: 200, priority: 3 } }],
+  anonymous: { ratePerS: 1, burst: 1 },
+  seats: 1
+}
+const rows: Outcome = { kind: 'answered', answer: { kind: 'rows', columns: [], rows: [] }, position: undefined, servedBy: 'primary' }
+const busy = notRun('serverBusy', 'the server is busy')
+
+function replyOf (outcome: Outcome, serviceMs: number): AttemptResult {
+  const serverLoad: ServerLoad = { expectedWaitMs: 0, serviceMs, waiting: 0, slots: 5 }
+  return { kind: 'replied', reply: { outcome, transaction: undefined, primary: { database: 'orders', term: 1, primary: 's1' }, newest: undefined, applied: undefined, serverLoad } }
+}
+
+/** A host whose attempts take a fixed time and get the given results. */
+type Entry = { readonly read: (sql?: string) => Promise<Outcome>, readonly sent: readonly ExecuteRequest[], readonly cancelled: ReadonlyArray<PeerParams<'cancel'>>, readonly presence: PresenceSignal, readonly nowMs: () => number }
+
+function startEntry (results: readonly AttemptResult[], attemptMs: number, duringAttempt: (presence: PresenceSignal) => void = () => {}, bounds: Partial<RequestBounds> = {}): Entry {
+  const sent: ExecuteRequest[] = []
+  const cancelled: PeerParams<'cancel'>[] = []
+  const presence = new PresenceSignal()
+  let nowMs = 0
+  const services: RequestServices = {
+    nowMs: () => nowMs,
+    sleep: async delayMs => { nowMs += delayMs },
+    configuration: () => ({ manifest, confirmed: true }),
+    admit: async () => undefined,
+    routing: database => ({ primary: { database, term: 1, primary: 's1' }, dispatchers: new Map([['s1', 'h1']]), applied: new Map() }),
+    execute: async (_dispatcher, request) => {
+      sent.push(request)
+      nowMs += attemptMs
+      duringAttempt(presence)
+      return results[Math.min(sent.length, results.length) - 1] ?? replyOf(rows, 1)
+    },
+    cancel: (_dispatcher, call) => { cancelled.push(call) },
+    onAppliedPosition: () => {},
+    random: () => 0.5,
+    encodeToken: JSON.stringify,
+    decodeToken: JSON.parse,
+    containsKey: () => false
+  }
+  const pipe = requestPipe(services, { self: 'h9', localFailureDomain: 'd1', defaultDeadlineMs: 1000, maxDeadlineMs: 1000, rules: mysqlSessionRules, strongReadsAt: 'anyServer', ...bounds })
+  const session = openSessionState({ kind: 'anonymous' }, 'orders', undefined)
+  const read = async (sql = 'SELECT 1'): Promise<Outcome> => (await runPipe(pipe, { session, presence, statement: { caller: session.caller, route: session.route, ...parseSql(sql), receivedAtMs: nowMs } })).outcome
+  return { read, sent, cancelled, presence, nowMs: () => nowMs }
+}
+
+function reasonOf (outcome: Outcome): string {
+  return outcome.kind === 'notRun' || outcome.kind === 'unknown' ? outcome.reason : outcome.kind
+}
+
+// Guards against servers that order by arrival because the entry host did not say how
+// urgent a statement is, and against two statements with one name.
+test('a statement carries priority, time left to the objective and a name of its own', async () => {
+  const entry = startEntry([replyOf(rows, 1)], 5)
+  await entry.read()
+  await entry.read()
+  assert.deepEqual(entry.sent.map(({ priority, goalLeftMs }) => [priority, goalLeftMs]), [[3, 200], [3, 200]])
+  assert.notEqual(entry.sent[0]?.callId, entry.sent[1]?.callId)
+})
+
+// Guards against retries that use a server and can't be answered in time.
+test('no further attempt is made that is not expected to end by the deadline', async () => {
+  const entry = startEntry([replyOf(busy, 700)], 400)
+  assert.equal(reasonOf(await entry.read()), 'serverBusy')
+  assert.equal(entry.sent.length, 2)
+  assert.ok(entry.nowMs() < 1000)
+})
+
+// Guards against work for a caller that has closed its connection.
+test('a caller that leaves has its waiting statement cancelled and gets no further attempt', async () => {
+  let leaves = false
+  const entry = startEntry([replyOf(busy, 1)], 5, presence => { if (leaves) presence.leave() })
+  const first = startEntry([replyOf(rows, 1)], 5, presence => { presence.leave() })
+  await first.read()
+  assert.deepEqual(first.cancelled, [], 'the dispatcher is not known to understand cancel')
+  await entry.read('/* limpetmoor deadline_ms=1 */ SELECT 1')
+  leaves = true
+  const sentBefore = entry.sent.length
+  const outcome = await entry.read()
+  assert.equal(outcome.kind, 'notRun')
+  assert.equal(entry.sent.length, sentBefore + 1)
+  assert.deepEqual(entry.cancelled.map(({ callId }) => callId), [entry.sent.at(-1)?.callId])
+})
