--- a/src/request/message.ts
+++ b/src/request/message.ts
@@ -3,12 +3,15 @@
 
 import type { TokenState } from '../admission/index.js'
 import type { AccountDeclaration, StatementWithDeadline, DatabaseDeclaration, ReadConsistency, IncomingStatement, Outcome, RouteDeclaration, ServerStatement } from '../model/index.js'
+import type { CallerPresence } from './presence.js'
 import type { SessionState } from './session.js'
 
 /** A statement received on a session. */
 export type Incoming = {
   readonly statement: IncomingStatement
   readonly session: SessionState
+  /** Whether the caller still waits; undefined: it does. */
+  readonly presence?: CallerPresence | undefined
 }
 
 /** A statement whose caller may use the route. */
--- a/src/request/services.ts
+++ b/src/request/services.ts
@@ -2,7 +2,7 @@
 // supplies the real ones; tests and embedders supply their own.
 
 import type { Admission, PeerSupport } from '../admission/index.js'
-import type { AccountName, DatabaseName, ExecuteRequest, MinPositions, HostName, Manifest, Outcome, Position, ServerName } from '../model/index.js'
+import type { AccountName, DatabaseName, ExecuteRequest, MinPositions, HostName, Manifest, Outcome, PeerParams, Position, ServerName } from '../model/index.js'
 import type { AttemptResult } from './retry.js'
 import type { RoutingView } from './route.js'
 
@@ -32,6 +32,8 @@
   readonly onDelegationRefused: (account: AccountName) => void
   readonly routing: (database: DatabaseName) => RoutingView
   readonly execute: (dispatcher: HostName, request: ExecuteRequest) => Promise<AttemptResult>
+  /** Tells a dispatcher that a statement is no longer needed; omitted where none waits. */
+  readonly cancel?: (dispatcher: HostName, call: PeerParams<'cancel'>) => void
   /** Called with the applied position of a server that a reply contains. */
   readonly onAppliedPosition: (server: ServerName, applied: Position) => void
   /** A random number from 0 up to, not including, 1. */
