Tests of delegated admissions

Cause: retries, lost attempts, transactions, earlier versions and hosts without a confirmation each have to end with exactly one token.

--- a/test/request/pipe.test.ts
+++ b/test/request/pipe.test.ts
@@ -3,7 +3,7 @@
 import { runPipe } from '../../src/pipe/index.js'
 import { notRun, type ExecuteReply, type ExecuteRequest, type Manifest, type Outcome, type Position } from '../../src/model/index.js'
 import { parseSql } from '../../src/wire/sql/index.js'
-import { openSessionState, requestPipe, mysqlSessionRules, applyToken, type AttemptResult, type RequestServices, type RequestResult, type SessionState } from '../../src/request/index.js'
+import { openSessionState, requestPipe, mysqlSessionRules, applyToken, type AttemptResult, type RequestServices, type RequestResult, type SessionRules, type SessionState } from '../../src/request/index.js'
 
 const position: Position = { term: 2, index: 7 }
 const rows: Outcome = { kind: 'answered', answer: { kind: 'rows', columns: [], rows: [] }, position: undefined, servedBy: 'replica' }
@@ -25,19 +25,24 @@
   return { kind: 'replied', reply }
 }
 
-type ServedStatement = { readonly sent: readonly ExecuteRequest[], readonly served: RequestResult }
+/** `tokens`: number taken on this host; `refusals`: refusals by dispatchers that were recorded. */
+type ServedStatement = { readonly sent: readonly ExecuteRequest[], readonly served: RequestResult, readonly tokens: number, readonly refusals: number }
 
 /** Runs one statement; each attempt returns the next of the given results. */
-async function serve (session: SessionState, sql: string, results: readonly AttemptResult[]): Promise<ServedStatement> {
+async function serve (session: SessionState, sql: string, results: readonly AttemptResult[], changes: Partial<RequestServices> = {}, rules: SessionRules = mysqlSessionRules): Promise<ServedStatement> {
+  const counts = { tokens: 0, refusals: 0 }
   const sent: ExecuteRequest[] = []
   const services: RequestServices = {
     nowMs: () => 0,
     sleep: async () => {},
     configuration: () => ({ manifest, confirmed: true }),
-    admit: async () => undefined,
+    admit: async () => {
+      counts.tokens += 1
+      return undefined
+    },
     admitOrDelegate: async () => ({ kind: 'admitted' }),
     dispatcherSupport: () => 'unsupported',
-    onDelegationRefused: () => {},
+    onDelegationRefused: () => { counts.refusals += 1 },
     routing: database => ({ primary: { database, term: 2, primary: 's1' }, dispatchers: new Map([['s1', 'h1'], ['s2', 'h2']]), applied: new Map() }),
     execute: async (_dispatcher, request) => {
       sent.push(request)
@@ -47,11 +52,12 @@
     random: () => 0,
     encodeToken: JSON.stringify,
     decodeToken: JSON.parse,
-    containsKey: () => false
+    containsKey: () => false,
+    ...changes
   }
-  const pipe = requestPipe(services, { self: 'h9', localFailureDomain: 'd1', defaultDeadlineMs: 1000, maxDeadlineMs: 1000, rules: mysqlSessionRules, strongReadsAt: 'anyServer' })
+  const pipe = requestPipe(services, { self: 'h9', localFailureDomain: 'd1', defaultDeadlineMs: 1000, maxDeadlineMs: 1000, rules, strongReadsAt: 'anyServer' })
   const served = await runPipe(pipe, { session, statement: { caller: session.caller, route: session.route, ...parseSql(sql), receivedAtMs: 0 } })
-  return { sent, served }
+  return { sent, served, ...counts }
 }
 
 const anonymous = openSessionState({ kind: 'anonymous' }, 'orders', undefined)
@@ -99,3 +105,72 @@
   assert.equal((await serve(anonymous, 'SELECT 1', [{ kind: 'lost' }])).sent.length, 2)
   assert.equal((await serve(anonymous, '/* limpetmoor once */ SELECT 1', [{ kind: 'lost' }])).sent.length, 1)
 })
+
+/** A host without partitions and tokens, and dispatchers that take tokens for it. */
+const delegating: Partial<RequestServices> = { admitOrDelegate: async () => ({ kind: 'delegated' }), dispatcherSupport: () => 'supported' }
+
+function replyWith (outcome: Outcome, tookToken: boolean | undefined): AttemptResult {
+  const result = replyOf(outcome)
+  return result.kind === 'replied' ? { kind: 'replied', reply: { ...result.reply, tookToken } } : result
+}
+
+function tokensOf ({ sent, tokens }: ServedStatement): unknown {
+  return { sent: sent.map(({ takesToken }) => takesToken), here: tokens }
+}
+
+// Guards against two tokens for one statement, and against statements without one.
+for (const [name, results, expected] of [
+  ['a server that is busy after the token was taken', [replyWith(notRun('serverBusy', ''), true)], { sent: [true, undefined], here: 0 }],
+  ['a lost attempt', [{ kind: 'lost' }], { sent: [true, undefined], here: 0 }],
+  ['a host that is not the dispatcher', [replyWith(notRun('wrongHome', ''), false), replyWith(rows, true)], { sent: [true, true], here: 0 }],
+  ['a stopping host', [replyWith(notRun('stopping', ''), false), replyWith(rows, true)], { sent: [true, true], here: 0 }],
+  ['an attempt that was not sent', [{ kind: 'unsent' }, replyWith(rows, true)], { sent: [true, true], here: 0 }],
+  ['a dispatcher without a confirmed configuration', [replyWith(notRun('unconfirmedConfiguration', ''), false)], { sent: [true, false], here: 1 }],
+  ['a host that was restarted in an earlier version', [replyWith(notRun('behind', ''), undefined)], { sent: [true, undefined], here: 1 }]
+] as const satisfies ReadonlyArray<readonly [string, readonly AttemptResult[], unknown]>) {
+  test(`a delegated read takes one token in all after ${name}`, async () => {
+    const run = await serve(anonymous, 'SELECT 1', results, delegating)
+    assert.deepEqual(run.served.outcome, rows)
+    assert.deepEqual(tokensOf(run), expected)
+  })
+}
+
+test('a delegated write whose connection was lost is neither sent nor charged again', async () => {
+  const run = await serve(anonymous, 'DELETE FROM t', [{ kind: 'lost' }], delegating)
+  assert.equal(run.served.outcome.kind, 'unknown')
+  assert.deepEqual(tokensOf(run), { sent: [true], here: 0 })
+})
+
+// Guards against QUOTA in a rolling upgrade.
+test('a host borrows for a dispatcher of an earlier version, and refuses without a token', async () => {
+  for (const support of ['unsupported', 'unknown'] as const) {
+    assert.deepEqual(tokensOf(await serve(anonymous, 'SELECT 1', [], { ...delegating, dispatcherSupport: () => support })), { sent: [false], here: 1 })
+  }
+  const refused = await serve(anonymous, 'SELECT 1', [], { ...delegating, dispatcherSupport: () => 'unsupported', admit: async () => notRun('rateExceeded', '') })
+  assert.deepEqual([refused.sent.length, refused.served.outcome], [0, notRun('rateExceeded', '')])
+})
+
+// Guards against work at dispatchers for an account above its rate.
+test('a refusal by the dispatcher is answered at once and recorded', async () => {
+  const run = await serve(anonymous, 'SELECT 1', [replyWith(notRun('rateExceeded', ''), false)], delegating)
+  assert.deepEqual([run.served.outcome, run.sent.length, run.refusals], [notRun('rateExceeded', ''), 1, 1])
+})
+
+// Guards against a token for each statement of a transaction that takes one in all, and for COMMIT.
+for (const [rateUnit, expected] of [['operation', [true, undefined, undefined]], ['statement', [true, true, undefined]]] as const) {
+  test(`a delegated transaction takes its tokens by ${rateUnit}`, async () => {
+    const rules: SessionRules = { ...mysqlSessionRules, rateUnit }
+    const begun = replyWith({ kind: 'answered', answer: { kind: 'done', affectedRows: 0, insertId: 0 }, position: undefined, servedBy: 'primary' }, true)
+    const opened: AttemptResult = begun.kind === 'replied' ? { kind: 'replied', reply: { ...begun.reply, transaction: 't1' } } : begun
+    const begin = await serve(anonymous, 'BEGIN', [opened], delegating, rules)
+    const write = await serve(begin.served.session, 'DELETE FROM t', [begun], delegating, rules)
+    const commit = await serve(write.served.session, 'COMMIT', [begun], delegating, rules)
+    assert.deepEqual([begin, write, commit].flatMap(({ sent }) => sent.map(({ takesToken }) => takesToken)), expected)
+  })
+}
+
+test('a statement that is refused for the rate leaves its transaction open', async () => {
+  const transaction = { id: 't1', database: 'orders', server: 's1', dispatcher: 'h1', account: 'a', route: { name: 'orders', database: 'orders', access: { kind: 'open' } }, state: 'open' } as const
+  const run = await serve({ ...anonymous, transaction }, 'DELETE FROM t', [replyWith(notRun('rateExceeded', ''), false)], delegating)
+  assert.deepEqual([run.served.outcome, run.served.session.transaction], [notRun('rateExceeded', ''), transaction])
+})
