Partitions spread over accounts; hosts that know no owner read the table again soon

Cause: (1) a host that got its partitions in pieces owned several of some accounts and none of others, and borrowed for these. (2) A host without partitions that read the table before it had an owner read it again only after 60 s, and borrowed each token until then instead of delegating.

Change: a host chooses partitions of the accounts of which it has fewest; a host that knows no owner reads the table with the period of owners. Decisions of the rate limiter are counted in the event activity (kind admission).

--- a/src/daemon/limits-task.ts
+++ b/src/daemon/limits-task.ts
@@ -128,7 +128,11 @@
     send: () => task.port.send({ kind: 'event', event: { kind: 'tick' } })
   })
   return {
-    admit: async (account, deadlineAtMs, mode) => await ask<Message, Admission>(task.port, reply => ({ kind: 'admitRequest', account, deadlineAtMs, mode, reply }), { kind: 'refused', outcome: notRun('queueFull', 'too many requests wait for a token') }),
+    async admit (account, deadlineAtMs, mode) {
+      const admission = await ask<Message, Admission>(task.port, reply => ({ kind: 'admitRequest', account, deadlineAtMs, mode, reply }), { kind: 'refused', outcome: notRun('queueFull', 'too many requests wait for a token') })
+      context.activity.add('admission', mode === 'delegated' ? `${admission.kind} for a peer` : admission.kind)
+      return admission
+    },
     delegationRefused (account) {
       send({ kind: 'delegationRefused', account })
     },
--- a/src/limits/division.ts
+++ b/src/limits/division.ts
@@ -80,6 +80,25 @@
   return 2 ** Math.max(0, Math.floor(Math.log2(partitionCount / minPartitions)))
 }
 
+/**
+ * Orders partitions so that the first ones belong to as many accounts as possible: a
+ * host with at least as many partitions as the stride then owns one of each account.
+ * @param partitions - the partitions
+ * @param owned - partitions that the host has anyway
+ * @param partitionCount - number of partitions of the table
+ * @returns the partitions; those of accounts of which the host has fewer come first
+ */
+export function spreadOverAccounts (partitions: readonly number[], owned: readonly number[], partitionCount: number): readonly number[] {
+  const stride = 2 ** Math.max(0, Math.floor(Math.log2(partitionCount / minPartitionsPerAccount)))
+  const counts = Array.from({ length: stride }, (_, offset) => owned.filter(partition => partition % stride === offset).length)
+  const ranked = partitions.map(partition => {
+    const rank = counts[partition % stride] ?? 0
+    counts[partition % stride] = rank + 1
+    return { partition, rank }
+  })
+  return ranked.sort((a, b) => a.rank - b.rank).map(({ partition }) => partition)
+}
+
 /**
  * Selects the owner that an account's coordinator borrows from first.
  * @param account - the account
--- a/src/limits/partitions.ts
+++ b/src/limits/partitions.ts
@@ -4,7 +4,8 @@
 // update. Partitions are distributed about evenly over the hosts; a host keeps some
 // more than its even count, so that a host that joins moves few of them: a partition
 // that moves is unused during the handover delay. Only the capable hosts own
-// partitions (members/rendezvous), so few hosts lend. An owner stops using
+// partitions (members/rendezvous), so few hosts lend. A host chooses partitions of
+// different accounts, so that it needs to borrow for few. An owner stops using
 // a partition before it writes the release. The next owner does not use the
 // partition during the handover delay, in which the loans of the previous owner
 // expire. Partitions of a host that is missing from the platform's list are
@@ -24,7 +25,7 @@
 import type { HostName } from '../model/index.js'
 import { capableMembers, type ListedHost } from '../members/index.js'
 import type { Transition } from '../pipe/index.js'
-import { partitionRange, type PartitionRange } from './division.js'
+import { partitionRange, spreadOverAccounts, type PartitionRange } from './division.js'
 
 /** Owner of a quota partition. */
 export type PartitionOwner = {
@@ -44,7 +45,7 @@
 const absenceMarginMs = 15_000
 /** Time between two reads of a table. */
 const readPeriodMs = 5000
-/** The same for a host that owns none, where the table only shows who does. */
+/** The same for a host that owns none and knows the owners. */
 const distantReadPeriodMs = 60_000
 /**
  * Minimum time between two reads, per host that owns partitions, so that the rate
@@ -83,12 +84,16 @@
 export function planPartitions (table: PartitionTable, view: PartitionView): PartitionPlan {
   const { self } = view
   const all = table.seats.map((owner, partition) => ({ owner, partition }))
-  const owned = all.filter(({ owner }) => owner?.host === self.host)
+  const inSpreadOrder = (some: typeof all, known: typeof all): typeof all => {
+    const order = spreadOverAccounts(some.map(({ partition }) => partition), known.map(({ partition }) => partition), all.length)
+    return order.flatMap(partition => all[partition] ?? [])
+  }
+  const owned = inSpreadOrder(all.filter(({ owner }) => owner?.host === self.host), [])
   const ofRemovedHosts = all.filter(({ owner }) => owner !== null && owner.host !== self.host && view.isRemoved(owner.host))
   const dueCount = evenCount(self.host, view.sharingHosts, table.seats.length)
   const kept = owned.slice(0, view.sharingHosts.includes(self.host) ? dueCount + keptAboveEven : 0)
   const ofEarlierIncarnation = kept.filter(({ owner }) => owner?.incarnation !== self.incarnation)
-  const unowned = all.filter(({ owner }) => owner === null).concat(ofRemovedHosts)
+  const unowned = inSpreadOrder(all.filter(({ owner }) => owner === null), kept).concat(inSpreadOrder(ofRemovedHosts, kept))
   const acquired = unowned.slice(0, Math.max(0, dueCount - kept.length))
   return {
     release: owned.slice(kept.length).map(({ partition }) => partition),
@@ -230,12 +235,17 @@
 }
 
 function startRead (state: PartitionsState, nowMs: number): Transition<PartitionsState, PartitionsEffect> {
-  const periodMs = sharesPartitions(state) ? Math.max(readPeriodMs, state.range.hosts.length * readPeriodPerHostMs) : distantReadPeriodMs
+  const periodMs = sharesPartitions(state) || !knowsOwners(state) ? Math.max(readPeriodMs, state.range.hosts.length * readPeriodPerHostMs) : distantReadPeriodMs
   if (state.partitionCount === 0) return { state, effects: [] }
   if (state.readSentMs !== undefined) return { state: { ...state, mustReadAgain: true }, effects: [] }
   return { state: { ...state, nextReadMs: nowMs + periodMs, readSentMs: nowMs, mustReadAgain: false }, effects: [{ kind: 'readTable', table: state.range.table, hosts: state.range.hosts.length }] }
 }
 
+// While no owner is known, a host can't tell that it is to delegate admissions.
+function knowsOwners ({ table }: PartitionsState): boolean {
+  return table?.seats.some(owner => owner !== null) === true
+}
+
 function repeatRead (state: PartitionsState, nowMs: number): Transition<PartitionsState, PartitionsEffect> {
   return state.mustReadAgain ? startRead(state, nowMs) : { state, effects: [] }
 }
--- a/src/report/activity.ts
+++ b/src/report/activity.ts
@@ -18,6 +18,8 @@
   | 'storeCall'
   /** Commands to database servers, by command. */
   | 'serverCall'
+  /** Decisions of the rate limiter, by result; `for a peer`: as the dispatcher. */
+  | 'admission'
   /** Errors that a task survived, by task. */
   | 'taskFailure'
 
--- a/src/report/events.ts
+++ b/src/report/events.ts
@@ -27,7 +27,7 @@
   taskFailed: defineEvent(1005, 'error', 'A task caught an unexpected error and continues. Report it as a bug in limpetmoor.', ['task', 'error']),
   reloadAsked: defineEvent(1007, 'info', 'SIGHUP received: the settings file has changed. The process continues with the settings that it started with; restart it to apply new ones.', ['host']),
   transactionsRolledBack: defineEvent(1008, 'warn', 'Half of the grace period of a planned stop was over; the transactions that were still open on this host are rolled back, and their callers get the error at their next statement.', ['host', 'transactions']),
-  activity: defineEvent(1009, 'info', 'What this process did in the last reporting period: processor time, iterations of its event loop, and counts of timers, statements and calls by kind.', ['periodMs', 'cpuMs', 'wakes', 'counts']),
+  activity: defineEvent(1009, 'info', 'What this process did in the last reporting period: processor time, iterations of its event loop, and counts of timers, statements, decisions of the rate limiter (`admission`: admitted, delegated to the dispatcher, refused) and calls by kind.', ['periodMs', 'cpuMs', 'wakes', 'counts']),
   manifestApplied: defineEvent(2001, 'info', 'A manifest is in force on this host.', ['generation']),
   manifestRejected: defineEvent(2002, 'error', 'A manifest was rejected as a whole; the previous one stays in force. Apply a corrected one.', ['generation', 'errors']),
   confirmationLost: defineEvent(2003, 'warn', 'Neither the store nor a majority of the quorum has confirmed the configuration recently; authenticated statements are rejected.', ['generation']),
--- a/src/report/metrics.ts
+++ b/src/report/metrics.ts
@@ -23,7 +23,7 @@
   'members.live': defineMetric('gauge', 'Hosts that answer, this one included.', []),
   'process.cpu_ms': defineMetric('counter', 'Processor time of this process, in milliseconds.', []),
   'process.wakes': defineMetric('counter', 'Iterations of the event loop.', []),
-  'process.activity': defineMetric('counter', 'Timers, statements and calls by kind and name.', ['kind', 'name']),
+  'process.activity': defineMetric('counter', 'Timers, statements, calls and decisions of the rate limiter, by kind and name.', ['kind', 'name']),
   'task.failures': defineMetric('counter', 'Unexpected errors that a task survived; each is event 1005. Alarm on any, and on a rate above 0.1 a second at once.', ['task']),
   'callers.open': defineMetric('gauge', 'Connections of callers that are open.', [])
 } as const satisfies Readonly<Record<string, MetricDefinition>>
--- a/test/limits/partitions.test.ts
+++ b/test/limits/partitions.test.ts
@@ -148,13 +148,24 @@
 
 // Guards against rateExceeded: a host that read the table before it was listed left the
 // partitions that others had released for it unowned for up to 60 s.
-test('a host reads the table at once when it is listed', () => {
+test('a host reads the table at once when it is listed, and again soon while it knows no owner', () => {
   const before = run(initialPartitions(owner('h1')), [
     { kind: 'manifestApplied', partitionCount: 4, nowMs: 0 },
     { kind: 'hostsListed', hosts: listed('h0'), nowMs: 0 },
     { kind: 'tick', nowMs: 1 },
-    { kind: 'tableRead', table: table('h0', 'h0', 'h0', 'h0'), version: 1, nowMs: 2 }
+    { kind: 'tableRead', table: table(null, null, null, null), version: 1, nowMs: 2 }
   ]).state
-  assert.ok(partitionsDueAtMs(before) > 10_000)
-  assert.equal(partitionsDueAtMs(run(before, [{ kind: 'hostsListed', hosts: listed('h0', 'h1'), nowMs: 1000 }]).state), 1000)
+  // Without a known owner it does not wait for the long period, either.
+  assert.ok(partitionsDueAtMs(before) <= 10_000)
+  const informed = run(before, [{ kind: 'tick', nowMs: 6000 }, { kind: 'tableRead', table: table('h0', 'h0', 'h0', 'h0'), version: 2, nowMs: 6001 }, { kind: 'tick', nowMs: 12_000 }, { kind: 'tableRead', table: table('h0', 'h0', 'h0', 'h0'), version: 2, nowMs: 12_001 }]).state
+  assert.ok(partitionsDueAtMs(informed) > 60_000)
+  assert.equal(partitionsDueAtMs(run(informed, [{ kind: 'hostsListed', hosts: listed('h0', 'h1'), nowMs: 13_000 }]).state), 13_000)
+})
+
+// Guards against calls for quota: a host that got its partitions in pieces owned several of some accounts and none of others.
+test('a host with as many partitions as there are divisions of an account owns one of each account', () => {
+  const free = [0, 1, 8, 9, 16, 17, 24, 25, 32, 33, 34, 35, 36, 37, 38, 39]
+  const stored: PartitionTable = { seats: Array.from({ length: 64 }, (_, at) => free.includes(at) ? null : owner('h1')) }
+  const { acquire } = planPartitions(stored, view('h0', ['h0', 'h1', 'h2', 'h3', 'h4', 'h5']))
+  assert.equal(new Set(acquire.map(partition => partition % 8)).size, 8)
 })
