--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -87,9 +87,10 @@
       consistency: consistencyAfter(progress.consistency, attempt),
       token
     }
-    const delayMs = needsDelay(message, decision.reason, progress) ? retryDelayMs(progress.attempts, services.random()) : 0
+    const mustWait = needsDelay(message, decision.reason, progress)
+    const delayMs = mustWait ? retryDelayMs(progress.attempts, services.random()) : 0
     if (services.nowMs() + delayMs >= message.statement.deadlineAtMs) return withoutAnswer(message, progress)
-    if (delayMs > 0) await services.sleep(delayMs)
+    if (mustWait) await services.sleep(delayMs)
   }
 }
 
