Retries of a host are bounded by its first attempts

Cause: where attempts fail because of overload, each statement was sent again until its deadline, which added to the load.

Change: a token bucket for each host, filled by limits.retry_fraction (0.2) for each first attempt and limits.retry_min_per_s (10). Without budget a statement is answered with the reason of its last attempt; one that waits for a new primary goes on waiting and sends nothing. Counted by limpetmoor.retry.count.

With the budget always granted two tests failed, without the exception for a missing primary one.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -62,6 +62,10 @@
   readonly queueLength: number
   /** Longest time for which the statements of a class wait at a server without one being started. */
   readonly classWaitMs: number
+  /** Retries that each first attempt of a statement allows this host. */
+  readonly retryFraction: number
+  /** Retries a second that this host may make in any case. */
+  readonly retryMinPerS: number
   readonly defaultDeadlineMs: number
   /** Longest wait until a majority has received a write. */
   readonly confirmTimeoutMs: number
@@ -172,6 +176,8 @@
     max_connections: wholeNumber(1, 1_000_000).default(10_000),
     queue_length: wholeNumber(1, 1_000_000).default(1_000),
     class_wait_ms: wholeNumber(1, dayMs).default(500),
+    retry_fraction: positiveNumber(1).default(0.2),
+    retry_min_per_s: positiveNumber(1_000_000).default(10),
     default_deadline_ms: wholeNumber(1, dayMs).default(10_000),
     confirm_timeout_ms: wholeNumber(1, dayMs).default(5_000),
     connect_timeout_ms: wholeNumber(1, dayMs).default(1_000)
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -75,6 +75,7 @@
     defaultDeadlineMs: settings.limits.defaultDeadlineMs,
     maxDeadlineMs,
     rules: ports.frontEnd.rules,
+    retryBudget: { fraction: settings.limits.retryFraction, minPerS: settings.limits.retryMinPerS },
     strongReadsAt: ports.driver.statusDelivery === 'polled' ? 'primary' : 'anyServer'
   })
   const callers = await startCallers({
@@ -328,6 +329,7 @@
     routing: database => routing.view(database),
     execute: async (dispatcher, request) => await executeAt(components, dispatcher, request),
     cancel: (dispatcher, call) => { cancelAt(components, dispatcher, call) },
+    onRetry: result => { components.reports.recordRetry(result) },
     onAppliedPosition: (server, applied) => { routing.recordApplied(server, applied, timers.nowMs()) },
     random: context.random,
     encodeToken,
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -43,6 +43,8 @@
   /** Records an unexpected error that a task survived. */
   readonly recordTaskFailure: (task: string, error: Error) => void
   readonly recordServed: (statement: IncomingStatement, outcome: Outcome, tookMs: number, generation: number) => void
+  /** Records a retry that the retry budget allowed or refused. */
+  readonly recordRetry: (result: 'made' | 'refused') => void
   /**
    * Adds the report of another host of the failure domain; false where it was
    * not accepted.
@@ -101,6 +103,9 @@
       countStatement(metrics, { account, route: statement.route }, outcome, tookMs)
       if (outcome.kind === 'answered' && statement.statementClass.kind === 'read') metrics.count('read.served_by', { role: outcome.servedBy })
     },
+    recordRetry (result) {
+      metrics.count('retry.count', { result })
+    },
     collectReport (report) {
       return collector?.port.send({ kind: 'reported', report, nowMs: timers.nowMs() }) === 'accepted'
     },
--- a/src/report/metrics.ts
+++ b/src/report/metrics.ts
@@ -25,6 +25,7 @@
   'process.wakes': defineMetric('counter', 'Iterations of the event loop.', []),
   'process.activity': defineMetric('counter', 'Timers, statements and calls by kind and name.', ['kind', 'name']),
   'task.failures': defineMetric('counter', 'Unexpected errors that a task survived; each is event 1005. Alarm on any, and on a rate above 0.1 a second at once.', ['task']),
+  'retry.count': defineMetric('counter', 'Retries of statements that the retry budget of the host allowed (`made`) or not (`refused`).', ['result']),
   'callers.open': defineMetric('gauge', 'Connections of callers that are open.', [])
 } as const satisfies Readonly<Record<string, MetricDefinition>>
 
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -5,6 +5,7 @@
 import { end, type Filter, type Unsubscribe } from '../pipe/index.js'
 import type { ConsistencyResolved, RequestResult } from './message.js'
 import { decideRetry, deadlineOutcome, type AttemptResult, type Repeatable } from './retry.js'
+import { defaultRetryBudget, initialRetryBudget, takeRetry, withFirstAttempt } from './retry-budget.js'
 import { chooseRoute, type Route } from './route.js'
 import { ServerLoads } from './server-loads.js'
 import { raiseMinPosition, type OpenTransaction, type SessionState } from './session.js'
@@ -19,11 +20,12 @@
 /** Weight at the scheduler of callers without a key. */
 const anonymousWeight = 1
 
+const budgetUsedUp = 'the retry budget of this host is used up'
 const callerLeft = 'the caller closed its connection'
 /** Length of the prefix that tells the calls of this process from those of an earlier one. */
 const callPrefixLength = 6
 
-type Services = Pick<RequestServices, 'nowMs' | 'sleep' | 'routing' | 'execute' | 'cancel' | 'onAppliedPosition' | 'random'>
+type Services = Pick<RequestServices, 'nowMs' | 'sleep' | 'routing' | 'execute' | 'cancel' | 'onRetry' | 'onAppliedPosition' | 'random'>
 
 /** What the filter uses for all its statements. */
 type Attempts = {
@@ -31,11 +33,14 @@
   readonly bounds: RequestBounds
   readonly loads: ServerLoads
   readonly nextCallId: () => string
+  readonly retries: Retries
 }
 
 /** Result of the attempts for one statement so far. */
 type Progress = {
   readonly attempts: number
+  /** Attempts that were sent; the others found no server to send to. */
+  readonly sent: number
   readonly avoid: ReadonlySet<ServerName>
   readonly mayHaveRun: boolean
   readonly reason: NotRunReason
@@ -49,7 +54,8 @@
  * @returns the filter, which always ends the pipe
  */
 export function execute (services: Services, bounds: RequestBounds): Filter<ConsistencyResolved, never, RequestResult> {
-  const attempts: Attempts = { services, bounds, loads: new ServerLoads(), nextCallId: callIds(services.random()) }
+  const retries = retriesOf(services, bounds)
+  const attempts: Attempts = { services, bounds, loads: new ServerLoads(), nextCallId: callIds(services.random()), retries }
   return async message => {
     const { transaction } = message.session
     if (transaction !== undefined) return end(await runInTransaction(attempts, message, transaction))
@@ -57,6 +63,26 @@
   }
 }
 
+/** The retry budget of this host. */
+type Retries = {
+  readonly addFirstAttempt: () => void
+  /** Takes one retry from the budget; false where it is used up. */
+  readonly take: () => boolean
+}
+
+function retriesOf (services: Services, bounds: RequestBounds): Retries {
+  let budget = initialRetryBudget(bounds.retryBudget ?? defaultRetryBudget, services.nowMs())
+  return {
+    addFirstAttempt: () => { budget = withFirstAttempt(budget) },
+    take () {
+      const grant = takeRetry(budget, services.nowMs())
+      budget = grant.budget
+      services.onRetry?.(grant.isGranted ? 'made' : 'refused')
+      return grant.isGranted
+    }
+  }
+}
+
 function callIds (random: number): () => string {
   const prefix = random.toString(36).slice(2, 2 + callPrefixLength)
   let count = 0
@@ -69,15 +95,18 @@
 async function runOutsideTransaction (attempts: Attempts, message: ConsistencyResolved): Promise<RequestResult> {
   const { services, bounds } = attempts
   const repeatable: Repeatable = isRepeatable(message.statement.statementClass) && !message.statement.hints.once ? 'yes' : 'no'
-  let progress: Progress = { attempts: 0, avoid: new Set(), mayHaveRun: false, reason: 'deadlinePassed', consistency: message.consistency }
+  let progress: Progress = { attempts: 0, sent: 0, avoid: new Set(), mayHaveRun: false, reason: 'deadlinePassed', consistency: message.consistency }
   for (;;) {
     const route = chooseRoute(routingInput(services, bounds, message, progress), services.routing(message.database.name))
     if (!mayAttempt(attempts, message, route, progress)) return withoutAnswer(message, progress)
-    const attempt = await attemptOnce(attempts, message, route)
+    const mayBeSent = isWithinBudget(attempts, route, progress)
+    if (!mayBeSent && progress.reason !== 'noPrimary') return withoutAnswer(message, progress, budgetUsedUp)
+    const attempt = mayBeSent ? await attemptOnce(attempts, message, route) : waitForPrimary
     const decision = decideRetry(attempt, repeatable)
     if (decision.kind === 'answer') return statementResult(message, decision.outcome, route, attempt)
     progress = {
       attempts: progress.attempts + 1,
+      sent: progress.sent + (route.kind === 'send' ? 1 : 0),
       avoid: decision.avoidServer && route.kind === 'send' ? new Set([...progress.avoid, route.server]) : progress.avoid,
       mayHaveRun: progress.mayHaveRun || decision.mayHaveRun,
       reason: decision.reason,
@@ -103,8 +132,20 @@
   return statementClass.kind === 'read' || statementClass.kind === 'begin'
 }
 
-function withoutAnswer (message: ConsistencyResolved, progress: Progress): RequestResult {
-  const cause = message.presence?.hasLeft() === true ? callerLeft : undefined
+// Without budget, a statement that waits for a new primary goes on waiting and sends
+// nothing: during a failover all writes wait, which is no overload.
+const waitForPrimary: AttemptResult = { kind: 'noRoute', missing: 'primary' }
+
+// Waiting for a primary sends nothing, so it needs no budget.
+function isWithinBudget ({ retries }: Attempts, route: Route, progress: Progress): boolean {
+  if (route.kind === 'none') return true
+  if (progress.sent > 0) return retries.take()
+  retries.addFirstAttempt()
+  return true
+}
+
+function withoutAnswer (message: ConsistencyResolved, progress: Progress, detail?: string): RequestResult {
+  const cause = message.presence?.hasLeft() === true ? callerLeft : detail
   return { outcome: deadlineOutcome(progress.reason, progress.mayHaveRun, cause), session: message.session }
 }
 
--- a/src/request/services.ts
+++ b/src/request/services.ts
@@ -3,6 +3,7 @@
 
 import type { AccountName, DatabaseName, ExecuteRequest, MinPositions, HostName, Manifest, Outcome, PeerParams, Position, ServerName } from '../model/index.js'
 import type { AttemptResult } from './retry.js'
+import type { RetryBudgetSettings } from './retry-budget.js'
 import type { RoutingView } from './route.js'
 
 /** The configuration in force when a statement is processed. */
@@ -27,6 +28,8 @@
   readonly execute: (dispatcher: HostName, request: ExecuteRequest) => Promise<AttemptResult>
   /** Tells a dispatcher that a statement is no longer needed; omitted where none waits. */
   readonly cancel?: (dispatcher: HostName, call: PeerParams<'cancel'>) => void
+  /** Called with each retry that the retry budget allowed or refused. */
+  readonly onRetry?: (result: 'made' | 'refused') => void
   /** Called with the applied position of a server that a reply contains. */
   readonly onAppliedPosition: (server: ServerName, applied: Position) => void
   /** A random number from 0 up to, not including, 1. */
@@ -44,6 +47,8 @@
   readonly defaultDeadlineMs: number
   readonly maxDeadlineMs: number
   readonly rules: SessionRules
+  /** Retries that this host makes; omitted: the default. */
+  readonly retryBudget?: RetryBudgetSettings
   /**
    * Where strong reads run. If servers report their positions only when queried,
    * running them at the primary needs the fewest queries.
--- a/test/request/attempts.test.ts
+++ b/test/request/attempts.test.ts
@@ -2,9 +2,10 @@
 
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import fc from 'fast-check'
 import { notRun, type ExecuteRequest, type Manifest, type Outcome, type PeerParams, type ServerLoad } from '../../src/model/index.js'
 import { runPipe } from '../../src/pipe/index.js'
-import { mysqlSessionRules, openSessionState, PresenceSignal, requestPipe, type AttemptResult, type RequestBounds, type RequestServices } from '../../src/request/index.js'
+import { initialRetryBudget, mysqlSessionRules, openSessionState, PresenceSignal, requestPipe, takeRetry, withFirstAttempt, type AttemptResult, type RequestBounds, type RequestServices } from '../../src/request/index.js'
 import { parseSql } from '../../src/wire/sql/index.js'
 
 const manifest: Manifest = {
@@ -92,3 +93,46 @@
   assert.equal(entry.sent.length, sentBefore + 1)
   assert.deepEqual(entry.cancelled.map(({ callId }) => callId), [entry.sent.at(-1)?.callId])
 })
+
+// Guards against retries that add to the load that made the first attempts fail.
+test('retries are at most the fraction of the first attempts, and a statement without one is answered at once', async () => {
+  const entry = startEntry([replyOf(busy, 0)], 1, undefined, { retryBudget: { fraction: 0.2, minPerS: 1e-9 } })
+  const firstAttempts = 500
+  const reasons = new Set<string>()
+  for (let at = 0; at < firstAttempts; at += 1) reasons.add(reasonOf(await entry.read()))
+  const retries = entry.sent.length - firstAttempts
+  assert.ok(retries <= 100 + 0.2 * firstAttempts, `${retries} retries`)
+  assert.ok(retries >= 0.2 * firstAttempts, `${retries} retries`)
+  assert.deepEqual([...reasons], ['serverBusy'])
+})
+
+// Guards against writes that are refused during a failover because all of them retry.
+test('a statement that waits for a new primary goes on waiting without budget', async () => {
+  const entry = startEntry([replyOf(notRun('noPrimary', 'no primary'), 0)], 1, undefined, { retryBudget: { fraction: 1e-9, minPerS: 1e-9 } })
+  for (let at = 0; at < 50; at += 1) await entry.read()
+  const startedAtMs = entry.nowMs()
+  assert.equal(reasonOf(await entry.read()), 'noPrimary')
+  assert.ok(entry.nowMs() - startedAtMs > 800, `answered after ${entry.nowMs() - startedAtMs} ms`)
+  assert.ok(entry.sent.length <= 51 + 100, `${entry.sent.length} sent`)
+})
+
+test('a budget holds in any order of first attempts and retries', () => {
+  fc.assert(fc.property(fc.array(fc.record({ isRetry: fc.boolean(), passMs: fc.nat(200) }), { maxLength: 500 }), steps => {
+    const settings = { fraction: 0.2, minPerS: 10 }
+    let budget = initialRetryBudget(settings, 0)
+    let nowMs = 0
+    let [first, granted] = [0, 0]
+    for (const { isRetry, passMs } of steps) {
+      nowMs += passMs
+      if (isRetry) {
+        const grant = takeRetry(budget, nowMs)
+        budget = grant.budget
+        granted += grant.isGranted ? 1 : 0
+      } else {
+        budget = withFirstAttempt(budget)
+        first += 1
+      }
+      assert.ok(granted <= 100 + first * settings.fraction + nowMs / 1000 * settings.minPerS + 1e-6)
+    }
+  }), { seed: 5, numRuns: 300 })
+})
