--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -47,6 +47,8 @@
   /** Counts a statement that was sent to the dispatcher of a server. */
   readonly recordSent: (server: ServerName, role: 'primary' | 'replica', domain: 'local' | 'other') => void
   readonly recordEjection: (database: DatabaseName, change: EjectionChange) => void
+  /** Records a retry that the retry budget allowed or refused. */
+  readonly recordRetry: (result: 'made' | 'refused') => void
   /**
    * Adds the report of another host of the failure domain; false where it was
    * not accepted.
@@ -107,6 +109,9 @@
     },
     recordSent (server, role, domain) { metrics.count('route.sent', { server, role, domain }) },
     recordEjection (database, change) { reportEjection(log, metrics, database, change) },
+    recordRetry (result) {
+      metrics.count('retry.count', { result })
+    },
     collectReport (report) {
       return collector?.port.send({ kind: 'reported', report, nowMs: timers.nowMs() }) === 'accepted'
     },
