Quota partitions across eras of the store

Cause: after a restore the table is an earlier one; a partition that moved in the time that is lost had two owners, and a late write of the earlier era could match a version. The state of a host in heartbeats carries the era. Events 6002 to 6004, metric store.era.

--- a/src/daemon/components.ts
+++ b/src/daemon/components.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationTask } from './configuration-task.js'
 import type { DaemonContext } from './context.js'
 import type { DiscoveryTask } from './discovery-task.js'
+import type { EraTask } from './era-task.js'
 import type { LeaderTask } from './leader-task.js'
 import type { EffectiveManifest } from './effective-manifest.js'
 import type { ObservationRelaySpec } from './observation-relay.js'
@@ -28,6 +29,7 @@
   readonly routing: RoutingTable
   readonly limits: LimitsTask
   readonly effectiveManifest: EffectiveManifest
+  readonly eras: EraTask
   /** Set where the platform promotes on the order of the failover leader. */
   readonly leaderTask: LeaderTask | undefined
   /** Set where servers register themselves. */
@@ -36,7 +38,7 @@
   readonly registry: Registry | undefined
   readonly observationRelay: ObservationRelaySpec
   /**
-   * Records a member's state; where it holds the leader lease, the host becomes
+   * Records a member's state, also the era of the store that it knows; where it holds the leader lease, the host becomes
    * the known leader.
    */
   readonly recordLeader: (from: MemberState) => void
--- a/src/daemon/decode.ts
+++ b/src/daemon/decode.ts
@@ -6,7 +6,7 @@
 
 const primarySchema = z.object({ database: z.string(), term: z.int(), primary: z.string().optional() })
 // `seats` is the stored name of the partitions, see PartitionTable.
-const partitionTableSchema = z.object({ seats: z.array(z.object({ host: z.string(), incarnation: z.string() }).nullable()) })
+const partitionTableSchema = z.object({ seats: z.array(z.object({ host: z.string(), incarnation: z.string() }).nullable()), era: z.int().optional(), isSettled: z.boolean().optional() })
 
 /**
  * Decodes the primary of a database; throws where the value has another form.
--- a/src/daemon/limits-task.ts
+++ b/src/daemon/limits-task.ts
@@ -7,7 +7,7 @@
 import type { ListedHost, Member } from '../members/index.js'
 import { notRun, type AccountName, type HostName, type LoanReset, type Manifest, type Outcome, type PeerParams, type PeerResult } from '../model/index.js'
 import { ask, sleep, startTask, withoutAnswered, type Port, type Reply } from '../pipe/index.js'
-import { StoreError, type ObjectStore } from '../ports/index.js'
+import { currentEra, putObjectInEra, readObject, StoreError, type ObjectStore } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import type { PeerLinks } from './peers.js'
 
@@ -40,6 +40,8 @@
    * lists only (`freshListMs`).
    */
   readonly updateHosts: (hosts: readonly ListedHost[]) => void
+  /** A higher era of the store was heard of, or is settled. */
+  readonly recordEra: (event: { readonly kind: 'eraHeard' | 'eraSettled', readonly era: number }) => void
   /** Releases the partitions of this host. */
   readonly releasePartitions: () => void
   readonly stop: () => Promise<void>
@@ -139,6 +141,9 @@
       listed = hosts.map(({ host }) => host)
       partitions.port.send({ kind: 'hostsListed', hosts, nowMs: timers.nowMs() })
     },
+    recordEra (event) {
+      partitions.port.send({ ...event, nowMs: timers.nowMs() })
+    },
     releasePartitions () {
       partitions.port.send({ kind: 'stopping', nowMs: timers.nowMs() })
     },
@@ -281,18 +286,41 @@
   const { timers, random } = spec.context
   await sleep(timers, random() * Math.min(readSpreadMs.max, hosts * readSpreadMs.perHost))
   try {
-    const object = await spec.store.getObject(partitionsKind, table)
-    port.send({ kind: 'tableRead', table: object === undefined ? undefined : spec.decodeTable(object.value), version: object?.version ?? 0, nowMs: timers.nowMs() })
+    port.send({ ...await readTableOfEra(spec, table), nowMs: timers.nowMs() })
   } catch {
     port.send({ kind: 'readFailed', nowMs: timers.nowMs() })
   }
 }
 
+// The name in era 0 is the plain one.
+function tableName (table: string, era: number): string {
+  return era === 0 ? table : `${table}.${era}`
+}
+
+type TableRead = Untimed<Extract<PartitionsEvent, { readonly kind: 'tableRead' | 'copyRead' }>>
+
+async function readTableOfEra ({ store, decodeTable }: LimitsTaskSpec, table: string): Promise<TableRead> {
+  const { object, era } = await readInNamedEra(store, table)
+  if (object !== undefined || era === 0) return { kind: 'tableRead', table: decodeTable(object?.value), version: object?.version ?? 0, era }
+  const { objects } = await store.listObjects(partitionsKind)
+  const eraByName = new Map(Array.from({ length: era }, (_, earlier) => [tableName(table, earlier), earlier]))
+  const earlier = objects.filter(({ name }) => eraByName.has(name)).sort((a, b) => (eraByName.get(b.name) ?? 0) - (eraByName.get(a.name) ?? 0))
+  return { kind: 'copyRead', table: decodeTable(earlier[0]?.value), era }
+}
+
+// The answer may show that the era has risen; the name is then that of another era.
+async function readInNamedEra (store: ObjectStore, table: string): Promise<Awaited<ReturnType<typeof readObject>>> {
+  const era = currentEra(store)
+  const read = await readObject(store, partitionsKind, tableName(table, era))
+  return currentEra(store) === era ? read : await readInNamedEra(store, table)
+}
+
 async function writeTable (spec: LimitsTaskSpec, effect: Extract<PartitionsEffect, { readonly kind: 'writeTable' }>, port: Port<PartitionsEvent>): Promise<void> {
   const { timers, onTaskError } = spec.context
   const sentMs = timers.nowMs()
   try {
-    const { version } = await spec.store.putObject(partitionsKind, effect.table, effect.version, effect.value)
+    const era = effect.value.era ?? 0
+    const { version } = await putObjectInEra(spec.store, partitionsKind, tableName(effect.table, era), { version: effect.version, era }, effect.value)
     port.send({ kind: 'written', table: effect.value, version, sentMs })
   } catch (error) {
     if (!(error instanceof StoreError)) onTaskError('seats')(error as Error)
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -19,6 +19,7 @@
 import { decodePrimary, decodePartitionTable } from './decode.js'
 import { startDiscovery } from './discovery-task.js'
 import { startLeaderTask, type LeaderTask } from './leader-task.js'
+import { observedStore, startEras, statedEra, type EraTask } from './era-task.js'
 import { EffectiveManifest } from './effective-manifest.js'
 import { startLimits } from './limits-task.js'
 import { startMembers, type MembersTask, type MembersView } from './members-task.js'
@@ -109,7 +110,8 @@
 function createComponents (settings: Settings, uncounted: ProxyPorts, stopping: () => boolean): ProxyComponents {
   const activity = new Activity()
   const timers = systemTimers(() => { activity.add('timer') })
-  const ports = countedPorts(uncounted, activity)
+  const counted = countedPorts(uncounted, activity)
+  const ports = { ...counted, store: observedStore(counted.store, () => { eras.checkStore() }) }
   const incarnation = randomBytes(incarnationBytes).toString('hex')
   const random = Math.random
   const reports = startReports({ settings, timers, incarnation, random, activity })
@@ -155,6 +157,7 @@
     peers: () => members.view.get().live.filter(member => member.failureDomain === settings.host.failureDomain).map(member => member.host),
     isWatcher: () => members.view.get().quorum.includes(settings.host.name),
     localState: () => localState(),
+    onPeerState: (from, sentAtMs) => { recordPeerState(from, sentAtMs) },
     onApply: accepted => {
       effectiveManifest.applyManifest(accepted.manifest)
       limits.applyManifest(accepted.manifest)
@@ -172,6 +175,7 @@
     decodeTable: decodePartitionTable
   })
   const recordLeader = (from: MemberState): void => {
+    eras.recordPeerState(from)
     if (from.holdsDuty !== true) return
     leader = from.host
     leaderTask?.recordOtherLeader(from.lease)
@@ -180,6 +184,15 @@
     configuration.recordPeerState(from, sentAtMs)
     recordLeader(from)
   }
+  const eras: EraTask = startEras({
+    context,
+    onEffect: effect => {
+      if (effect.kind === 'raised') leaderTask?.recordEra(effect.era)
+      else limits.recordEra({ kind: effect.kind === 'heard' ? 'eraHeard' : 'eraSettled', era: effect.era })
+      if (effect.kind !== 'heard') reports.event(effect.kind === 'raised' ? 'storeRestored' : 'storeEraSettled', { era: effect.era })
+    },
+    onIgnored: ignored => { reports.event('storeEraIgnored', { ignored }) }
+  })
   const leaderTask = createLeaderTask(context, reports, isLeader => { databases.setLeader(isLeader) })
   const discovery = ports.servers.kind === 'declared'
     ? undefined
@@ -217,6 +230,7 @@
     incarnation: context.incarnation,
     state: stopping() ? 'stopping' : 'serving',
     ...(leaderTask === undefined ? {} : { holdsDuty: leaderTask.isLeader(), lease: leaderTask.renewal() }),
+    ...statedEra(store),
     ...configuration.advertised()
   })
   const members: MembersTask = startMembers({
@@ -231,6 +245,7 @@
     onMembersChanged: view => {
       applyMembers(view, { configuration, databases, routing, limits })
       links.dropUnresponsive(view.unresponsive)
+      eras.quorumChanged(view.quorum)
       leaderTask?.changeRank(stopping() ? undefined : leaderRank(view, settings.host.name), isLeaderCandidate(view, settings.host.name))
       reports.event('membersChanged', { live: view.live.length, listed: view.listed.length })
     },
@@ -239,7 +254,7 @@
   const observationRelay = { context, links, databases, routing }
   if (ports.driver.statusDelivery === 'polled') startObservationRelay(observationRelay)
   reports.attach({ store, members, configuration, databases, routing, links, stopping })
-  return { context, reports, store, links, members, configuration, databases, routing, limits, effectiveManifest, leaderTask, discovery, registry, observationRelay, recordLeader, stopping, localState }
+  return { context, reports, store, links, members, configuration, databases, routing, limits, effectiveManifest, eras, leaderTask, discovery, registry, observationRelay, recordLeader, stopping, localState }
 }
 
 // Event names and the value of `what` keep the earlier word duty for the leader
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -10,7 +10,7 @@
 import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
 import type { AccountStatsTable } from '../report/account-stats.js'
 import { activityText, addedCounts, eventLog, processTotals, reportCollectorStep, initialReportCollector, combineMetrics, noMetrics, outcomeTag, type Activity, type ActivityCount, type EventFields, type EventLog, type EventName, type ProcessTotals, type ReportCollectorEffect, type ReportCollectorEvent, type ReportCollectorState, type Metrics } from '../report/index.js'
-import { updateObject, type ObjectStore } from '../ports/index.js'
+import { currentEra, updateObject, type ObjectStore } from '../ports/index.js'
 import type { ConfigurationTask } from './configuration-task.js'
 import type { Databases } from './databases.js'
 import type { MembersTask } from './members-task.js'
@@ -204,6 +204,7 @@
 async function sendReport (spec: ReportsSpec, components: ReportedComponents, accountStats: AccountStatsTable | undefined, metrics: Metrics, collectorPort: Port<ReportCollectorEvent>): Promise<void> {
   const report = reportOf(spec, components, accountStats)
   metrics.gauge('configuration.generation', report.generation)
+  metrics.gauge('store.era', currentEra(components.store))
   metrics.gauge('members.live', components.members.view.get().live.length)
   const collector = collectorOf(spec.settings.host.failureDomain, components)
   if (collector === undefined || collector === spec.settings.host.name) {
--- a/src/limits/index.ts
+++ b/src/limits/index.ts
@@ -3,5 +3,6 @@
 export * from './limits.js'
 export { partitionHandoverMs } from './settings.js'
 export * from './division.js'
+export * from './partition-plan.js'
 export * from './partitions.js'
 export { limitsTickMs } from './settings.js'
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -99,7 +99,7 @@
 /** Events of the limits. */
 export type LimitsEvent =
   | { readonly kind: 'manifestApplied', readonly manifest: Manifest, readonly nowMs: number }
-  | { readonly kind: 'partitionsChanged', readonly owned: readonly number[], readonly reacquired: ReadonlySet<number>, readonly owners: ReadonlyMap<number, HostName>, readonly tableReadSentMs: number, readonly nowMs: number }
+  | { readonly kind: 'partitionsChanged', readonly owned: readonly number[], readonly reacquired: ReadonlySet<number>, readonly owners: ReadonlyMap<number, HostName>, readonly tableReadSentMs: number, readonly isSettled?: boolean, readonly nowMs: number }
   | { readonly kind: 'membersChanged', readonly live: readonly Member[], readonly nowMs: number }
   | { readonly kind: 'confirmationChanged', readonly confirmation: Confirmation, readonly nowMs: number }
   | { readonly kind: 'admit', readonly account: AccountName, readonly id: string, readonly deadlineMs: number, readonly nowMs: number }
@@ -161,7 +161,9 @@
   switch (event.kind) {
     case 'manifestApplied': return manifestApplied(state, event.manifest, event.nowMs)
     case 'partitionsChanged': {
-      const owned = event.tableReadSentMs < state.expiredMs ? [] : event.owned
+      const known = event.tableReadSentMs < state.expiredMs ? [] : event.owned
+      // Until the store's era is settled, another host may use the partitions that are not in use here.
+      const owned = event.isSettled === false ? known.filter(partition => state.usableFromMs.has(partition)) : known
       return { state: partitionsChanged(state, { owned, reacquired: event.reacquired }, event.owners, event.nowMs), effects: [] }
     }
     case 'membersChanged': return { state: { ...state, members: event.live }, effects: [] }
--- a/src/limits/partitions.ts
+++ b/src/limits/partitions.ts
@@ -19,31 +19,29 @@
 // A write whose answer was lost may take effect late. A partition that was to be
 // released is therefore not used again until the table has a newer version.
 //
+// A store that was restored from a copy (a higher era) holds an earlier table, and a late
+// write of the earlier era could match a version that was assigned again. Each era
+// therefore has a table object of its own, which starts as a copy of the latest earlier
+// one. A host goes on using the partitions that it uses and that the new table gives it;
+// of all others any host may still be a user, so they are used only once the era is
+// settled (src/era), after the handover delay. A host that hears of a higher era and does
+// not read its table within `eraGraceMs` stops using its partitions.
+//
 // How limits are divided into partitions, and partitions into tables: division.ts.
 
 import type { HostName } from '../model/index.js'
+import { eraGraceMs } from '../era/index.js'
 import { capableMembers, type ListedHost } from '../members/index.js'
 import type { Transition } from '../pipe/index.js'
 import { partitionRange, type PartitionRange } from './division.js'
+import { applyPlan, planPartitions, type PartitionOwner, type PartitionPlan, type PartitionTable } from './partition-plan.js'
 
-/** Owner of a quota partition. */
-export type PartitionOwner = {
-  readonly host: HostName
-  readonly incarnation: string
-}
-
-/** Partition table as kept in the store; null marks an unowned partition. */
-export type PartitionTable = {
-  /** Owner of each partition; `seats` is the name of the stored field. */
-  readonly seats: ReadonlyArray<PartitionOwner | null>
-}
-
-/** Partitions that a host keeps above its even count. */
-const keptAboveEven = 2
 /** Absence from the platform's list after which a host's partitions are reclaimed. */
 const absenceMarginMs = 15_000
 /** Time between two reads of a table. */
 const readPeriodMs = 5000
+/** The same while the store has no table of the era that this host has heard of. */
+const repeatReadMs = 300
 /** The same for a host that owns none, where the table only shows who does. */
 const distantReadPeriodMs = 60_000
 /**
@@ -52,75 +50,6 @@
  */
 const readPeriodPerHostMs = 50
 
-/** Input of a plan besides the table. */
-export type PartitionView = {
-  readonly self: PartitionOwner
-  /** Hosts that the partitions are distributed over; without the local host while it stops. */
-  readonly sharingHosts: readonly HostName[]
-  /** Whether a host's partitions are to be reclaimed. */
-  readonly isRemoved: (host: HostName) => boolean
-}
-
-/** Changes of a table, by partition index within the table. */
-export type PartitionPlan = {
-  /** Own partitions above the even count and `keptAboveEven`. */
-  readonly release: readonly number[]
-  /**
-   * Partitions to acquire: unowned ones, those of removed hosts, and those of
-   * an earlier incarnation of this host.
-   */
-  readonly acquire: readonly number[]
-  /** Partitions of removed hosts that become unowned. */
-  readonly reclaim: readonly number[]
-}
-
-/**
- * Plans a host's changes of its table.
- * @param table - the table
- * @param view - the host's view of the fleet
- * @returns the changes; all empty if none is needed
- */
-export function planPartitions (table: PartitionTable, view: PartitionView): PartitionPlan {
-  const { self } = view
-  const all = table.seats.map((owner, partition) => ({ owner, partition }))
-  const owned = all.filter(({ owner }) => owner?.host === self.host)
-  const ofRemovedHosts = all.filter(({ owner }) => owner !== null && owner.host !== self.host && view.isRemoved(owner.host))
-  const dueCount = evenCount(self.host, view.sharingHosts, table.seats.length)
-  const kept = owned.slice(0, view.sharingHosts.includes(self.host) ? dueCount + keptAboveEven : 0)
-  const ofEarlierIncarnation = kept.filter(({ owner }) => owner?.incarnation !== self.incarnation)
-  const unowned = all.filter(({ owner }) => owner === null).concat(ofRemovedHosts)
-  const acquired = unowned.slice(0, Math.max(0, dueCount - kept.length))
-  return {
-    release: owned.slice(kept.length).map(({ partition }) => partition),
-    acquire: [...ofEarlierIncarnation, ...acquired].map(({ partition }) => partition),
-    reclaim: ofRemovedHosts.filter(({ partition }) => !acquired.some(other => other.partition === partition)).map(({ partition }) => partition)
-  }
-}
-
-function evenCount (host: HostName, sharingHosts: readonly HostName[], partitionCount: number): number {
-  const rank = [...sharingHosts].sort().indexOf(host)
-  if (rank < 0) return 0
-  return Math.floor(partitionCount / sharingHosts.length) + (rank < partitionCount % sharingHosts.length ? 1 : 0)
-}
-
-/**
- * Applies a plan to a table.
- * @param table - the table
- * @param plan - the changes
- * @param self - the owner of the acquired partitions
- * @returns the changed table
- */
-export function applyPlan (table: PartitionTable, plan: PartitionPlan, self: PartitionOwner): PartitionTable {
-  const unowned = new Set([...plan.release, ...plan.reclaim])
-  const acquired = new Set(plan.acquire)
-  return {
-    seats: table.seats.map((owner, partition) => {
-      if (acquired.has(partition)) return self
-      return unowned.has(partition) ? null : owner
-    })
-  }
-}
-
 /** State of a host's quota partitions. */
 export type PartitionsState = {
   readonly self: PartitionOwner
@@ -135,6 +64,14 @@
   readonly table: PartitionTable | undefined
   /** Store version of `table`; -1 before the first read, 0 if the store has no table. */
   readonly version: number
+  /** Era of `table`, and the highest era that this host has heard of, with the time since when. */
+  readonly era: number
+  readonly heardEra: number
+  readonly heardSinceMs: number
+  /** Whether the time is over in which the table of an earlier era than `heardEra` may be used. */
+  readonly isOutdated: boolean
+  /** Highest era that is settled. */
+  readonly settledEra: number
   /** Own partitions that the previous process on this host owned. */
   readonly reacquired: ReadonlySet<number>
   /** Partitions released by a write based on `version`; not used until a newer version. */
@@ -154,7 +91,12 @@
   | { readonly kind: 'manifestApplied', readonly partitionCount: number, readonly nowMs: number }
   | { readonly kind: 'hostsListed', readonly hosts: readonly ListedHost[], readonly nowMs: number }
   /** Result of a read; version 0 if the table does not exist yet. */
-  | { readonly kind: 'tableRead', readonly table: PartitionTable | undefined, readonly version: number, readonly nowMs: number }
+  | { readonly kind: 'tableRead', readonly table: PartitionTable | undefined, readonly version: number, readonly era?: number, readonly nowMs: number }
+  /** The store has no table of this era yet; `table` is the latest earlier one. */
+  | { readonly kind: 'copyRead', readonly table: PartitionTable | undefined, readonly era: number, readonly nowMs: number }
+  /** A higher era was heard of, from the store or from another host. */
+  | { readonly kind: 'eraHeard', readonly era: number, readonly nowMs: number }
+  | { readonly kind: 'eraSettled', readonly era: number, readonly nowMs: number }
   /** A write took effect; the store has the written table under the version now. */
   | { readonly kind: 'written', readonly table: PartitionTable, readonly version: number, readonly sentMs: number }
   /** A write was rejected or has an unknown result; the table is read again. */
@@ -168,9 +110,10 @@
   /**
    * Partitions that this host owns and is not releasing, and the owners of all
    * partitions in its table. Also sent without a change, for example after a
-   * read of the table.
+   * read of the table. While the era is not settled, only those of the own
+   * partitions may be used that are in use already.
    */
-  | { readonly kind: 'partitionsChanged', readonly owned: readonly number[], readonly reacquired: ReadonlySet<number>, readonly owners: ReadonlyMap<number, HostName>, readonly tableReadSentMs: number }
+  | { readonly kind: 'partitionsChanged', readonly owned: readonly number[], readonly reacquired: ReadonlySet<number>, readonly owners: ReadonlyMap<number, HostName>, readonly tableReadSentMs: number, readonly isSettled: boolean }
   /** `hosts`: number of hosts that own partitions of the table. */
   | { readonly kind: 'readTable', readonly table: string, readonly hosts: number }
   | { readonly kind: 'writeTable', readonly table: string, readonly value: PartitionTable, readonly version: number }
@@ -191,6 +134,11 @@
     stopping: false,
     table: undefined,
     version: -1,
+    era: 0,
+    heardEra: 0,
+    heardSinceMs: Infinity,
+    isOutdated: false,
+    settledEra: 0,
     reacquired: new Set(),
     releasing: { partitions: new Set(), version: -1 },
     isWriting: false,
@@ -211,12 +159,15 @@
   switch (event.kind) {
     case 'manifestApplied': return updateTable(withRange({ ...state, partitionCount: event.partitionCount }))
     case 'hostsListed': return updateTable(withHosts(state, event.hosts, event.nowMs))
-    case 'tableRead': return tableRead(state, event.table, event.version, event.nowMs)
+    case 'tableRead': return tableRead(state, event)
+    case 'copyRead': return createTable({ ...state, readSentMs: undefined }, event)
+    case 'eraHeard': return eraHeard(state, event.era, event.nowMs)
+    case 'eraSettled': return startRead({ ...state, settledEra: Math.max(state.settledEra, event.era) }, event.nowMs)
     case 'written': return written(state, event.table, event.version, event.sentMs)
     case 'writeEnded': return startRead({ ...state, isWriting: false }, event.nowMs)
-    case 'readFailed': return repeatRead({ ...state, readSentMs: undefined }, event.nowMs)
+    case 'readFailed': return readFailed({ ...state, readSentMs: undefined }, event.nowMs)
     case 'stopping': return updateTable({ ...state, stopping: true })
-    case 'tick': return event.nowMs < state.nextReadMs || state.isWriting || state.readSentMs !== undefined ? { state, effects: [] } : startRead(state, event.nowMs)
+    case 'tick': return tick(state, event.nowMs)
   }
 }
 
@@ -226,7 +177,37 @@
  * @returns monotonic time; Infinity while a read or a write is in progress
  */
 export function partitionsDueAtMs (state: PartitionsState): number {
-  return state.isWriting || state.readSentMs !== undefined || state.partitionCount === 0 ? Infinity : state.nextReadMs
+  const outdatedAtMs = isBehind(state) && !state.isOutdated ? state.heardSinceMs + eraGraceMs : Infinity
+  return state.isWriting || state.readSentMs !== undefined || state.partitionCount === 0 ? outdatedAtMs : Math.min(outdatedAtMs, state.nextReadMs)
+}
+
+function tick (state: PartitionsState, nowMs: number): Transition<PartitionsState, PartitionsEffect> {
+  const isOutdated = isBehind(state) && nowMs >= state.heardSinceMs + eraGraceMs
+  const current = { ...state, isOutdated }
+  const effects = isOutdated && !state.isOutdated ? [partitionsChanged(current)] : []
+  if (nowMs < state.nextReadMs || state.isWriting || state.readSentMs !== undefined) return { state: current, effects }
+  const read = startRead(current, nowMs)
+  return { state: read.state, effects: [...effects, ...read.effects] }
+}
+
+function isBehind ({ heardEra, era }: PartitionsState): boolean {
+  return heardEra > era
+}
+
+function eraHeard (state: PartitionsState, era: number, nowMs: number): Transition<PartitionsState, PartitionsEffect> {
+  if (era <= state.heardEra) return { state, effects: [] }
+  // The time counts from the first era that was missed.
+  const heardSinceMs = isBehind(state) ? state.heardSinceMs : nowMs
+  return startRead({ ...state, heardEra: era, heardSinceMs }, nowMs)
+}
+
+// The first host that finds no table of an era creates it. Its answer, or the next read,
+// shows the table of the era; the copy itself is not used.
+function createTable (state: PartitionsState, { table, era, nowMs }: Extract<PartitionsEvent, { readonly kind: 'copyRead' }>): Transition<PartitionsState, PartitionsEffect> {
+  const creates = state.range.hosts.includes(state.self.host)
+  if (era < state.era || state.isWriting || !creates) return repeatRead({ ...state, nextReadMs: nowMs + repeatReadMs }, nowMs)
+  const value = { seats: table?.seats ?? [], era }
+  return { state: { ...state, isWriting: true }, effects: [{ kind: 'writeTable', table: state.range.table, value, version: 0 }] }
 }
 
 function startRead (state: PartitionsState, nowMs: number): Transition<PartitionsState, PartitionsEffect> {
@@ -237,6 +218,11 @@
   return { state: { ...state, nextReadMs: nowMs + periodMs, readSentMs: nowMs, mustReadAgain: false }, effects: [{ kind: 'readTable', table: state.range.table, hosts: state.range.hosts.length }] }
 }
 
+// A host that is behind has little time to read the table.
+function readFailed (state: PartitionsState, nowMs: number): Transition<PartitionsState, PartitionsEffect> {
+  return repeatRead(isBehind(state) ? { ...state, nextReadMs: nowMs + repeatReadMs } : state, nowMs)
+}
+
 function repeatRead (state: PartitionsState, nowMs: number): Transition<PartitionsState, PartitionsEffect> {
   return state.mustReadAgain ? startRead(state, nowMs) : { state, effects: [] }
 }
@@ -263,25 +249,35 @@
   return { absentSinceMs: new Map(missing.map(host => [host, state.absentSinceMs.get(host) ?? nowMs])) }
 }
 
-function tableRead (state: PartitionsState, table: PartitionTable | undefined, version: number, nowMs: number): Transition<PartitionsState, PartitionsEffect> {
+function tableRead (state: PartitionsState, event: Extract<PartitionsEvent, { readonly kind: 'tableRead' }>): Transition<PartitionsState, PartitionsEffect> {
+  const { table, version, era = 0, nowMs } = event
   const readEnded = { ...state, readSentMs: undefined }
-  if (version < state.version || state.mustReadAgain) return repeatRead(readEnded, nowMs)
-  const releasing = version > state.releasing.version ? { partitions: new Set<number>(), version } : state.releasing
+  const isOlder = era < state.era || (era === state.era && version < state.version)
+  if (isOlder || state.mustReadAgain) return repeatRead(readEnded, nowMs)
+  const isNewer = era > state.era || version > state.releasing.version
+  const releasing = isNewer ? { partitions: new Set<number>(), version } : state.releasing
   const tableReadSentMs = state.readSentMs ?? state.tableReadSentMs
-  const known = { ...readEnded, table: table ?? { seats: [] }, version, releasing, tableReadSentMs }
+  const known = inEra({ ...readEnded, table: table ?? { seats: [] }, version, releasing, tableReadSentMs }, era)
   return updateTable({ ...known, ...(known.hostsListedMs === undefined ? {} : absenceTimes(known, known.hosts, nowMs)) })
 }
 
+function inEra (state: PartitionsState, era: number): PartitionsState {
+  const settledEra = state.table?.isSettled === true ? Math.max(state.settledEra, era) : state.settledEra
+  return { ...state, era, heardEra: Math.max(state.heardEra, era), isOutdated: state.isOutdated && state.heardEra > era, settledEra }
+}
+
 function written (state: PartitionsState, table: PartitionTable, version: number, sentMs: number): Transition<PartitionsState, PartitionsEffect> {
+  const era = table.era ?? 0
   // A read that is in progress may have been answered before the write.
   const ended = { ...state, isWriting: false, mustReadAgain: state.readSentMs !== undefined }
-  if (version <= state.version) return { state: ended, effects: [] }
-  return updateTable({ ...ended, table, version, releasing: { partitions: new Set(), version }, tableReadSentMs: sentMs })
+  if (era < state.era || (era === state.era && version <= state.version)) return { state: ended, effects: [] }
+  return updateTable(inEra({ ...ended, table, version, releasing: { partitions: new Set(), version }, tableReadSentMs: sentMs }, era))
 }
 
 function updateTable (state: PartitionsState): Transition<PartitionsState, PartitionsEffect> {
   if (state.table === undefined || state.partitionCount === 0) return { state, effects: [] }
-  if (state.isWriting || state.hostsListedMs === undefined) return { state, effects: [partitionsChanged(state)] }
+  // A plan for the table of an earlier era can't be written any more.
+  if (state.isWriting || state.hostsListedMs === undefined || isBehind(state)) return { state, effects: [partitionsChanged(state)] }
   const { range } = state
   const table = resized(state.table, range.size)
   const sharingHosts = state.stopping ? range.hosts.filter(host => host !== state.self.host) : range.hosts
@@ -294,14 +290,25 @@
   // is then written without changes: the newer version makes the store reject a
   // release write that arrives late.
   const isReleasing = state.releasing.partitions.size > 0 && state.releasing.version === state.version
-  const isEmpty = changes.release.length + changes.acquire.length + changes.reclaim.length === 0 && !isReleasing
+  // The first host that finds the era settled records it for hosts that start later.
+  const needsMark = isSettled(state) && state.era > 0 && state.table.isSettled !== true && range.hosts.includes(state.self.host)
+  const isEmpty = changes.release.length + changes.acquire.length + changes.reclaim.length === 0 && !isReleasing && !needsMark
   if (isEmpty) return { state, effects: [partitionsChanged(state)] }
   const releasing = { partitions: new Set([...state.releasing.partitions, ...changes.release]), version: state.version }
   const next = { ...state, releasing, reacquired: reacquiredPartitions(state, table, changes), isWriting: true }
-  const value = applyPlan(table, changes, state.self)
+  const value = { ...applyPlan(table, changes, state.self), ...eraFields(state) }
   return { state: next, effects: [partitionsChanged(next), { kind: 'writeTable', table: range.table, value, version: state.version }] }
 }
 
+function eraFields (state: PartitionsState): Pick<PartitionTable, 'era' | 'isSettled'> {
+  if (state.era === 0) return {}
+  return { era: state.era, ...(isSettled(state) ? { isSettled: true } : {}) }
+}
+
+function isSettled ({ settledEra, era }: PartitionsState): boolean {
+  return settledEra >= era
+}
+
 // Converts indexes within the table to partition numbers.
 function reacquiredPartitions (state: PartitionsState, table: PartitionTable, { acquire, release }: PartitionPlan): ReadonlySet<number> {
   const numberOf = (partition: number): number => state.range.firstPartition + partition
@@ -322,7 +329,7 @@
     if (owner === null) continue
     owners.set(firstPartition + at, owner.host)
     const isOwned = owner.host === state.self.host && owner.incarnation === state.self.incarnation
-    if (isOwned && !state.releasing.partitions.has(at)) owned.push(firstPartition + at)
+    if (isOwned && !state.isOutdated && !state.releasing.partitions.has(at)) owned.push(firstPartition + at)
   }
-  return { kind: 'partitionsChanged', owned, reacquired: state.reacquired, owners, tableReadSentMs: state.tableReadSentMs }
+  return { kind: 'partitionsChanged', owned, reacquired: state.reacquired, owners, tableReadSentMs: state.tableReadSentMs, isSettled: isSettled(state) }
 }
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -125,6 +125,8 @@
    * in large fleets only.
    */
   readonly rumours?: readonly GossipEntry[]
+  /** Highest era of the store that the member knows; omitted in era 0 and by an earlier version. */
+  readonly era?: number | undefined
   /** Load of the member's processor; a proxy of an earlier version does not send it. */
   readonly load?: HostLoad | undefined
   /** Optional parts of the protocol that the member supports. */
@@ -267,6 +269,8 @@
   readonly agoMs: number
   /** Revision of the store that the list reflects; a proxy of an earlier version does not send it. */
   readonly revision?: number | undefined
+  /** Era that the revision is of; omitted in era 0 and by an earlier version. */
+  readonly era?: number | undefined
   /**
    * The leaving servers of the list, each with the longest time since its
    * announcement that is possible; Infinity where nothing is known. A proxy of an
--- a/src/report/events.ts
+++ b/src/report/events.ts
@@ -46,7 +46,10 @@
   hostForgotten: defineEvent(5002, 'info', 'The entry of a host that was unresponsive for a long time was removed from the registry.', ['forgotten']),
   dutyTaken: defineEvent(5003, 'info', 'This host acquired the leader lease, which allows it to order promotions.', ['token']),
   dutyLost: defineEvent(5004, 'warn', 'This host no longer holds the leader lease.', ['token']),
-  storeUnreachable: defineEvent(6001, 'warn', 'A call to the platform store failed and is retried.', ['what'])
+  storeUnreachable: defineEvent(6001, 'warn', 'A call to the platform store failed and is retried.', ['what']),
+  storeRestored: defineEvent(6002, 'warn', 'The answers of the store show a higher era: it was restored from a copy, and what was written since the copy is lost. Check that the operator has written the newest configuration again.', ['era']),
+  storeEraSettled: defineEvent(6003, 'info', 'No host acts on an earlier era of the store any more; quota partitions that moved with the restore are used again.', ['era']),
+  storeEraIgnored: defineEvent(6004, 'warn', 'Answers of the store had a lower era than earlier ones, or none that is a whole number; it is ignored. Logged at each power of two of the number of such answers.', ['ignored'])
 } as const satisfies Readonly<Record<string, EventDefinition>>
 
 /** Name of an event. */
--- a/src/report/metrics.ts
+++ b/src/report/metrics.ts
@@ -20,6 +20,7 @@
   'statement.ms': defineMetric('timing', 'Time from the arrival of a statement to its answer, in milliseconds.', ['account', 'route']),
   'read.served_by': defineMetric('counter', 'Reads by the role of the server that served them.', ['role']),
   'configuration.generation': defineMetric('gauge', 'Generation of the manifest in force.', []),
+  'store.era': defineMetric('gauge', 'Era of the store that this host knows; rises with each restore of the store from a copy.', []),
   'members.live': defineMetric('gauge', 'Hosts that answer, this one included.', []),
   'process.cpu_ms': defineMetric('counter', 'Processor time of this process, in milliseconds.', []),
   'process.wakes': defineMetric('counter', 'Iterations of the event loop.', []),
--- a/src/wire/peer-schema.ts
+++ b/src/wire/peer-schema.ts
@@ -112,6 +112,7 @@
   holdsDuty: z.boolean().optional(),
   lease: z.object({ token: count, renewal: count }).optional(),
   rumours: z.array(z.object({ host: name, observer: name, silent: z.boolean(), agoMs: amount })).optional(),
+  era: count.optional(),
   load: z.enum(['normal', 'busy', 'overloaded']).optional(),
   // Features of a later version are dropped.
   features: validEntries(z.enum(['dispatcherAdmission', 'weightedPlacement'])).optional()
@@ -179,6 +180,7 @@
   digest: text,
   agoMs: amount,
   revision: count.optional(),
+  era: count.optional(),
   leaving: z.array(z.object({ server: name, agoMs: age })).optional()
 })
 
