Configuration across eras of the store

Cause: a host that starts right after a restore saw the old copy, was confirmed by it and served by withdrawn keys until another host told it of the newer generation. Change: in a new era the store's answers confirm nothing until a majority of the quorum has reported its generation since, or five validities of a confirmation have passed; the quorum is asked at once. A watch is bound to the era of its revision. The rejection of answers of an earlier era was not seen failing here; the client rejects them, too.

--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -12,11 +12,23 @@
 // its own nor those of others, until the store or a majority of other hosts has
 // reported its generation after the start. Otherwise, replaced hosts without
 // state could outvote the majority that holds a generation.
+//
+// A store that was restored from a copy (a higher era) may return an older manifest and
+// knows of no newer one. Its answers confirm nothing until a majority of the quorum has
+// reported its generation since the era was first seen, so that a host that starts then
+// learns of a newer manifest before it serves by the old one. Where the majority does not
+// answer for `eraTrustPeriods`, the store's answer counts without it.
 
 import type { AcceptedManifest, Generation, HostName } from '../model/index.js'
 import { withoutEffects, type Transition } from '../pipe/index.js'
 import { checkManifest, type ManifestResult } from './manifest.js'
 
+/**
+ * Validities of a confirmation after which a store of a new era is trusted without a
+ * majority of the quorum, so that a host is not refused for good while most of it is away.
+ */
+const eraTrustPeriods = 5
+
 /** Parameters of the configuration state machine. */
 export type ConfigurationSpec = {
   readonly host: HostName
@@ -58,6 +70,11 @@
    * than the one in force.
    */
   readonly storeConfirmedAtMs: number | undefined
+  /** Highest era of the store's answers, and when the first request with it was sent. */
+  readonly era: number
+  readonly eraSinceMs: number
+  /** Last answer of the store that will confirm the generation in force once the era is trusted. */
+  readonly untrusted: { readonly generation: Generation, readonly askedAtMs: number } | undefined
   readonly peers: Readonly<Record<HostName, PeerConfirmation>>
   /**
    * Hosts whose majority may confirm a generation, whether they respond or not;
@@ -80,8 +97,8 @@
  * request was sent: a response confirms nothing about later times.
  */
 export type ConfigurationEvent =
-  /** The store returned its manifest; undefined where it has none. */
-  | { readonly kind: 'storeAnswered', readonly accepted: AcceptedManifest | undefined, readonly askedAtMs: number }
+  /** The store returned its manifest; undefined where it has none. `era`: that of the answer, 0 by default. */
+  | { readonly kind: 'storeAnswered', readonly accepted: AcceptedManifest | undefined, readonly era?: number, readonly askedAtMs: number }
   /** A read or a watch of the store failed. */
   | { readonly kind: 'storeFailed', readonly nowMs: number }
   /** A peer pushed a manifest, or returned one for a pull. */
@@ -123,6 +140,9 @@
     accepted: undefined,
     rejected: undefined,
     storeConfirmedAtMs: undefined,
+    era: 0,
+    eraSinceMs: -Infinity,
+    untrusted: undefined,
     peers: {},
     quorum: [],
     highestAdvertised: { generation: 0, from: undefined },
@@ -140,11 +160,11 @@
  */
 export function configurationStep (state: ConfigurationState, event: ConfigurationEvent): Decision {
   switch (event.kind) {
-    case 'storeAnswered': return onStoreResponse(state, event.accepted, event.askedAtMs)
+    case 'storeAnswered': return onStoreResponse(state, event)
     case 'storeFailed': return catchUp(state, event.nowMs)
     case 'peerOffered': return processManifest(state, event.accepted, 'peer')
     case 'peerConfirmed': return onPeerConfirmation(state, event)
-    case 'quorumChanged': return withoutEffects(enableVoting({ ...state, quorum: event.hosts, peers: retainHosts(state.peers, event.hosts) }))
+    case 'quorumChanged': return queryNewEra(state, enableVoting(trustStore({ ...state, quorum: event.hosts, peers: retainHosts(state.peers, event.hosts) })))
     case 'tick': return queryStalePeers(catchUp(state, event.nowMs), event.nowMs)
   }
 }
@@ -225,11 +245,36 @@
   return Math.min(pullAtMs, queryAtMs)
 }
 
-function onStoreResponse (state: ConfigurationState, accepted: AcceptedManifest | undefined, askedAtMs: number): Decision {
+function onStoreResponse (before: ConfigurationState, { accepted, era = 0, askedAtMs }: ConfigurationEvent & { readonly kind: 'storeAnswered' }): Decision {
+  if (era < before.era) return withoutEffects(before)
+  const state = era === before.era ? before : { ...before, era, eraSinceMs: askedAtMs, untrusted: undefined }
   const decision = accepted === undefined ? withoutEffects<ConfigurationState, ConfigurationEffect>(state) : processManifest(state, accepted, 'store')
+  const asked = queryNewEra(before, decision.state)
+  const effects = [...decision.effects, ...asked.effects]
   // A generation below the one in force means that the response is stale.
-  if ((accepted?.generation ?? 0) < generationInForce(state)) return decision
-  return { ...decision, state: storeConfirmed(decision.state, askedAtMs) }
+  if ((accepted?.generation ?? 0) < generationInForce(state)) return { state: asked.state, effects }
+  const untrusted = { generation: generationInForce(asked.state), askedAtMs }
+  return { state: trustStore({ ...asked.state, untrusted }), effects }
+}
+
+// Asks the quorum at once, because no answer of the store counts before theirs.
+function queryNewEra (before: ConfigurationState, state: ConfigurationState): Decision {
+  const isNew = state.era > before.era || (state.era > 0 && state.quorum !== before.quorum && !isEraTrusted(state))
+  const hosts = state.quorum.filter(host => host !== state.spec.host)
+  return isNew && hosts.length > 0 ? { state, effects: [{ kind: 'queryPeers', hosts }] } : withoutEffects(state)
+}
+
+function isEraTrusted ({ spec, era, eraSinceMs, quorum, peers, untrusted }: ConfigurationState): boolean {
+  if (era === 0 || (untrusted !== undefined && untrusted.askedAtMs - eraSinceMs >= spec.confirmWithinMs * eraTrustPeriods)) return true
+  const answered = quorum.filter(host => host === spec.host || (peers[host]?.askedAtMs ?? -Infinity) >= eraSinceMs)
+  return answered.length >= majority(quorum)
+}
+
+function trustStore (state: ConfigurationState): ConfigurationState {
+  const { untrusted } = state
+  if (untrusted === undefined || !isEraTrusted(state)) return state
+  const trusted = { ...state, untrusted: undefined }
+  return untrusted.generation === generationInForce(state) ? storeConfirmed(trusted, untrusted.askedAtMs) : trusted
 }
 
 function onPeerConfirmation (state: ConfigurationState, event: ConfigurationEvent & { readonly kind: 'peerConfirmed' }): Decision {
@@ -237,7 +282,7 @@
   const inQuorum = host !== state.spec.host && state.quorum.includes(host)
   const peers = inQuorum ? { ...state.peers, [host]: { generation, askedAtMs } } : state.peers
   const highestAdvertised = generation > state.highestAdvertised.generation ? { generation, from: host } : state.highestAdvertised
-  const updated = { ...state, peers, highestAdvertised }
+  const updated = trustStore({ ...state, peers, highestAdvertised })
   // The peer's confirmation by the store applies to its higher generation, not
   // to the one in force here.
   if (generation > highestProcessed(state)) return catchUp(updated, nowMs)
--- a/src/daemon/configuration-task.ts
+++ b/src/daemon/configuration-task.ts
@@ -6,7 +6,7 @@
 import { configurationDueAtMs, confirmedGeneration, configurationStep, generationInForce, initialConfiguration, canServeAuthenticated, storeConfirmedAgoMs, type ConfigurationEffect, type ConfigurationEvent, type ConfigurationState } from '../config/index.js'
 import type { AcceptedManifest, Generation, HostName, MemberState } from '../model/index.js'
 import { SnapshotPublisher, sleep, startTask, type Port, type Snapshot } from '../pipe/index.js'
-import { StoreError, type ManifestSource, type ObjectStore } from '../ports/index.js'
+import { readObject, StoreError, watchInEra, type ManifestSource, type ObjectStore } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import type { PeerLinks } from './peers.js'
 
@@ -154,20 +154,22 @@
   const { timers } = spec.context
   const sentAtMs = timers.nowMs()
   try {
-    const object = await spec.store.getObject(spec.source.kind, spec.source.name)
-    reportStoreValue(spec, port, object?.value, sentAtMs)
+    const { object, era } = await readObject(spec.store, spec.source.kind, spec.source.name)
+    reportStoreValue(spec, port, { value: object?.value, era, askedAtMs: sentAtMs })
   } catch {
     port.send({ kind: 'storeFailed', nowMs: timers.nowMs() })
   }
 }
 
-function reportStoreValue (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, value: unknown, sentAtMs: number): void {
+type StoreAnswer = { readonly value: unknown, readonly era: number, readonly askedAtMs: number }
+
+function reportStoreValue (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, { value, era, askedAtMs }: StoreAnswer): void {
   const accepted = value === undefined ? undefined : spec.source.decode(value)
   if (value !== undefined && accepted === undefined) {
     spec.onRejected(0, ['the stored object has no generation'])
     return
   }
-  port.send({ kind: 'storeAnswered', accepted, askedAtMs: sentAtMs })
+  port.send({ kind: 'storeAnswered', accepted, era, askedAtMs })
 }
 
 function confirmationOf (from: MemberState, sentAtMs: number, nowMs: number): ConfigurationEvent {
@@ -178,31 +180,34 @@
 // since `relistLoop` reads the store independently of it.
 async function watchStore (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, stopping: { readonly now: boolean }): Promise<void> {
   const { timers, settings, random } = spec.context
-  let revision: number | undefined
+  let position: WatchPosition | undefined
   while (!stopping.now) {
     if (!spec.isWatcher()) {
       await sleep(timers, settings.control.pullMs)
       continue
     }
     try {
-      revision = await watchOnce(spec, port, revision)
+      position = await watchOnce(spec, port, position)
     } catch (error) {
-      if (error instanceof StoreError && error.fault.kind === 'historyExpired') revision = undefined
+      if (error instanceof StoreError && error.fault.kind === 'historyExpired') position = undefined
       port.send({ kind: 'storeFailed', nowMs: timers.nowMs() })
       await sleep(timers, settings.control.pullMs * random())
     }
   }
 }
 
-// Returns the revision to watch from next.
-async function watchOnce (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, revision: number | undefined): Promise<number> {
+type WatchPosition = { readonly revision: number, readonly era: number }
+
+// Returns the position to watch from next.
+async function watchOnce (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, position: WatchPosition | undefined): Promise<WatchPosition> {
   const { timers, settings } = spec.context
   const { kind, name } = spec.source
   const sentAtMs = timers.nowMs()
-  const list = revision === undefined ? await spec.store.listObjects(kind) : await spec.store.watch(kind, revision, settings.platform.watchMs)
+  const list = position === undefined ? await spec.store.listObjects(kind) : await watchInEra(spec.store, kind, position, settings.platform.watchMs)
   const current = list.objects.find(object => object.name === name)
-  if (current !== undefined) reportStoreValue(spec, port, current.value, sentAtMs)
-  return list.revision
+  const era = list.era ?? 0
+  if (current !== undefined) reportStoreValue(spec, port, { value: current.value, era, askedAtMs: sentAtMs })
+  return { revision: list.revision, era }
 }
 
 async function relistLoop (spec: ConfigurationTaskSpec, port: Port<ConfigurationEvent>, state: Snapshot<ConfigurationState>, stopping: { readonly now: boolean }): Promise<void> {
