Discovered servers across eras of the store

Cause: a copy lacks announcements and entries; a leaving server got new statements again, a server whose entry was lost was gone after 4 s, and lists were compared by revisions that the store had assigned twice. Change: lists are compared as (era, revision), by time where a host states no era; for 30 s after a restore missing entries are kept and leaving servers stay leaving unless they change their entry; a watch is bound to the era of its revision.

--- a/src/daemon/discovery-task.ts
+++ b/src/daemon/discovery-task.ts
@@ -6,7 +6,7 @@
 import { hasSameServers, hasUnknownEnding, noServers, serversDueAtMs, serversStep, type ServersEvent, type ServersState } from '../discovery/index.js'
 import type { DiscoveredServer, HostName, MemberState, ServerList } from '../model/index.js'
 import { SnapshotPublisher, sleep, startTask, type Port, type Snapshot } from '../pipe/index.js'
-import { asError, StoreError, type ServerSource } from '../ports/index.js'
+import { asError, StoreError, watchInEra, type ServerSource } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 import { listDigest } from './list-digest.js'
 import type { PeerLinks } from './peers.js'
@@ -153,6 +153,7 @@
     digest,
     agoMs: nowMs - state.asOfMs,
     revision: state.revision,
+    era: state.era,
     leaving: leaving.length === 0 ? undefined : leaving
   }
 }
@@ -167,13 +168,13 @@
 }
 
 type WatchState = {
-  readonly revision: number | undefined
+  readonly position: { readonly revision: number, readonly era: number } | undefined
   readonly listedAtMs: number
   /** Names of the invalid entries that have been reported. */
   readonly ignored: ReadonlySet<string>
 }
 
-const noWatch: WatchState = { revision: undefined, listedAtMs: -Infinity, ignored: new Set() }
+const noWatch: WatchState = { position: undefined, listedAtMs: -Infinity, ignored: new Set() }
 
 async function run (spec: DiscoverySpec, port: Port<Message>, state: Snapshot<ServersState>, stopping: { readonly now: boolean }): Promise<void> {
   const { timers, random } = spec.context
@@ -200,21 +201,21 @@
 async function watchOnce (spec: DiscoverySpec, port: Port<Message>, watch: WatchState): Promise<WatchState> {
   const { timers, ports: { store } } = spec.context
   const { objectKind } = spec.source
-  const { revision, listedAtMs } = watch
+  const { position, listedAtMs } = watch
   const asOfMs = timers.nowMs()
-  if (revision === undefined || timers.nowMs() - listedAtMs >= relistMs) {
+  if (position === undefined || timers.nowMs() - listedAtMs >= relistMs) {
     const list = await store.listObjects(objectKind)
     const nowMs = timers.nowMs()
     const { servers, invalid } = decoded(spec, list.objects)
-    port.send({ kind: 'received', event: { kind: 'listed', servers, version: { asOfMs, revision: list.revision }, endingSinceMs: new Map(), nowMs }, origin: fromStore })
+    port.send({ kind: 'received', event: { kind: 'listed', servers, version: { asOfMs, revision: list.revision, era: list.era || undefined }, endingSinceMs: new Map(), nowMs }, origin: fromStore })
     reportInvalid(spec, invalid, watch.ignored)
-    return { revision: list.revision, listedAtMs: nowMs, ignored: new Set(invalid) }
+    return { position: { revision: list.revision, era: list.era ?? 0 }, listedAtMs: nowMs, ignored: new Set(invalid) }
   }
-  const changes = await store.watch(objectKind, revision, watchDurationMs(spec.context.settings.control.drainMs))
+  const changes = await watchInEra(store, objectKind, position, watchDurationMs(spec.context.settings.control.drainMs))
   const { servers, invalid } = decoded(spec, changes.objects)
-  port.send({ kind: 'received', event: { kind: 'changed', servers, removed: [...changes.removed, ...invalid], version: { asOfMs, revision: changes.revision }, nowMs: timers.nowMs() }, origin: fromStore })
+  port.send({ kind: 'received', event: { kind: 'changed', servers, removed: [...changes.removed, ...invalid], version: { asOfMs, revision: changes.revision, era: changes.era || undefined }, nowMs: timers.nowMs() }, origin: fromStore })
   reportInvalid(spec, invalid, watch.ignored)
-  return { revision: changes.revision, listedAtMs, ignored: new Set([...watch.ignored, ...invalid]) }
+  return { position: { ...position, revision: changes.revision }, listedAtMs, ignored: new Set([...watch.ignored, ...invalid]) }
 }
 
 type Decoded = { readonly servers: readonly DiscoveredServer[], readonly invalid: readonly string[] }
@@ -249,7 +250,7 @@
   const event: ServersEvent = {
     kind: 'listed',
     servers: list.servers ?? local,
-    version: { asOfMs: sentAtMs - list.agoMs, revision: list.revision },
+    version: { asOfMs: sentAtMs - list.agoMs, revision: list.revision, era: list.era },
     endingSinceMs: new Map((list.leaving ?? []).map(({ server, agoMs }) => [server, sentAtMs - agoMs])),
     nowMs
   }
--- a/src/discovery/servers.ts
+++ b/src/discovery/servers.ts
@@ -9,6 +9,11 @@
 // leaves. Nobody tells this host when that was, so it keeps the earliest possible
 // time: the one as of which the server was last known to be active. Hosts send these
 // times along with their lists, as ages, so they don't grow with the hops.
+//
+// A list of a higher era of the store comes from a copy and may lack what was written
+// after it. For `eraRestorationMs`, in which the servers write their entries again, a
+// missing entry is kept, and a server that is known to leave stays leaving where a list
+// shows it as active; only a change in the new era makes it active again.
 
 import type { DatabaseDeclaration, DiscoveredServer, ServerName } from '../model/index.js'
 
@@ -20,6 +25,12 @@
  */
 export const maxResponseGapMs = 7000
 
+/**
+ * Time for which a restored store may lack entries that their servers write again.
+ * Longer than the period in which a server renews its entry.
+ */
+export const eraRestorationMs = 30_000
+
 /** A discovered server. */
 export type TrackedServer = {
   readonly server: DiscoveredServer
@@ -42,11 +53,15 @@
   readonly asOfMs: number
   /** Revision of the store that the list reflects; a host of an earlier version sends none. */
   readonly revision: number | undefined
+  /** Era that the revision is of; undefined: 0, or of a host of an earlier version. */
+  readonly era?: number | undefined
 }
 
 /** All discovered servers, and how recent they are; `asOfMs` is -Infinity before the first list. */
 export type ServersState = ListVersion & {
   readonly servers: ReadonlyMap<ServerName, TrackedServer>
+  /** When the first list of the present era was received; undefined before the first list of all. */
+  readonly eraSinceMs?: number | undefined
 }
 
 /** Events of server discovery. Times are monotonic. */
@@ -75,14 +90,37 @@
       const known = withEndingTimes(state, event.endingSinceMs)
       if (isOlder(event.version, state)) return known
       const names = new Set(event.servers.map(server => server.name))
-      return recordResponse(known, event, [...state.servers.keys()].filter(name => !names.has(name)), event.endingSinceMs)
+      const current = inEra(known, event)
+      return recordResponse(current, withKnownEndings(current, event), [...state.servers.keys()].filter(name => !names.has(name)), event.endingSinceMs)
     }
-    case 'changed': return isOlder(event.version, state) ? state : recordResponse(state, event, event.removed, new Map())
+    case 'changed': return isOlder(event.version, state) ? state : recordResponse(inEra(state, event), event, event.removed, new Map())
     case 'tick': return removeExpired(state, event.nowMs)
   }
 }
 
+// A host that has just started takes the first list as it is: it knows nothing that a
+// copy could lack.
+function inEra (state: ServersState, { version, nowMs }: Response): ServersState {
+  const isRestored = state.asOfMs !== -Infinity && (version.era ?? 0) > (state.era ?? 0)
+  return isRestored ? { ...state, eraSinceMs: nowMs } : state
+}
+
+function isRestoring ({ eraSinceMs }: ServersState, nowMs: number): boolean {
+  return eraSinceMs !== undefined && nowMs - eraSinceMs < eraRestorationMs
+}
+
+function withKnownEndings (state: ServersState, event: Extract<ServersEvent, { readonly kind: 'listed' }>): Extract<ServersEvent, { readonly kind: 'listed' }> {
+  if (!isRestoring(state, event.nowMs)) return event
+  return { ...event, servers: event.servers.map(server => state.servers.get(server.name)?.server.state === 'leaving' ? { ...server, state: 'leaving' } : server) }
+}
+
+// Revisions of two eras are not comparable; the higher era is newer. A host of an earlier
+// version states no era, so its lists are compared by their time in an era above 0.
 function isOlder (version: ListVersion, than: ListVersion): boolean {
+  if (version.era !== than.era) {
+    const isStated = version.era !== undefined && than.era !== undefined
+    return isStated ? version.era < than.era : version.asOfMs < than.asOfMs
+  }
   if (version.revision !== undefined && than.revision !== undefined) return version.revision < than.revision
   return version.asOfMs < than.asOfMs
 }
@@ -110,7 +148,7 @@
     const each = tracked.get(name)
     if (each !== undefined) tracked.set(name, missingServer(each, nowMs, missingFromMs))
   }
-  const next = { servers: isSameMap(tracked, state.servers) ? state.servers : tracked, asOfMs: Math.max(state.asOfMs, version.asOfMs), revision: version.revision }
+  const next = { servers: isSameMap(tracked, state.servers) ? state.servers : tracked, asOfMs: Math.max(state.asOfMs, version.asOfMs), revision: version.revision, era: version.era, eraSinceMs: state.eraSinceMs }
   return removeExpired(next, nowMs)
 }
 
@@ -167,11 +205,12 @@
  * @returns the time at which the first missing entry expires; Infinity for none
  */
 export function serversDueAtMs (state: ServersState): number {
-  return Math.min(Infinity, ...[...state.servers.values()].flatMap(({ missingSinceMs }) => missingSinceMs === undefined ? [] : [missingSinceMs + missingRetentionMs]))
+  const restoredAtMs = state.eraSinceMs === undefined ? -Infinity : state.eraSinceMs + eraRestorationMs
+  return Math.min(Infinity, ...[...state.servers.values()].flatMap(({ missingSinceMs }) => missingSinceMs === undefined ? [] : [Math.max(restoredAtMs, missingSinceMs + missingRetentionMs)]))
 }
 
 function removeExpired (state: ServersState, nowMs: number): ServersState {
-  if (nowMs - state.asOfMs > maxResponseGapMs) return state
+  if (nowMs - state.asOfMs > maxResponseGapMs || isRestoring(state, nowMs)) return state
   const remaining = [...state.servers].filter(([, { missingSinceMs }]) => missingSinceMs === undefined || nowMs - missingSinceMs < missingRetentionMs)
   return remaining.length === state.servers.size ? state : { ...state, servers: new Map(remaining) }
 }
