Hosts' registry across eras, and a restore on real processes

Cause: a host whose entry the copy lacks was gone for the others until it registered again, and its peers' list could hide that its entry is missing. Change: a host that responds stays listed for 15 s after a restore; each host checks its own entry once in each era; registrations are bound to the era of their read and carry it. Evidence: test/members/registry, test/platform/era (real processes; the stand-in's store returns from a copy, one host registered and one key was withdrawn since, one host starts afterwards).

--- a/src/daemon/era-task.ts
+++ b/src/daemon/era-task.ts
@@ -19,6 +19,8 @@
 export type EraTask = {
   /** Reads the store's era after an answer. */
   readonly checkStore: () => void
+  /** The highest era that this host has heard of. */
+  readonly heardEra: () => number
   readonly recordPeerState: (from: MemberState) => void
   readonly quorumChanged: (hosts: readonly HostName[]) => void
   readonly stop: () => Promise<void>
@@ -33,6 +35,7 @@
  */
 export function startEras (spec: EraTaskSpec): EraTask {
   const { timers, settings, onTaskError, ports: { store } } = spec.context
+  let heardEra = 0
   const task = startTask<EraKnowledge, EraEvent, EraEffect>({
     name: 'era',
     initial: initialEraKnowledge(settings.host.name, settings.control.confirmWithinMs),
@@ -40,7 +43,10 @@
     onError: onTaskError('era'),
     schedule: { timers, dueAtMs: eraDueAtMs, tick: nowMs => ({ kind: 'tick', nowMs }) },
     step: eraStep,
-    perform: effect => { spec.onEffect(effect) }
+    perform: effect => {
+      if (effect.kind === 'heard') heardEra = effect.era
+      spec.onEffect(effect)
+    }
   })
   let era = 0
   let ignored = 0
@@ -52,6 +58,7 @@
       if (shown.ignored > ignored && isPowerOfTwo(shown.ignored)) spec.onIgnored(shown.ignored)
       ignored = shown.ignored
     },
+    heardEra: () => heardEra,
     recordPeerState (from) {
       if (from.era !== undefined) task.port.send({ kind: 'hostStated', host: from.host, era: from.era, nowMs: timers.nowMs() })
     },
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -220,6 +220,7 @@
       source: ports.hosts,
       stopping,
       unresponsive: () => members.view.get().unresponsive,
+      heardEra: eras.heardEra,
       isCleaner: () => members.view.get().quorum[0] === settings.host.name,
       // `hostForgotten` and `forgotten` are the reported names of the deregistration.
       onDeregistered: host => { reports.event('hostForgotten', { forgotten: host }) }
--- a/src/daemon/registry-task.ts
+++ b/src/daemon/registry-task.ts
@@ -3,9 +3,9 @@
 
 import { isIP } from 'node:net'
 import * as z from 'zod'
-import { hostsToDeregister, mustRegister, recordUnresponsive, type ListedHost, type Registration, type UnresponsiveSince } from '../members/index.js'
+import { hostsToDeregister, mustRegister, recordUnresponsive, withRestoredHosts, type HostListMemory, type ListedHost, type Registration, type UnresponsiveSince } from '../members/index.js'
 import type { HostName } from '../model/index.js'
-import { StoreError, type HostSource, type StoredObject } from '../ports/index.js'
+import { eraField, putObjectInEra, readObject, StoreError, type HostSource, type StoredObject, type VersionInEra } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 
 /** Dependencies of the registry. */
@@ -14,6 +14,8 @@
   readonly source: Extract<HostSource, { readonly kind: 'registered' }>
   readonly stopping: () => boolean
   readonly unresponsive: () => ReadonlySet<HostName>
+  /** Highest era of the store that this host has heard of. */
+  readonly heardEra: () => number
   /** True on the one host that deregisters other hosts. */
   readonly isCleaner: () => boolean
   readonly onDeregistered: (host: HostName) => void
@@ -26,7 +28,10 @@
    * outdated; rejects with a `StoreError`.
    */
   readonly list: () => Promise<readonly ListedHost[]>
-  /** Registers this host where a list from another source lacks it. */
+  /**
+   * Registers this host where a list from another source lacks it, and checks its
+   * entry in each new era of the store.
+   */
   readonly checkRegistration: (hosts: readonly ListedHost[]) => void
 }
 
@@ -60,18 +65,20 @@
   }
   let unresponsiveSince: UnresponsiveSince = new Map()
   let isRegistering = false
-  const register = async (version: number): Promise<void> => {
+  let checkedEra = 0
+  let memory: HostListMemory | undefined
+  const register = async (base: VersionInEra): Promise<void> => {
     if (isRegistering || spec.stopping()) return
     isRegistering = true
     const { host, ...value } = self
-    await store.putObject(source.objectKind, host, version, value).finally(() => { isRegistering = false })
+    await putObjectInEra(store, source.objectKind, host, base, { ...value, ...eraField(base.era) }).finally(() => { isRegistering = false })
   }
   return {
     async list () {
-      const { objects } = await store.listObjects(source.objectKind)
+      const { objects, era = 0 } = await store.listObjects(source.objectKind)
       const hosts = objects.flatMap(decoded)
       const entry = hosts.find(each => each.host === self.host)
-      if (mustRegister(self, entry)) await register(objects.find(object => object.name === self.host)?.version ?? 0).catch(ignoreStoreError)
+      if (mustRegister(self, entry)) await register({ version: objects.find(object => object.name === self.host)?.version ?? 0, era }).catch(ignoreStoreError)
       unresponsiveSince = recordUnresponsive(unresponsiveSince, spec.unresponsive(), timers.nowMs())
       if (spec.isCleaner()) {
         for (const host of hostsToDeregister(unresponsiveSince, timers.nowMs())) {
@@ -82,13 +89,20 @@
         }
       }
       const listed = hosts.map(({ incarnation: _, ...host }): ListedHost => host)
-      return entry === undefined ? [...listed, withoutIncarnation(self)] : listed
+      memory = withRestoredHosts(memory, { hosts: entry === undefined ? [...listed, withoutIncarnation(self)] : listed, era }, spec.unresponsive(), timers.nowMs())
+      return memory.hosts
     },
     checkRegistration (hosts) {
       const entry = hosts.find(each => each.host === self.host)
-      if (entry?.ip === self.ip && entry.port === self.port) return
-      void store.getObject(source.objectKind, self.host)
-        .then(async object => { await register(object?.version ?? 0) })
+      const era = spec.heardEra()
+      const isListed = entry?.ip === self.ip && entry.port === self.port
+      if (isListed && checkedEra >= era) return
+      void readObject(store, source.objectKind, self.host)
+        .then(async ({ object, era: readEra }) => {
+          const stored = object === undefined ? undefined : decoded(object)[0]
+          if (!isListed || mustRegister(self, stored)) await register({ version: object?.version ?? 0, era: readEra })
+          checkedEra = Math.max(checkedEra, readEra)
+        })
         .catch(ignoreStoreError)
         .catch(context.onTaskError('registry'))
     }
--- a/src/members/registry.ts
+++ b/src/members/registry.ts
@@ -4,7 +4,9 @@
 // hosts, whether it responds or not. It relies on its own view and may be wrong if
 // it is cut off itself. A host that returns or was deregistered by mistake finds
 // its entry missing and registers again; its quota partitions are reclaimed only
-// once it has been missing for `absenceMarginMs` (limits/partitions).
+// once it has been missing for `absenceMarginMs` (limits/partitions). After a restore of
+// the store from a copy (a higher era) a list may lack hosts that registered since the
+// copy; one that responds is kept until it has had time to register again.
 
 import type { HostName } from '../model/index.js'
 import type { ListedHost } from './membership.js'
@@ -60,3 +62,32 @@
 export function mustRegister (self: Registration, listed: Registration | undefined): boolean {
   return listed === undefined || listed.incarnation !== self.incarnation || listed.ip !== self.ip || listed.port !== self.port
 }
+
+/** Time for which a host that a restored store lacks stays listed while it responds. */
+export const restoredHostsMs = 15_000
+
+/** The last host list, and when the era of the store rose. */
+export type HostListMemory = {
+  readonly era: number
+  /** -Infinity where the first list is of the present era. */
+  readonly eraSinceMs: number
+  readonly hosts: readonly ListedHost[]
+}
+
+/**
+ * Completes a host list of a store that was restored from a copy.
+ * @param before - the previous list; undefined for the first one
+ * @param listed - the hosts that the store lists, and its era
+ * @param unresponsive - hosts that do not respond
+ * @param nowMs - monotonic time
+ * @returns the list with the responsive hosts of the previous one, for `restoredHostsMs`
+ */
+export function withRestoredHosts (before: HostListMemory | undefined, listed: { readonly hosts: readonly ListedHost[], readonly era: number }, unresponsive: ReadonlySet<HostName>, nowMs: number): HostListMemory {
+  const { hosts, era } = listed
+  if (before === undefined) return { era, eraSinceMs: -Infinity, hosts }
+  const eraSinceMs = era > before.era ? nowMs : before.eraSinceMs
+  if (nowMs - eraSinceMs >= restoredHostsMs) return { era, eraSinceMs, hosts }
+  const names = new Set(hosts.map(({ host }) => host))
+  const kept = before.hosts.filter(({ host }) => !names.has(host) && !unresponsive.has(host))
+  return { era, eraSinceMs, hosts: [...hosts, ...kept] }
+}
--- a/standins/fleet/set.ts
+++ b/standins/fleet/set.ts
@@ -98,6 +98,8 @@
   readonly group: Group
   readonly proxies: readonly FleetProxy[]
   readonly promotions: () => readonly OrderedPromotion[]
+  /** Starts one more proxy, which may not serve yet. */
+  readonly addProxy: () => Promise<FleetProxy>
   readonly configure: (change: Partial<FleetConfiguration>) => void
   readonly register: (server: LineServer, state: 'ready' | 'draining') => void
   readonly stop: () => Promise<void>
@@ -132,13 +134,18 @@
   store.put('servers', 'i-broken', { Service: 7 })
   const folder = mkdtempSync(join(tmpdir(), 'limpetmoor-fleet-'))
   const place = { ...options, folder, storePort, promotionsPort: (promoter.address() as AddressInfo).port }
-  const proxies = await Promise.all(Array.from({ length: options.hosts }, async (_, index) => await startFleetProxy(place, index)))
+  const proxies = [...await Promise.all(Array.from({ length: options.hosts }, async (_, index) => await startFleetProxy(place, index)))]
   return {
     store,
     servers,
     group,
     proxies,
     promotions: () => promotions,
+    async addProxy () {
+      const proxy = await startFleetProxy(place, proxies.length)
+      proxies.push(proxy)
+      return proxy
+    },
     configure,
     register,
     async stop () {
