--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -20,6 +20,7 @@
 import { decodePrimary, decodePartitionTable } from './decode.js'
 import { startDiscovery } from './discovery-task.js'
 import { startLeaderTask, type LeaderTask } from './leader-task.js'
+import { observedStore, startEras, statedEra, type EraTask } from './era-task.js'
 import { EffectiveManifest } from './effective-manifest.js'
 import { startLimits } from './limits-task.js'
 import { startMembers, type MembersTask, type MembersView } from './members-task.js'
@@ -112,7 +113,8 @@
 function createComponents (settings: Settings, uncounted: ProxyPorts, stopping: () => boolean): ProxyComponents {
   const activity = new Activity()
   const timers = systemTimers(() => { activity.add('timer') })
-  const ports = countedPorts(uncounted, activity)
+  const counted = countedPorts(uncounted, activity)
+  const ports = { ...counted, store: observedStore(counted.store, () => { eras.checkStore() }) }
   const incarnation = randomBytes(incarnationBytes).toString('hex')
   const random = Math.random
   const reports = startReports({ settings, timers, incarnation, random, activity })
@@ -163,6 +165,7 @@
     peers: () => members.view.get().live.filter(member => member.failureDomain === settings.host.failureDomain).map(member => member.host),
     isWatcher: () => members.view.get().quorum.includes(settings.host.name),
     localState: () => localState(),
+    onPeerState: (from, sentAtMs) => { recordPeerState(from, sentAtMs) },
     onApply: accepted => {
       effectiveManifest.applyManifest(accepted.manifest)
       limits.applyManifest(accepted.manifest)
@@ -180,6 +183,7 @@
     decodeTable: decodePartitionTable
   })
   const recordLeader = (from: MemberState): void => {
+    eras.recordPeerState(from)
     if (from.holdsDuty !== true) return
     leader = from.host
     leaderTask?.recordOtherLeader(from.lease)
@@ -189,6 +193,15 @@
     peerSupport.record({ kind: 'stateAnswered', state: from, nowMs: timers.nowMs() })
     recordLeader(from)
   }
+  const eras: EraTask = startEras({
+    context,
+    onEffect: effect => {
+      if (effect.kind === 'raised') leaderTask?.recordEra(effect.era)
+      else limits.recordEra({ kind: effect.kind === 'heard' ? 'eraHeard' : 'eraSettled', era: effect.era })
+      if (effect.kind !== 'heard') reports.event(effect.kind === 'raised' ? 'storeRestored' : 'storeEraSettled', { era: effect.era })
+    },
+    onIgnored: ignored => { reports.event('storeEraIgnored', { ignored }) }
+  })
   const leaderTask = createLeaderTask(context, reports, isLeader => { databases.setLeader(isLeader) })
   const discovery = ports.servers.kind === 'declared'
     ? undefined
@@ -216,6 +229,7 @@
       source: ports.hosts,
       stopping,
       unresponsive: () => members.view.get().unresponsive,
+      heardEra: eras.heardEra,
       isCleaner: () => members.view.get().quorum[0] === settings.host.name,
       // `hostForgotten` and `forgotten` are the reported names of the deregistration.
       onDeregistered: host => { reports.event('hostForgotten', { forgotten: host }) }
@@ -227,6 +241,7 @@
     state: stopping() ? 'stopping' : 'serving',
     features: ownFeatures,
     ...(leaderTask === undefined ? {} : { holdsDuty: leaderTask.isLeader(), lease: leaderTask.renewal() }),
+    ...statedEra(store),
     ...configuration.advertised()
   })
   const members: MembersTask = startMembers({
@@ -244,6 +259,7 @@
       const placement = routing.placementKind()
       if (placement !== before) reports.event('placementChanged', { placement })
       links.dropUnresponsive(view.unresponsive)
+      eras.quorumChanged(view.quorum)
       leaderTask?.changeRank(stopping() ? undefined : leaderRank(view, settings.host.name), isLeaderCandidate(view, settings.host.name))
       reports.event('membersChanged', { live: view.live.length, listed: view.listed.length })
     },
@@ -252,7 +268,7 @@
   const observationRelay = { context, links, databases, routing }
   if (ports.driver.statusDelivery === 'polled') startObservationRelay(observationRelay)
   reports.attach({ store, members, configuration, databases, routing, links, stopping })
-  return { context, reports, store, links, members, peerSupport, configuration, databases, routing, limits, effectiveManifest, leaderTask, discovery, registry, observationRelay, recordLeader, stopping, localState }
+  return { context, reports, store, links, members, peerSupport, configuration, databases, routing, limits, effectiveManifest, eras, leaderTask, discovery, registry, observationRelay, recordLeader, stopping, localState }
 }
 
 // The refusal of an admission that is not delegated.
--- a/src/report/metrics.ts
+++ b/src/report/metrics.ts
@@ -22,6 +22,7 @@
   'route.sent': defineMetric('counter', 'Statements that this host sent to dispatchers, retries included, by server, its role, and its failure domain (`local` or `other`).', ['server', 'role', 'domain']),
   'route.ejections': defineMetric('counter', 'Servers that this host ejected because their statements failed.', ['database', 'server']),
   'configuration.generation': defineMetric('gauge', 'Generation of the manifest in force.', []),
+  'store.era': defineMetric('gauge', 'Era of the store that this host knows; rises with each restore of the store from a copy.', []),
   'members.live': defineMetric('gauge', 'Hosts that answer, this one included.', []),
   'process.cpu_ms': defineMetric('counter', 'Processor time of this process, in milliseconds.', []),
   'process.wakes': defineMetric('counter', 'Iterations of the event loop.', []),
