Server sessions that have the prepared statement are preferred

Cause: the pool chose an idle session by its values only.

Change: the distance counts the PREPARE, too.

Evidence: dispatch/context, new test.

--- a/src/daemon/session-pool.ts
+++ b/src/daemon/session-pool.ts
@@ -1,9 +1,9 @@
 // Session pool of one dispatcher on its server. Idle sessions are reused: among
 // those that may serve the account, the pool takes the one whose context needs the
-// fewest steps to the values that the caller has set, and among equals the one used
-// last. A session in an unknown state is closed and never reused. The number of
-// open sessions stays within a budget; when the budget is used up, the idle session
-// released longest ago, one of another account, is closed to make room.
+// fewest steps to what the statement requires, and among equals the one used last. A
+// session in an unknown state is closed and never reused. The number of open sessions
+// stays within a budget; when the budget is used up, the idle session released longest
+// ago, one of another account, is closed to make room.
 
 import { contextDistance, type ServerSession, type SessionPool, type SessionRequest } from '../dispatch/index.js'
 import type { AccountName, Address, DatabaseName, Position, ServerName } from '../model/index.js'
@@ -55,7 +55,7 @@
 
   /**
    * Takes an idle session or opens one.
-   * @param wish - account of the statement, and the values that the caller has set
+   * @param wish - account of the statement, and the context that it requires
    * @param timeoutMs - time limit of a login
    * @returns the session, or undefined where the login failed or the budget is used up
    */
@@ -125,9 +125,10 @@
   #takeIdle (wish: SessionRequest): DatabaseSession | undefined {
     this.#discardUnusable()
     const isShared = this.#context.ports.driver.sessionSharing === 'allAccounts'
+    const required = { values: wish.values, prepared: wish.statement.prepared?.statement }
     const fitting = this.#idle.filter(({ account }) => isShared || account === wish.account)
     const nearest = fitting.reduceRight<{ readonly idle: IdleSession, readonly steps: number } | undefined>((best, idle) => {
-      const steps = contextDistance(idle.session.context(), wish.values)
+      const steps = contextDistance(idle.session.context(), required)
       return best !== undefined && best.steps <= steps ? best : { idle, steps }
     }, undefined)
     if (nearest === undefined) return undefined
--- a/src/dispatch/context.ts
+++ b/src/dispatch/context.ts
@@ -81,11 +81,12 @@
 }
 
 /**
- * Counts the steps that give a session the values of a caller.
+ * Counts the steps that give a session the required context. Each step is a round trip
+ * to the server before the statement can be sent.
  * @param current - the session's context
- * @param values - the values that the caller has set
+ * @param required - the context that the statement requires
  * @returns the number of steps
  */
-export function contextDistance (current: ServerContext, values: SessionValues): number {
-  return contextSteps(current, { values, prepared: undefined }).length
+export function contextDistance (current: ServerContext, required: RequiredContext): number {
+  return contextSteps(current, required).length
 }
--- a/src/dispatch/server-session.ts
+++ b/src/dispatch/server-session.ts
@@ -41,10 +41,12 @@
   readonly close: () => void
 }
 
-/** Client account and session values that a session is acquired for. */
+/** Client account and context that a session is acquired for. */
 export type SessionRequest = {
   readonly account: AccountName
   readonly values: SessionValues
+  /** The statement; its prepared statement, if it has one, has to exist on the session. */
+  readonly statement: Pick<ServerStatement, 'prepared'>
 }
 
 /** Pool of the sessions on one server. */
--- a/test/dispatch/context.test.ts
+++ b/test/dispatch/context.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { applyContextStep, emptyContext, preparedStatementName, contextSteps, type RequiredContext, type ServerContext } from '../../src/dispatch/index.js'
+import { applyContextStep, contextDistance, emptyContext, preparedStatementName, contextSteps, type RequiredContext, type ServerContext } from '../../src/dispatch/index.js'
 
 const values = fc.dictionary(fc.constantFrom('a', 'b', 'constructor', '__proto__'), fc.constantFrom('1', '2'))
 const prepared = fc.option(fc.record({ access: fc.constantFrom('read' as const, 'write' as const), shape: fc.constantFrom('q1', 'q2') }), { nil: undefined })
@@ -35,3 +35,11 @@
 test('a read and a write of the same shape have different names', () => {
   assert.notEqual(preparedStatementName({ access: 'read', shape: 'q1' }), preparedStatementName({ access: 'write', shape: 'q1' }))
 })
+
+// Guards against a PREPARE before most statements where callers share sessions.
+test('of two sessions with the same values, the one that has the prepared statement is nearer', () => {
+  const required: RequiredContext = { values: { a: '1' }, prepared: { access: 'read', shape: 'q1' } }
+  const withValues = applySteps(emptyContext, { ...required, prepared: undefined })
+  const withBoth = applySteps(emptyContext, required)
+  assert.deepEqual([withValues, withBoth].map(context => contextDistance(context, required)), [1, 0])
+})
