Accounts with a low rate use few quota partitions

Cause: every account was divided into eight partitions. For an account of 2 requests a second an eighth of the burst is a quarter of a token, so no owner can admit a request: its coordinator collects from all owners for nearly each one.

Change: in the concentrated layout an account uses a partition for each 5 requests a second, two at least and eight at most, and the owner of the first one is its coordinator. The layout applies once all listed hosts state that they support it; a change is guarded like any change of the division.

--- a/src/daemon/limits-task.ts
+++ b/src/daemon/limits-task.ts
@@ -4,7 +4,7 @@
 // when the event is handled, because the host may be paused while the event waits.
 
 import type { Admission } from '../admission/index.js'
-import { initialLimits, initialPartitions, limitsDueAtMs, limitsStep, partitionHandoverMs, partitionsDueAtMs, partitionsStep, type Confirmation, type AdmissionMode, type LimitsEffect, type LimitsEvent, type LimitsState, type PartitionsEffect, type PartitionsEvent, type PartitionsState, type PartitionTable } from '../limits/index.js'
+import { initialLimits, initialPartitions, layoutOf, limitsDueAtMs, limitsStep, partitionHandoverMs, partitionsDueAtMs, partitionsStep, type Confirmation, type AdmissionMode, type LimitsEffect, type LimitsEvent, type LimitsState, type PartitionsEffect, type PartitionsEvent, type PartitionsState, type PartitionTable } from '../limits/index.js'
 import type { ListedHost, Member } from '../members/index.js'
 import { notRun, type AccountName, type HostName, type LoanReset, type Manifest, type Outcome, type PeerParams, type PeerResult } from '../model/index.js'
 import { ask, sleep, startTask, withoutAnswered, type Port, type Reply } from '../pipe/index.js'
@@ -149,6 +149,7 @@
     },
     updateHosts (hosts) {
       listed = hosts.map(({ host }) => host)
+      send({ kind: 'layoutChanged', layout: layoutOf(hosts) })
       partitions.port.send({ kind: 'hostsListed', hosts, nowMs: timers.nowMs() })
     },
     recordEra (event) {
--- a/src/daemon/registry-task.ts
+++ b/src/daemon/registry-task.ts
@@ -3,6 +3,7 @@
 
 import { isIP } from 'node:net'
 import * as z from 'zod'
+import { concentratedQuotaFeature } from '../limits/index.js'
 import { hostsToDeregister, mustRegister, recordUnresponsive, weightedPlacementFeature, withRestoredHosts, type HostListMemory, type ListedHost, type Registration, type UnresponsiveSince } from '../members/index.js'
 import type { HostName } from '../model/index.js'
 import { eraField, putObjectInEra, readObject, StoreError, type HostSource, type StoredObject, type VersionInEra } from '../ports/index.js'
@@ -61,7 +62,7 @@
     ip: settings.host.ip,
     port: settings.host.peerPort,
     capacityCores: settings.host.capacityCores,
-    features: [weightedPlacementFeature],
+    features: [weightedPlacementFeature, concentratedQuotaFeature],
     state: 'live',
     incarnation: context.incarnation
   }
--- a/src/limits/division.ts
+++ b/src/limits/division.ts
@@ -5,8 +5,13 @@
 // An account does not use all partitions but every stride-th, at least
 // `minPartitionsPerAccount` if there are as many. With several tables, the stride
 // also depends on the rate: an account with a high rate uses more partitions.
+//
+// In the concentrated layout an account with a low rate uses fewer. An eighth of its
+// burst is less than one token, so nobody could admit a request before it has
+// collected the quota of all owners. It applies once all listed hosts support it.
 
-import { nameHash, type AccountName, type HostName } from '../model/index.js'
+import type { Member } from '../members/index.js'
+import { nameHash, type AccountName, type HostName, type PeerFeature } from '../model/index.js'
 
 /** Maximum number of partitions in one table. */
 const maxPartitionsPerTable = 256
@@ -15,6 +20,10 @@
  * owners, and one of them may fail.
  */
 const minPartitionsPerAccount = 8
+/** The same in the concentrated layout: one of the owners may fail. */
+const minConcentratedPartitions = 2
+/** In the concentrated layout, an account uses fewer partitions if one would get less than this rate. */
+const minRatePerPartitionPerS = 5
 /** With several tables, an account uses more partitions if one would exceed this rate. */
 const maxRatePerPartitionPerS = 50
 
@@ -48,13 +57,14 @@
 /**
  * Computes how an account's limit is divided, once for all partitions.
  * @param account - the account
- * @param division - rate of the account and number of partitions in the manifest
+ * @param division - rate of the account, number of partitions in the manifest, and layout
  * @returns the fraction of the limit that belongs to a partition; 0 for one that
  *   the account does not use
  */
-export function partitionFractions (account: AccountName, { ratePerS, partitionCount }: Division): (partition: number) => number {
+export function partitionFractions (account: AccountName, division: Division): (partition: number) => number {
+  const { partitionCount } = division
   if (partitionCount === 0) return () => 0
-  const stride = partitionStride(ratePerS, partitionCount)
+  const stride = partitionStride(division)
   const offset = nameHash(account) % stride
   const fraction = 1 / Math.ceil((partitionCount - offset) / stride)
   return partition => partition < partitionCount && partition % stride === offset ? fraction : 0
@@ -67,17 +77,48 @@
  * @returns true if every partition has the same fraction
  */
 export function isSameDivision (before: Division, after: Division): boolean {
-  return before.partitionCount === after.partitionCount && partitionStride(before.ratePerS, before.partitionCount) === partitionStride(after.ratePerS, after.partitionCount)
+  return before.partitionCount === after.partitionCount && partitionStride(before) === partitionStride(after)
 }
 
 /** Values that determine how an account's limit is divided into partitions. */
-export type Division = { readonly ratePerS: number, readonly partitionCount: number }
+export type Division = { readonly ratePerS: number, readonly partitionCount: number, readonly layout?: QuotaLayout }
+
+/** Whether accounts with a low rate use fewer partitions; 'spread' where nothing is stated. */
+export type QuotaLayout = 'spread' | 'concentrated'
+
+/** Name of the concentrated layout among the features of a host. */
+export const concentratedQuotaFeature: PeerFeature = 'concentratedQuota'
+
+/**
+ * Selects the layout that all hosts of a list use alike.
+ * @param hosts - the listed hosts
+ * @returns the concentrated layout where each host supports it
+ */
+export function layoutOf (hosts: readonly Member[]): QuotaLayout {
+  return hosts.every(({ features }) => features?.includes(concentratedQuotaFeature) === true) ? 'concentrated' : 'spread'
+}
+
+/**
+ * Checks whether an account has so few partitions that one owner can admit its requests.
+ * @param division - the division
+ * @returns true where the concentrated layout gives it fewer partitions
+ */
+export function isConcentrated (division: Division): boolean {
+  return partitionStride(division) > partitionStride({ ...division, layout: 'spread' })
+}
+
+function partitionStride (division: Division): number {
+  // A power of two, so that a change of the rate rarely changes the division, and the
+  // partitions of a longer stride are among those of a shorter one.
+  return 2 ** Math.max(0, Math.floor(Math.log2(division.partitionCount / minPartitions(division))))
+}
 
-function partitionStride (ratePerS: number, partitionCount: number): number {
-  const isOneTable = partitionCount <= maxPartitionsPerTable
-  const minPartitions = isOneTable ? minPartitionsPerAccount : Math.max(minPartitionsPerAccount, Math.ceil(ratePerS / maxRatePerPartitionPerS))
-  // A power of two, so that a change of the rate rarely changes the division.
-  return 2 ** Math.max(0, Math.floor(Math.log2(partitionCount / minPartitions)))
+function minPartitions ({ ratePerS, partitionCount, layout }: Division): number {
+  if (partitionCount > maxPartitionsPerTable) return Math.max(minPartitionsPerAccount, Math.ceil(ratePerS / maxRatePerPartitionPerS))
+  switch (layout ?? 'spread') {
+    case 'spread': return minPartitionsPerAccount
+    case 'concentrated': return Math.min(minPartitionsPerAccount, Math.max(minConcentratedPartitions, ratePerS / minRatePerPartitionPerS))
+  }
 }
 
 /**
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -20,7 +20,7 @@
 
 import { anonymousAccount, type AccountName, type BorrowRequest, type HostName, type Manifest, type Quota, type QuotaGrant } from '../model/index.js'
 import type { Transition } from '../pipe/index.js'
-import { quotaCoordinator, type Member } from '../members/index.js'
+import type { Member } from '../members/index.js'
 import { advanced, hasToken, newAccount, ownFraction, refreshed, withoutToken, type AccountLimit, type QuotaOwner, type QuotaSources, type WaitingRequest } from './account.js'
 import { accountOf, allAccounts, noAccounts, withAccount, type Accounts } from './accounts.js'
 import { requestFromCoordinator, borrowFromOwner, canReceiveTokens, missingTokens, applyAnswer, type BorrowResult } from './borrowing.js'
@@ -28,8 +28,8 @@
 import { delegates, delegationRefused, waitingRequest, type AdmissionMode } from './delegation.js'
 import { lend } from './lending.js'
 import { isShort, neededFraction } from './quota-target.js'
-import { isSameDivision } from './division.js'
-import { quotaOwners } from './owners.js'
+import { isSameDivision, type QuotaLayout } from './division.js'
+import { coordinatorOf, divisionOf, quotaOwners } from './owners.js'
 import { confirmationChanged, loansCleared, ownedFractions, partitionsChanged, resetLoans } from './ownership.js'
 import { aggregationIdleMs, divisionChangeDelayMs, idleTickMs, limitsTickMs, maxWaitingRequests } from './settings.js'
 
@@ -71,6 +71,9 @@
   readonly active: ReadonlySet<AccountName>
   /** Number of partitions that each limit is divided into; 0 before the first manifest. */
   readonly partitionCount: number
+  readonly layout: QuotaLayout
+  /** Whether the layout has been selected from a list of the hosts. */
+  readonly isLayoutKnown: boolean
   /** Own partitions, with the time from which each may be used. */
   readonly usableFromMs: ReadonlyMap<number, number>
   readonly partitionOwners: ReadonlyMap<number, HostName>
@@ -102,6 +105,8 @@
 export type LimitsEvent =
   | { readonly kind: 'manifestApplied', readonly manifest: Manifest, readonly nowMs: number }
   | { readonly kind: 'partitionsChanged', readonly owned: readonly number[], readonly reacquired: ReadonlySet<number>, readonly owners: ReadonlyMap<number, HostName>, readonly tableReadSentMs: number, readonly isSettled?: boolean, readonly nowMs: number }
+  /** The hosts of the platform's list support this layout of the quota partitions. */
+  | { readonly kind: 'layoutChanged', readonly layout: QuotaLayout, readonly nowMs: number }
   | { readonly kind: 'membersChanged', readonly live: readonly Member[], readonly nowMs: number }
   | { readonly kind: 'confirmationChanged', readonly confirmation: Confirmation, readonly nowMs: number }
   | { readonly kind: 'admit', readonly account: AccountName, readonly id: string, readonly deadlineMs: number, readonly mode: AdmissionMode, readonly nowMs: number }
@@ -144,6 +149,8 @@
     accounts: noAccounts,
     active: new Set(),
     partitionCount: 0,
+    layout: 'spread',
+    isLayoutKnown: false,
     usableFromMs: new Map(),
     partitionOwners: new Map(),
     members: [],
@@ -173,6 +180,7 @@
       const owned = event.isSettled === false ? known.filter(partition => state.usableFromMs.has(partition)) : known
       return { state: partitionsChanged(state, { owned, reacquired: event.reacquired }, event.owners, event.nowMs), effects: [] }
     }
+    case 'layoutChanged': return { state: layoutChanged(state, event.layout, event.nowMs), effects: [] }
     case 'membersChanged': return { state: { ...state, members: event.live }, effects: [] }
     case 'confirmationChanged': return { state: confirmationChanged(state, event.confirmation, event.nowMs), effects: [] }
     case 'admit': return admit(state, event)
@@ -193,22 +201,33 @@
 function manifestApplied (state: LimitsState, manifest: Manifest, nowMs: number): Next {
   const limits = limitsOf(manifest)
   let accounts = noAccounts
-  for (const [account, limit] of limits) accounts = withAccount(accounts, updatedAccount(state, account, limit, manifest.seats, nowMs))
+  const after = { ...state, partitionCount: manifest.seats }
+  for (const [account, limit] of limits) accounts = withAccount(accounts, updatedAccount({ before: state, after, isFirst: state.partitionCount === 0 }, account, limit, nowMs))
   const dropped = allAccounts(state.accounts).filter(({ account }) => !limits.has(account))
   const effects = dropped.flatMap(account => account.waiting.map(({ id }) => refusal(account, id)))
   const active = new Set([...state.active].filter(account => limits.has(account)))
-  return { state: { ...state, accounts, active, partitionCount: manifest.seats }, effects }
+  return { state: { ...after, accounts, active }, effects }
 }
 
+function layoutChanged (state: LimitsState, layout: QuotaLayout, nowMs: number): LimitsState {
+  if (state.isLayoutKnown && state.layout === layout) return state
+  const after = { ...state, layout, isLayoutKnown: true }
+  let accounts = noAccounts
+  for (const { account, limit } of allAccounts(state.accounts)) accounts = withAccount(accounts, updatedAccount({ before: state, after, isFirst: !state.isLayoutKnown }, account, limit, nowMs))
+  return { ...after, accounts }
+}
+
+/** States before and after a change, and whether nothing was divided before. */
+type DivisionChange = { readonly before: LimitsState, readonly after: LimitsState, readonly isFirst: boolean }
+
 // After a change of the division some hosts still use the old one. Until the new
 // division is in force on every host, each host uses at most the smaller of its
 // two fractions.
-function updatedAccount (state: LimitsState, account: AccountName, limit: Quota, partitionCount: number, nowMs: number): AccountLimit {
+function updatedAccount ({ before: state, after, isFirst }: DivisionChange, account: AccountName, limit: Quota, nowMs: number): AccountLimit {
   const known = accountOf(state.accounts, account)
-  const fractions = ownedFractions(state.usableFromMs, account, limit.ratePerS, partitionCount)
+  const fractions = ownedFractions(state.usableFromMs, account, divisionOf(after, limit))
   const before = known === undefined ? newAccount(account, limit, nowMs) : advanced(known, nowMs)
-  const isFirst = state.partitionCount === 0
-  const isSame = known !== undefined && isSameDivision({ ratePerS: known.limit.ratePerS, partitionCount: state.partitionCount }, { ratePerS: limit.ratePerS, partitionCount })
+  const isSame = known !== undefined && isSameDivision(divisionOf(state, known.limit), divisionOf(after, limit))
   const ceiling = isFirst || isSame ? before.ceiling : { fraction: ownFraction(before, nowMs), untilMs: nowMs + divisionChangeDelayMs }
   return refreshed({ ...before, limit, ownedFractions: fractions, ceiling })
 }
@@ -303,8 +322,7 @@
   const { members, partitionOwners } = state
   const known = account.sources
   if (known?.members === members && known.partitionOwners === partitionOwners) return { located: account, sources: known }
-  const coordinator = known?.members === members ? known.coordinator : quotaCoordinator(account.account, members)
-  const sources = { members, partitionOwners, coordinator, owners: quotaOwners(state, account) }
+  const sources = { members, partitionOwners, coordinator: coordinatorOf(state, account), owners: quotaOwners(state, account) }
   return { located: { ...account, sources }, sources }
 }
 
--- a/src/limits/ownership.ts
+++ b/src/limits/ownership.ts
@@ -5,7 +5,8 @@
 import type { Transition } from '../pipe/index.js'
 import { advanced, lentExpiryMs, ownFraction, refreshed, withoutLender, type AccountLimit, type OwnedFraction } from './account.js'
 import { allAccounts, withAccount } from './accounts.js'
-import { partitionFractions } from './division.js'
+import { partitionFractions, type Division } from './division.js'
+import { divisionOf } from './owners.js'
 import type { Confirmation, LimitsEffect, LimitsEvent, LimitsState } from './limits.js'
 import { partitionHandoverMs } from './settings.js'
 
@@ -13,13 +14,12 @@
  * Computes the fractions of an account's limit that own partitions give.
  * @param usableFromMs - the own partitions, with the time from which each may be used
  * @param account - the account
- * @param ratePerS - rate of the account
- * @param partitionCount - number of partitions in the manifest
+ * @param division - division of the account's limit
  * @returns the fractions by time
  */
-export function ownedFractions (usableFromMs: ReadonlyMap<number, number>, account: AccountName, ratePerS: number, partitionCount: number): readonly OwnedFraction[] {
+export function ownedFractions (usableFromMs: ReadonlyMap<number, number>, account: AccountName, division: Division): readonly OwnedFraction[] {
   const byTime = new Map<number, number>()
-  const fractionOf = partitionFractions(account, { ratePerS, partitionCount })
+  const fractionOf = partitionFractions(account, division)
   for (const [partition, fromMs] of usableFromMs) {
     const fraction = fractionOf(partition)
     if (fraction > 0) byTime.set(fromMs, (byTime.get(fromMs) ?? 0) + fraction)
@@ -56,7 +56,7 @@
 function withUsablePartitions (state: LimitsState, usableFromMs: ReadonlyMap<number, number>, nowMs: number): LimitsState {
   let { accounts } = state
   for (const account of allAccounts(state.accounts)) {
-    const fractions = ownedFractions(usableFromMs, account.account, account.limit.ratePerS, state.partitionCount)
+    const fractions = ownedFractions(usableFromMs, account.account, divisionOf(state, account.limit))
     const current = advanced(account, nowMs)
     const changed = refreshed({ ...current, ownedFractions: fractions })
     accounts = withAccount(accounts, withUnusedTokens(state, changed, ownFraction(current, nowMs), nowMs))
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -135,9 +135,10 @@
 
 /**
  * Optional part of the protocol. `dispatcherAdmission`: the dispatcher takes tokens
- * for entry hosts; `weightedPlacement`: dispatchers are placed by capacity.
+ * for entry hosts; `weightedPlacement`: dispatchers are placed by capacity;
+ * `concentratedQuota`: an account with a low rate uses few quota partitions.
  */
-export type PeerFeature = 'dispatcherAdmission' | 'weightedPlacement'
+export type PeerFeature = 'dispatcherAdmission' | 'weightedPlacement' | 'concentratedQuota'
 
 /**
  * Gossip entry: whether a member is unresponsive, as another member observed
--- a/src/wire/peer-schema.ts
+++ b/src/wire/peer-schema.ts
@@ -115,7 +115,7 @@
   era: count.optional(),
   load: z.enum(['normal', 'busy', 'overloaded']).optional(),
   // Features of a later version are dropped.
-  features: validEntries(z.enum(['dispatcherAdmission', 'weightedPlacement'])).optional()
+  features: validEntries(z.enum(['dispatcherAdmission', 'weightedPlacement', 'concentratedQuota'])).optional()
 })
 
 const server = z.object({ name, ip, port, failureDomain: name, slots: z.int().min(1).max(maxSlots), state: z.enum(['active', 'leaving']) })
--- a/src/wire/quota-message.ts
+++ b/src/wire/quota-message.ts
@@ -6,7 +6,7 @@
 import { amountOf, booleanOf, countOf, fieldsOf, listOf, nameOf, oneOf, optional } from './peer-fields.js'
 
 const hostLoads: readonly HostLoad[] = ['normal', 'busy', 'overloaded']
-const peerFeatures: readonly PeerFeature[] = ['dispatcherAdmission', 'weightedPlacement']
+const peerFeatures: readonly PeerFeature[] = ['dispatcherAdmission', 'weightedPlacement', 'concentratedQuota']
 
 /**
  * Reads the parameters of `borrow`.
--- a/test/limits/fuzz.test.ts
+++ b/test/limits/fuzz.test.ts
@@ -9,6 +9,7 @@
 import fc from 'fast-check'
 import { advanced } from '../../src/limits/account.js'
 import { accountOf } from '../../src/limits/accounts.js'
+import type { QuotaLayout } from '../../src/limits/index.js'
 import { addQuotas, noQuota } from '../../src/limits/quota.js'
 import { accountsManifest, capExceeded, limitFleet, type Fleet, type Link } from '../support/limit-fleet.js'
 import { partitionStore } from '../support/partition-store.js'
@@ -59,13 +60,17 @@
 
 type FuzzResult = { readonly excessTokens: number, readonly overAllocation: number }
 
+/** Number of hosts that own partitions, and their layout. */
+type FuzzFleet = { readonly capableHosts: number, readonly layout: QuotaLayout }
+
 /** Performs the actions and returns the largest excess over the limits. */
-function runActions (actions: readonly Action[], seed: number, capableHosts: number): FuzzResult {
+function runActions (actions: readonly Action[], seed: number, { capableHosts, layout }: FuzzFleet): FuzzResult {
   const cuts = new Set<string>()
   let network: Link = { isCut: false, lossRate: 0, delayMs: 1 }
   const fleet = limitFleet({
     hosts,
     capableHosts,
+    layout,
     seed,
     drift,
     manifest: accountsManifest(12, accounts),
@@ -142,10 +147,10 @@
   return { excessTokens: Math.max(...excess), overAllocation: maxOverAllocation }
 }
 
-for (const [seed, capableHosts] of [[11, hosts], [12, hosts], [13, hosts], [14, 2], [15, 3]] as const) {
-  test(`no account exceeds burst + rate * window under any fault (seed ${seed}, partitions on ${capableHosts} hosts)`, () => {
+for (const [seed, capableHosts, layout] of [[11, hosts, 'spread'], [12, hosts, 'spread'], [13, hosts, 'spread'], [14, 2, 'spread'], [15, 3, 'spread'], [16, hosts, 'concentrated'], [17, 3, 'concentrated']] as const) {
+  test(`no account exceeds burst + rate * window under any fault (seed ${seed}, partitions ${layout} on ${capableHosts} hosts)`, () => {
     fc.assert(fc.property(fc.array(action, { minLength: 10, maxLength: 60, size: 'max' }), fc.integer(), (actions, simulationSeed) => {
-      const result = runActions(actions, simulationSeed, capableHosts)
+      const result = runActions(actions, simulationSeed, { capableHosts, layout })
       assert.ok(result.excessTokens < 1e-3, `${result.excessTokens} tokens above the limit`)
       assert.ok(result.overAllocation < 1e-6, `${result.overAllocation} of a limit allocated twice`)
     }), { seed, numRuns: 60, endOnFailure: true })
--- a/test/support/limit-fleet.ts
+++ b/test/support/limit-fleet.ts
@@ -2,7 +2,7 @@
 // a network with message loss, delay and cut links, and hosts that can be paused
 // and killed. Each host has its own clock.
 
-import { confirmedUntil, limitsStep, initialLimits, limitsTickMs, partitionHandoverMs, type AdmissionMode, type LimitsEffect, type LimitsEvent, type LimitsState } from '../../src/limits/index.js'
+import { confirmedUntil, limitsStep, initialLimits, limitsTickMs, partitionHandoverMs, type AdmissionMode, type LimitsEffect, type LimitsEvent, type LimitsState, type QuotaLayout } from '../../src/limits/index.js'
 import type { Member } from '../../src/members/index.js'
 import type { HostName, LoanReset, Manifest } from '../../src/model/index.js'
 
@@ -100,6 +100,8 @@
   readonly hosts: number
   /** The first hosts, which own all partitions and are dispatchers; all hosts by default. */
   readonly capableHosts?: number
+  /** Layout of the quota partitions, 'spread' by default. */
+  readonly layout?: QuotaLayout
   readonly manifest: Manifest
   readonly seed: number
   readonly link?: (from: HostName, to: HostName) => Link
@@ -122,7 +124,7 @@
 const goodLink: Link = { isCut: false, lossRate: 0, delayMs: 1 }
 
 /** Creates a fleet; no time passes until `run` is called. */
-export function limitFleet ({ hosts, capableHosts = hosts, manifest, seed, link = () => goodLink, drift = 0, assignsPartitions = true, isConfirmed = true }: FleetOptions) {
+export function limitFleet ({ hosts, capableHosts = hosts, manifest, seed, layout = 'spread', link = () => goodLink, drift = 0, assignsPartitions = true, isConfirmed = true }: FleetOptions) {
   const random = randomFrom(seed)
   const queue = eventQueue()
   const names = Array.from({ length: hosts }, (_, at) => `h${at}`)
@@ -268,6 +270,7 @@
     nodes.set(host, { state: initialLimits(host, clock(host)), incarnation, isUp: true, isPaused: false, backlog: [] })
     if (isConfirmed) step(host, { kind: 'confirmationChanged', confirmation: confirmedUntil(Infinity), nowMs: clock(host) })
     step(host, { kind: 'membersChanged', live: members, nowMs: clock(host) })
+    step(host, { kind: 'layoutChanged', layout, nowMs: clock(host) })
     step(host, { kind: 'manifestApplied', manifest, nowMs: clock(host) })
     if (assignsPartitions) assignPartitions(host, evenPartitions(host))
   }
