Store eras: narrower effects on other calls

Cause: found while reading the diff. Answers to queries of the quorum also renewed the contact to the leader, which changed fleets without eras; a write that was refused for its era was logged as an unreachable store; a deregistration could use a version of an earlier era. Change: the query passes on the era only; no event for eraChanged; deregistration checks the era. Evidence: no test of its own.

--- a/src/daemon/configuration-task.ts
+++ b/src/daemon/configuration-task.ts
@@ -26,7 +26,7 @@
   /** State of this host that is sent in heartbeats. */
   readonly localState: () => MemberState
   /** Called with the state that a queried host sent. */
-  readonly onPeerState: (from: MemberState, sentAtMs: number) => void
+  readonly onPeerState: (from: MemberState) => void
   readonly onApply: (accepted: AcceptedManifest) => void
   readonly onRejected: (generation: Generation, errors: readonly string[]) => void
 }
@@ -114,7 +114,7 @@
     case 'apply': return spec.onApply(effect.accepted)
     case 'offer': return offer(spec, effect.accepted)
     case 'pull': return void pull(spec, effect.host, effect.above, port)
-    case 'queryPeers': return queryPeers(spec, effect.hosts)
+    case 'queryPeers': return queryPeers(spec, effect.hosts, port)
     case 'relist': return void readStore(spec, port)
     case 'rejected': return spec.onRejected(effect.rejected.generation, effect.rejected.errors)
   }
@@ -139,12 +139,15 @@
   }
 }
 
-function queryPeers (spec: ConfigurationTaskSpec, hosts: readonly HostName[]): void {
+function queryPeers (spec: ConfigurationTaskSpec, hosts: readonly HostName[], port: Port<ConfigurationEvent>): void {
   const { timers, settings } = spec.context
   const sentAtMs = timers.nowMs()
   for (const host of hosts) {
     spec.links.call(host, 'heartbeat', spec.localState(), settings.control.pullMs).then(
-      from => { spec.onPeerState(from, sentAtMs) },
+      from => {
+        spec.onPeerState(from)
+        port.send(confirmationOf(from, sentAtMs, timers.nowMs()))
+      },
       () => {}
     )
   }
--- a/src/daemon/leader-task.ts
+++ b/src/daemon/leader-task.ts
@@ -125,7 +125,7 @@
     port.send(await storeCall(spec, effect))
   } catch (error) {
     if (!(error instanceof StoreError)) spec.context.onTaskError('duty')(asError(error))
-    else if (error.fault.kind !== 'conflict') spec.onStoreFailure()
+    else if (error.fault.kind !== 'conflict' && error.fault.kind !== 'eraChanged') spec.onStoreFailure()
     port.send({ kind: 'callFailed', nowMs: timers.nowMs() })
   }
 }
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -157,7 +157,7 @@
     peers: () => members.view.get().live.filter(member => member.failureDomain === settings.host.failureDomain).map(member => member.host),
     isWatcher: () => members.view.get().quorum.includes(settings.host.name),
     localState: () => localState(),
-    onPeerState: (from, sentAtMs) => { recordPeerState(from, sentAtMs) },
+    onPeerState: from => { eras.recordPeerState(from) },
     onApply: accepted => {
       effectiveManifest.applyManifest(accepted.manifest)
       limits.applyManifest(accepted.manifest)
--- a/src/daemon/registry-task.ts
+++ b/src/daemon/registry-task.ts
@@ -5,7 +5,7 @@
 import * as z from 'zod'
 import { hostsToDeregister, mustRegister, recordUnresponsive, withRestoredHosts, type HostListMemory, type ListedHost, type Registration, type UnresponsiveSince } from '../members/index.js'
 import type { HostName } from '../model/index.js'
-import { eraField, putObjectInEra, readObject, StoreError, type HostSource, type StoredObject, type VersionInEra } from '../ports/index.js'
+import { currentEra, eraField, putObjectInEra, readObject, StoreError, type HostSource, type StoredObject, type VersionInEra } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
 
 /** Dependencies of the registry. */
@@ -83,7 +83,8 @@
       if (spec.isCleaner()) {
         for (const host of hostsToDeregister(unresponsiveSince, timers.nowMs())) {
           const object = objects.find(each => each.name === host)
-          if (object === undefined) continue
+          // The version of an earlier era may be that of another entry by now.
+          if (object === undefined || currentEra(store) !== era) continue
           await store.deleteObject(source.objectKind, host, object.version).catch(ignoreStoreError)
           spec.onDeregistered(host)
         }
