Fewer wakes and promise hops for a message to a task

Cause: a host pays for each wake. An alarm of a task went off for a tick that was no longer needed, each round of status queries woke 10 ms later for servers that it no longer needed to ask, and a dispatcher without a rank ticked each 40 ms while it found a server unresponsive, although only ranked hosts probe. A message to a task passed three to four promises.

Change: the alarm of a task goes back to the later time that an earlier one replaced, and does not go off where nothing is due; the servers that a round skipped are part of the database task's state; unranked hosts do not tick more often. Tasks take queued messages without a promise for each, and compose awaits only filters that wait.

--- a/src/daemon/database-step.ts
+++ b/src/daemon/database-step.ts
@@ -38,8 +38,6 @@
   | { readonly kind: 'minPosition', readonly event: MinPositionEvent }
   /** A server answered the query of a round. */
   | { readonly kind: 'roundStatus', readonly round: number, readonly status: ServerStatus, readonly sentAtMs: number, readonly nowMs: number }
-  /** If the round is still running, the remaining servers are queried, too. */
-  | { readonly kind: 'queryRemaining', readonly round: number, readonly servers: readonly ServerName[] }
   | { readonly kind: 'manifest', readonly database: DatabaseDeclaration, readonly nowMs: number }
   /** `random` spreads the retries of failed proposals. */
   | { readonly kind: 'tick', readonly nowMs: number, readonly random: number }
@@ -53,11 +51,18 @@
    * minimum position is needed from it: it counts as a response with the origin
    * position and is not queried.
    */
-  | { readonly kind: 'queryRound', readonly round: number, readonly targetServer: ServerName | undefined, readonly servers: readonly ServerName[], readonly remaining: readonly ServerName[] }
+  | { readonly kind: 'queryRound', readonly round: number, readonly targetServer: ServerName | undefined, readonly servers: readonly ServerName[] }
   | { readonly kind: 'answerQuorumWait', readonly reply: Reply<boolean>, readonly hasQuorum: boolean }
   | { readonly kind: 'answerMinPosition', readonly reply: Reply<Position | undefined>, readonly minPosition: Position | undefined }
   | { readonly kind: 'changeServers', readonly servers: readonly ServerDeclaration[] }
 
+/** Servers that a round skipped at first; they are queried if it still runs at `dueAtMs`. */
+type SkippedServers = {
+  readonly round: number
+  readonly servers: readonly ServerName[]
+  readonly dueAtMs: number
+}
+
 /** State of the task of a database. */
 export type DatabaseState = {
   readonly failover: FailoverState
@@ -68,6 +73,8 @@
   readonly minPositionReplies: ReadonlyMap<string, Reply<Position | undefined>>
   /** Servers on which the reads that wait for a minimum position will run. */
   readonly targetServers: ReadonlyMap<string, ServerName | undefined>
+  /** Of the last round; undefined where it skipped none or has queried them. */
+  readonly skipped: SkippedServers | undefined
   readonly nextId: number
   /** True where servers report their positions only when they are queried. */
   readonly isPolled: boolean
@@ -95,6 +102,8 @@
  * further one.
  */
 const roundDelayMs: { readonly first: number, readonly max: number } = { first: 2, max: 40 }
+/** Delay after which the servers that a round skipped at first are queried, too. */
+const skippedQueryDelayMs = 10
 /** Ticks while a failover may be needed or a round is running, and otherwise. */
 const tickSpacingMs: { readonly urgent: number, readonly idle: number } = { urgent: 40, idle: 250 }
 
@@ -116,6 +125,7 @@
     quorumReplies: new Map(),
     minPositionReplies: new Map(),
     targetServers: new Map(),
+    skipped: undefined,
     nextId: 1,
     isPolled: context.ports.driver.statusDelivery === 'polled',
     roundInProgress: false,
@@ -143,13 +153,20 @@
 export function databaseDueAtMs (state: DatabaseState, nowMs: number): number {
   const tickAtMs = nowMs + (isUrgent(state) ? tickSpacingMs.urgent : tickSpacingMs.idle)
   const isRoundDue = state.quorumWait.pending.length > 0 && !state.roundInProgress
-  return isRoundDue ? Math.min(tickAtMs, state.nextQuorumRoundMs) : tickAtMs
+  const skippedDueAtMs = skippedServers(state)?.dueAtMs ?? Infinity
+  return Math.min(tickAtMs, skippedDueAtMs, isRoundDue ? state.nextQuorumRoundMs : Infinity)
 }
 
 function isUrgent (state: DatabaseState): boolean {
-  const { failover, quorumWait, minPosition } = state
-  return failover.proposal.kind !== 'idle' || failover.failureSinceMs !== undefined || quorumWait.pending.length > 0 || minPosition.running !== undefined ||
-    Object.values(failover.health).some(({ probeRequested, consecutiveFailures }) => probeRequested || consecutiveFailures > 0)
+  return state.quorumWait.pending.length > 0 || state.minPosition.running !== undefined || isFailoverUrgent(state.failover)
+}
+
+// A host without a rank probes no server and proposes nothing, so a server that it
+// finds unresponsive does not make its ticks frequent.
+function isFailoverUrgent ({ rank, proposal, failureSinceMs, health }: FailoverState): boolean {
+  if (rank === undefined) return false
+  return proposal.kind !== 'idle' || failureSinceMs !== undefined ||
+    Object.values(health).some(({ probeRequested, consecutiveFailures }) => probeRequested || consecutiveFailures > 0)
 }
 
 /**
@@ -199,13 +216,13 @@
     case 'quorumMinPosition': return waitForMinPosition(state, message)
     case 'minPosition': return withMinPosition(state, message.event)
     case 'roundStatus': return recordRoundStatus(state, message)
-    case 'queryRemaining': return queryRemaining(state, message)
     case 'manifest': return applyManifest(state, message.database, message.nowMs)
     case 'tick': return chain(state, [
       next => withFailover(next, { kind: 'tick', nowMs: message.nowMs, random: message.random }),
       next => withQuorumWait(next, { kind: 'tick', nowMs: message.nowMs }),
       next => withMinPosition(next, { kind: 'tick', nowMs: message.nowMs }),
-      next => startQuorumRound(next, message.nowMs)
+      next => startQuorumRound(next, message.nowMs),
+      next => querySkipped(next, message.nowMs)
     ])
   }
 }
@@ -302,7 +319,9 @@
   const answered = effects.flatMap(effect => effect.kind === 'startRound' ? [] : [effect.id])
   const targetServers = withoutAnswered(state.targetServers, answered)
   const next: DatabaseState = { ...state, minPosition, minPositionReplies: withoutAnswered(state.minPositionReplies, answered), targetServers }
-  const answers: Next = { state: next, effects: effects.flatMap(effect => effect.kind === 'startRound' ? [queryRound(next, effect.round)] : answerMinPosition(state, effect)) }
+  const answers = effects.reduce<Next>((done, effect) => effect.kind === 'startRound'
+    ? chain(done.state, [after => ({ state: after, effects: done.effects }), after => queryRound(after, effect.round, event.nowMs)])
+    : { state: done.state, effects: [...done.effects, ...answerMinPosition(state, effect)] }, { state: next, effects: [] })
   return answered.includes(quorumRound) ? quorumRoundEnded(answers, event.nowMs) : answers
 }
 
@@ -319,14 +338,15 @@
 // other servers are queried as complete a majority with it. Those with the latest
 // contact come first. One that is fenced above the primary's term counts as failed
 // (see recordRoundStatus).
-function queryRound (state: DatabaseState, round: number): DatabaseEffect {
+function queryRound (state: DatabaseState, round: number, nowMs: number): Next {
   const { group, health } = state.failover
   const targetServer = state.isPolled ? commonTargetServer(state) : undefined
-  if (targetServer === undefined) return { kind: 'queryRound', round, targetServer, servers: group.servers, remaining: [] }
+  if (targetServer === undefined) return { state: { ...state, skipped: undefined }, effects: [{ kind: 'queryRound', round, targetServer, servers: group.servers }] }
   const lastContactAtMs = (server: ServerName): number => health[server]?.consecutiveFailures === 0 ? health[server]?.lastContactAtMs ?? 0 : 0
   const others = group.servers.filter(server => server !== targetServer).sort((a, b) => lastContactAtMs(b) - lastContactAtMs(a))
   const needed = majorityOf(group.servers.length) - 1
-  return { kind: 'queryRound', round, targetServer, servers: others.slice(0, needed), remaining: others.slice(needed) }
+  const skipped = { round, servers: others.slice(needed), dueAtMs: nowMs + skippedQueryDelayMs }
+  return { state: { ...state, skipped }, effects: [{ kind: 'queryRound', round, targetServer, servers: others.slice(0, needed) }] }
 }
 
 function commonTargetServer (state: DatabaseState): ServerName | undefined {
@@ -349,9 +369,14 @@
   return chain(recorded.state, [next => ({ state: next, effects: recorded.effects }), next => withMinPosition(next, event)])
 }
 
-function queryRemaining (state: DatabaseState, message: Extract<DatabaseMessage, { readonly kind: 'queryRemaining' }>): Next {
-  if (state.minPosition.running?.round !== message.round || message.servers.length === 0) return { state, effects: [] }
-  return { state, effects: [{ kind: 'queryRound', round: message.round, targetServer: undefined, servers: message.servers, remaining: [] }] }
+function skippedServers ({ skipped, minPosition }: DatabaseState): SkippedServers | undefined {
+  return skipped !== undefined && skipped.servers.length > 0 && minPosition.running?.round === skipped.round ? skipped : undefined
+}
+
+function querySkipped (state: DatabaseState, nowMs: number): Next {
+  const skipped = skippedServers(state)
+  if (skipped === undefined || nowMs < skipped.dueAtMs) return { state, effects: [] }
+  return { state: { ...state, skipped: undefined }, effects: [{ kind: 'queryRound', round: skipped.round, targetServer: undefined, servers: skipped.servers }] }
 }
 
 function answerMinPosition (state: DatabaseState, effect: Exclude<MinPositionEffect, { readonly kind: 'startRound' }>): readonly DatabaseEffect[] {
--- a/src/daemon/database-task.ts
+++ b/src/daemon/database-task.ts
@@ -63,8 +63,6 @@
 }
 
 const mailboxCapacity = 16384
-/** Delay after which the servers that a round skipped at first are queried, too. */
-const queryRemainingMs = 10
 
 /**
  * Starts the task of a database.
@@ -97,8 +95,8 @@
   watches.change(database.servers, task.port)
   return {
     view,
-    awaitQuorum: async (position, deadlineAtMs) => await ask<DatabaseMessage, boolean>(task.port, reply => ({ kind: 'awaitQuorum', position, deadlineAtMs, nowMs: timers.nowMs(), reply }), false),
-    quorumMinPosition: async targetServer => await ask<DatabaseMessage, Position | undefined>(task.port, reply => ({ kind: 'quorumMinPosition', targetServer, nowMs: timers.nowMs(), reply }), undefined),
+    awaitQuorum: (position, deadlineAtMs) => ask<DatabaseMessage, boolean>(task.port, reply => ({ kind: 'awaitQuorum', position, deadlineAtMs, nowMs: timers.nowMs(), reply }), false),
+    quorumMinPosition: targetServer => ask<DatabaseMessage, Position | undefined>(task.port, reply => ({ kind: 'quorumMinPosition', targetServer, nowMs: timers.nowMs(), reply }), undefined),
     recordPosition: (server, position, sentAtMs) => { task.port.send({ kind: 'positionObserved', server, position, sentAtMs, nowMs: timers.nowMs() }) },
     recordObservation: (observation, sentAtMs) => { task.port.send({ kind: 'observationReceived', observation, sentAtMs, nowMs: timers.nowMs() }) },
     observation: () => observationOf(view.get(), timers.nowMs()),
@@ -192,10 +190,9 @@
 }
 
 function queryServers (context: DaemonContext, watches: Watches, effect: Extract<DatabaseEffect, { readonly kind: 'queryRound' }>, port: Port<DatabaseMessage>): void {
-  const { round, targetServer, remaining } = effect
+  const { round, targetServer } = effect
   const { timers } = context
   if (targetServer !== undefined) port.send({ kind: 'minPosition', event: { kind: 'roundAnswered', round, server: targetServer, received: originPosition, nowMs: timers.nowMs() } })
-  if (remaining.length > 0) timers.after(queryRemainingMs, { send: () => port.send({ kind: 'queryRemaining', round, servers: remaining }) })
   const sentAtMs = timers.nowMs()
   for (const server of effect.servers) {
     const failed = (): void => { port.send({ kind: 'minPosition', event: { kind: 'roundFailed', round, server, nowMs: timers.nowMs() } }) }
--- a/src/pipe/deadline.ts
+++ b/src/pipe/deadline.ts
@@ -15,8 +15,8 @@
  * @param promise - the promise; a result after the timeout is discarded
  * @returns the value, or `overdue` after the timeout; a rejection is propagated
  */
-export async function withTimeout<T> (timers: TimerService, timeoutMs: number, promise: Promise<T>): Promise<TimeoutResult<T>> {
-  return await new Promise<TimeoutResult<T>>((resolve, reject) => {
+export function withTimeout<T> (timers: TimerService, timeoutMs: number, promise: Promise<T>): Promise<TimeoutResult<T>> {
+  return new Promise<TimeoutResult<T>>((resolve, reject) => {
     const cancel = timers.after(timeoutMs, { send: () => { resolve({ kind: 'overdue' }); return 'accepted' } })
     promise.then(
       value => { cancel(); resolve({ kind: 'done', value }) },
--- a/src/pipe/filter.ts
+++ b/src/pipe/filter.ts
@@ -29,18 +29,26 @@
 }
 
 /**
- * Composes two filters.
+ * Composes two filters. Nothing is awaited between filters that need not wait.
  * @param first - the filter that receives the message
  * @param second - the filter that receives the message that `first` passes on
  * @returns the composed filter
  */
 export function compose<A, B, C, End> (first: Filter<A, B, End>, second: Filter<B, C, End>): Filter<A, C, End> {
-  return async message => {
-    const filterResult = await first(message)
-    return filterResult.kind === 'end' ? filterResult : await second(filterResult.message)
+  return message => {
+    const filterResult = first(message)
+    return filterResult instanceof Promise ? continueLater(filterResult, second) : continueWith(filterResult, second)
   }
 }
 
+function continueWith<B, C, End> (filterResult: FilterResult<B, End>, second: Filter<B, C, End>): ReturnType<Filter<B, C, End>> {
+  return filterResult.kind === 'end' ? filterResult : second(filterResult.message)
+}
+
+async function continueLater<B, C, End> (filterResult: Promise<FilterResult<B, End>>, second: Filter<B, C, End>): Promise<FilterResult<C, End>> {
+  return await continueWith(await filterResult, second)
+}
+
 /**
  * Runs a pipe whose last filter always ends it.
  * @param filter - the composed filters
--- a/src/pipe/mailbox.ts
+++ b/src/pipe/mailbox.ts
@@ -57,22 +57,29 @@
   }
 
   /**
-   * Waits for the next message.
-   * @returns the message, or `closed` once the mailbox is closed and empty
+   * Takes the next message without waiting.
+   * @returns the message, `closed` once the mailbox is closed and empty, or undefined
+   * where there is none yet
    */
-  async receive (): Promise<Received<M>> {
+  take (): Received<M> | undefined {
     if (this.#next >= this.#queue.length) {
+      if (this.#incoming.length === 0) return this.#closed ? { kind: 'closed' } : undefined
       this.#queue = this.#incoming
       this.#incoming = []
       this.#next = 0
     }
-    if (this.#next < this.#queue.length) {
-      const message = this.#queue[this.#next] as M
-      this.#next += 1
-      return { kind: 'message', message }
-    }
-    if (this.#closed) return { kind: 'closed' }
-    return await new Promise(resolve => { this.#wake = resolve })
+    const message = this.#queue[this.#next] as M
+    this.#next += 1
+    return { kind: 'message', message }
+  }
+
+  /**
+   * Waits for the next message.
+   * @returns the message, or `closed` once the mailbox is closed and empty
+   */
+  receive (): Promise<Received<M>> {
+    const received = this.take()
+    return received === undefined ? new Promise(resolve => { this.#wake = resolve }) : Promise.resolve(received)
   }
 
   /** Rejects further messages; queued messages can still be received. */
--- a/src/pipe/reply.ts
+++ b/src/pipe/reply.ts
@@ -14,8 +14,8 @@
  * @param fallback - the reply where the mailbox rejects the message
  * @returns the reply
  */
-export async function ask<M, A> (port: Port<M>, request: (reply: Reply<A>) => M, fallback: A): Promise<A> {
-  return await new Promise<A>(resolve => {
+export function ask<M, A> (port: Port<M>, request: (reply: Reply<A>) => M, fallback: A): Promise<A> {
+  return new Promise<A>(resolve => {
     const result = port.send(request(resolve))
     if (result !== 'accepted') resolve(fallback)
   })
--- a/src/pipe/task.ts
+++ b/src/pipe/task.ts
@@ -16,8 +16,8 @@
 export type Step<S, M, E> = (state: S, message: M) => Transition<S, E>
 
 /**
- * Ticks of a task. After each message the state tells when the next tick is due,
- * so a task without anything to do does not wake the process.
+ * Ticks of a task. Each time that no message is left, the state tells when the next
+ * tick is due, so a task without anything to do does not wake the process.
  */
 export type Schedule<S, M> = {
   readonly timers: TimerService
@@ -83,11 +83,15 @@
 async function run<S, M, E> (spec: TaskSpec<S, M, E>, mailbox: Mailbox<M>, alarm: Alarm | undefined): Promise<void> {
   let state = spec.initial
   for (;;) {
-    alarm?.set(spec.schedule?.dueAtMs(state) ?? Infinity)
-    const received = await mailbox.receive()
+    let received = mailbox.take()
+    if (received === undefined) {
+      alarm?.update(spec.schedule?.dueAtMs(state) ?? Infinity)
+      received = await mailbox.receive()
+    }
     if (received.kind === 'closed') break
+    const { message } = received
     catchErrors(spec, () => {
-      const transition = spec.step(state, received.message)
+      const transition = spec.step(state, message)
       state = transition.state
       for (const effect of transition.effects) spec.perform(effect, mailbox)
     })
--- a/src/pipe/timer.ts
+++ b/src/pipe/timer.ts
@@ -194,6 +194,13 @@
    * first and sets it again. Infinity sets nothing.
    */
   readonly set: (atMs: number) => void
+  /**
+   * Sets the alarm to the time at which something is due now. An alarm that had been
+   * set to an earlier time goes back to the later one that this replaced, at most;
+   * with Infinity and no such time it does not go off. So a time that moves on with
+   * each message still comes.
+   */
+  readonly update: (atMs: number) => void
   readonly stop: () => void
 }
 
@@ -201,6 +208,8 @@
 const rejectedTickDelayMs = 50
 /** Shortest delay of an alarm, also where its time has passed. */
 const minAlarmDelayMs = 1
+/** An alarm is moved to a later time only by this or more: a move costs a timer of the runtime. */
+const minPostponementMs = 20
 
 /**
  * Creates an alarm that is not set. It is not set again by itself.
@@ -210,20 +219,33 @@
  */
 export function startAlarm (timers: TimerService, port: Port<Tick>): Alarm {
   let dueAtMs = Infinity
+  /** The time that the first earlier one replaced since the alarm last went off. */
+  let replacedAtMs = Infinity
   let cancel = (): void => {}
-  const set = (atMs: number): void => {
-    if (atMs >= dueAtMs) return
+  const move = (atMs: number): void => {
     cancel()
     dueAtMs = atMs
-    cancel = timers.atLeast(Math.max(minAlarmDelayMs, atMs - timers.nowMs()), { send: ring })
+    cancel = atMs === Infinity ? () => {} : timers.atLeast(Math.max(minAlarmDelayMs, atMs - timers.nowMs()), { send: ring })
+  }
+  const set = (atMs: number): void => {
+    if (atMs >= dueAtMs) return
+    if (replacedAtMs === Infinity) replacedAtMs = dueAtMs
+    move(atMs)
+  }
+  const update = (atMs: number): void => {
+    const laterAtMs = Math.min(atMs, replacedAtMs)
+    const isBound = replacedAtMs < Infinity || atMs === Infinity
+    if (atMs < dueAtMs) set(atMs)
+    else if (isBound && laterAtMs - dueAtMs >= minPostponementMs) move(laterAtMs)
   }
   const ring = (tick: Tick): SendResult => {
     dueAtMs = Infinity
+    replacedAtMs = Infinity
     const result = port.send(tick)
     if (result === 'full') set(tick.nowMs + rejectedTickDelayMs)
     return result
   }
-  return { set, stop: () => { cancel() } }
+  return { set, update, stop: () => { cancel() } }
 }
 
 /**
--- a/test/pipe/timer.test.ts
+++ b/test/pipe/timer.test.ts
@@ -51,6 +51,37 @@
   assert.deepEqual(times, [200])
 })
 
+// Guards against SHORT: a task that was done within 20 ms still woke for the tick that it no longer needed.
+test('an alarm that is no longer due goes back to the time that it replaced, or does not go off', () => {
+  const timers = fakeTimers()
+  const { alarm, times } = recordedAlarm(timers)
+  alarm.update(500)
+  alarm.update(200)
+  timers.pass(100)
+  alarm.update(350)
+  alarm.update(600)
+  timers.pass(1000)
+  assert.deepEqual(times, [500])
+  alarm.update(1010)
+  alarm.update(Infinity)
+  timers.pass(2000)
+  assert.deepEqual(times, [500])
+})
+
+// Guards against ticks that never come while messages do.
+test('an alarm whose time moves on with each update goes off at the first one', () => {
+  const timers = fakeTimers()
+  const { alarm, times } = recordedAlarm(timers)
+  for (let nowMs = 0; nowMs < 1000; nowMs += 30) {
+    timers.pass(nowMs)
+    alarm.update(nowMs + 250)
+    alarm.update(nowMs + 10)
+    timers.pass(nowMs + 5)
+    alarm.update(nowMs + 5 + 250)
+  }
+  assert.deepEqual(times.slice(0, 3), [250, 520, 790])
+})
+
 test('an alarm for a time that has passed goes off soon, and a stopped one never', () => {
   const timers = fakeTimers()
   const { alarm, times } = recordedAlarm(timers)
