Load of a host's own processor, and refusals while it is overloaded

Cause: a host short of processor time served ever later until nearly all of its answers were late, and it declared peers unresponsive because it read their answers late.

Change: src/load derives normal, busy and overloaded from the lateness of a periodic tick and the processor time in relation to host.cpu_share, with hysteresis. An overloaded host refuses a fraction of the new statements outside transactions right after authorization, the least urgent first, as overloaded. Reports and gossip come less often while the host is busy. The lateness of a member's own ticks counts for no peer. Heartbeats carry the load while it is not normal. Event 1010, gauges of the load and of the schedulers.

Changes to existing tests: test/config/settings.test.ts expects the new field cpuShare of the host settings, still as a whole. test/members/membership.test.ts has a new test; the existing ones are unchanged.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -15,6 +15,8 @@
   readonly failureDomain: FailureDomain
   readonly ip: string
   readonly peerPort: number
+  /** Processors that the host may use. */
+  readonly cpuShare: number
   /** Processor capacity in cores, by which tasks for other hosts are assigned. */
   readonly capacityCores: number
 }
@@ -281,7 +283,7 @@
 }
 
 function hostOf (host: z.infer<typeof settingsSections.host>): HostSettings {
-  return { name: host.name, failureDomain: host.failure_domain, ip: host.ip, peerPort: host.peer_port, capacityCores: host.cpu_share * host.cpu_speed }
+  return { name: host.name, failureDomain: host.failure_domain, ip: host.ip, peerPort: host.peer_port, cpuShare: host.cpu_share, capacityCores: host.cpu_share * host.cpu_speed }
 }
 
 function listenOf ({ host, listen }: z.infer<typeof settingsSchema>): ListenSettings {
--- a/src/daemon/components.ts
+++ b/src/daemon/components.ts
@@ -10,6 +10,7 @@
 import type { ObservationRelaySpec } from './observation-relay.js'
 import type { Registry } from './registry-task.js'
 import type { Databases } from './databases.js'
+import type { HostLoadTask } from './host-load-task.js'
 import type { LimitsTask } from './limits-task.js'
 import type { MembersTask } from './members-task.js'
 import type { PeerLinks } from './peers.js'
@@ -25,6 +26,7 @@
   readonly members: MembersTask
   readonly configuration: ConfigurationTask
   readonly databases: Databases
+  readonly hostLoad: HostLoadTask
   readonly routing: RoutingTable
   readonly limits: LimitsTask
   readonly effectiveManifest: EffectiveManifest
--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -5,7 +5,7 @@
 import type { DispatchReply } from '../dispatch/index.js'
 import type { PromotionProgress } from '../failover/index.js'
 import { capableMembers, dispatcherRanks, dispatchersOf, rendezvousOrder, type Member } from '../members/index.js'
-import { acceptsNewWork, notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PeerParams, type PrimaryView, type ServerDeclaration, type ServerName } from '../model/index.js'
+import { acceptsNewWork, notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PeerParams, type PrimaryView, type ServerDeclaration, type ServerLoad, type ServerName } from '../model/index.js'
 import { startAlarm, type Alarm } from '../pipe/index.js'
 import type { PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
@@ -152,6 +152,14 @@
     return this.#entries.get(call.database)?.dispatchers.get(call.server)?.cancel(call) ?? false
   }
 
+  /**
+   * Loads of the servers that this host dispatches for.
+   * @returns one for each open dispatcher
+   */
+  serverLoads (): readonly ServerLoad[] {
+    return [...this.#entries.values()].flatMap(entry => [...entry.dispatchers.values()]).map(dispatcher => dispatcher.serverLoad())
+  }
+
   /** Refuses new work from now on; open transactions continue. */
   stopAccepting (): void {
     this.#stopping = true
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -7,7 +7,7 @@
 import type { HostName, MemberState, PrimaryView } from '../model/index.js'
 import { sleep, systemTimers } from '../pipe/index.js'
 import { updateObject, type ObjectStore, type ProxyPorts } from '../ports/index.js'
-import { Activity, type EventFields } from '../report/index.js'
+import { Activity, type EventFields, processTotals } from '../report/index.js'
 import { requestPipe, type ConfigurationInForce, type RequestServices } from '../request/index.js'
 import { listenForPeers } from '../wire/peer-link.js'
 import { decodeToken, encodeToken } from '../wire/session-token.js'
@@ -27,6 +27,7 @@
 import { peerHandlers } from './peer-handlers.js'
 import { PeerLinks, tlsOf } from './peers.js'
 import { startRegistry } from './registry-task.js'
+import { startHostLoad } from './host-load-task.js'
 import { cancelAt, executeAt, rollBack } from './remote-statements.js'
 import { startReports } from './reports.js'
 import { RoutingTable } from './routing.js'
@@ -123,6 +124,16 @@
     incarnation,
     onTaskError: task => error => { reports.recordTaskFailure(task, error) }
   }
+  const hostLoad = startHostLoad({
+    timers,
+    random,
+    cpuShare: settings.host.cpuShare,
+    cpuMs: () => processTotals().cpuMs,
+    onChanged: state => {
+      members.send({ kind: 'loadChanged', load: state.load, nowMs: timers.nowMs() })
+      reports.event('hostLoadChanged', { load: state.load, lagMs: Math.round(state.lagMs), cpuPercent: Math.round(100 * state.cpuFraction) })
+    }
+  })
   const { store } = ports
   const routing = new RoutingTable()
   const links = new PeerLinks(context, host => { members.send({ kind: 'linkFailed', host, nowMs: timers.nowMs() }) })
@@ -218,7 +229,8 @@
     incarnation: context.incarnation,
     state: stopping() ? 'stopping' : 'serving',
     ...(leaderTask === undefined ? {} : { holdsDuty: leaderTask.isLeader(), lease: leaderTask.renewal() }),
-    ...configuration.advertised()
+    ...configuration.advertised(),
+    ...(hostLoad.load() === 'normal' ? {} : { load: hostLoad.load() })
   })
   const members: MembersTask = startMembers({
     context,
@@ -239,8 +251,8 @@
   })
   const observationRelay = { context, links, databases, routing }
   if (ports.driver.statusDelivery === 'polled') startObservationRelay(observationRelay)
-  reports.attach({ store, members, configuration, databases, routing, links, stopping })
-  return { context, reports, store, links, members, configuration, databases, routing, limits, effectiveManifest, leaderTask, discovery, registry, observationRelay, recordLeader, stopping, localState }
+  reports.attach({ store, members, configuration, databases, routing, links, hostLoad, stopping })
+  return { context, reports, store, links, members, configuration, databases, hostLoad, routing, limits, effectiveManifest, leaderTask, discovery, registry, observationRelay, recordLeader, stopping, localState }
 }
 
 // Event names and the value of `what` keep the earlier word duty for the leader
@@ -329,6 +341,7 @@
     routing: database => routing.view(database),
     execute: async (dispatcher, request) => await executeAt(components, dispatcher, request),
     cancel: (dispatcher, call) => { cancelAt(components, dispatcher, call) },
+    sheds: components.hostLoad.sheds,
     onRetry: result => { components.reports.recordRetry(result) },
     onAppliedPosition: (server, applied) => { routing.recordApplied(server, applied, timers.nowMs()) },
     random: context.random,
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -6,13 +6,14 @@
 import { randomUUID } from 'node:crypto'
 import type { Settings } from '../config/index.js'
 import { watchersOf } from '../members/index.js'
-import { anonymousAccount, type DatabaseReport, type HostName, type HostReport, type IncomingStatement, type Outcome } from '../model/index.js'
+import { anonymousAccount, type DatabaseReport, type HostLoad, type HostName, type HostReport, type IncomingStatement, type Outcome } from '../model/index.js'
 import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
 import type { AccountStatsTable } from '../report/account-stats.js'
 import { activityText, addedCounts, eventLog, processTotals, reportCollectorStep, initialReportCollector, combineMetrics, noMetrics, outcomeTag, type Activity, type ActivityCount, type EventFields, type EventLog, type EventName, type ProcessTotals, type ReportCollectorEffect, type ReportCollectorEvent, type ReportCollectorState, type Metrics } from '../report/index.js'
 import { updateObject, type ObjectStore } from '../ports/index.js'
 import type { ConfigurationTask } from './configuration-task.js'
 import type { Databases } from './databases.js'
+import type { HostLoadTask } from './host-load-task.js'
 import type { MembersTask } from './members-task.js'
 import type { PeerLinks } from './peers.js'
 import type { RoutingTable } from './routing.js'
@@ -34,6 +35,7 @@
   readonly configuration: ConfigurationTask
   readonly databases: Databases
   readonly routing: RoutingTable
+  readonly hostLoad: HostLoadTask
   readonly stopping: () => boolean
 }
 
@@ -112,7 +114,17 @@
     attach (components) {
       const started = startCollector(spec, components)
       collector = started
-      timers.every(settings.control.reportMs, { send: () => { void sendReport(spec, components, accountStats, metrics, started.port); return 'accepted' } })
+      let skipped = 0
+      timers.every(settings.control.reportMs, {
+        send: () => {
+          recordLoad(metrics, components)
+          skipped += 1
+          if (skipped < components.hostLoad.factor()) return 'accepted'
+          skipped = 0
+          void sendReport(spec, components, accountStats, metrics, started.port)
+          return 'accepted'
+        }
+      })
       let lastReading = readActivity(spec)
       timers.every(settings.control.reportMs, {
         send: () => {
@@ -139,6 +151,19 @@
   }
 }
 
+const loadLevels: Readonly<Record<HostLoad, number>> = { normal: 0, busy: 1, overloaded: 2 }
+
+function recordLoad (metrics: Metrics, { hostLoad, databases }: ReportedComponents): void {
+  const { load, lagMs, cpuFraction, shedFraction } = hostLoad.state()
+  const servers = databases.serverLoads()
+  metrics.gauge('host.load', loadLevels[load])
+  metrics.gauge('host.lag_ms', lagMs)
+  metrics.gauge('host.cpu_fraction', cpuFraction)
+  metrics.gauge('host.shed_fraction', shedFraction)
+  metrics.gauge('scheduler.waiting', servers.reduce((sum, { waiting }) => sum + waiting, 0))
+  metrics.gauge('scheduler.expected_wait_ms', Math.max(0, ...servers.map(({ expectedWaitMs }) => expectedWaitMs)))
+}
+
 type ActivityReading = { readonly atMs: number, readonly totals: ProcessTotals, readonly counts: readonly ActivityCount[] }
 
 function readActivity ({ timers, activity }: ReportsSpec): ActivityReading {
--- a/src/members/membership.ts
+++ b/src/members/membership.ts
@@ -22,7 +22,8 @@
 // assignment. The leader lease and quota partitions change by conditional writes
 // in the store; terms and majorities of the servers protect writes and promotions.
 
-import type { HostName, GossipEntry, MemberState } from '../model/index.js'
+import { backgroundFactor } from '../load/index.js'
+import type { HostLoad, HostName, GossipEntry, MemberState } from '../model/index.js'
 import type { Transition } from '../pipe/index.js'
 import { expireObservations, isRelayed, mergeGossip, unresponsiveByGossip, gossipEntries, type LivenessObservation } from './gossip.js'
 import { isFullMesh, peerPeriodFactor } from './periods.js'
@@ -68,6 +69,8 @@
 const earlyFraction = 0.2
 /** Bounds of the time between two ticks; a longer time means that the process was paused. */
 const tickSpacingMs: { readonly min: number, readonly max: number } = { min: 50, max: 500 }
+/** A tick may be joined with others that come this much later. */
+const lateToleranceMs = 100
 /** Shortest time between two heartbeats that are sent because of new observations. */
 const gossipSpacingMs = 200
 
@@ -78,12 +81,14 @@
   readonly lastSentMs: number
   /** When a link to the peer failed; undefined once the peer has answered. */
   readonly linkFailedMs: number | undefined
+  /** Lateness of this member since the last contact, which does not count for the peer. */
+  readonly excusedMs: number
   readonly stopping: boolean
   readonly unresponsive: boolean
 }
 
 function newPeer (nowMs: number): PeerView {
-  return { lastContactMs: nowMs, lastSentMs: -Infinity, linkFailedMs: undefined, stopping: false, unresponsive: false }
+  return { lastContactMs: nowMs, lastSentMs: -Infinity, linkFailedMs: undefined, excusedMs: 0, stopping: false, unresponsive: false }
 }
 
 /** A member's view of the fleet. */
@@ -91,6 +96,8 @@
   readonly settings: MembershipSettings
   readonly self: Member
   readonly stopping: boolean
+  /** Load of this member's own processor. */
+  readonly load: HostLoad
   readonly listed: readonly ListedHost[]
   readonly listedByName: ReadonlyMap<HostName, ListedHost>
   /** See `quorumHosts`; recomputed with each list. */
@@ -119,6 +126,8 @@
   | { readonly kind: 'heartbeatReceived', readonly state: MemberState, readonly nowMs: number }
   | { readonly kind: 'linkFailed', readonly host: HostName, readonly nowMs: number }
   | { readonly kind: 'stopping', readonly nowMs: number }
+  /** The load of this member's own processor has changed. */
+  | { readonly kind: 'loadChanged', readonly load: HostLoad, readonly nowMs: number }
   | { readonly kind: 'tick', readonly nowMs: number }
 
 /** Effects of membership. */
@@ -141,6 +150,7 @@
     settings,
     self,
     stopping: false,
+    load: 'normal',
     listed: [],
     listedByName: new Map(),
     quorum: [],
@@ -169,6 +179,7 @@
     case 'heartbeatReceived': return recordContact(state, event.state, false, event.nowMs)
     case 'linkFailed': return linkFailed(state, event.host, event.nowMs)
     case 'stopping': return updateLiveMembers({ ...state, stopping: true }, event.nowMs)
+    case 'loadChanged': return { state: { ...state, load: event.load }, effects: [] }
     case 'tick': return tick(state, event.nowMs)
   }
 }
@@ -258,7 +269,7 @@
   // Only an answer proves that the peer can be reached from this host.
   const linkFailedMs = answered ? undefined : peer.linkFailedMs
   const stopping = from.state === 'stopping'
-  const contacted = withPeer(state, from.host, { ...peer, lastContactMs: nowMs, linkFailedMs, stopping })
+  const contacted = withPeer(state, from.host, { ...peer, lastContactMs: nowMs, linkFailedMs, excusedMs: 0, stopping })
   const withGossip = mergeGossip(contacted, from.rumours ?? [], nowMs)
   const isNews = peer.unresponsive || peer.stopping !== stopping || withGossip !== contacted
   return isNews ? updateLiveMembers(withGossip, nowMs, state) : { state: withGossip, effects: [] }
@@ -273,7 +284,7 @@
 }
 
 function tick (state: MembershipState, nowMs: number): Next {
-  const current = { ...expireObservations(resetAfterPause(state, nowMs), nowMs), lastTickMs: nowMs }
+  const current = { ...expireObservations(withoutOwnLateness(state, nowMs), nowMs), lastTickMs: nowMs }
   const isNews = current.observations !== state.observations || assessPeers(current, nowMs) !== current
   const assessed = isNews ? updateLiveMembers(current, nowMs) : { state: current, effects: [] }
   const isGossipDue = assessed.state.gossipAtMs <= nowMs
@@ -293,10 +304,21 @@
 // stay so until a contact shows otherwise. The threshold is the same in a ring,
 // although the heartbeat period is longer there.
 function resetAfterPause (state: MembershipState, nowMs: number): MembershipState {
-  const pausedMs = nowMs - state.lastTickMs
-  if (pausedMs < state.settings.suspectAfterMs / 2) return state
   const peers = [...state.peers].map(([host, peer]): readonly [HostName, PeerView] =>
-    [host, peer.unresponsive ? peer : { ...peer, lastContactMs: nowMs, linkFailedMs: undefined }])
+    [host, peer.unresponsive ? peer : { ...peer, lastContactMs: nowMs, linkFailedMs: undefined, excusedMs: 0 }])
+  return { ...state, peers: new Map(peers) }
+}
+
+// The time by which a tick is later than ticks may be apart is this member's own: what
+// its peers sent meanwhile waits to be read. It counts for no peer, so a member that is
+// short of processor time finds an unresponsive peer later and suspects no other.
+function withoutOwnLateness (state: MembershipState, nowMs: number): MembershipState {
+  const sinceTickMs = nowMs - state.lastTickMs
+  if (sinceTickMs >= state.settings.suspectAfterMs / 2) return resetAfterPause(state, nowMs)
+  const lateMs = sinceTickMs - tickSpacingMs.max - lateToleranceMs
+  if (lateMs <= 0) return state
+  const peers = [...state.peers].map(([host, peer]): readonly [HostName, PeerView] =>
+    [host, peer.unresponsive ? peer : { ...peer, excusedMs: peer.excusedMs + lateMs }])
   return { ...state, peers: new Map(peers) }
 }
 
@@ -324,9 +346,9 @@
 
 // Time from which a peer counts as unresponsive unless it answers.
 function suspectAtMs (state: MembershipState, host: HostName, peer: PeerView): number {
-  const byLinkMs = peer.linkFailedMs === undefined ? Infinity : peer.linkFailedMs + state.settings.linkGraceMs
+  const byLinkMs = peer.linkFailedMs === undefined ? Infinity : peer.linkFailedMs + state.settings.linkGraceMs * backgroundFactor(state.load)
   const byContactMs = state.observed.has(host) ? peer.lastContactMs + state.settings.suspectAfterMs * peerPeriodFactor(state, host) : Infinity
-  return Math.min(byLinkMs, byContactMs)
+  return Math.min(byLinkMs, byContactMs) + peer.excusedMs
 }
 
 // Assesses every peer, records the changes that this member observed, and emits
@@ -360,7 +382,7 @@
   if (isFullMesh(state) || state.observations === before.observations) return state.gossipAtMs
   const hasNews = [...state.observations].some(([key, observation]) => before.observations.get(key) !== observation && isRelayed(state, observation))
   if (!hasNews) return state.gossipAtMs
-  return Math.min(state.gossipAtMs, Math.max(nowMs, state.lastGossipMs + gossipSpacingMs))
+  return Math.min(state.gossipAtMs, Math.max(nowMs, state.lastGossipMs + gossipSpacingMs * backgroundFactor(state.load)))
 }
 
 function isLive (state: MembershipState, listed: ListedHost, unresponsive: ReadonlySet<HostName>): boolean {
--- a/src/report/events.ts
+++ b/src/report/events.ts
@@ -28,6 +28,7 @@
   reloadAsked: defineEvent(1007, 'info', 'SIGHUP received: the settings file has changed. The process continues with the settings that it started with; restart it to apply new ones.', ['host']),
   transactionsRolledBack: defineEvent(1008, 'warn', 'Half of the grace period of a planned stop was over; the transactions that were still open on this host are rolled back, and their callers get the error at their next statement.', ['host', 'transactions']),
   activity: defineEvent(1009, 'info', 'What this process did in the last reporting period: processor time, iterations of its event loop, and counts of timers, statements and calls by kind.', ['periodMs', 'cpuMs', 'wakes', 'counts']),
+  hostLoadChanged: defineEvent(1010, 'warn', 'The load of this host has changed: `normal`, `busy` (background work runs less often) or `overloaded` (the least urgent new statements are refused). `lagMs` is how late its event loop is, `cpuPercent` its processor time in relation to `host.cpu_share`.', ['load', 'lagMs', 'cpuPercent']),
   manifestApplied: defineEvent(2001, 'info', 'A manifest is in force on this host.', ['generation']),
   manifestRejected: defineEvent(2002, 'error', 'A manifest was rejected as a whole; the previous one stays in force. Apply a corrected one.', ['generation', 'errors']),
   confirmationLost: defineEvent(2003, 'warn', 'Neither the store nor a majority of the quorum has confirmed the configuration recently; authenticated statements are rejected.', ['generation']),
--- a/src/report/metrics.ts
+++ b/src/report/metrics.ts
@@ -26,6 +26,12 @@
   'process.activity': defineMetric('counter', 'Timers, statements and calls by kind and name.', ['kind', 'name']),
   'task.failures': defineMetric('counter', 'Unexpected errors that a task survived; each is event 1005. Alarm on any, and on a rate above 0.1 a second at once.', ['task']),
   'retry.count': defineMetric('counter', 'Retries of statements that the retry budget of the host allowed (`made`) or not (`refused`).', ['result']),
+  'host.load': defineMetric('gauge', 'Load of the host: 0 normal, 1 busy, 2 overloaded.', []),
+  'host.lag_ms': defineMetric('gauge', 'How late the event loop of the process is, in milliseconds, smoothed.', []),
+  'host.cpu_fraction': defineMetric('gauge', 'Processor time of the process in relation to `host.cpu_share`, smoothed.', []),
+  'host.shed_fraction': defineMetric('gauge', 'Fraction of the new statements that this host refuses as `overloaded`.', []),
+  'scheduler.waiting': defineMetric('gauge', 'Statements that wait for a slot of the servers that this host dispatches for.', []),
+  'scheduler.expected_wait_ms': defineMetric('gauge', 'Longest expected wait at the servers that this host dispatches for, in milliseconds.', []),
   'callers.open': defineMetric('gauge', 'Connections of callers that are open.', [])
 } as const satisfies Readonly<Record<string, MetricDefinition>>
 
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,4 +1,4 @@
-// The request pipe: authorize > check > answer locally > admit > resolve the
+// The request pipe: authorize > shed > check > answer locally > admit > resolve the
 // read consistency > execute. Each filter has a file of its own; the decisions
 // that the filters use stand in the other files.
 
@@ -9,6 +9,7 @@
 import { execute } from './execute.js'
 import { resolveConsistency } from './consistency.js'
 import { answerLocally } from './local.js'
+import { shed } from './shed.js'
 import type { Incoming, RequestResult } from './message.js'
 import type { RequestBounds, RequestServices } from './services.js'
 
@@ -28,6 +29,7 @@
 export * from './route.js'
 export * from './services.js'
 export * from './session.js'
+export * from './shed.js'
 
 /**
  * Composes the filters of the request pipe.
@@ -36,7 +38,7 @@
  * @returns the pipe, for `runPipe`
  */
 export function requestPipe (services: RequestServices, bounds: RequestBounds): Filter<Incoming, never, RequestResult> {
-  const checked = compose(authorize(services.configuration), checkStatement(bounds, services.containsKey))
+  const checked = compose(compose(authorize(services.configuration), shed(services)), checkStatement(bounds, services.containsKey))
   const admitted = compose(compose(checked, answerLocally(services)), admit(services, bounds.rules))
   return compose(compose(admitted, resolveConsistency()), execute(services, bounds))
 }
--- a/src/request/services.ts
+++ b/src/request/services.ts
@@ -28,6 +28,8 @@
   readonly execute: (dispatcher: HostName, request: ExecuteRequest) => Promise<AttemptResult>
   /** Tells a dispatcher that a statement is no longer needed; omitted where none waits. */
   readonly cancel?: (dispatcher: HostName, call: PeerParams<'cancel'>) => void
+  /** Whether this host is overloaded and refuses a new statement of the priority; omitted: never. */
+  readonly sheds?: (priority: number) => boolean
   /** Called with each retry that the retry budget allowed or refused. */
   readonly onRetry?: (result: 'made' | 'refused') => void
   /** Called with the applied position of a server that a reply contains. */
--- a/test/config/settings.test.ts
+++ b/test/config/settings.test.ts
@@ -29,7 +29,7 @@
 
 test('the sections host, platform and database_login suffice', () => {
   const settings = settingsOf(minimalToml)
-  assert.deepEqual(settings.host, { name: 'host-1', failureDomain: 'medina', ip: '127.0.0.1', peerPort: 7000, capacityCores: 1 })
+  assert.deepEqual(settings.host, { name: 'host-1', failureDomain: 'medina', ip: '127.0.0.1', peerPort: 7000, cpuShare: 1, capacityCores: 1 })
   assert.deepEqual(settings.listen, { callers: { ip: '127.0.0.1', port: 3306 }, readiness: undefined, metrics: undefined })
   assert.deepEqual(settings.peers, { kind: 'plain' })
   assert.deepEqual(settings.metrics, { kind: 'off' })
--- a/test/members/membership.test.ts
+++ b/test/members/membership.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import type { GossipEntry, MemberState } from '../../src/model/index.js'
 import {
-  defaultMembershipSettings, initialMembership, membershipDueAtMs, membershipStep, quorumHosts, ringNeighbours, gossipEntries,
+  defaultMembershipSettings, initialMembership, membershipDueAtMs, membershipStep, quorumHosts, ringNeighbours, gossipEntries, unresponsiveHosts,
   type ListedHost, type MembershipEvent, type MembershipState
 } from '../../src/members/index.js'
 
@@ -208,3 +208,20 @@
     if (host !== 'h7') assert.deepEqual(liveHosts(view), list.map(listed => listed.host).filter(name => name !== 'h7'), host)
   }
 })
+
+// Guards against hosts that are declared unresponsive by one that is short of processor
+// time: its ticks come late, and so do the answers that it reads.
+test('a member does not count its own lateness against its peers, and still finds an unresponsive one', () => {
+  const suspectedWhileLate = (answering: readonly string[]): readonly string[] => {
+    let state = memberOf(hosts(3))
+    const suspected = new Set<string>()
+    for (let tick = 1; tick <= 20; tick += 1) {
+      const nowMs = tick * 1150
+      state = after(state, [...(tick % 4 === 0 ? answers(answering, nowMs) : []), { kind: 'tick', nowMs }])
+      for (const host of unresponsiveHosts(state)) suspected.add(host)
+    }
+    return [...suspected]
+  }
+  assert.deepEqual(suspectedWhileLate(['h1', 'h2']), [])
+  assert.deepEqual(suspectedWhileLate(['h1']), ['h2'])
+})
--- a/test/request/attempts.test.ts
+++ b/test/request/attempts.test.ts
@@ -3,9 +3,9 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { notRun, type ExecuteRequest, type Manifest, type Outcome, type PeerParams, type ServerLoad } from '../../src/model/index.js'
+import { notRun, type ExecuteRequest, type Manifest, type Outcome, type PeerParams, type RouteDeclaration, type ServerLoad } from '../../src/model/index.js'
 import { runPipe } from '../../src/pipe/index.js'
-import { initialRetryBudget, mysqlSessionRules, openSessionState, PresenceSignal, requestPipe, takeRetry, withFirstAttempt, type AttemptResult, type RequestBounds, type RequestServices } from '../../src/request/index.js'
+import { initialRetryBudget, mysqlSessionRules, openSessionState, PresenceSignal, requestPipe, takeRetry, withFirstAttempt, type AttemptResult, type RequestBounds, type RequestServices, type SessionState } from '../../src/request/index.js'
 import { parseSql } from '../../src/wire/sql/index.js'
 
 const manifest: Manifest = {
@@ -24,9 +24,9 @@
 }
 
 /** A host whose attempts take a fixed time and get the given results. */
-type Entry = { readonly read: (sql?: string) => Promise<Outcome>, readonly sent: readonly ExecuteRequest[], readonly cancelled: ReadonlyArray<PeerParams<'cancel'>>, readonly presence: PresenceSignal, readonly nowMs: () => number }
+type Entry = { readonly read: (sql?: string, session?: SessionState) => Promise<Outcome>, readonly sent: readonly ExecuteRequest[], readonly cancelled: ReadonlyArray<PeerParams<'cancel'>>, readonly presence: PresenceSignal, readonly nowMs: () => number }
 
-function startEntry (results: readonly AttemptResult[], attemptMs: number, duringAttempt: (presence: PresenceSignal) => void = () => {}, bounds: Partial<RequestBounds> = {}): Entry {
+function startEntry (results: readonly AttemptResult[], attemptMs: number, duringAttempt: (presence: PresenceSignal) => void = () => {}, bounds: Partial<RequestBounds> = {}, changed: Partial<RequestServices> = {}): Entry {
   const sent: ExecuteRequest[] = []
   const cancelled: PeerParams<'cancel'>[] = []
   const presence = new PresenceSignal()
@@ -48,11 +48,11 @@
     random: () => 0.5,
     encodeToken: JSON.stringify,
     decodeToken: JSON.parse,
-    containsKey: () => false
+    containsKey: () => false,
+    ...changed
   }
   const pipe = requestPipe(services, { self: 'h9', localFailureDomain: 'd1', defaultDeadlineMs: 1000, maxDeadlineMs: 1000, rules: mysqlSessionRules, strongReadsAt: 'anyServer', ...bounds })
-  const session = openSessionState({ kind: 'anonymous' }, 'orders', undefined)
-  const read = async (sql = 'SELECT 1'): Promise<Outcome> => (await runPipe(pipe, { session, presence, statement: { caller: session.caller, route: session.route, ...parseSql(sql), receivedAtMs: nowMs } })).outcome
+  const read = async (sql = 'SELECT 1', session = openSessionState({ kind: 'anonymous' }, 'orders', undefined)): Promise<Outcome> => (await runPipe(pipe, { session, presence, statement: { caller: session.caller, route: session.route, ...parseSql(sql), receivedAtMs: nowMs } })).outcome
   return { read, sent, cancelled, presence, nowMs: () => nowMs }
 }
 
@@ -136,3 +136,15 @@
     }
   }), { seed: 5, numRuns: 300 })
 })
+
+// Guards against statements of open transactions, which hold locks, that an overloaded
+// host refuses, and against work for a statement that is refused.
+test('an overloaded host refuses new statements at once, but none of a transaction', async () => {
+  let isOverloaded = false
+  const entry = startEntry([replyOf(rows, 1)], 1, undefined, {}, { sheds: () => isOverloaded })
+  const session = openSessionState({ kind: 'anonymous' }, 'orders', undefined)
+  const open: SessionState = { ...session, transaction: { id: 't1', database: 'orders', server: 's1', dispatcher: 'h1', account: 'a', route: manifest.routes[0] as RouteDeclaration, state: 'open' } }
+  isOverloaded = true
+  assert.deepEqual([reasonOf(await entry.read()), reasonOf(await entry.read('BEGIN')), entry.sent.length], ['overloaded', 'overloaded', 0])
+  assert.deepEqual([reasonOf(await entry.read('SELECT 1', open)), reasonOf(await entry.read('COMMIT', open)), entry.sent.length], ['answered', 'answered', 2])
+})
