--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -8,7 +8,7 @@
 import type { HostName, MemberState, Outcome, PrimaryView } from '../model/index.js'
 import { sleep, systemTimers } from '../pipe/index.js'
 import { updateObject, type ObjectStore, type ProxyPorts } from '../ports/index.js'
-import { Activity, type EventFields } from '../report/index.js'
+import { Activity, type EventFields, processTotals } from '../report/index.js'
 import { requestPipe, type ConfigurationInForce, type RequestServices } from '../request/index.js'
 import { listenForPeers } from '../wire/peer-link.js'
 import { decodeToken, encodeToken } from '../wire/session-token.js'
@@ -30,6 +30,7 @@
 import { PeerLinks, tlsOf } from './peers.js'
 import { PeerSupportTable } from './peer-support.js'
 import { startRegistry } from './registry-task.js'
+import { startHostLoad } from './host-load-task.js'
 import { cancelAt, executeAt, rollBack } from './remote-statements.js'
 import { startReports } from './reports.js'
 import { RoutingTable } from './routing.js'
@@ -127,6 +128,16 @@
     incarnation,
     onTaskError: task => error => { reports.recordTaskFailure(task, error) }
   }
+  const hostLoad = startHostLoad({
+    timers,
+    random,
+    cpuShare: settings.host.cpuShare,
+    cpuMs: () => processTotals().cpuMs,
+    onChanged: state => {
+      members.send({ kind: 'loadChanged', load: state.load, nowMs: timers.nowMs() })
+      reports.event('hostLoadChanged', { load: state.load, lagMs: Math.round(state.lagMs), cpuPercent: Math.round(100 * state.cpuFraction) })
+    }
+  })
   const { store } = ports
   const routing = new RoutingTable()
   const peerSupport = new PeerSupportTable(settings.host.name, timers.nowMs)
@@ -242,7 +253,8 @@
     features: ownFeatures,
     ...(leaderTask === undefined ? {} : { holdsDuty: leaderTask.isLeader(), lease: leaderTask.renewal() }),
     ...statedEra(store),
-    ...configuration.advertised()
+    ...configuration.advertised(),
+    ...(hostLoad.load() === 'normal' ? {} : { load: hostLoad.load() })
   })
   const members: MembersTask = startMembers({
     context,
@@ -267,8 +279,8 @@
   })
   const observationRelay = { context, links, databases, routing }
   if (ports.driver.statusDelivery === 'polled') startObservationRelay(observationRelay)
-  reports.attach({ store, members, configuration, databases, routing, links, stopping })
-  return { context, reports, store, links, members, peerSupport, configuration, databases, routing, limits, effectiveManifest, eras, leaderTask, discovery, registry, observationRelay, recordLeader, stopping, localState }
+  reports.attach({ store, members, configuration, databases, routing, links, hostLoad, stopping })
+  return { context, reports, store, links, members, peerSupport, configuration, databases, hostLoad, routing, limits, effectiveManifest, eras, leaderTask, discovery, registry, observationRelay, recordLeader, stopping, localState }
 }
 
 // The refusal of an admission that is not delegated.
@@ -365,6 +377,7 @@
     routing: database => routing.view(database),
     execute: async (dispatcher, request) => await executeAt(components, dispatcher, request),
     cancel: (dispatcher, call) => { cancelAt(components, dispatcher, call) },
+    sheds: components.hostLoad.sheds,
     onRetry: result => { components.reports.recordRetry(result) },
     onAppliedPosition: (server, applied) => { routing.recordApplied(server, applied, timers.nowMs()) },
     random: context.random,
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -6,7 +6,7 @@
 import { randomUUID } from 'node:crypto'
 import type { Settings } from '../config/index.js'
 import { watchersOf } from '../members/index.js'
-import { anonymousAccount, type DatabaseName, type DatabaseReport, type HostName, type HostReport, type IncomingStatement, type Outcome, type ServerName } from '../model/index.js'
+import { anonymousAccount, type DatabaseName, type DatabaseReport, type HostLoad, type HostName, type HostReport, type IncomingStatement, type Outcome, type ServerName } from '../model/index.js'
 import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
 import type { AccountStatsTable } from '../report/account-stats.js'
 import { activityText, addedCounts, eventLog, processTotals, reportCollectorStep, initialReportCollector, combineMetrics, noMetrics, outcomeTag, type Activity, type ActivityCount, type EventFields, type EventLog, type EventName, type ProcessTotals, type ReportCollectorEffect, type ReportCollectorEvent, type ReportCollectorState, type Metrics } from '../report/index.js'
@@ -14,6 +14,7 @@
 import type { EjectionChange } from '../routing/index.js'
 import type { ConfigurationTask } from './configuration-task.js'
 import type { Databases } from './databases.js'
+import type { HostLoadTask } from './host-load-task.js'
 import type { MembersTask } from './members-task.js'
 import type { PeerLinks } from './peers.js'
 import type { RoutingTable } from './routing.js'
@@ -35,6 +36,7 @@
   readonly configuration: ConfigurationTask
   readonly databases: Databases
   readonly routing: RoutingTable
+  readonly hostLoad: HostLoadTask
   readonly stopping: () => boolean
 }
 
@@ -118,7 +120,17 @@
     attach (components) {
       const started = startCollector(spec, components)
       collector = started
-      timers.every(settings.control.reportMs, { send: () => { void sendReport(spec, components, accountStats, metrics, started.port); return 'accepted' } })
+      let skipped = 0
+      timers.every(settings.control.reportMs, {
+        send: () => {
+          recordLoad(metrics, components)
+          skipped += 1
+          if (skipped < components.hostLoad.factor()) return 'accepted'
+          skipped = 0
+          void sendReport(spec, components, accountStats, metrics, started.port)
+          return 'accepted'
+        }
+      })
       let lastReading = readActivity(spec)
       timers.every(settings.control.reportMs, {
         send: () => {
@@ -161,6 +173,19 @@
   }
 }
 
+const loadLevels: Readonly<Record<HostLoad, number>> = { normal: 0, busy: 1, overloaded: 2 }
+
+function recordLoad (metrics: Metrics, { hostLoad, databases }: ReportedComponents): void {
+  const { load, lagMs, cpuFraction, shedFraction } = hostLoad.state()
+  const servers = databases.serverLoads()
+  metrics.gauge('host.load', loadLevels[load])
+  metrics.gauge('host.lag_ms', lagMs)
+  metrics.gauge('host.cpu_fraction', cpuFraction)
+  metrics.gauge('host.shed_fraction', shedFraction)
+  metrics.gauge('scheduler.waiting', servers.reduce((sum, { waiting }) => sum + waiting, 0))
+  metrics.gauge('scheduler.expected_wait_ms', Math.max(0, ...servers.map(({ expectedWaitMs }) => expectedWaitMs)))
+}
+
 type ActivityReading = { readonly atMs: number, readonly totals: ProcessTotals, readonly counts: readonly ActivityCount[] }
 
 function readActivity ({ timers, activity }: ReportsSpec): ActivityReading {
