--- a/src/members/placement.ts
+++ b/src/members/placement.ts
@@ -51,23 +51,37 @@
 
 type Candidate = {
   readonly host: HostName
+  /** Index among the live members. */
+  readonly at: number
   readonly ticketHashes: readonly number[]
   readonly millicores: number
   /** Part of the servers by capacity, with the slack. */
   readonly part: number
 }
 
+/** A live member with its index. */
+type IndexedMember = { readonly member: Member, readonly at: number }
+
 type PlacedServer = { readonly key: string, readonly hash: number, readonly failureDomain: FailureDomain }
 
 /** Candidates for some servers: the hosts of a failure domain, or of the fleet. */
 type CandidateGroup = { readonly servers: readonly PlacedServer[], readonly candidates: readonly Candidate[] }
 
+let latest: Placement = { kind: 'unweighted', input: { databases: [], live: [], listed: [] } }
+
 /**
- * Places the dispatchers of all servers.
+ * Places the dispatchers of all servers. The latest placement is kept, because several
+ * components of a host ask for the same one.
  * @param input - databases and members
  * @returns the placement
  */
 export function placeDispatchers (input: PlacementInput): Placement {
+  const { databases, live, listed } = latest.input
+  if (input.databases !== databases || input.live !== live || input.listed !== listed) latest = computePlacement(input)
+  return latest
+}
+
+function computePlacement (input: PlacementInput): Placement {
   return isWeighted(input.listed) ? { kind: 'weighted', input, assigned: assign(input) } : { kind: 'unweighted', input }
 }
 
@@ -147,13 +161,13 @@
 
 function assign (input: PlacementInput): Assignment {
   const assigned = new Map<string, HostName>()
-  const loads = new Map<HostName, number>()
+  const loads = input.live.map(() => 0)
   for (const { servers, candidates } of groupsOf(input)) {
     for (const server of servers) {
-      const host = hostWithRoom(server, candidates, loads)
-      if (host === undefined) continue
-      assigned.set(server.key, host)
-      loads.set(host, (loads.get(host) ?? 0) + 1)
+      const candidate = candidateWithRoom(server, candidates, loads)
+      if (candidate === undefined) continue
+      assigned.set(server.key, candidate.host)
+      loads[candidate.at] = (loads[candidate.at] ?? 0) + 1
     }
   }
   return assigned
@@ -164,24 +178,25 @@
   const all = databases
     .flatMap(database => database.servers.map(({ name, failureDomain }): PlacedServer => ({ key: serverKey(database.name, name), hash: nameHash(serverKey(database.name, name)), failureDomain })))
     .sort((a, b) => a.hash - b.hash || (a.key < b.key ? -1 : 1))
+  const indexed = live.map((member, at) => ({ member, at }))
   const domains = [...new Set(live.map(member => member.failureDomain))].sort()
   const local = domains.map((domain): CandidateGroup => {
     const servers = all.filter(server => server.failureDomain === domain)
     const inDomain = (member: Member): boolean => member.failureDomain === domain
-    return { servers, candidates: candidatesOf(live.filter(inDomain), listed.filter(inDomain), servers.length) }
+    return { servers, candidates: candidatesOf(indexed.filter(({ member }) => inDomain(member)), listed.filter(inDomain), servers.length) }
   })
   const elsewhere = all.filter(server => !domains.includes(server.failureDomain))
-  return elsewhere.length === 0 ? local : [...local, { servers: elsewhere, candidates: candidatesOf(live, listed, all.length) }]
+  return elsewhere.length === 0 ? local : [...local, { servers: elsewhere, candidates: candidatesOf(indexed, listed, all.length) }]
 }
 
-function candidatesOf (live: readonly Member[], listed: readonly Member[], servers: number): readonly Candidate[] {
+function candidatesOf (live: readonly IndexedMember[], listed: readonly Member[], servers: number): readonly Candidate[] {
   const capacities = listed.map(millicoresOf)
   const able = capacities.filter(millicores => millicores >= serverMillicores)
   const total = (able.length > 0 ? able : capacities).reduce((sum, millicores) => sum + millicores, 0)
-  return live.map(member => {
+  return live.map(({ member, at }) => {
     const millicores = millicoresOf(member)
     const part = Math.ceil(servers * millicores * slack.numerator / (Math.max(1, total) * slack.denominator))
-    return { host: member.host, millicores, part: Math.max(1, part), ticketHashes: ticketHashesOf(member.host, millicores) }
+    return { host: member.host, at, millicores, part: Math.max(1, part), ticketHashes: ticketHashesOf(member.host, millicores) }
   })
 }
 
@@ -196,23 +211,33 @@
   return Array.from({ length: tickets }, (_, at) => nameHash(at === 0 ? host : `${host}#${at}`))
 }
 
-function hostWithRoom (server: PlacedServer, candidates: readonly Candidate[], loads: ReadonlyMap<HostName, number>): HostName | undefined {
+function candidateWithRoom (server: PlacedServer, candidates: readonly Candidate[], loads: readonly number[]): Candidate | undefined {
   if (candidates.length === 0) return undefined
   for (let factor = 1; ; factor *= 2) {
-    const open = candidates.filter(candidate => (loads.get(candidate.host) ?? 0) < roomOf(candidate, factor))
-    if (open.length > 0) return highestScore(server, open)
+    const best = highestWithRoom(server, candidates, loads, factor)
+    if (best !== undefined) return best
   }
 }
 
+function highestWithRoom (server: PlacedServer, candidates: readonly Candidate[], loads: readonly number[], factor: number): Candidate | undefined {
+  let best: Candidate | undefined
+  let bestScore = -1
+  for (const candidate of candidates) {
+    if ((loads[candidate.at] ?? 0) >= roomOf(candidate, factor)) continue
+    const score = scoreOf(server.hash, candidate.ticketHashes)
+    if (score < bestScore || (score === bestScore && best !== undefined && best.host < candidate.host)) continue
+    best = candidate
+    bestScore = score
+  }
+  return best
+}
+
 function roomOf ({ millicores, part }: Candidate, factor: number): number {
   return Math.min(part * factor, Math.floor(millicores * factor / serverMillicores))
 }
 
-function highestScore (server: PlacedServer, candidates: readonly Candidate[]): HostName | undefined {
-  let best: { readonly host: HostName, readonly score: number } | undefined
-  for (const { host, ticketHashes } of candidates) {
-    const score = ticketHashes.reduce((highest, hash) => Math.max(highest, ticketScore(server.hash, hash)), 0)
-    if (best === undefined || score > best.score || (score === best.score && host < best.host)) best = { host, score }
-  }
-  return best?.host
+function scoreOf (serverHash: number, ticketHashes: readonly number[]): number {
+  let highest = 0
+  for (const hash of ticketHashes) highest = Math.max(highest, ticketScore(serverHash, hash))
+  return highest
 }
