Lateness makes a host overloaded only while it uses its processor

Cause: on a machine that others keep busy a host was late whatever it refused, so it went on refusing up to 95 % of the new statements.

Change: lateness counts as overload only from half of host.cpu_share on; below that the host is busy.

--- a/src/load/host-load.ts
+++ b/src/load/host-load.ts
@@ -3,9 +3,11 @@
 // the host may use. Both are smoothed, and a state is left only below lower bounds than
 // those at which it is entered, so that it doesn't change with each sample.
 //
-// Lateness alone makes a host overloaded, processor time alone only busy: a process that
-// uses all of its time and still keeps up serves its callers well. One long pause of the
-// process doesn't count as load, since a sample counts up to a bound.
+// Lateness makes a host overloaded only while the process uses a good part of its time:
+// where others take the processor away, refusing statements doesn't end the lateness.
+// Processor time alone makes it only busy: a process that uses all of its time and still
+// keeps up serves its callers well. One long turn of the event loop doesn't count as
+// load, since a sample counts up to a bound.
 
 import type { HostLoad } from '../model/index.js'
 
@@ -56,7 +58,7 @@
  */
 const lagBoundsMs = { busy: 100, overloaded: 250 }
 /** Bounds of the processor time. */
-const cpuBounds = { busy: 0.8, overloaded: 0.95 }
+const cpuBounds = { busy: 0.8, overloaded: 0.95, overloadedWhenLate: 0.5 }
 /** A state is left below this fraction of its bounds. */
 const leaveFraction = 0.7
 /**
@@ -133,7 +135,8 @@
 }
 
 function isOverloaded (lagMs: number, cpuFraction: number, fraction: number): boolean {
-  return lagMs >= lagBoundsMs.overloaded * fraction || (cpuFraction >= cpuBounds.overloaded * fraction && lagMs >= lagBoundsMs.busy * fraction)
+  const isLate = lagMs >= lagBoundsMs.overloaded * fraction && cpuFraction >= cpuBounds.overloadedWhenLate * fraction
+  return isLate || (cpuFraction >= cpuBounds.overloaded * fraction && lagMs >= lagBoundsMs.busy * fraction)
 }
 
 function isBusy (lagMs: number, cpuFraction: number, fraction: number): boolean {
