--- a/standins/fleet/set.ts
+++ b/standins/fleet/set.ts
@@ -36,6 +36,12 @@
   readonly bounds: FleetBounds
   /** Periods of the proxies: shorter ones for tests, or those of deploy/settings.toml. */
   readonly pace: 'fast' | 'deployed'
+  /** Flags of the runtime of the proxies, after those of the pace. */
+  readonly runtimeFlags: readonly string[]
+  /** Fields of the section `limits` of the proxies' settings. */
+  readonly limits: Readonly<Record<string, number>>
+  /** Whether the proxies serve their metrics. */
+  readonly servesMetrics: boolean
 }
 
 /** Bounds that the users state for their fleet. */
@@ -51,7 +57,10 @@
   configuration: { version: 3, keys: { bindery: ['key-of-bindery'] }, ratePerS: 1000, burst: 1000, maxConnections: 60 },
   program: builtProgram('platform/main.js'),
   bounds: { drainMs: 7000, graceMs: 4000 },
-  pace: 'fast'
+  pace: 'fast',
+  runtimeFlags: [],
+  limits: {},
+  servesMetrics: false
 }
 
 /**
@@ -87,6 +96,9 @@
   readonly name: string
   readonly port: number
   readonly readinessPort: number
+  readonly peerPort: number
+  /** Port of the metrics; served only where the options say so. */
+  readonly metricsPort: number
   readonly process: ChildProcess
   readonly output: () => readonly string[]
 }
@@ -187,15 +199,16 @@
 }
 
 /** What all proxies of a set share. */
-type ProxyPlace = Pick<FleetOptions, 'program' | 'bounds' | 'pace'> & {
+type ProxyPlace = Pick<FleetOptions, 'program' | 'bounds' | 'pace' | 'runtimeFlags' | 'limits' | 'servesMetrics'> & {
   readonly folder: string
   readonly storePort: number
   readonly promotionsPort: number
 }
 
-async function spawnFleetProxy ({ folder, program, bounds, pace, storePort, promotionsPort }: ProxyPlace, at: number): Promise<FleetProxy> {
+async function spawnFleetProxy (place: ProxyPlace, at: number): Promise<FleetProxy> {
+  const { folder, program, bounds, pace, storePort, promotionsPort } = place
   const name = `entry-${at + 1}`
-  const [peerPort = 0, callerPort = 0, readinessPort = 0] = await freePorts(3)
+  const [peerPort = 0, callerPort = 0, readinessPort = 0, metricsPort = 0] = await freePorts(4)
   const file = join(folder, `${name}.toml`)
   writeFileSync(file, `
 [host]
@@ -207,6 +220,7 @@
 [listen]
 callers = "127.0.0.1:${callerPort}"
 readiness = "127.0.0.1:${readinessPort}"
+${place.servesMetrics ? `metrics = "127.0.0.1:${metricsPort}"` : ''}
 
 [platform]
 url = "http://127.0.0.1:${storePort}"
@@ -218,6 +232,9 @@
 user = "limpetmoor"
 password = ""
 
+[limits]
+${Object.entries(place.limits).map(([field, value]) => `${field} = ${value}`).join('\n')}
+
 [control]
 heartbeat_ms = ${periods[pace].heartbeatMs}
 confirm_within_ms = ${periods[pace].confirmWithinMs}
@@ -228,10 +245,10 @@
 [stop]
 grace_ms = ${bounds.graceMs}
 `)
-  const child = spawn(process.execPath, [...runtimeFlags[pace], program], { env: { PATH: process.env['PATH'], LIMPETMOOR_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
+  const child = spawn(process.execPath, [...runtimeFlags[pace], ...place.runtimeFlags, program], { env: { PATH: process.env['PATH'], LIMPETMOOR_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
   const lines: string[] = []
   for (const stream of [child.stdout, child.stderr]) createInterface(stream).on('line', line => { lines.push(line) })
-  return { name, port: callerPort, readinessPort, process: child, output: () => lines }
+  return { name, port: callerPort, readinessPort, peerPort, metricsPort, process: child, output: () => lines }
 }
 
 async function killProcess (child: ChildProcess): Promise<void> {
--- a/standins/set/local-set.ts
+++ b/standins/set/local-set.ts
@@ -45,6 +45,8 @@
   /** Whether the manifest is stored before the first proxy starts. */
   readonly acceptManifest: boolean
   readonly settings: ExtraSettings
+  /** Flags of the runtime of the proxies. */
+  readonly runtimeFlags: readonly string[]
 }
 
 export const defaultLocalSetOptions: LocalSetOptions = {
@@ -63,7 +65,8 @@
   connectDelayMs: 10,
   faultyLinks: false,
   acceptManifest: true,
-  settings: {}
+  settings: {},
+  runtimeFlags: []
 }
 
 /** One database server of a set. */
@@ -139,8 +142,8 @@
 }
 
 async function startComponents (options: LocalSetOptions, resources: SetResources): Promise<LocalSet> {
-  const start = async (name: string, program: string, args: readonly string[]): Promise<StartedProcess> => {
-    const started = await startProcess(name, program, args)
+  const start = async (name: string, program: string, args: readonly string[], runtimeFlags: readonly string[] = []): Promise<StartedProcess> => {
+    const started = await startProcess(name, program, args, runtimeFlags)
     resources.started.push(started)
     return started
   }
@@ -166,7 +169,7 @@
     return { name: place.name, failureDomain: place.failureDomain, mysql: place.mysql, peer: place.address, settingsFile }
   }))
   const startProxy = async (place: ProxySpec): Promise<LocalProxy> => {
-    const process = await start(place.name, 'src/cli/main.js', ['proxy', '--settings', place.settingsFile])
+    const process = await start(place.name, 'src/cli/main.js', ['proxy', '--settings', place.settingsFile], options.runtimeFlags)
     return { ...place, process }
   }
   if (options.acceptManifest) await acceptManifest(platform, manifest)
--- a/standins/set/process.ts
+++ b/standins/set/process.ts
@@ -50,10 +50,11 @@
  * @param name - name of the process in messages
  * @param program - path below `dist`
  * @param args - its arguments
+ * @param runtimeFlags - flags of the runtime
  * @returns the process
  */
-export async function startProcess (name: string, program: string, args: readonly string[]): Promise<StartedProcess> {
-  const child = spawn(process.execPath, [builtProgram(program), ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+export async function startProcess (name: string, program: string, args: readonly string[], runtimeFlags: readonly string[] = []): Promise<StartedProcess> {
+  const child = spawn(process.execPath, [...runtimeFlags, builtProgram(program), ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
   const exited = once(child, 'exit').then(([code, signal]): Exit => ({ code: code as number | null, signal: signal as NodeJS.Signals | null }))
   const lines: string[] = []
   const record = (line: string): void => {
