Guard at both front ends, peer links, readiness and metrics

Cause: reading was never paused and no write waited for its reader; session values, prepared statements, incomplete messages and connections before their login had no common bound; each small piece made the framing search and copy the whole message again; a part of a received piece that a session kept held the whole piece.

Change: owners of sockets report to the guard; four commands of a caller are taken ahead, the others wait in the splitter and the socket; the caller's task waits for its reader; MySQL packets are refused by their header; session values and prepared statements are reserved; HTTP listeners have 64 connections. Settings limits.memory_mb, login_timeout_ms, message_timeout_ms and unread_timeout_ms, event 3003, metrics guard.*, pages. The crowd tests send to one connection after the other and use the deployed periods, because the stand-in of the store shares their process and stood still for more than 2 s; crowds and bounds are unchanged.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -64,6 +64,14 @@
   /** Longest wait until a majority has received a write. */
   readonly confirmTimeoutMs: number
   readonly connectTimeoutMs: number
+  /** Memory that the process may use; undefined: what the machine grants. */
+  readonly memoryMb?: number | undefined
+  /** Longest time from the connection of a caller to its login. */
+  readonly loginTimeoutMs: number
+  /** Longest time from the first byte of a message to its last. */
+  readonly messageTimeoutMs: number
+  /** Longest time in which a caller has to read an answer. */
+  readonly unreadTimeoutMs: number
 }
 
 /** Destination of metrics. */
@@ -125,6 +133,7 @@
 const graceAllowed = `a number from 0 to ${dayS}`
 const maxStatementBytes = 16_000_000
 const maxCores = 1024
+const maxMemoryMb = 1_048_576
 
 const tlsFields = {
   cert_pem: text('a certificate in PEM').optional(),
@@ -171,7 +180,11 @@
     queue_length: wholeNumber(1, 1_000_000).default(1_000),
     default_deadline_ms: wholeNumber(1, dayMs).default(10_000),
     confirm_timeout_ms: wholeNumber(1, dayMs).default(5_000),
-    connect_timeout_ms: wholeNumber(1, dayMs).default(1_000)
+    connect_timeout_ms: wholeNumber(1, dayMs).default(1_000),
+    memory_mb: wholeNumber(16, maxMemoryMb).optional(),
+    login_timeout_ms: wholeNumber(100, dayMs).default(10_000),
+    message_timeout_ms: wholeNumber(100, dayMs).default(30_000),
+    unread_timeout_ms: wholeNumber(100, dayMs).default(30_000)
   }),
   control: z.strictObject({
     heartbeat_ms: wholeNumber(10, dayMs).default(500),
--- a/src/daemon/caller-task.ts
+++ b/src/daemon/caller-task.ts
@@ -24,6 +24,8 @@
    * timeout does it.
    */
   readonly rollBack: (transaction: OpenTransaction) => Promise<void>
+  /** Frees the bytes that the session has kept. */
+  readonly releaseKept: (bytes: number) => void
   /** Called for each statement with its outcome. */
   readonly onServed: (statement: IncomingStatement, outcome: Outcome, tookMs: number) => void
 }
@@ -38,20 +40,26 @@
   const { connection, stopSignal } = spec
   const unsubscribe = stopSignal.subscribe(() => { connection.inbox.send({ kind: 'stopPhaseChanged' }) })
   let { session } = spec
-  for (;;) {
-    session = rollBackForStop(spec, session)
-    if (mayClose(stopSignal.phase(), session, connection.inbox.length)) {
-      connection.closeForStop()
-      break
+  try {
+    for (;;) {
+      session = rollBackForStop(spec, session)
+      if (mayClose(stopSignal.phase(), session, connection.inbox.length)) {
+        connection.closeForStop()
+        break
+      }
+      const received = await connection.inbox.receive()
+      if (received.kind === 'closed') break
+      if (received.message.kind === 'stopPhaseChanged') continue
+      const result = withTransactionFailure(spec, await answerCommand(spec, session, received.message))
+      session = result.session
+      // No command is taken while the caller does not read its answers.
+      const flushed = connection.write(result.outcome, statusOf(result))
+      if (flushed !== undefined) await flushed
     }
-    const received = await connection.inbox.receive()
-    if (received.kind === 'closed') break
-    if (received.message.kind === 'stopPhaseChanged') continue
-    const result = withTransactionFailure(spec, await answerCommand(spec, session, received.message))
-    session = result.session
-    connection.write(result.outcome, statusOf(result))
+  } finally {
+    unsubscribe()
+    spec.releaseKept(session.keptBytes)
   }
-  unsubscribe()
   await rollBackOpen(spec, session)
 }
 
@@ -174,7 +182,8 @@
 
 async function reset (spec: CallerSpec, session: SessionState): Promise<RequestResult> {
   await rollBackOpen(spec, session)
-  return { outcome: proxyAnswer(done), session: { ...session, transaction: undefined, minPositions: {}, hasToken: false, values: {}, prepared: new Map() } }
+  spec.releaseKept(session.keptBytes)
+  return { outcome: proxyAnswer(done), session: { ...session, keptBytes: 0, transaction: undefined, minPositions: {}, hasToken: false, values: {}, prepared: new Map() } }
 }
 
 async function rollBackOpen (spec: CallerSpec, session: SessionState): Promise<void> {
--- a/src/daemon/callers.ts
+++ b/src/daemon/callers.ts
@@ -9,6 +9,7 @@
 import { decodeToken } from '../wire/session-token.js'
 import type { DaemonContext } from './context.js'
 import { serveCaller } from './caller-task.js'
+import type { GuardTask } from './guard-task.js'
 import type { StopSignal } from './stop-signal.js'
 
 /** Connection attribute that carries a session token. */
@@ -22,6 +23,7 @@
   /** Whether this host accepts new callers. */
   readonly isReady: () => boolean
   readonly stopSignal: StopSignal
+  readonly guard: GuardTask
   readonly rollBack: (transaction: OpenTransaction) => Promise<void>
   readonly onServed: (statement: IncomingStatement, outcome: Outcome, tookMs: number) => void
   readonly onLoginRefused: (user: string, route: RouteName, outcome: Outcome) => void
@@ -56,6 +58,7 @@
       configuration: spec.configuration,
       stopSignal: spec.stopSignal,
       rollBack: spec.rollBack,
+      releaseKept: bytes => { spec.guard.kept.change(bytes, -bytes) },
       onServed: spec.onServed
     })
     open.set(connection, served)
@@ -66,7 +69,7 @@
   }
   const listener: CallerListener = await ports.frontEnd.listen({
     address: settings.listen.callers,
-    maxConnections: settings.limits.maxConnections,
+    guard: spec.guard.connections,
     maxStatementBytes: settings.limits.maxStatementBytes,
     isReady: spec.isReady,
     decideLogin: login => decideLogin(spec, login),
--- a/src/daemon/components.ts
+++ b/src/daemon/components.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationTask } from './configuration-task.js'
 import type { DaemonContext } from './context.js'
 import type { DiscoveryTask } from './discovery-task.js'
+import type { GuardTask } from './guard-task.js'
 import type { LeaderTask } from './leader-task.js'
 import type { EffectiveManifest } from './effective-manifest.js'
 import type { ObservationRelaySpec } from './observation-relay.js'
@@ -20,6 +21,7 @@
 export type ProxyComponents = {
   readonly context: DaemonContext
   readonly reports: Reports
+  readonly guard: GuardTask
   readonly store: ObjectStore
   readonly links: PeerLinks
   readonly members: MembersTask
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -25,6 +25,7 @@
 import type { ProxyComponents } from './components.js'
 import { startObservationRelay } from './observation-relay.js'
 import { peerHandlers } from './peer-handlers.js'
+import { startGuard } from './guard-task.js'
 import { PeerLinks, tlsOf } from './peers.js'
 import { startRegistry } from './registry-task.js'
 import { executeAt, rollBack } from './remote-statements.js'
@@ -66,7 +67,7 @@
   const isStopping = (): boolean => signal.phase() !== 'serving'
   const components = createComponents(settings, ports, isStopping)
   const { context, reports } = components
-  const peers = await listenForPeers({ ip: settings.host.ip, port: settings.host.peerPort }, countedHandlers(peerHandlers(components), context.activity), tlsOf(settings.peers), context.onTaskError('peers'))
+  const peers = await listenForPeers({ ip: settings.host.ip, port: settings.host.peerPort }, countedHandlers(peerHandlers(components), context.activity), tlsOf(settings.peers), context.onTaskError('peers'), components.guard.connections)
   const configuration = (): ConfigurationInForce => ({ manifest: components.effectiveManifest.current(), confirmed: components.configuration.canServeAuthenticated() })
   const generation = (): number => components.configuration.inForce()?.generation ?? 0
   const pipe = requestPipe(requestServices(components, configuration), {
@@ -82,6 +83,7 @@
     pipe,
     configuration,
     stopSignal: signal,
+    guard: components.guard,
     isReady: () => !isStopping() && components.configuration.canServeAuthenticated() && components.effectiveManifest.hasServers(),
     rollBack: async transaction => { await rollBack(components, transaction) },
     onServed: (statement, outcome, tookMs) => { reports.recordServed(statement, outcome, tookMs, generation()) },
@@ -122,6 +124,7 @@
     incarnation,
     onTaskError: task => error => { reports.recordTaskFailure(task, error) }
   }
+  const guard = startGuard({ limits: settings.limits, timers, onClosed: reason => { reports.recordGuardClosed(reason) } })
   const { store } = ports
   const routing = new RoutingTable()
   const links = new PeerLinks(context, host => { members.send({ kind: 'linkFailed', host, nowMs: timers.nowMs() }) })
@@ -238,8 +241,8 @@
   })
   const observationRelay = { context, links, databases, routing }
   if (ports.driver.statusDelivery === 'polled') startObservationRelay(observationRelay)
-  reports.attach({ store, members, configuration, databases, routing, links, stopping })
-  return { context, reports, store, links, members, configuration, databases, routing, limits, effectiveManifest, leaderTask, discovery, registry, observationRelay, recordLeader, stopping, localState }
+  reports.attach({ guard, store, members, configuration, databases, routing, links, stopping })
+  return { context, reports, guard, store, links, members, configuration, databases, routing, limits, effectiveManifest, leaderTask, discovery, registry, observationRelay, recordLeader, stopping, localState }
 }
 
 // Event names and the value of `what` keep the earlier word duty for the leader
@@ -331,6 +334,7 @@
     random: context.random,
     encodeToken,
     decodeToken,
-    containsKey
+    containsKey,
+    keepBytes: (sessionBytes, addedBytes) => components.guard.kept.change(sessionBytes, addedBytes)
   }
 }
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -5,6 +5,7 @@
 
 import { randomUUID } from 'node:crypto'
 import type { Settings } from '../config/index.js'
+import type { CloseReason } from '../guard/index.js'
 import { watchersOf } from '../members/index.js'
 import { anonymousAccount, type DatabaseReport, type HostName, type HostReport, type IncomingStatement, type Outcome } from '../model/index.js'
 import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
@@ -13,6 +14,7 @@
 import { updateObject, type ObjectStore } from '../ports/index.js'
 import type { ConfigurationTask } from './configuration-task.js'
 import type { Databases } from './databases.js'
+import type { GuardTask } from './guard-task.js'
 import type { MembersTask } from './members-task.js'
 import type { PeerLinks } from './peers.js'
 import type { RoutingTable } from './routing.js'
@@ -29,6 +31,7 @@
 /** Components whose state goes into the reports. */
 export type ReportedComponents = {
   readonly store: ObjectStore
+  readonly guard: GuardTask
   readonly links: PeerLinks
   readonly members: MembersTask
   readonly configuration: ConfigurationTask
@@ -42,6 +45,8 @@
   readonly event: <N extends EventName>(name: N, fields: EventFields<N>) => void
   /** Records an unexpected error that a task survived. */
   readonly recordTaskFailure: (task: string, error: Error) => void
+  /** Records that the guard has closed a connection. */
+  readonly recordGuardClosed: (reason: CloseReason) => void
   readonly recordServed: (statement: IncomingStatement, outcome: Outcome, tookMs: number, generation: number) => void
   /**
    * Adds the report of another host of the failure domain; false where it was
@@ -92,6 +97,10 @@
       metrics.count('task.failures', { task })
       log.write('taskFailed', { task, error: error.message })
     },
+    recordGuardClosed (reason) {
+      metrics.count('guard.closed', { reason })
+      log.write('connectionClosed', { reason })
+    },
     recordServed (statement, outcome, tookMs, generation) {
       const { caller } = statement
       spec.activity.add('statement')
@@ -204,6 +213,9 @@
 async function sendReport (spec: ReportsSpec, components: ReportedComponents, accountStats: AccountStatsTable | undefined, metrics: Metrics, collectorPort: Port<ReportCollectorEvent>): Promise<void> {
   const report = reportOf(spec, components, accountStats)
   metrics.gauge('configuration.generation', report.generation)
+  metrics.gauge('guard.bytes', components.guard.totals().bytes)
+  metrics.gauge('guard.kept_bytes', components.guard.kept.total)
+  metrics.gauge('guard.connections', components.guard.totals().connections)
   metrics.gauge('members.live', components.members.view.get().live.length)
   const collector = collectorOf(spec.settings.host.failureDomain, components)
   if (collector === undefined || collector === spec.settings.host.name) {
--- a/src/ports/front.ts
+++ b/src/ports/front.ts
@@ -5,6 +5,7 @@
 import type { Credential } from '../config/index.js'
 import type { Address, Caller, Outcome, ParsedStatement, Position, RouteName } from '../model/index.js'
 import type { Mailbox } from '../pipe/index.js'
+import type { ConnectionGuard } from './guard.js'
 import type { SessionRules } from '../request/index.js'
 
 /** Command that a caller sends after its login. */
@@ -37,7 +38,8 @@
   readonly login: LoginRequest
   /** Commands in the order of arrival; closed with the connection. */
   readonly inbox: Mailbox<CallerCommand>
-  readonly write: (outcome: Outcome, status: SessionStatus) => void
+  /** Writes an answer; the promise, where there is one, ends when the caller has read enough for the next. */
+  readonly write: (outcome: Outcome, status: SessionStatus) => Promise<void> | undefined
   /** Closes an idle session because the host is stopping. */
   readonly closeForStop: () => void
   readonly close: () => void
@@ -58,7 +60,8 @@
 /** Configuration and callbacks of a front end. */
 export type FrontEndSpec = {
   readonly address: Address
-  readonly maxConnections: number
+  /** Decides whether there is room for a connection, and when reading from it has to wait. */
+  readonly guard: ConnectionGuard
   readonly maxStatementBytes: number
   readonly decideLogin: LoginDecision
   /** Whether this host accepts new callers. */
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -11,6 +11,7 @@
 export * from './database.js'
 export * from './errors.js'
 export * from './front.js'
+export * from './guard.js'
 export * from './store.js'
 export * from './store-update.js'
 
--- a/src/report/events.ts
+++ b/src/report/events.ts
@@ -35,6 +35,7 @@
   linesLeftOut: defineEvent(1006, 'warn', 'Lines of an event were dropped, because there were too many in one second or the log was not read fast enough.', ['left', 'lines']),
   loginRefused: defineEvent(3001, 'warn', 'The login of a caller was refused.', ['account', 'route', 'reason', 'generation']),
   statementNotServed: defineEvent(3002, 'warn', 'A statement did not succeed: it was refused, was not run, failed, or has an unknown outcome. `tookMs` is the time spent on this host, `generation` the configuration that applied to the statement.', ['request', 'account', 'route', 'statement', 'outcome', 'reason', 'detail', 'tookMs', 'generation']),
+  connectionClosed: defineEvent(3003, 'warn', 'A connection was closed to protect memory or descriptors: `memory` (the budget is used up), `connections` (room for a new one), `loginOverdue`, `messageOverdue`, `answerUnread`, or `lingering` (the other side did not close). Find out which client sends so if it goes on.', ['reason']),
   primaryChanged: defineEvent(4001, 'warn', 'The primary of a database has changed, or is no longer known.', ['database', 'term', 'primary']),
   serverConnectionFailed: defineEvent(4002, 'warn', 'A connection to a database server failed.', ['server', 'failure']),
   promotionOrdered: defineEvent(4003, 'warn', 'This host ordered the platform to promote a server. A refused order was not carried out; one with an unknown result may still take effect.', ['database', 'server', 'token', 'result']),
--- a/src/report/metrics.ts
+++ b/src/report/metrics.ts
@@ -25,6 +25,10 @@
   'process.wakes': defineMetric('counter', 'Iterations of the event loop.', []),
   'process.activity': defineMetric('counter', 'Timers, statements and calls by kind and name.', ['kind', 'name']),
   'task.failures': defineMetric('counter', 'Unexpected errors that a task survived; each is event 1005. Alarm on any, and on a rate above 0.1 a second at once.', ['task']),
+  'guard.closed': defineMetric('counter', 'Connections that this host closed to protect its memory and descriptors, by reason.', ['reason']),
+  'guard.bytes': defineMetric('gauge', 'Bytes received from clients that are in work, and answers that they have not read.', []),
+  'guard.kept_bytes': defineMetric('gauge', 'Bytes of session values and prepared statements.', []),
+  'guard.connections': defineMetric('gauge', 'Connections of callers and other proxies.', []),
   'callers.open': defineMetric('gauge', 'Connections of callers that are open.', [])
 } as const satisfies Readonly<Record<string, MetricDefinition>>
 
--- a/src/report/prometheus.ts
+++ b/src/report/prometheus.ts
@@ -4,6 +4,7 @@
 import * as http from 'node:http'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { Address } from '../model/index.js'
+import { boundConnections, boundedHttpOptions } from '../wire/bounded-http.js'
 import { metricCatalogue, type MetricName, type Metrics } from './metrics.js'
 
 /** Upper bounds of the buckets of latency histograms. */
@@ -40,7 +41,7 @@
       }
     }
   }
-  const server = http.createServer((request, response) => {
+  const server = boundConnections(http.createServer(boundedHttpOptions, (request, response) => {
     if (request.url !== path) {
       response.writeHead(404).end()
       return
@@ -49,7 +50,7 @@
       text => { response.writeHead(200, { 'content-type': registry.contentType }).end(text) },
       () => { response.writeHead(500).end() }
     )
-  })
+  }))
   server.on('error', onFailure)
   server.listen(address.port, address.ip)
   return {
--- a/src/request/local.ts
+++ b/src/request/local.ts
@@ -3,10 +3,10 @@
 // take no token from the account's rate limit.
 
 import { notRun, type Answer, type Outcome } from '../model/index.js'
-import { end, next, type Filter } from '../pipe/index.js'
+import { end, next, type Filter, type FilterResult } from '../pipe/index.js'
 import { requestResult, type Classified, type RequestResult } from './message.js'
 import type { RequestServices } from './services.js'
-import { applyToken } from './session.js'
+import { applyToken, type SessionState } from './session.js'
 
 /** MySQL type number of a VAR_STRING column. */
 const textColumnType = 253
@@ -15,10 +15,16 @@
 
 /**
  * Creates the filter for local answers.
- * @param services - codec of session tokens
+ * @param services - codec of session tokens, and the account of what sessions keep
  * @returns the filter
  */
-export function answerLocally (services: Pick<RequestServices, 'encodeToken' | 'decodeToken'>): Filter<Classified, Classified, RequestResult> {
+export function answerLocally (services: Pick<RequestServices, 'encodeToken' | 'decodeToken' | 'keepBytes'>): Filter<Classified, Classified, RequestResult> {
+  const keep = (message: Classified, addedBytes: number, change: Partial<Pick<SessionState, 'values' | 'prepared'>>): FilterResult<never, RequestResult> => {
+    const { session } = message
+    const isKept = services.keepBytes?.(session.keptBytes, addedBytes) ?? true
+    if (!isKept) return end(requestResult(message, notRun('overloaded', 'this host has no memory for more session values and prepared statements')))
+    return end({ outcome: proxyAnswer(done), session: { ...session, ...change, keptBytes: session.keptBytes + addedBytes } })
+  }
   return message => {
     const { statementClass } = message.statement
     switch (statementClass.kind) {
@@ -30,17 +36,20 @@
         return end({ outcome: proxyAnswer(done), session: applyToken(message.session, minPositions) })
       }
       case 'setValue': {
-        const values = { ...message.session.values, [statementClass.name]: statementClass.value }
-        return end({ outcome: proxyAnswer(done), session: { ...message.session, values } })
+        const { name, value } = statementClass
+        const added = keptSize(name, value) - keptSize(name, message.session.values[name])
+        return keep(message, added, { values: { ...message.session.values, [name]: value } })
       }
       case 'prepare': {
-        const prepared = new Map(message.session.prepared).set(statementClass.name, statementClass.prepared)
-        return end({ outcome: proxyAnswer(done), session: { ...message.session, prepared } })
+        const { name, prepared } = statementClass
+        const added = keptSize(name, prepared.shape) - keptSize(name, message.session.prepared.get(name)?.shape)
+        return keep(message, added, { prepared: new Map(message.session.prepared).set(name, prepared) })
       }
       case 'deallocate': {
+        const { name } = statementClass
         const prepared = new Map(message.session.prepared)
-        prepared.delete(statementClass.name)
-        return end({ outcome: proxyAnswer(done), session: { ...message.session, prepared } })
+        prepared.delete(name)
+        return keep(message, -keptSize(name, message.session.prepared.get(name)?.shape), { prepared })
       }
       case 'commit':
       case 'rollback': return message.session.transaction === undefined ? end(requestResult(message, proxyAnswer(done))) : next(message)
@@ -58,6 +67,13 @@
   }
 }
 
+/** Memory of a kept name besides its text. */
+const keptOverheadBytes = 128
+
+function keptSize (name: string, text: string | undefined): number {
+  return text === undefined ? 0 : name.length + text.length + keptOverheadBytes
+}
+
 const done: Answer = { kind: 'done', affectedRows: 0, insertId: 0 }
 
 /**
--- a/src/request/services.ts
+++ b/src/request/services.ts
@@ -31,6 +31,11 @@
   readonly random: () => number
   readonly encodeToken: (minPositions: MinPositions) => string
   readonly decodeToken: (token: string) => MinPositions | undefined
+  /**
+   * Reserves bytes for values and prepared statements of a session that keeps
+   * `sessionBytes`; absent where they have no bound.
+   */
+  readonly keepBytes?: (sessionBytes: number, addedBytes: number) => boolean
   /** Detects text in the form of a client key. */
   readonly containsKey: (text: string) => boolean
 }
--- a/src/request/session.ts
+++ b/src/request/session.ts
@@ -41,6 +41,8 @@
   readonly transaction: OpenTransaction | undefined
   readonly values: SessionValues
   readonly prepared: ReadonlyMap<string, PreparedStatement>
+  /** Bytes of the values and the prepared statements, as they were reserved. */
+  readonly keptBytes: number
 }
 
 /**
@@ -51,7 +53,7 @@
  * @returns the session state
  */
 export function openSessionState (caller: Caller, route: RouteName, minPositions: MinPositions | undefined): SessionState {
-  return { caller, route, minPositions: minPositions ?? {}, hasToken: minPositions !== undefined, transaction: undefined, values: {}, prepared: new Map() }
+  return { caller, route, minPositions: minPositions ?? {}, hasToken: minPositions !== undefined, transaction: undefined, values: {}, prepared: new Map(), keptBytes: 0 }
 }
 
 /**
--- a/src/wire/mysql-front.ts
+++ b/src/wire/mysql-front.ts
@@ -9,14 +9,18 @@
 import { Mailbox } from '../pipe/index.js'
 import { notRun, type Answer, type Column, type Outcome } from '../model/index.js'
 import { WireError, type CallerCommand, type CallerListener, type FrontEndSpec, type LoginRequest } from '../ports/index.js'
+import { CommandsInWork } from './commands-in-work.js'
+import { GuardedSocket } from './guarded-socket.js'
 import { errorNumberOf, messageOf } from './mysql-errors.js'
+import { PacketMeter } from './mysql-meter.js'
+import { RefusedSockets } from './refused-sockets.js'
 import { parseSql } from './sql/index.js'
 
-/**
- * Maximum number of queued commands of one caller. Few suffice, because MySQL
- * clients wait for each response.
- */
+/** Room for the commands in work and for notices of a stop. */
 const inboxCapacity = 16
+/** A packet may exceed the longest statement by so much and gets an error; a longer one ends the connection. */
+const packetSlackBytes = 64 * 1024
+const statementTooLongError = 1153
 /** Character set id of latin1, which preserves each byte of a cell. */
 const latin1CharacterSet = 8
 const serverVersion = '8.0.0-limpetmoor'
@@ -59,6 +63,18 @@
   readonly writeTextRow: (row: ReadonlyArray<string | null>) => void
   readonly writeEof: () => void
   readonly close: () => void
+  /** Keeps the packets that were received, and reads no more. */
+  readonly pause: () => void
+  readonly resume: () => void
+}
+
+/** One caller: its connection, and what is accounted for. */
+type MysqlCaller = {
+  readonly connection: ServerConnection
+  readonly guarded: GuardedSocket
+  readonly inbox: Mailbox<CallerCommand>
+  readonly meter: PacketMeter
+  readonly work: CommandsInWork
 }
 
 type RawPacket = {
@@ -84,17 +100,17 @@
  * @returns the listener; throws a `WireError` where the port is taken
  */
 export async function listenForCallers (spec: FrontEndSpec): Promise<CallerListener> {
-  const openConnections = new Set<ServerConnection>()
+  const refused = new RefusedSockets()
   let nextId = 1
   const server = mysql.createServer((connection: unknown) => {
     const caller = connection as ServerConnection
-    if (openConnections.size >= spec.maxConnections) {
+    const guarded = GuardedSocket.accept(caller.stream, spec.guard, 'caller', { pause: () => { caller.pause() }, resume: () => { caller.resume() } })
+    if (guarded === undefined) {
       rejectConnection(caller)
+      refused.add(caller.stream)
       return
     }
-    openConnections.add(caller)
-    caller.stream.on('close', () => { openConnections.delete(caller) })
-    startHandshake(caller, nextId, spec)
+    startHandshake({ connection: caller, guarded, inbox: new Mailbox(inboxCapacity), meter: new PacketMeter(spec.maxStatementBytes + packetSlackBytes), work: new CommandsInWork() }, nextId, spec)
     nextId = nextId % 0x7fffffff + 1
   })
   const netServer = (server as unknown as { readonly _server: net.Server })._server
@@ -115,17 +131,15 @@
   connection.close()
 }
 
-function startHandshake (connection: ServerConnection, connectionId: number, spec: FrontEndSpec): void {
-  const inbox = new Mailbox<CallerCommand>(inboxCapacity)
+function startHandshake (caller: MysqlCaller, connectionId: number, spec: FrontEndSpec): void {
+  const { connection, guarded, inbox } = caller
   connection.on('error', () => { connection.stream.destroy() })
   connection.stream.on('close', () => { inbox.close() })
+  connection.stream.prependListener('data', (chunk: Buffer) => { onReceived(caller, chunk, spec) })
   // Without a listener for its event, mysql2 responds to a command itself.
   for (const event of ['query', 'stmt_prepare', 'stmt_execute', 'init_db', 'ping', 'field_list']) connection.on(event, () => {})
-  connection.on('quit', () => {
-    inbox.close()
-    connection.stream.end()
-  })
-  connection.on('packet', ((packet: RawPacket) => { onPacket(connection, inbox, packet, spec) }) as never)
+  connection.on('quit', () => { finish(caller) })
+  connection.on('packet', ((packet: RawPacket) => { onPacket(caller, packet, spec) }) as never)
   connection.serverHandshake({
     protocolVersion: 10,
     serverVersion,
@@ -138,25 +152,61 @@
       const decision = spec.decideLogin(login)
       if (decision.kind === 'refused') {
         done(null, { code: errorNumberOf(decision.outcome), message: messageOf(decision.outcome) })
+        guarded.finish()
         return
       }
       done(null)
       connection.sequenceId = 0
+      guarded.authenticated()
+      caller.meter.loginHandled()
       spec.onCaller({
         login,
         inbox,
-        write: outcome => { writeOutcome(connection, outcome) },
+        write: outcome => {
+          writeOutcome(connection, outcome)
+          caller.work.remove()
+          report(caller)
+          return guarded.flushed()
+        },
         // The session is idle, so this error answers no command.
         closeForStop: () => {
           writeOutcome(connection, notRun('stopping', 'this host is stopping'))
-          connection.stream.end()
+          finish(caller)
         },
-        close: () => { connection.stream.end() }
+        close: () => { finish(caller) }
       }, decision.caller)
     }
   })
 }
 
+function finish ({ guarded, inbox }: MysqlCaller): void {
+  inbox.close()
+  guarded.finish()
+}
+
+function report ({ guarded, meter, work }: MysqlCaller): void {
+  guarded.report({ partialBytes: meter.heldBytes, ...work.use() })
+}
+
+// Runs before the library's parser, which keeps whatever arrives.
+function onReceived (caller: MysqlCaller, chunk: Buffer, spec: FrontEndSpec): void {
+  const { connection, meter } = caller
+  meter.receive(chunk)
+  switch (meter.fault) {
+    case 'none': return report(caller)
+    case 'tooLong': {
+      if (connection.stream.writable) connection.writeError({ code: statementTooLongError, message: `not run (statementTooLong): a statement may have ${spec.maxStatementBytes} bytes` })
+      return stopReading(caller)
+    }
+    case 'outOfOrder': return stopReading(caller)
+  }
+}
+
+function stopReading (caller: MysqlCaller): void {
+  caller.connection.stream.removeAllListeners('data')
+  finish(caller)
+}
+
 function loginOf (connection: ServerConnection, params: AuthParams): LoginRequest {
   return {
     route: params.database ?? '',
@@ -170,10 +220,17 @@
   }
 }
 
-function onPacket (connection: ServerConnection, inbox: Mailbox<CallerCommand>, packet: RawPacket, spec: FrontEndSpec): void {
+function onPacket (caller: MysqlCaller, packet: RawPacket, spec: FrontEndSpec): void {
+  const { connection, inbox, meter, work } = caller
+  const bytes = packet.length()
+  meter.handled(bytes)
   const command = readCommand(packet, spec.maxStatementBytes)
+  // Commands may arrive before the answer to the one before, which the library does not expect.
+  connection.sequenceId = 0
   if (command === undefined) return
-  if (inbox.send(command) === 'full') connection.close()
+  work.add(bytes)
+  inbox.send(command)
+  report(caller)
 }
 
 function readCommand (packet: RawPacket, maxStatementBytes: number): CallerCommand | undefined {
--- a/src/wire/peer-link.ts
+++ b/src/wire/peer-link.ts
@@ -10,7 +10,8 @@
 import tls from 'node:tls'
 import type { Address, PeerMethod, PeerParams, PeerResult } from '../model/index.js'
 import { withTimeout, type TimerService } from '../pipe/index.js'
-import { asError, WireError } from '../ports/index.js'
+import { asError, WireError, type ConnectionGuard } from '../ports/index.js'
+import { GuardedSocket } from './guarded-socket.js'
 import { readLines, writeLine } from './lines.js'
 import { restore, shorten } from './peer-codec.js'
 import { decodeParams, decodeResult } from './peer-schema.js'
@@ -56,6 +57,8 @@
  * link is closed.
  */
 const unresponsiveLinkMs = 1000
+/** Longest TLS handshake of another proxy. */
+const handshakeTimeoutMs = 10_000
 
 type OpenLink = {
   readonly socket: net.Socket
@@ -130,20 +133,24 @@
  * @param handlers - handlers of the methods
  * @param security - certificates; undefined for plain TCP
  * @param onError - called with the error of each call that failed here
+ * @param guard - accounts for the links; absent where they have no bound
  * @returns the listener; throws a `WireError` where the port is taken
  */
-export async function listenForPeers (address: Address, handlers: PeerHandlers, security: PeerTls | undefined, onError: (error: Error) => void): Promise<PeerListener> {
+export async function listenForPeers (address: Address, handlers: PeerHandlers, security: PeerTls | undefined, onError: (error: Error) => void, guard?: ConnectionGuard): Promise<PeerListener> {
   const sockets = new Set<net.Socket>()
+  /** By the other side's address, which a TLS socket shares with the socket below it. */
+  const guarded = new Map<string, GuardedSocket>()
   const accept = (socket: net.Socket): void => {
     sockets.add(socket)
     socket.setNoDelay(true)
     socket.on('error', () => { socket.destroy() })
     socket.on('close', () => { sockets.delete(socket) })
-    serveRequests(socket, handlers, onError)
+    serveRequests(socket, handlers, onError, guarded.get(remoteName(socket)))
   }
   const server = security === undefined
     ? net.createServer(accept)
-    : tls.createServer({ cert: security.certPem, key: security.keyPem, ca: security.caPem, requestCert: true, rejectUnauthorized: true }, accept)
+    : tls.createServer({ cert: security.certPem, key: security.keyPem, ca: security.caPem, requestCert: true, rejectUnauthorized: true, handshakeTimeout: handshakeTimeoutMs }, accept)
+  if (guard !== undefined) server.prependListener('connection', socket => { guardLink(socket, guard, (name, link) => { if (link === undefined) guarded.delete(name); else guarded.set(name, link) }) })
   await listen(server, address)
   return {
     port: (server.address() as net.AddressInfo).port,
@@ -175,11 +182,36 @@
   return socket.setNoDelay(true)
 }
 
-function serveRequests (socket: net.Socket, handlers: PeerHandlers, onError: (error: Error) => void): void {
+// Before the TLS handshake, which counts as well.
+function guardLink (socket: net.Socket, guard: ConnectionGuard, onChange: (name: string, link: GuardedSocket | undefined) => void): void {
+  const name = remoteName(socket)
+  const link = GuardedSocket.accept(socket, guard, 'peer')
+  if (link === undefined) {
+    socket.destroy()
+    return
+  }
+  onChange(name, link)
+  socket.on('close', () => { onChange(name, undefined) })
+}
+
+function remoteName (socket: net.Socket): string {
+  return `${socket.remoteAddress ?? ''}:${socket.remotePort ?? 0}`
+}
+
+function serveRequests (socket: net.Socket, handlers: PeerHandlers, onError: (error: Error) => void, guarded: GuardedSocket | undefined): void {
   const rpc = new JSONRPCServer({ errorListener: (_message, error) => { onError(asError(error)) } })
-  for (const method of Object.keys(handlers) as readonly PeerMethod[]) addMethod(rpc, handlers, method)
+  for (const method of Object.keys(handlers) as readonly PeerMethod[]) addMethod(rpc, handlers, method, () => { guarded?.authenticated() })
+  const use = { partialBytes: 0, workBytes: 0, queued: 0, messages: 0 }
   readLines(socket, line => {
-    void serveLine(socket, rpc, line).catch(() => { socket.destroy() })
+    use.workBytes += line.length
+    use.messages += 1
+    void serveLine(socket, rpc, line).catch(() => { socket.destroy() }).finally(() => {
+      use.workBytes -= line.length
+      guarded?.report({ ...use })
+    })
+  }, partialBytes => {
+    use.partialBytes = partialBytes
+    guarded?.report({ ...use })
   })
 }
 
@@ -190,8 +222,12 @@
   if (response !== null && socket.writable) writeLine(socket, response)
 }
 
-function addMethod<M extends PeerMethod> (rpc: JSONRPCServer, handlers: PeerHandlers, method: M): void {
-  rpc.addMethod(method, async (params: unknown) => shorten(await handlers[method](decodeParams(method, restore(params)))))
+function addMethod<M extends PeerMethod> (rpc: JSONRPCServer, handlers: PeerHandlers, method: M, onValidCall: () => void): void {
+  rpc.addMethod(method, async (params: unknown) => {
+    const decoded = decodeParams(method, restore(params))
+    onValidCall()
+    return shorten(await handlers[method](decoded))
+  })
 }
 
 // A result may be nested too deeply to be restored.
--- a/test/crowd/line.test.ts
+++ b/test/crowd/line.test.ts
@@ -6,7 +6,7 @@
 import { test, type TestContext } from 'node:test'
 import { once } from 'node:events'
 import { setTimeout as delay } from 'node:timers/promises'
-import { checkCrowd, openSockets, sendInPieces, smallHeapFlags, spareDescriptors, type Subject } from '../support/crowd.js'
+import { checkCrowd, openSockets, sendEach, sendInPieces, smallHeapFlags, spareDescriptors, type Subject } from '../support/crowd.js'
 import { defaultKey, openSession, outputTail, startServingFleet } from '../support/fleet.js'
 import type { Fleet } from '../../standins/fleet/set.js'
 
@@ -17,7 +17,7 @@
 const crowd = 180
 
 async function crowdFleet (t: TestContext): Promise<Fleet> {
-  return await startServingFleet(t, { hosts: 1, runtimeFlags: smallHeapFlags, limits: { max_connections: maxConnections } })
+  return await startServingFleet(t, { hosts: 1, pace: 'deployed', runtimeFlags: smallHeapFlags, limits: { max_connections: maxConnections } })
 }
 
 function subjectOf (fleet: Fleet): Subject {
@@ -59,7 +59,7 @@
   const fleet = await crowdFleet(t)
   await checkCrowd(subjectOf(fleet), maxDescriptors, async () => {
     const sockets = await openSockets(t, portOf(fleet), crowd)
-    for (const socket of sockets) socket.write(`STARTUP orders ${'x'.repeat(legalBytes)}`)
+    await sendEach(sockets, `STARTUP orders ${'x'.repeat(legalBytes)}`)
   })
 })
 
@@ -67,7 +67,7 @@
   const fleet = await crowdFleet(t)
   await checkCrowd(subjectOf(fleet), maxDescriptors, async () => {
     const sockets = await openSessions(t, fleet, crowd)
-    for (const socket of sockets) socket.write(startOfQuery(legalBytes))
+    await sendEach(sockets, startOfQuery(legalBytes))
   })
 })
 
@@ -83,7 +83,7 @@
   const fleet = await crowdFleet(t)
   await checkCrowd(subjectOf(fleet), maxDescriptors, async () => {
     const sockets = await openSessions(t, fleet, 40)
-    for (const socket of sockets) socket.write(`${startOfQuery(legalBytes)}\r\n`.repeat(12), 'latin1')
+    await sendEach(sockets, `${startOfQuery(legalBytes)}\r\n`.repeat(12))
   })
 })
 
@@ -93,7 +93,7 @@
     // The connections stay open on the crowd's side and use up max_connections.
     const sockets = await openSockets(t, portOf(fleet), maxConnections)
     for (const socket of sockets) socket.pause()
-    for (const socket of sockets) socket.write('x'.repeat(3 * legalBytes))
+    await sendEach(sockets, 'x'.repeat(3 * legalBytes))
   })
 })
 
@@ -114,7 +114,7 @@
   const fleet = await crowdFleet(t)
   await checkCrowd(subjectOf(fleet), maxDescriptors, async () => {
     const sockets = await openSessions(t, fleet, 20)
-    for (const socket of sockets) socket.write(`QUERY q READ ${'x'.repeat(2000)}\r\n`.repeat(4000), 'latin1')
+    await sendEach(sockets, `QUERY q READ ${'x'.repeat(2000)}\r\n`.repeat(4000))
   })
 })
 
--- a/test/crowd/peers.test.ts
+++ b/test/crowd/peers.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict'
 import { test, type TestContext } from 'node:test'
 import { setTimeout as delay } from 'node:timers/promises'
-import { checkCrowd, openDescriptors, openSockets, smallHeapFlags, spareDescriptors, type Subject } from '../support/crowd.js'
+import { checkCrowd, openDescriptors, openSockets, sendEach, smallHeapFlags, spareDescriptors, type Subject } from '../support/crowd.js'
 import { openSession, outputTail, startServingFleet } from '../support/fleet.js'
 import type { Fleet } from '../../standins/fleet/set.js'
 
@@ -12,7 +12,7 @@
 const crowd = 300
 
 async function crowdFleet (t: TestContext): Promise<Fleet> {
-  return await startServingFleet(t, { hosts: 1, runtimeFlags: smallHeapFlags, servesMetrics: true })
+  return await startServingFleet(t, { hosts: 1, pace: 'deployed', runtimeFlags: smallHeapFlags, servesMetrics: true })
 }
 
 function subjectOf (fleet: Fleet): Subject {
@@ -50,7 +50,7 @@
   const fleet = await crowdFleet(t)
   await checkCrowd(subjectOf(fleet), crowd + spareDescriptors, async () => {
     const sockets = await openSockets(t, fleet.proxies[0]?.peerPort ?? 0, 12)
-    for (const socket of sockets) socket.write('x'.repeat(20_000_000), 'latin1')
+    await sendEach(sockets, 'x'.repeat(20_000_000))
   })
 })
 
--- a/test/daemon/caller-task.test.ts
+++ b/test/daemon/caller-task.test.ts
@@ -50,7 +50,10 @@
     connection: {
       login: { route: 'orders', credential: { kind: 'key', key: undefined }, attributes: {} },
       inbox,
-      write: (outcome, status) => { answers.push({ atMs: timers.nowMs(), outcome: outcome.kind === 'notRun' || outcome.kind === 'unknown' ? outcome.reason : outcome.kind, transaction: status.transaction }) },
+      write: (outcome, status) => {
+        answers.push({ atMs: timers.nowMs(), outcome: outcome.kind === 'notRun' || outcome.kind === 'unknown' ? outcome.reason : outcome.kind, transaction: status.transaction })
+        return undefined
+      },
       closeForStop: close,
       close
     },
@@ -67,6 +70,7 @@
     configuration: () => ({ manifest: undefined, confirmed: true }),
     stopSignal,
     rollBack: async ({ id }) => { rolledBack.push(id) },
+    releaseKept: () => {},
     onServed: () => {}
   })
   stopSignal.begin(timers, stopSchedule(graceMs))
--- a/test/platform/framing.test.ts
+++ b/test/platform/framing.test.ts
@@ -4,18 +4,25 @@
 import net from 'node:net'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { encodeMessage, errorLine, maxMessageBytes, splitMessages, type SplitResult } from '../../platform/framing.js'
+import { encodeMessage, errorLine, maxMessageBytes, MessageSplitter } from '../../platform/framing.js'
 import { defaultKey, openSession, startServingFleet } from '../support/fleet.js'
 
 /** Bytes with many blanks, line feeds and carriage returns among them. */
 const bytes = fc.array(fc.oneof(fc.constantFrom(' ', '\r', '\n', '\r\n', 'QUERY'), fc.integer({ min: 0, max: 255 }).map(code => String.fromCharCode(code))), { maxLength: 20 }).map(parts => parts.join(''))
 
 /** Splits text that arrives in chunks. */
-function splitChunks (chunks: readonly string[]): SplitResult {
-  return chunks.reduce<SplitResult>((before, chunk) => {
-    const split = splitMessages(before.incomplete, chunk)
-    return { ...split, messages: [...before.messages, ...split.messages] }
-  }, { messages: [], incomplete: '', isTooLong: false })
+function splitChunks (chunks: readonly string[]): { readonly messages: readonly string[], readonly heldBytes: number, readonly isTooLong: boolean } {
+  const splitter = new MessageSplitter()
+  const messages: string[] = []
+  let isTooLong = false
+  for (const chunk of chunks) {
+    splitter.push(chunk)
+    for (let next = splitter.next(); next.kind !== 'incomplete' && !isTooLong; next = splitter.next()) {
+      if (next.kind === 'message') messages.push(next.text)
+      else isTooLong = true
+    }
+  }
+  return { messages, heldBytes: splitter.heldBytes, isTooLong }
 }
 
 /** Cuts a text into pieces of one length. */
@@ -30,7 +37,7 @@
       return encoding.kind === 'encoded' ? [{ fields, line: encoding.line }] : []
     })
     const split = splitChunks(pieces(sent.map(({ line }) => line).join(''), length))
-    assert.deepEqual(split, { messages: sent.map(({ fields }) => ['QUERY', ...fields].join(' ')), incomplete: '', isTooLong: false })
+    assert.deepEqual(split, { messages: sent.map(({ fields }) => ['QUERY', ...fields].join(' ')), heldBytes: 0, isTooLong: false })
   }))
 })
 
@@ -48,10 +55,25 @@
   const longest = 'x'.repeat(maxMessageBytes)
   assert.deepEqual(splitChunks([`${longest}\r`, '\nnext\r\n']).messages, [longest, 'next'])
   for (const chunks of [[`${longest}x\r\n`], [`${longest}x`], [`${longest}\r`, 'x\r\n']]) assert.equal(splitChunks(chunks).isTooLong, true)
+  // In pieces of one byte, which are joined in blocks, and at each place of the terminator.
+  const inBytes = splitChunks(pieces(`${'x'.repeat(5000)}\r\n${'y'.repeat(1023)}\r\nz\r`, 1))
+  assert.deepEqual(inBytes.messages.map(({ length }) => length), [5000, 1023])
   assert.equal(encodeMessage(longest).kind, 'encoded')
   assert.deepEqual(encodeMessage(`${longest}x`), { kind: 'unencodable', fault: 'tooLong' })
 })
 
+// Guards against a buffer that grows without a bound.
+test('any bytes in any pieces leave a bounded start of a message', () => {
+  fc.assert(fc.property(fc.array(bytes, { maxLength: 30 }), chunks => {
+    const { messages, heldBytes } = splitChunks(chunks)
+    const receivedBytes = chunks.join('').length
+    assert.ok(messages.join('\r\n').length <= receivedBytes)
+    assert.ok(heldBytes <= receivedBytes + 64 * chunks.length)
+  }))
+  const flood = splitChunks(Array.from({ length: 40 }, () => 'x'.repeat(100_000)))
+  assert.deepEqual(flood, { messages: [], heldBytes: 0, isTooLong: true })
+})
+
 // Guards against UNASKED: a line feed in a statement once made two statements of it.
 test('a line feed or carriage return in a statement is one of its bytes', async t => {
   const fleet = await startServingFleet(t, { hosts: 1 })
--- a/test/support/crowd.ts
+++ b/test/support/crowd.ts
@@ -55,6 +55,20 @@
   }))
 }
 
+/**
+ * Sends the same text on each connection, one after the other. The stand-ins of the
+ * store and the servers run in this process, so it must not stand still meanwhile.
+ * @param sockets - the connections
+ * @param text - the text, one byte a character
+ */
+export async function sendEach (sockets: readonly net.Socket[], text: string): Promise<void> {
+  const bytes = Buffer.from(text, 'latin1')
+  for (const socket of sockets) {
+    if (socket.writable) socket.write(bytes)
+    await delay(1)
+  }
+}
+
 /**
  * Sends a text in pieces, waiting for the event loop between them, so that most
  * arrive on their own.
