--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -5,6 +5,7 @@
 
 import { randomUUID } from 'node:crypto'
 import type { Settings } from '../config/index.js'
+import type { CloseReason } from '../guard/index.js'
 import { watchersOf } from '../members/index.js'
 import { anonymousAccount, type DatabaseName, type DatabaseReport, type HostLoad, type HostName, type HostReport, type IncomingStatement, type Outcome, type ServerName } from '../model/index.js'
 import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
@@ -14,6 +15,7 @@
 import type { EjectionChange } from '../routing/index.js'
 import type { ConfigurationTask } from './configuration-task.js'
 import type { Databases } from './databases.js'
+import type { GuardTask } from './guard-task.js'
 import type { HostLoadTask } from './host-load-task.js'
 import type { MembersTask } from './members-task.js'
 import type { PeerLinks } from './peers.js'
@@ -31,6 +33,7 @@
 /** Components whose state goes into the reports. */
 export type ReportedComponents = {
   readonly store: ObjectStore
+  readonly guard: GuardTask
   readonly links: PeerLinks
   readonly members: MembersTask
   readonly configuration: ConfigurationTask
@@ -45,6 +48,8 @@
   readonly event: <N extends EventName>(name: N, fields: EventFields<N>) => void
   /** Records an unexpected error that a task survived. */
   readonly recordTaskFailure: (task: string, error: Error) => void
+  /** Records that the guard has closed a connection. */
+  readonly recordGuardClosed: (reason: CloseReason) => void
   readonly recordServed: (statement: IncomingStatement, outcome: Outcome, tookMs: number, generation: number) => void
   /** Counts a statement that was sent to the dispatcher of a server. */
   readonly recordSent: (server: ServerName, role: 'primary' | 'replica', domain: 'local' | 'other') => void
@@ -100,6 +105,10 @@
       metrics.count('task.failures', { task })
       log.write('taskFailed', { task, error: error.message })
     },
+    recordGuardClosed (reason) {
+      metrics.count('guard.closed', { reason })
+      log.write('connectionClosed', { reason })
+    },
     recordServed (statement, outcome, tookMs, generation) {
       const { caller } = statement
       spec.activity.add('statement')
@@ -257,6 +266,9 @@
   const report = reportOf(spec, components, accountStats)
   metrics.gauge('configuration.generation', report.generation)
   metrics.gauge('store.era', currentEra(components.store))
+  metrics.gauge('guard.bytes', components.guard.totals().bytes)
+  metrics.gauge('guard.kept_bytes', components.guard.kept.total)
+  metrics.gauge('guard.connections', components.guard.totals().connections)
   metrics.gauge('members.live', components.members.view.get().live.length)
   const collector = collectorOf(spec.settings.host.failureDomain, components)
   if (collector === undefined || collector === spec.settings.host.name) {
--- a/src/report/metrics.ts
+++ b/src/report/metrics.ts
@@ -35,6 +35,10 @@
   'host.shed_fraction': defineMetric('gauge', 'Fraction of the new statements that this host refuses as `overloaded`.', []),
   'scheduler.waiting': defineMetric('gauge', 'Statements that wait for a slot of the servers that this host dispatches for.', []),
   'scheduler.expected_wait_ms': defineMetric('gauge', 'Longest expected wait at the servers that this host dispatches for, in milliseconds.', []),
+  'guard.closed': defineMetric('counter', 'Connections that this host closed to protect its memory and descriptors, by reason.', ['reason']),
+  'guard.bytes': defineMetric('gauge', 'Bytes received from clients that are in work, and answers that they have not read.', []),
+  'guard.kept_bytes': defineMetric('gauge', 'Bytes of session values and prepared statements.', []),
+  'guard.connections': defineMetric('gauge', 'Connections of callers and other proxies.', []),
   'callers.open': defineMetric('gauge', 'Connections of callers that are open.', [])
 } as const satisfies Readonly<Record<string, MetricDefinition>>
 
--- a/src/wire/peer-link.ts
+++ b/src/wire/peer-link.ts
@@ -9,7 +9,8 @@
 import tls from 'node:tls'
 import type { Address, PeerMethod, PeerParams, PeerResult } from '../model/index.js'
 import type { TimerService } from '../pipe/index.js'
-import { asError, WireError } from '../ports/index.js'
+import { asError, WireError, type ConnectionGuard } from '../ports/index.js'
+import { GuardedSocket } from './guarded-socket.js'
 import { errorText, failedMethodCode, invalidRequestCode, parseAnswer, parseRequest, requestText, resultText, unknownMethodCode, type RpcAnswer, type RpcRequest } from './json-rpc.js'
 import { readLines } from './lines.js'
 import { receivedParams, receivedResult } from './peer-message.js'
@@ -55,6 +56,8 @@
  * link is closed.
  */
 const unresponsiveLinkMs = 1000
+/** Longest TLS handshake of another proxy. */
+const handshakeTimeoutMs = 10_000
 
 /** End of a call on a link. */
 type CallEnd = RpcAnswer | { readonly kind: 'overdue' }
@@ -154,20 +157,24 @@
  * @param handlers - handlers of the methods
  * @param security - certificates; undefined for plain TCP
  * @param onError - called with the error of each call that failed here
+ * @param guard - accounts for the links; absent where they have no bound
  * @returns the listener; throws a `WireError` where the port is taken
  */
-export async function listenForPeers (address: Address, handlers: PeerHandlers, security: PeerTls | undefined, onError: (error: Error) => void): Promise<PeerListener> {
+export async function listenForPeers (address: Address, handlers: PeerHandlers, security: PeerTls | undefined, onError: (error: Error) => void, guard?: ConnectionGuard): Promise<PeerListener> {
   const sockets = new Set<net.Socket>()
+  /** By the other side's address, which a TLS socket shares with the socket below it. */
+  const guarded = new Map<string, GuardedSocket>()
   const accept = (socket: net.Socket): void => {
     sockets.add(socket)
     socket.setNoDelay(true)
     socket.on('error', () => { socket.destroy() })
     socket.on('close', () => { sockets.delete(socket) })
-    serveRequests(socket, handlers, onError)
+    serveRequests(socket, handlers, onError, guarded.get(remoteName(socket)))
   }
   const server = security === undefined
     ? net.createServer(accept)
-    : tls.createServer({ cert: security.certPem, key: security.keyPem, ca: security.caPem, requestCert: true, rejectUnauthorized: true }, accept)
+    : tls.createServer({ cert: security.certPem, key: security.keyPem, ca: security.caPem, requestCert: true, rejectUnauthorized: true, handshakeTimeout: handshakeTimeoutMs }, accept)
+  if (guard !== undefined) server.prependListener('connection', socket => { guardLink(socket, guard, (name, link) => { if (link === undefined) guarded.delete(name); else guarded.set(name, link) }) })
   await listen(server, address)
   return {
     port: (server.address() as net.AddressInfo).port,
@@ -199,26 +206,61 @@
   return socket.setNoDelay(true)
 }
 
-function serveRequests (socket: net.Socket, handlers: PeerHandlers, onError: (error: Error) => void): void {
+// Before the TLS handshake, which counts as well.
+function guardLink (socket: net.Socket, guard: ConnectionGuard, onChange: (name: string, link: GuardedSocket | undefined) => void): void {
+  const name = remoteName(socket)
+  const link = GuardedSocket.accept(socket, guard, 'peer')
+  if (link === undefined) {
+    socket.destroy()
+    return
+  }
+  onChange(name, link)
+  socket.on('close', () => { onChange(name, undefined) })
+}
+
+function remoteName (socket: net.Socket): string {
+  return `${socket.remoteAddress ?? ''}:${socket.remotePort ?? 0}`
+}
+
+function serveRequests (socket: net.Socket, handlers: PeerHandlers, onError: (error: Error) => void, guarded: GuardedSocket | undefined): void {
+  const use = { partialBytes: 0, workBytes: 0, queued: 0, messages: 0 }
+  const serving: LineServing = { handlers, onError, onValidCall: () => { guarded?.authenticated() } }
   readLines(socket, line => {
-    void serveLine(socket, handlers, onError, line).catch(() => { socket.destroy() })
+    use.workBytes += line.length
+    use.messages += 1
+    void serveLine(socket, serving, line).catch(() => { socket.destroy() }).finally(() => {
+      use.workBytes -= line.length
+      guarded?.report({ ...use })
+    })
+  }, partialBytes => {
+    use.partialBytes = partialBytes
+    guarded?.report({ ...use })
   })
 }
 
+/** How the lines of one link are served. */
+type LineServing = {
+  readonly handlers: PeerHandlers
+  readonly onError: (error: Error) => void
+  readonly onValidCall: () => void
+}
+
 // A line that is no request, or whose answer can't be written, ends its link and
 // nothing else.
-async function serveLine (socket: net.Socket, handlers: PeerHandlers, onError: (error: Error) => void, line: string): Promise<void> {
+async function serveLine (socket: net.Socket, serving: LineServing, line: string): Promise<void> {
   const request = parseRequest(line)
-  const answer = await answerTo(request, handlers, onError)
+  const answer = await answerTo(request, serving)
   if (request.id !== undefined && socket.writable) socket.write(answer + '\n')
 }
 
-async function answerTo (request: RpcRequest, handlers: PeerHandlers, onError: (error: Error) => void): Promise<string> {
+async function answerTo (request: RpcRequest, { handlers, onError, onValidCall }: LineServing): Promise<string> {
   if (request.kind === 'invalid') return errorText(request.id, invalidRequestCode, 'Invalid Request')
   const { id, method, params } = request
   if (!isMethod(handlers, method)) return errorText(id, unknownMethodCode, 'Method not found')
   try {
-    return resultText(id, await handlers[method](receivedParams(method, params) as never))
+    const received = receivedParams(method, params)
+    onValidCall()
+    return resultText(id, await handlers[method](received as never))
   } catch (error) {
     onError(asError(error))
     return errorText(id, failedMethodCode, asError(error).message)
