Descriptors of the guard come from the settings, and half of them are left to callers

Cause: on the users' platform the process's own limit of open files is 200 and covers files only; after 512 reserved descriptors one caller was left.

Evidence: guard/ledger, new assertion.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -74,6 +74,8 @@
   readonly connectTimeoutMs: number
   /** Memory that the process may use; undefined: what the machine grants. */
   readonly memoryMb?: number | undefined
+  /** Descriptors that the process may open; undefined: what the system states. */
+  readonly maxDescriptors?: number | undefined
   /** Longest time from the connection of a caller to its login. */
   readonly loginTimeoutMs: number
   /** Longest time from the first byte of a message to its last. */
@@ -141,6 +143,7 @@
 const graceAllowed = `a number from 0 to ${dayS}`
 const maxStatementBytes = 16_000_000
 const maxCores = 1024
+const maxDescriptorCount = 10_000_000
 const maxMemoryMb = 1_048_576
 
 const tlsFields = {
@@ -193,6 +196,7 @@
     confirm_timeout_ms: wholeNumber(1, dayMs).default(5_000),
     connect_timeout_ms: wholeNumber(1, dayMs).default(1_000),
     memory_mb: wholeNumber(16, maxMemoryMb).optional(),
+    max_descriptors: wholeNumber(16, maxDescriptorCount).optional(),
     login_timeout_ms: wholeNumber(100, dayMs).default(10_000),
     message_timeout_ms: wholeNumber(100, dayMs).default(30_000),
     unread_timeout_ms: wholeNumber(100, dayMs).default(30_000)
--- a/src/daemon/guard-task.ts
+++ b/src/daemon/guard-task.ts
@@ -39,7 +39,7 @@
  * @returns the running guard
  */
 export function startGuard ({ limits: settings, timers, onClosed }: GuardSpec): GuardTask {
-  const limits = guardLimits(grantedMemory(settings.memoryMb), {
+  const limits = guardLimits(grantedTo(settings), {
     maxConnections: settings.maxConnections,
     loginMs: settings.loginTimeoutMs,
     messageMs: settings.messageTimeoutMs,
@@ -96,8 +96,12 @@
   }
 }
 
-function grantedMemory (memoryMb: number | undefined): GrantedMemory {
-  return { memoryBytes: memoryMb === undefined ? machineBytes() : memoryMb * mebibyte, heapBytes: getHeapStatistics().heap_size_limit, descriptors: maxDescriptors() }
+function grantedTo ({ memoryMb, maxDescriptors }: RequestLimits): GrantedMemory {
+  return {
+    memoryBytes: memoryMb === undefined ? machineBytes() : memoryMb * mebibyte,
+    heapBytes: getHeapStatistics().heap_size_limit,
+    descriptors: maxDescriptors ?? systemDescriptors()
+  }
 }
 
 // The control group's limit, where it has one, else the memory of the machine.
@@ -106,7 +110,7 @@
   return constrainedBytes > 0 ? Math.min(constrainedBytes, totalmem()) : totalmem()
 }
 
-function maxDescriptors (): number {
+function systemDescriptors (): number {
   try {
     const match = /^Max open files\s+(\d+)/m.exec(readFileSync('/proc/self/limits', 'utf8'))
     return match === null ? defaultDescriptors : Number(match[1])
--- a/src/guard/budget.ts
+++ b/src/guard/budget.ts
@@ -41,7 +41,7 @@
 const keptFraction = 1 / 2
 /** Fraction of all kept bytes that one session may have. */
 const keptSessionFraction = 1 / 2
-/** Descriptors for the store, servers, peers and files. */
+/** Descriptors for the store, servers, peers and files, at most half of all. */
 const reservedDescriptors = 512
 
 /**
@@ -57,7 +57,7 @@
     budgetBytes,
     keptBytes,
     keptSessionBytes: Math.floor(keptBytes * keptSessionFraction),
-    maxCallers: Math.max(1, Math.min(settings.maxConnections, granted.descriptors - reservedDescriptors)),
+    maxCallers: Math.max(1, Math.min(settings.maxConnections, granted.descriptors - Math.min(reservedDescriptors, Math.ceil(granted.descriptors / 2)))),
     loginMs: settings.loginMs,
     messageMs: settings.messageMs,
     unreadMs: settings.unreadMs
--- a/test/guard/ledger.test.ts
+++ b/test/guard/ledger.test.ts
@@ -102,4 +102,6 @@
   const of = (memoryMb: number, heapMb: number): number => guardLimits({ memoryBytes: memoryMb * 2 ** 20, heapBytes: heapMb * 2 ** 20, descriptors: 1024 }, settings).budgetBytes / 2 ** 20
   assert.deepEqual([of(480, 208), of(160, 208), of(16, 208)], [18, 12, 6])
   assert.equal(guardLimits({ memoryBytes: 1, heapBytes: 1, descriptors: 1024 }, settings).maxCallers, 512)
+  // A small limit still leaves half of it to callers.
+  assert.equal(guardLimits({ memoryBytes: 1, heapBytes: 1, descriptors: 200 }, settings).maxCallers, 100)
 })
