Evacuation of a failure domain

Cause: operators could end the use of single servers only (leaving), not that of a failure domain.

Change: objects of the kind `evacuations` in the store request that the servers of a failure domain get nothing new. Watchers list and watch them, other hosts get them with the list of servers. Servers of an evacuated domain are treated like leaving ones, with `control.evacuate_ms` counted from the earliest possible time of the request. Without that setting, nothing is read. New commands: `limpetmoor evacuate`, and evacuated domains in `status`. The stand-in of the product's own store serves DELETE, which PROTOCOLS.md already defined.

Evidence: evacuation/evacuations (property over requests, ends, late and lost lists), daemon/evacuation-task, platform/evacuation (processes), failover/failover (evacuation during a promotion), cli/cli, platform/bounds.

Result: these pass; platform/bounds has its known red test as before.

--- a/src/cli/fleet-status.ts
+++ b/src/cli/fleet-status.ts
@@ -1,6 +1,9 @@
 // Data of `limpetmoor status`, for both output formats.
 
-import type { Generation, HostName, HostReport } from '../model/index.js'
+import type { FailureDomain, Generation, HostName, HostReport } from '../model/index.js'
+
+/** A failure domain whose evacuation is requested; `requestedBy`: undefined where the request does not say. */
+export type EvacuatedDomain = { readonly domain: FailureDomain, readonly requestedBy: string | undefined }
 
 /** Status of the fleet. */
 export type FleetStatus = {
@@ -10,5 +13,7 @@
   readonly hostsBehind: readonly HostName[]
   /** Hosts in the platform's host list without a report. */
   readonly hostsSilent: readonly HostName[]
+  /** Failure domains whose evacuation is requested. */
+  readonly evacuated: readonly EvacuatedDomain[]
   readonly hosts: readonly HostReport[]
 }
--- a/src/cli/help.ts
+++ b/src/cli/help.ts
@@ -1,7 +1,7 @@
 // Help texts of the commands.
 
 /** Commands of the program. */
-export const commandNames = ['proxy', 'check', 'apply', 'status', 'keys'] as const
+export const commandNames = ['proxy', 'check', 'apply', 'evacuate', 'status', 'keys'] as const
 
 /** Name of a command. */
 export type CommandName = typeof commandNames[number]
@@ -12,6 +12,7 @@
   proxy    run the proxy of this host
   check    check settings or a manifest; needs no platform
   apply    bring a manifest into force
+  evacuate set or end the evacuation of a failure domain
   status   show what the hosts report
   keys     generate a key, or compute the digest of a key
 
@@ -45,10 +46,18 @@
   --manifest FILE        manifest of the fleet (JSON)
   --expect GENERATION    reject if another generation is in force; 0: none
   --by NAME              operator's name, shown to others who apply concurrently`
+    case 'evacuate': return `usage: limpetmoor evacuate DOMAIN --platform URL [--end] [--by NAME]
+
+Requests that nothing new be sent to the servers of a failure domain, until the
+evacuation is ended. It is set where it was set before, too.
+
+  --platform URL   base URL of the platform
+  --end            end the evacuation
+  --by NAME        operator's name, shown by status`
     case 'status': return `usage: limpetmoor status --platform URL [--json]
 
-Shows the accepted generation, the hosts that do not use it, and the hosts'
-reports on each database and client account.
+Shows the accepted generation, the hosts that do not use it, evacuated failure
+domains, and the hosts' reports on each database and client account.
 
   --platform URL   base URL of the platform
   --json           print the status as JSON`
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,7 @@
 import { readFileSync } from 'node:fs'
 import { runApply } from './apply.js'
 import { runCheck } from './check.js'
+import { runEvacuate } from './evacuate.js'
 import { commandHelp, commandNames, programHelp, type CommandName } from './help.js'
 import { runKeys } from './keys.js'
 import { runProxyCommand } from './proxy.js'
@@ -34,6 +35,7 @@
     case 'proxy': return await runProxyCommand(args)
     case 'check': return runCheck(args)
     case 'apply': return await runApply(args)
+    case 'evacuate': return await runEvacuate(args)
     case 'status': return await runStatus(args)
     case 'keys': return runKeys(args)
   }
--- a/src/cli/status-text.ts
+++ b/src/cli/status-text.ts
@@ -2,7 +2,7 @@
 // each client account.
 
 import type { AccountReport, DatabaseReport, HostReport } from '../model/index.js'
-import type { FleetStatus } from './fleet-status.js'
+import type { EvacuatedDomain, FleetStatus } from './fleet-status.js'
 
 /**
  * Formats the status as text.
@@ -14,6 +14,7 @@
     acceptedLine(status),
     ...listLine('not on it', status.hostsBehind),
     ...listLine('listed without a report', status.hostsSilent),
+    ...listLine('evacuated failure domains', status.evacuated.map(evacuatedText)),
     '',
     ...status.hosts.flatMap(hostLines),
     '',
@@ -32,6 +33,10 @@
   return hosts.length === 0 ? [] : [`${title}: ${hosts.join(', ')}`]
 }
 
+function evacuatedText ({ domain, requestedBy }: EvacuatedDomain): string {
+  return requestedBy === undefined ? domain : `${domain} by ${requestedBy}`
+}
+
 function hostLines (report: HostReport): readonly string[] {
   const rejected = report.rejectedManifest
   return [
--- a/src/cli/status.ts
+++ b/src/cli/status.ts
@@ -6,10 +6,12 @@
 import { manifestObject } from '../wire/index.js'
 import type { Generation, HostName, HostReport } from '../model/index.js'
 import type { ListedHost, PlatformClient } from '../wire/index.js'
+import { evacuationKind } from '../evacuation/index.js'
 import { decodeStoredManifest } from './apply.js'
+import { evacuatedDomain } from './evacuate.js'
 import { withPlatformClient } from './platform.js'
 import { done, invalid, type CommandResult } from './result.js'
-import type { FleetStatus } from './fleet-status.js'
+import type { EvacuatedDomain, FleetStatus } from './fleet-status.js'
 import { statusLines } from './status-text.js'
 
 const latencySchema = z.object({ count: z.number(), p50Ms: z.number(), p99Ms: z.number(), maxMs: z.number() })
@@ -59,23 +61,25 @@
 }
 
 async function readFleetStatus (client: PlatformClient): Promise<FleetStatus> {
-  const [stored, reports, listedHosts] = await Promise.all([
+  const [stored, reports, listedHosts, evacuations] = await Promise.all([
     client.getObject(manifestObject.kind, manifestObject.name),
     client.listObjects('report'),
-    client.hosts()
+    client.hosts(),
+    client.listObjects(evacuationKind)
   ])
   const accepted = stored === undefined ? undefined : decodeStoredManifest(stored.value)
   const hosts = reports.objects.flatMap(object => decodeReports(object.value))
-  return buildStatus(accepted?.generation ?? 0, accepted?.appliedBy, latestReports(hosts), listedHosts)
+  return buildStatus(accepted?.generation ?? 0, accepted?.appliedBy, latestReports(hosts), listedHosts, evacuations.objects.map(evacuatedDomain).sort((a, b) => a.domain < b.domain ? -1 : 1))
 }
 
-function buildStatus (acceptedGeneration: Generation, appliedBy: string | undefined, hosts: readonly HostReport[], listedHosts: readonly ListedHost[]): FleetStatus {
+function buildStatus (acceptedGeneration: Generation, appliedBy: string | undefined, hosts: readonly HostReport[], listedHosts: readonly ListedHost[], evacuated: readonly EvacuatedDomain[]): FleetStatus {
   const reporting = new Set(hosts.map(report => report.host))
   return {
     acceptedGeneration,
     appliedBy,
     hostsBehind: hosts.filter(report => report.generation !== acceptedGeneration).map(report => report.host),
     hostsSilent: listedHosts.map(each => each.host).filter(host => !reporting.has(host)),
+    evacuated,
     hosts
   }
 }
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -89,6 +89,11 @@
   readonly watchersPerDomain: number
   /** Time for which a server gets new statements after it announced that it leaves. */
   readonly drainMs: number
+  /**
+   * Time from the request to evacuate a failure domain until its servers get nothing
+   * new; undefined: no requests are read.
+   */
+  readonly evacuateMs?: number | undefined
 }
 
 /** Log level and format. */
@@ -182,7 +187,8 @@
     pull_ms: wholeNumber(10, dayMs).default(1_000),
     report_ms: wholeNumber(10, dayMs).default(5_000),
     watchers_per_domain: wholeNumber(1, 100).default(2),
-    drain_ms: duration(100, dayMs).default(7_000)
+    drain_ms: duration(100, dayMs).default(7_000),
+    evacuate_ms: duration(1_000, dayMs).optional()
   }),
   metrics: z.strictObject(statsdFields).superRefine(allOrNone(statsdFields)),
   stop: z.strictObject({
--- a/src/daemon/components.ts
+++ b/src/daemon/components.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationTask } from './configuration-task.js'
 import type { DaemonContext } from './context.js'
 import type { DiscoveryTask } from './discovery-task.js'
+import type { EvacuationTask } from './evacuation-task.js'
 import type { LeaderTask } from './leader-task.js'
 import type { EffectiveManifest } from './effective-manifest.js'
 import type { ObservationRelaySpec } from './observation-relay.js'
@@ -32,6 +33,8 @@
   readonly leaderTask: LeaderTask | undefined
   /** Set where servers register themselves. */
   readonly discovery: DiscoveryTask | undefined
+  /** Set where the settings have `evacuate_ms`. */
+  readonly evacuation: EvacuationTask | undefined
   /** Set where hosts register themselves. */
   readonly registry: Registry | undefined
   readonly observationRelay: ObservationRelaySpec
--- a/src/daemon/discovery-task.ts
+++ b/src/daemon/discovery-task.ts
@@ -4,7 +4,7 @@
 // the store, query a watcher.
 
 import { hasSameServers, hasUnknownEnding, noServers, serversDueAtMs, serversStep, type ServersEvent, type ServersState } from '../discovery/index.js'
-import type { DiscoveredServer, HostName, MemberState, ServerList } from '../model/index.js'
+import type { DiscoveredServer, EvacuationList, HostName, MemberState, ServerList } from '../model/index.js'
 import { SnapshotPublisher, sleep, startTask, type Port, type Snapshot } from '../pipe/index.js'
 import { asError, StoreError, type ServerSource } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
@@ -39,6 +39,8 @@
   readonly onServers: (state: ServersState) => void
   /** Called with the state that a watcher sent with its list. */
   readonly onPeerState: (from: MemberState, sentAtMs: number) => void
+  /** Called with the evacuations that a watcher sent with its list. */
+  readonly onEvacuations: (list: EvacuationList | undefined, sentAtMs: number) => void
   /** Called when a server that was known before has announced that it leaves, or is active again. */
   readonly onServerStateChanged: (server: DiscoveredServer, list: ListOrigin) => void
   readonly onStoreFailure: () => void
@@ -242,8 +244,9 @@
   if (watcher === undefined) return false
   const local = presentServers(state.get())
   const sentAtMs = timers.nowMs()
-  const { list, from } = await spec.links.call(watcher, 'listServers', { known: listDigest(local) }, queryTimeoutMs).catch(() => ({ list: undefined, from: undefined }))
+  const { list, from, evacuations } = await spec.links.call(watcher, 'listServers', { known: listDigest(local) }, queryTimeoutMs).catch(() => ({ list: undefined, from: undefined, evacuations: undefined }))
   if (from !== undefined) spec.onPeerState(from, sentAtMs)
+  spec.onEvacuations(evacuations, sentAtMs)
   if (list === undefined) return false
   const nowMs = timers.nowMs()
   const event: ServersEvent = {
--- a/src/daemon/effective-manifest.ts
+++ b/src/daemon/effective-manifest.ts
@@ -1,25 +1,33 @@
 // The effective manifest: the manifest in force, completed with the discovered
-// servers. Statements are checked and routed by it. Where the manifest declares the
-// servers itself, nothing is added.
+// servers and changed by the evacuations of failure domains. Statements are checked
+// and routed by it. Where the manifest declares the servers itself, none is added.
+// Where the settings have `evacuate_ms`, no server is used before the evacuations
+// are known.
 
+import type { ControlSettings } from '../config/index.js'
 import { noServers, withDiscoveredServers, type ServersState } from '../discovery/index.js'
-import type { Manifest } from '../model/index.js'
+import { areEvacuationsKnown, unknownEvacuations, withEvacuations, type EvacuationsState } from '../evacuation/index.js'
+import type { DatabaseDeclaration, Manifest } from '../model/index.js'
+
+/** Settings of the effective manifest. */
+export type EffectiveManifestSettings = Pick<ControlSettings, 'drainMs' | 'evacuateMs'>
 
 /** The manifest in force, completed with the discovered servers. */
 export class EffectiveManifest {
-  readonly #drainMs: number
+  readonly #settings: EffectiveManifestSettings
   readonly #onChange: (manifest: Manifest) => void
   #declared: Manifest | undefined
   #servers: ServersState | undefined
+  #evacuations = unknownEvacuations
   #manifest: Manifest | undefined
 
   /**
    * Starts without a manifest.
-   * @param drainMs - time for which a server gets new statements after it announced that it leaves
+   * @param settings - times for which a leaving or evacuated server gets new statements
    * @param onChange - called with the manifest after each change
    */
-  constructor (drainMs: number, onChange: (manifest: Manifest) => void) {
-    this.#drainMs = drainMs
+  constructor (settings: EffectiveManifestSettings, onChange: (manifest: Manifest) => void) {
+    this.#settings = settings
     this.#onChange = onChange
   }
 
@@ -57,10 +65,31 @@
     this.#recompute()
   }
 
+  /**
+   * Applies the evacuations of failure domains.
+   * @param evacuations - the evacuations
+   */
+  applyEvacuations (evacuations: EvacuationsState): void {
+    this.#evacuations = evacuations
+    this.#recompute()
+  }
+
   #recompute (): void {
     if (this.#declared === undefined) return
-    const registered = this.#servers !== undefined || this.#declared.databases.some(database => database.maxConnections !== undefined)
-    this.#manifest = registered ? { ...this.#declared, databases: withDiscoveredServers(this.#declared.databases, this.#servers ?? noServers, this.#drainMs) } : this.#declared
+    const databases = this.#usable(this.#withServers(this.#declared.databases))
+    this.#manifest = databases === this.#declared.databases ? this.#declared : { ...this.#declared, databases }
     this.#onChange(this.#manifest)
   }
+
+  #withServers (databases: readonly DatabaseDeclaration[]): readonly DatabaseDeclaration[] {
+    const registered = this.#servers !== undefined || databases.some(database => database.maxConnections !== undefined)
+    return registered ? withDiscoveredServers(databases, this.#servers ?? noServers, this.#settings.drainMs) : databases
+  }
+
+  #usable (databases: readonly DatabaseDeclaration[]): readonly DatabaseDeclaration[] {
+    const { evacuateMs } = this.#settings
+    if (evacuateMs === undefined) return databases
+    if (!areEvacuationsKnown(this.#evacuations)) return databases.map(database => ({ ...database, servers: [] }))
+    return withEvacuations(databases, this.#evacuations, evacuateMs)
+  }
 }
--- a/src/daemon/peer-handlers.ts
+++ b/src/daemon/peer-handlers.ts
@@ -34,7 +34,7 @@
       databases.task(database)?.suspect(server)
       return { accepted: true }
     },
-    listServers: async ({ known }) => ({ list: components.discovery?.list(known), from: components.localState() }),
+    listServers: async ({ known }) => ({ list: components.discovery?.list(known), from: components.localState(), evacuations: components.evacuation?.list() }),
     primaryChanged: async ({ view }) => {
       components.routing.recordPrimary(view)
       return { accepted: true }
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -20,6 +20,7 @@
 import { startDiscovery } from './discovery-task.js'
 import { startLeaderTask, type LeaderTask } from './leader-task.js'
 import { EffectiveManifest } from './effective-manifest.js'
+import { createEvacuation, UnknownDomains } from './evacuation-wiring.js'
 import { startLimits } from './limits-task.js'
 import { startMembers, type MembersTask, type MembersView } from './members-task.js'
 import type { ProxyComponents } from './components.js'
@@ -93,6 +94,7 @@
   components.members.begin()
   components.configuration.begin()
   components.discovery?.begin()
+  components.evacuation?.begin()
   reports.event('started', { host: settings.host.name, callerPort: callers.port, peerPort: peers.port })
   return {
     callerPort: callers.port,
@@ -142,7 +144,9 @@
       links.call(leader, 'suspect', { database, server }, announceTimeoutMs).catch(() => {})
     }
   })
-  const effectiveManifest = new EffectiveManifest(settings.control.drainMs, manifest => {
+  const unknownDomains = new UnknownDomains(reports)
+  const effectiveManifest = new EffectiveManifest(settings.control, manifest => {
+    if (evacuation !== undefined) unknownDomains.check(evacuation.state.get(), manifest.databases, members.view.get().listed)
     routing.updateDatabases(manifest.databases)
     databases.applyManifest(manifest.databases)
     databases.setIdleTransactionMs(manifest.idleTransactionMs)
@@ -181,6 +185,14 @@
     recordLeader(from)
   }
   const leaderTask = createLeaderTask(context, reports, isLeader => { databases.setLeader(isLeader) })
+  const evacuation = createEvacuation({
+    context,
+    links,
+    reports,
+    isWatcher: () => members.view.get().quorum.includes(settings.host.name),
+    watchers: () => otherWatchers(members, settings.host.name),
+    onEvacuations: state => { effectiveManifest.applyEvacuations(state) }
+  })
   const discovery = ports.servers.kind === 'declared'
     ? undefined
     : startDiscovery({
@@ -190,6 +202,7 @@
       isWatcher: () => members.view.get().quorum.includes(settings.host.name),
       watchers: () => otherWatchers(members, settings.host.name),
       onPeerState: recordPeerState,
+      onEvacuations: (list, sentAtMs) => { evacuation?.recordList(list, sentAtMs) },
       onServers: state => {
         effectiveManifest.applyServers(state)
         reports.event('serversChanged', { servers: state.servers.size })
@@ -239,7 +252,7 @@
   const observationRelay = { context, links, databases, routing }
   if (ports.driver.statusDelivery === 'polled') startObservationRelay(observationRelay)
   reports.attach({ store, members, configuration, databases, routing, links, stopping })
-  return { context, reports, store, links, members, configuration, databases, routing, limits, effectiveManifest, leaderTask, discovery, registry, observationRelay, recordLeader, stopping, localState }
+  return { context, reports, store, links, members, configuration, databases, routing, limits, effectiveManifest, leaderTask, discovery, evacuation, registry, observationRelay, recordLeader, stopping, localState }
 }
 
 // Event names and the value of `what` keep the earlier word duty for the leader
--- a/src/daemon/stop.ts
+++ b/src/daemon/stop.ts
@@ -47,9 +47,9 @@
   timers.stop()
 }
 
-async function stopTasks ({ reports, databases, limits, members, configuration, leaderTask, discovery }: ProxyComponents): Promise<void> {
+async function stopTasks ({ reports, databases, limits, members, configuration, leaderTask, discovery, evacuation }: ProxyComponents): Promise<void> {
   await reports.stop()
-  await Promise.all([databases.stop(), limits.stop(), members.stop(), configuration.stop(), leaderTask?.stop(), discovery?.stop()])
+  await Promise.all([databases.stop(), limits.stop(), members.stop(), configuration.stop(), leaderTask?.stop(), discovery?.stop(), evacuation?.stop()])
 }
 
 // Also the transactions of callers of other hosts, which learn of it at their next
--- a/src/discovery/servers.ts
+++ b/src/discovery/servers.ts
@@ -73,16 +73,22 @@
   switch (event.kind) {
     case 'listed': {
       const known = withEndingTimes(state, event.endingSinceMs)
-      if (isOlder(event.version, state)) return known
+      if (isOlderList(event.version, state)) return known
       const names = new Set(event.servers.map(server => server.name))
       return recordResponse(known, event, [...state.servers.keys()].filter(name => !names.has(name)), event.endingSinceMs)
     }
-    case 'changed': return isOlder(event.version, state) ? state : recordResponse(state, event, event.removed, new Map())
+    case 'changed': return isOlderList(event.version, state) ? state : recordResponse(state, event, event.removed, new Map())
     case 'tick': return removeExpired(state, event.nowMs)
   }
 }
 
-function isOlder (version: ListVersion, than: ListVersion): boolean {
+/**
+ * Whether a list is older than another one.
+ * @param version - version of the list
+ * @param than - version of the other list
+ * @returns true if it reflects an earlier state of the store
+ */
+export function isOlderList (version: ListVersion, than: ListVersion): boolean {
   if (version.revision !== undefined && than.revision !== undefined) return version.revision < than.revision
   return version.asOfMs < than.asOfMs
 }
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -275,6 +275,18 @@
   readonly leaving?: ReadonlyArray<{ readonly server: ServerName, readonly agoMs: number }> | undefined
 }
 
+/** The evacuations of failure domains that a host knows. */
+export type EvacuationList = {
+  /** Time since the moment as of which the list is complete. */
+  readonly agoMs: number
+  /** Revision of the store that the list reflects. */
+  readonly revision?: number | undefined
+  /** Longest possible time since each request; Infinity where nothing is known. */
+  readonly domains: ReadonlyArray<{ readonly domain: FailureDomain, readonly agoMs: number }>
+  /** Time since the end of each evacuation that ended recently. */
+  readonly ended: ReadonlyArray<{ readonly domain: FailureDomain, readonly agoMs: number }>
+}
+
 /** Parameters and results of each method. */
 export type PeerMethods = {
   readonly execute: { readonly params: ExecuteRequest, readonly result: ExecuteReply }
@@ -308,9 +320,10 @@
   /**
    * Returns the registered servers that the called host has found; undefined:
    * none yet. `known` is the digest of the caller's list, and `from` as in
-   * `listHosts`.
+   * `listHosts`. `evacuations`: not sent where the settings have no `evacuate_ms`, and
+   * by a proxy of an earlier version.
    */
-  readonly listServers: { readonly params: { readonly known: string }, readonly result: { readonly list: ServerList | undefined, readonly from?: MemberState | undefined } }
+  readonly listServers: { readonly params: { readonly known: string }, readonly result: { readonly list: ServerList | undefined, readonly from?: MemberState | undefined, readonly evacuations?: EvacuationList | undefined } }
   readonly report: { readonly params: { readonly report: HostReport }, readonly result: { readonly accepted: boolean } }
 }
 
--- a/src/wire/peer-schema.ts
+++ b/src/wire/peer-schema.ts
@@ -182,6 +182,10 @@
   leaving: z.array(z.object({ server: name, agoMs: age })).optional()
 })
 
+const domainAges = validEntries(z.object({ domain: name, agoMs: age }))
+
+const evacuationList = z.object({ agoMs: amount, revision: count.optional(), domains: domainAges, ended: domainAges })
+
 const serverStatus = z.object({
   server: name,
   role: z.enum(['primary', 'replica']),
@@ -233,7 +237,7 @@
   observe: { params: z.object({ database: name }), result: z.object({ observation: observation.optional() }) },
   suspect: { params: z.object({ database: name, server: name }), result: acknowledgement },
   primaryChanged: { params: z.object({ view: primaryView }), result: acknowledgement },
-  listServers: { params: z.object({ known: text }), result: z.object({ list: serverList.optional(), from: memberState.optional() }) },
+  listServers: { params: z.object({ known: text }), result: z.object({ list: serverList.optional(), from: memberState.optional(), evacuations: evacuationList.optional() }) },
   report: { params: z.object({ report: hostReport }), result: acknowledgement }
 }
 
--- a/standins/fleet/set.ts
+++ b/standins/fleet/set.ts
@@ -42,6 +42,8 @@
 export type FleetBounds = {
   readonly drainMs: number
   readonly graceMs: number
+  /** Undefined: the users have no evacuations. */
+  readonly evacuateMs?: number
 }
 
 /** Three hosts, servers with short delays and one client account. */
@@ -224,6 +226,7 @@
 probe_ms = ${periods[pace].probeMs}
 watchers_per_domain = ${periods[pace].watchersPerDomain}
 drain_ms = ${bounds.drainMs}
+${bounds.evacuateMs === undefined ? '' : `evacuate_ms = ${bounds.evacuateMs}`}
 
 [stop]
 grace_ms = ${bounds.graceMs}
--- a/standins/platform/http.ts
+++ b/standins/platform/http.ts
@@ -62,8 +62,9 @@
     if (method === 'GET') {
       return { kind: 'call', message: name === undefined ? { kind: 'list', objectKind, port } : { kind: 'get', objectKind, name, port } }
     }
-    if (method !== 'PUT' || name === undefined) return rejected(405, 'unknown method')
+    if ((method !== 'PUT' && method !== 'DELETE') || name === undefined) return rejected(405, 'unknown method')
     const version = integerText.parse(url.searchParams.get('version'))
+    if (method === 'DELETE') return { kind: 'call', message: { kind: 'delete', objectKind, name, version, port } }
     return { kind: 'call', message: { kind: 'put', objectKind, name, version, value: JSON.parse(body) as Json, port } }
   } catch (error) {
     return rejected(400, String(error))
--- a/standins/platform/state.ts
+++ b/standins/platform/state.ts
@@ -69,6 +69,7 @@
 }
 
 type PutCall = { readonly kind: 'put', readonly objectKind: string, readonly name: string, readonly version: number, readonly value: Json, readonly port: AnswerPort }
+type DeleteCall = { readonly kind: 'delete', readonly objectKind: string, readonly name: string, readonly version: number, readonly port: AnswerPort }
 type WatchCall = { readonly kind: 'watch', readonly objectKind: string, readonly since: number, readonly timeoutMs: number, readonly port: AnswerPort }
 
 /** A call of the object API. */
@@ -76,6 +77,7 @@
   | { readonly kind: 'get', readonly objectKind: string, readonly name: string, readonly port: AnswerPort }
   | { readonly kind: 'list', readonly objectKind: string, readonly port: AnswerPort }
   | PutCall
+  | DeleteCall
   | WatchCall
   | { readonly kind: 'hosts', readonly port: AnswerPort }
 
@@ -104,6 +106,7 @@
     case 'get':
     case 'list':
     case 'put':
+    case 'delete':
     case 'watch':
     case 'hosts': return stepCall(countCall(state, message), message)
     case 'setFaults': return setFaults(state, message.faults, message.port)
@@ -127,6 +130,7 @@
     }
     case 'list': return { state, effects: [answer(state, call.port, 200, listingOf(state, call.objectKind, 0))] }
     case 'put': return put(state, call)
+    case 'delete': return remove(state, call)
     case 'watch': return watch(state, call)
     case 'hosts': return { state, effects: [answer(state, call.port, 200, { hosts: state.hosts })] }
   }
@@ -148,6 +152,16 @@
   return { state: { ...afterWake.state, faults }, effects: [lost(call.port), ...afterWake.effects] }
 }
 
+// Watches report no deletions, so none is answered.
+function remove (state: PlatformState, call: DeleteCall): Next {
+  const key = objectKey(call.objectKind, call.name)
+  const version = state.objects.get(key)?.version
+  if (version === undefined) return { state, effects: [answer(state, call.port, 404, {})] }
+  if (version !== call.version) return { state, effects: [answer(state, call.port, 409, { version })] }
+  const objects = new Map([...state.objects].filter(([each]) => each !== key))
+  return { state: { ...state, revision: state.revision + 1, objects }, effects: [answer(state, call.port, 200, {})] }
+}
+
 function watch (state: PlatformState, call: WatchCall): Next {
   if (state.faults.silentWatches) return { state, effects: [] }
   if (hasChanged(state, call.objectKind, call.since)) {
--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -13,7 +13,7 @@
 }
 
 test('the program and each command print help and version', async () => {
-  for (const args of [['--help'], ...['proxy', 'check', 'apply', 'status', 'keys'].map(command => [command, '--help'])]) {
+  for (const args of [['--help'], ...['proxy', 'check', 'apply', 'evacuate', 'status', 'keys'].map(command => [command, '--help'])]) {
     const { exitCode, out } = await runCli(args)
     assert.equal(exitCode, 0)
     assert.match(out, /^usage: limpetmoor /)
@@ -30,6 +30,7 @@
     [['proxy'], /^proxy needs --settings FILE\n$/],
     [['apply', '--manifest', 'x'], /^apply needs --platform URL and --manifest FILE\n$/],
     [['apply', '--platform', 'http://127.0.0.1:1', '--manifest', 'x', '--expect', 'new'], /^--expect: found "new", allowed: a generation\n$/],
+    [['evacuate', '--platform', 'http://127.0.0.1:1'], /^evacuate needs one DOMAIN and --platform URL\n$/],
     [['status', '--platform', '127.0.0.1'], /^--platform: found "127.0.0.1", allowed: an http or https URL\n$/],
     [['keys', 'old'], /^keys needs one of: new, digest\n$/]
   ]
@@ -149,6 +150,19 @@
   assert.deepEqual(json.hostsBehind, ['host-1'])
 })
 
+// Guards against an evacuation that is set or ended twice, and one that the status does not show.
+test('evacuate sets and ends an evacuation, also twice, and status shows it', async t => {
+  const { url, control } = await platformFixture(t)
+  const evacuate = async (...args: readonly string[]): Promise<string> => (await runCli(['evacuate', 'medina', '--platform', url, ...args])).out
+  assert.equal(await evacuate('--by', 'morning team'), 'the evacuation of medina is requested\n')
+  assert.equal(await evacuate(), 'medina is being evacuated already\n')
+  await control.write('evacuations', 'hlm', 7)
+  assert.match((await runCli(['status', '--platform', url])).out, /^evacuated failure domains: hlm, medina by morning team$/m)
+  assert.equal(await evacuate('--end'), 'the evacuation of medina is ended\n')
+  assert.equal(await evacuate('--end'), 'medina is not being evacuated\n')
+  assert.equal(await control.read('evacuations', 'medina'), undefined)
+})
+
 test('keys new prints a key and its digest, and keys digest accepts only a key', async () => {
   const generated = /^key (\S+)\ndigest (\S+)\n$/.exec((await runCli(['keys', 'new'])).out)
   assert.equal(digestOf(generated?.[1] ?? ''), generated?.[2])
--- a/test/daemon/discovery-task.test.ts
+++ b/test/daemon/discovery-task.test.ts
@@ -59,6 +59,7 @@
     links,
     isWatcher: () => world.isWatcher,
     watchers: () => world.watchers,
+    onEvacuations: () => {},
     onServers: () => {},
     onPeerState: () => {},
     onServerStateChanged: () => {},
--- a/test/failover/failover.test.ts
+++ b/test/failover/failover.test.ts
@@ -99,6 +99,14 @@
   assert.deepEqual(effectNames(done.effects), ['primaryChanged', 'promote b'])
 })
 
+// Guards against a promotion into a failure domain that was evacuated while the promotion ran.
+test('a server that leaves while the servers are fenced is not promoted where an active one has the same log', () => {
+  const leaving = (...names: readonly string[]): FailoverEvent => ({ kind: 'manifestChanged', database: databaseOf(['a', 'b', 'c'], names), nowMs: 1050 })
+  const drained = applyEvents(healthyDispatcher(0, 1000), [leaving('a'), fenced('a', 2, 12, 1060), ...statuses(1062, statusOf('b', { received: { term: 1, index: 12 } }))])
+  const done = applyEvents(drained.state, [leaving('a', 'b'), fenced('a', 2, 12, 1070), fenced('b', 2, 12, 1071), fenced('c', 2, 12, 1072)])
+  assert.deepEqual(effectNames(done.effects), ['primaryChanged', 'promote c'])
+})
+
 test('the most advanced log is promoted; of equal logs, that of an active server', () => {
   const candidates = { servers: ['a', 'b', 'c'], active: ['b', 'c'], currentPrimary: 'a' }
   const at = (term: number, index: number) => ({ term, index })
--- a/test/platform/bounds.test.ts
+++ b/test/platform/bounds.test.ts
@@ -8,7 +8,7 @@
 import { parseSettings, type Settings } from '../../src/config/index.js'
 import { builtProgram } from '../../standins/set/process.js'
 
-type Bounds = { readonly DrainMs: number, readonly ConfigApplyMs: number, readonly RevokeMs: number, readonly GraceS: number }
+type Bounds = { readonly DrainMs: number, readonly ConfigApplyMs: number, readonly RevokeMs: number, readonly GraceS: number, readonly EvacuateMs?: number }
 
 const bounds: Bounds = { DrainMs: 7000, ConfigApplyMs: 3000, RevokeMs: 5000, GraceS: 6 }
 
@@ -28,7 +28,8 @@
     ...Object.fromEntries(Object.entries(stated).map(([name, value]) => [`Bounds.${name}`, value]))
   }
   const template = readFileSync(join(builtProgram('..'), 'deploy', 'settings.toml'), 'utf8')
-  const text = template.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_, name: string, json?: string) => json === undefined ? String(fields[name]) : JSON.stringify(fields[name]))
+  const sections = template.replace(/\{\{#([\w.]+)\}\}([^]*?)\{\{\/\1\}\}/g, (_, name: string, body: string) => fields[name] === undefined ? '' : body)
+  const text = sections.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_, name: string, json?: string) => json === undefined ? String(fields[name]) : JSON.stringify(fields[name]))
   const result = parseSettings(text, 'settings.toml')
   assert.deepEqual(result.kind === 'invalid' ? result.errors : [], [])
   return (result as Extract<typeof result, { readonly kind: 'valid' }>).settings
@@ -40,6 +41,12 @@
   assert.equal(renderedSettings(bounds).stop.graceMs, bounds.GraceS * 1000)
 })
 
+// Guards against evacuations that are read where the users have none, or with another bound than theirs.
+test('the time of an evacuation is the one that the users state, and unset where they state none', () => {
+  assert.equal(renderedSettings({ ...bounds, EvacuateMs: 5000 }).control.evacuateMs, 5000)
+  assert.equal(renderedSettings(bounds).control.evacuateMs, undefined)
+})
+
 const drawnBounds: fc.Arbitrary<Bounds> = fc.record({
   DrainMs: fc.oneof(fc.integer({ min: 1000, max: 60_000 }), fc.integer({ min: 2000, max: 120_000 }).map(halves => halves / 2)),
   ConfigApplyMs: fc.integer({ min: 1000, max: 60_000 }),
