Server pace: concurrent statements follow the server's answers

Cause: a server that has just started, or that is in trouble, got as many statements at once as it has slots.

Change: with `control.server_pace = "on"` the dispatcher starts at a third of the slots, grows with good answers, and falls at once on errors, on `busy`, and while service times are high. Falls for slowness that do not help are undone. The gate combines this with the limit of cold servers and sets the slots of the queue. A permit's release tells how the statement ended.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -98,6 +98,8 @@
   readonly coldExcess?: number | undefined
   /** Statements per second that a cold server may get beyond that. */
   readonly coldSlack?: number | undefined
+  /** Whether the number of statements that a server is given at once follows its answers. */
+  readonly serverPace: 'on' | 'off'
 }
 
 /** Log level and format. */
@@ -195,7 +197,8 @@
     drain_ms: duration(100, dayMs).default(7_000),
     evacuate_ms: duration(1_000, dayMs).optional(),
     cold_excess: amount(maxColdValue).optional(),
-    cold_slack: amount(maxColdValue).optional()
+    cold_slack: amount(maxColdValue).optional(),
+    server_pace: choice(['on', 'off']).default('off')
   }),
   metrics: z.strictObject(statsdFields).superRefine(allOrNone(statsdFields)),
   stop: z.strictObject({
--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -6,7 +6,7 @@
 import type { PromotionProgress } from '../failover/index.js'
 import { capableMembers, dispatcherRanks, dispatchersOf, rendezvousOrder, type Member } from '../members/index.js'
 import { acceptsNewWork, notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PrimaryView, type ServerDeclaration, type ServerName } from '../model/index.js'
-import { coldBoundOf, isSoleDispatcher, soleAfterMembers, soleFromStart, type ColdBound, type SoleDispatcher } from '../pace/index.js'
+import { coldBoundOf, isSoleDispatcher, soleAfterMembers, soleFromStart, type ColdBound, type PaceFall, type SoleDispatcher } from '../pace/index.js'
 import { startAlarm, type Alarm } from '../pipe/index.js'
 import type { PromotionResult } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
@@ -24,6 +24,8 @@
   readonly onFailure: (server: ServerName, failure: string) => void
   /** The limit of statement starts per second for a cold server has changed; undefined: there is none. */
   readonly onColdLimit: (server: ServerName, perS: number | undefined) => void
+  /** The number of statements that a server is given at once has fallen, to `slots`. */
+  readonly onPaceFall: (server: ServerName, cause: PaceFall, slots: number) => void
   /** A connection from this host to the server was lost or could not be opened. */
   readonly onConnectionLost: (database: DatabaseName, server: ServerName) => void
 }
@@ -300,7 +302,8 @@
         const current = this.#declaredServer(database, server)
         return declared === undefined || current === undefined ? undefined : this.#coldBound(declared, current, this.#spec.context.timers.nowMs())
       },
-      onColdLimit: perS => { this.#spec.onColdLimit(server, perS) }
+      onColdLimit: perS => { this.#spec.onColdLimit(server, perS) },
+      onPaceFall: (cause, slots) => { this.#spec.onPaceFall(server, cause, slots) }
     }
   }
 
--- a/src/daemon/dispatcher-queue.ts
+++ b/src/daemon/dispatcher-queue.ts
@@ -3,7 +3,7 @@
 
 import type { DispatchRequest, Permit } from '../dispatch/index.js'
 import type { ServerDeclaration } from '../model/index.js'
-import { gateStep, initialGate, isColdWaitTooLong, usableSlots, type ColdBound, type GateState } from '../pace/index.js'
+import { gateStep, initialGate, isColdWaitTooLong, paceSlots, usableSlots, type ColdBound, type GateState, type PaceFall, type ServiceResult } from '../pace/index.js'
 import { ask, startTask, withoutAnswered, type Reply, type Transition } from '../pipe/index.js'
 import { fairQueueStep, initialFairQueue, type FairQueueEffect, type FairQueueEvent, type FairQueueState } from '../request/index.js'
 import type { DaemonContext } from './context.js'
@@ -12,17 +12,23 @@
 const queueTickMs = 10
 const mailboxCapacity = 65536
 
-type QueueMessage = FairQueueEvent
+type QueueMessage = Exclude<FairQueueEvent, { readonly kind: 'finished' }>
+  | Finished
+  /** The server has returned or been promoted. */
+  | { readonly kind: 'restarted', readonly nowMs: number }
   /** The server is no longer the primary: waiting writes have to go to the next one. */
   | { readonly kind: 'rejectWrites', readonly nowMs: number }
   /** A statement that needs no permit starts; it counts where starts are limited. */
   | { readonly kind: 'startedWithoutPermit', readonly nowMs: number }
   | { readonly kind: 'requestPermit', readonly request: DispatchRequest, readonly nowMs: number, readonly reply: Reply<Permit> }
 
+type Finished = Extract<FairQueueEvent, { readonly kind: 'finished' }> & { readonly result: ServiceResult }
+
 type QueueEffect =
   | { readonly kind: 'answer', readonly reply: Reply<Permit>, readonly effect: FairQueueEffect }
   | { readonly kind: 'reject', readonly reply: Reply<Permit>, readonly reason: 'noPrimary' | 'noServer' | 'serverBusy' }
   | { readonly kind: 'coldLimitChanged', readonly perS: number | undefined }
+  | { readonly kind: 'paceFell', readonly cause: PaceFall, readonly slots: number }
 
 type WaitingRequest = { readonly reply: Reply<Permit>, readonly isRead: boolean }
 
@@ -40,6 +46,8 @@
   readonly requestPermit: (request: DispatchRequest) => Promise<Permit>
   /** Counts a statement that starts without a permit. */
   readonly recordStart: () => void
+  /** Sets the pace back to its start: the server has returned or been promoted. */
+  readonly restartPace: () => void
   /** Rejects waiting writes: the server is no longer the primary. */
   readonly rejectWrites: () => void
   /** Refuses the waiting requests, which can go to another dispatcher, and ends the task. */
@@ -52,6 +60,8 @@
   readonly coldBound: () => ColdBound | undefined
   /** Called with the limit of starts per second; undefined: there is none any more. */
   readonly onColdLimit: (perS: number | undefined) => void
+  /** Called with the number of slots that are used after a fall. */
+  readonly onPaceFall: (cause: PaceFall, slots: number) => void
 }
 
 /**
@@ -65,18 +75,19 @@
   const { timers, settings } = context
   const task = startTask<QueueState, QueueMessage, QueueEffect>({
     name: `queue ${server.name}`,
-    initial: { queue: initialFairQueue({ slots: server.slots, maxWaiting: settings.limits.queueLength }), gate: initialGate(server.slots, timers.nowMs()), replies: new Map(), nextId: 1 },
+    initial: { queue: initialFairQueue({ slots: server.slots, maxWaiting: settings.limits.queueLength }), gate: initialGate(server.slots, settings.control.serverPace, timers.nowMs()), replies: new Map(), nextId: 1 },
     capacity: mailboxCapacity,
     onError: context.onTaskError(`queue ${server.name}`),
-    step: (state, message) => withColdLimit(state, limits.coldBound(), bounded => queueStep(bounded, message)),
+    step: (state, message) => withColdLimit(state, limits.coldBound(), message.nowMs, bounded => queueStep(bounded, message)),
     answerWaiting: state => [...state.replies.values()].map(({ reply }) => ({ kind: 'reject', reply, reason: 'noServer' })),
     schedule: { timers, dueAtMs: state => state.queue.waitingCount > 0 ? timers.nowMs() + queueTickMs : Infinity, tick: nowMs => ({ kind: 'tick', nowMs }) },
     perform: (effect, port) => {
       switch (effect.kind) {
         case 'reject': return effect.reply({ kind: 'refused', reason: effect.reason })
         case 'coldLimitChanged': return limits.onColdLimit(effect.perS)
-        case 'answer': return effect.reply(permitFor(effect.effect, timers.nowMs(), (id, tookMs) => {
-          port.send({ kind: 'finished', id, tookMs, nowMs: timers.nowMs() })
+        case 'paceFell': return limits.onPaceFall(effect.cause, effect.slots)
+        case 'answer': return effect.reply(permitFor(effect.effect, timers.nowMs(), (id, tookMs, result) => {
+          port.send({ kind: 'finished', id, tookMs, result, nowMs: timers.nowMs() })
         }, timers.nowMs))
       }
     }
@@ -85,6 +96,7 @@
   return {
     requestPermit: async request => await ask<QueueMessage, Permit>(task.port, reply => ({ kind: 'requestPermit', request, nowMs: timers.nowMs(), reply }), { kind: 'refused', reason: isStopped ? 'noServer' : 'queueFull' }),
     recordStart: () => { task.port.send({ kind: 'startedWithoutPermit', nowMs: timers.nowMs() }) },
+    restartPace: () => { task.port.send({ kind: 'restarted', nowMs: timers.nowMs() }) },
     rejectWrites: () => { task.port.send({ kind: 'rejectWrites', nowMs: timers.nowMs() }) },
     async stop () {
       isStopped = true
@@ -93,9 +105,9 @@
   }
 }
 
-function withColdLimit (state: QueueState, bound: ColdBound | undefined, step: (bounded: QueueState) => Transition<QueueState, QueueEffect>): Transition<QueueState, QueueEffect> {
+function withColdLimit (state: QueueState, bound: ColdBound | undefined, nowMs: number, step: (bounded: QueueState) => Transition<QueueState, QueueEffect>): Transition<QueueState, QueueEffect> {
   const before = state.gate.coldBound?.current
-  const next = step({ ...state, gate: gateStep(state.gate, { kind: 'coldBound', bound }) })
+  const next = step({ ...state, gate: gateStep(state.gate, { kind: 'coldBound', bound, nowMs }) })
   return before === bound?.current ? next : { ...next, effects: [{ kind: 'coldLimitChanged', perS: bound?.current }, ...next.effects] }
 }
 
@@ -103,14 +115,24 @@
   switch (message.kind) {
     case 'rejectWrites': return rejectPendingWrites(state, message.nowMs)
     case 'startedWithoutPermit': return { state: { ...state, gate: gateStep(state.gate, { kind: 'started', count: 1, nowMs: message.nowMs }) }, effects: [] }
+    case 'restarted': return { state: { ...state, gate: gateStep(state.gate, message) }, effects: [] }
     case 'requestPermit': return offer(state, message)
+    case 'finished': return finish(state, message)
     case 'offered':
-    case 'finished':
     case 'cancelled':
     case 'tick': return stepQueue(state, message)
   }
 }
 
+function finish (state: QueueState, message: Finished): Transition<QueueState, QueueEffect> {
+  const { result, tookMs: serviceMs, nowMs } = message
+  const gate = gateStep(state.gate, { kind: 'ended', result, serviceMs, nowMs })
+  const next = stepQueue({ ...state, gate }, message)
+  const [before, after] = [state.gate.pace, gate.pace]
+  if (before === undefined || after?.lastFall === undefined || paceSlots(after) >= paceSlots(before)) return next
+  return { ...next, effects: [{ kind: 'paceFell', cause: after.lastFall, slots: paceSlots(after) }, ...next.effects] }
+}
+
 function offer (state: QueueState, message: Extract<QueueMessage, { readonly kind: 'requestPermit' }>): Transition<QueueState, QueueEffect> {
   const { nowMs, reply } = message
   if (isColdWaitTooLong(state.gate, state.queue.waitingCount, nowMs)) return { state, effects: [{ kind: 'reject', reply, reason: 'serverBusy' }] }
@@ -154,9 +176,9 @@
   return { state: { ...state, queue, replies }, effects: answers }
 }
 
-function permitFor (effect: FairQueueEffect, startedAtMs: number, finish: (id: string, tookMs: number) => void, nowMs: () => number): Permit {
+function permitFor (effect: FairQueueEffect, startedAtMs: number, finish: (id: string, tookMs: number, result: ServiceResult) => void, nowMs: () => number): Permit {
   switch (effect.kind) {
-    case 'start': return { kind: 'granted', release: () => { finish(effect.id, nowMs() - startedAtMs) } }
+    case 'start': return { kind: 'granted', release: result => { finish(effect.id, nowMs() - startedAtMs, result) } }
     case 'refuse': return { kind: 'refused', reason: effect.reason }
   }
 }
--- a/src/daemon/dispatcher-task.ts
+++ b/src/daemon/dispatcher-task.ts
@@ -112,6 +112,7 @@
   return {
     load: () => running + transactions.size,
     closeUnresponsive () {
+      queue.restartPace()
       pool.closeIdle()
       const beforeMs = timers.nowMs()
       timers.after(responseGraceMs, { send: () => { pool.closeStuck(beforeMs); return 'accepted' } })
@@ -122,6 +123,7 @@
         queue.rejectWrites()
         pool.closeAll()
       }
+      if (!wasPrimary && isPrimary) queue.restartPace()
       wasPrimary = isPrimary
     },
     setIdleTransactionMs: idleMs => { transactions.setIdleTransactionMs(idleMs) },
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -140,6 +140,7 @@
     orderPromotion: async (database, server) => await leaderTask?.orderPromotion(database, server) ?? 'refused',
     onFailure: (server, failure) => { reports.event('serverConnectionFailed', { server, failure }) },
     onColdLimit: (server, perS) => { reports.event('coldLimitChanged', { server, perS: perS ?? 'none' }) },
+    onPaceFall: (server, cause, slots) => { reports.recordPaceFall(server, cause, slots) },
     onConnectionLost: (database, server) => {
       if (leader === undefined || leader === settings.host.name) return
       links.call(leader, 'suspect', { database, server }, announceTimeoutMs).catch(() => {})
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -6,7 +6,8 @@
 import { randomUUID } from 'node:crypto'
 import type { Settings } from '../config/index.js'
 import { watchersOf } from '../members/index.js'
-import { anonymousAccount, type DatabaseReport, type HostName, type HostReport, type IncomingStatement, type Outcome } from '../model/index.js'
+import { anonymousAccount, type DatabaseReport, type HostName, type HostReport, type IncomingStatement, type Outcome, type ServerName } from '../model/index.js'
+import type { PaceFall } from '../pace/index.js'
 import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
 import type { AccountStatsTable } from '../report/account-stats.js'
 import { activityText, addedCounts, eventLog, processTotals, reportCollectorStep, initialReportCollector, combineMetrics, noMetrics, outcomeTag, type Activity, type ActivityCount, type EventFields, type EventLog, type EventName, type ProcessTotals, type ReportCollectorEffect, type ReportCollectorEvent, type ReportCollectorState, type Metrics } from '../report/index.js'
@@ -43,6 +44,8 @@
   /** Records an unexpected error that a task survived. */
   readonly recordTaskFailure: (task: string, error: Error) => void
   readonly recordServed: (statement: IncomingStatement, outcome: Outcome, tookMs: number, generation: number) => void
+  /** Records that the pace of a server has fallen. */
+  readonly recordPaceFall: (server: ServerName, cause: PaceFall, slots: number) => void
   /**
    * Adds the report of another host of the failure domain; false where it was
    * not accepted.
@@ -101,6 +104,10 @@
       countStatement(metrics, { account, route: statement.route }, outcome, tookMs)
       if (outcome.kind === 'answered' && statement.statementClass.kind === 'read') metrics.count('read.served_by', { role: outcome.servedBy })
     },
+    recordPaceFall (server, cause, slots) {
+      metrics.count('server.pace_falls', { server, cause })
+      log.write('paceFell', { server, cause, slots })
+    },
     collectReport (report) {
       return collector?.port.send({ kind: 'reported', report, nowMs: timers.nowMs() }) === 'accepted'
     },
--- a/src/dispatch/message.ts
+++ b/src/dispatch/message.ts
@@ -1,5 +1,6 @@
 // Messages of the dispatcher's pipe, and the services that it uses.
 
+import type { ServiceResult } from '../pace/index.js'
 import type { Access, ExecuteReply, ExecuteRequest, HostName, NotRunReason, Outcome, Position, PrimaryView } from '../model/index.js'
 import type { ServerSession, SessionPool } from './server-session.js'
 
@@ -35,10 +36,10 @@
 
 /**
  * Result of waiting in the fair queue. `granted`: the statement may run;
- * `release` frees the server's slot.
+ * `release` frees the server's slot, and tells how the statement ended on the server.
  */
 export type Permit =
-  | { readonly kind: 'granted', readonly release: () => void }
+  | { readonly kind: 'granted', readonly release: (result: ServiceResult) => void }
   | { readonly kind: 'refused', readonly reason: NotRunReason }
 
 /** An open transaction at the dispatcher of its server. */
--- a/src/dispatch/pipe.ts
+++ b/src/dispatch/pipe.ts
@@ -1,7 +1,8 @@
 // The pipe of a server's dispatcher: check > queue > run > wait for a quorum. It
 // accepts statements from any proxy and always produces a reply.
 
-import { notRun, unknownOutcome } from '../model/index.js'
+import { notRun, unknownOutcome, type NotRunReason, type Outcome } from '../model/index.js'
+import type { ServiceResult } from '../pace/index.js'
 import { end, compose, next, type Filter } from '../pipe/index.js'
 import type { CheckedRequest, DispatchReply, DispatchRequest, DispatchServices, ExecutedRequest } from './message.js'
 import { drainTimeOver, run } from './run.js'
@@ -43,14 +44,34 @@
   return async message => {
     const permit = await services.acquirePermit(message)
     if (permit.kind === 'refused') return end({ outcome: notRun(permit.reason, 'the statement got no slot on the server and was not started'), transaction: undefined, newest: undefined })
+    let result: ServiceResult = 'failed'
     try {
-      return next(await run(services, message))
+      const executed = await run(services, message)
+      result = serviceResultOf(executed.outcome)
+      return next(executed)
     } finally {
-      permit.release()
+      permit.release(result)
     }
   }
 }
 
+function serviceResultOf (outcome: Outcome): ServiceResult {
+  if (outcome === drainTimeOver) return 'none'
+  switch (outcome.kind) {
+    case 'answered':
+    case 'refused': return 'answered'
+    case 'unknown':
+    case 'failed': return 'failed'
+    case 'notRun': return serviceResultOfRefusal(outcome.reason)
+  }
+}
+
+// All other reasons are those of the statement, its transaction or this host.
+function serviceResultOfRefusal (reason: NotRunReason): ServiceResult {
+  if (reason === 'serverBusy') return 'busy'
+  return reason === 'noServer' ? 'failed' : 'none'
+}
+
 function waitForQuorum (services: DispatchServices): Filter<ExecutedRequest, never, DispatchReply> {
   return async message => {
     const { outcome, transaction } = message
--- a/src/pace/gate.ts
+++ b/src/pace/gate.ts
@@ -3,28 +3,35 @@
 // know none of them.
 
 import { coldAllowance, coldWaitMs, initialColdStarts, recordColdStarts, type ColdBound, type ColdStarts } from './cold.js'
+import { initialPace, paceSlots, paceStep, type PaceState, type ServiceResult } from './pace.js'
 
 /** State of the gate of one server. */
 export type GateState = {
   readonly slots: number
   readonly cold: ColdStarts
   readonly coldBound: ColdBound | undefined
+  /** Undefined where the settings have no server pace: all slots are used. */
+  readonly pace: PaceState | undefined
 }
 
 /** Events of the gate. Times are monotonic. */
 export type GateEvent =
   /** The bound of the server while it is cold, as of now. */
-  | { readonly kind: 'coldBound', readonly bound: ColdBound | undefined }
+  | { readonly kind: 'coldBound', readonly bound: ColdBound | undefined, readonly nowMs: number }
   | { readonly kind: 'started', readonly count: number, readonly nowMs: number }
+  | { readonly kind: 'ended', readonly result: ServiceResult, readonly serviceMs: number, readonly nowMs: number }
+  /** The server has returned or been promoted. */
+  | { readonly kind: 'restarted', readonly nowMs: number }
 
 /**
  * Creates the gate of a dispatcher that begins.
  * @param slots - slots of the server
+ * @param serverPace - whether the number of statements follows the server's answers
  * @param nowMs - monotonic time
  * @returns the state
  */
-export function initialGate (slots: number, nowMs: number): GateState {
-  return { slots, cold: initialColdStarts(nowMs), coldBound: undefined }
+export function initialGate (slots: number, serverPace: 'on' | 'off', nowMs: number): GateState {
+  return { slots, cold: initialColdStarts(nowMs), coldBound: undefined, pace: serverPace === 'on' ? initialPace(slots) : undefined }
 }
 
 /**
@@ -35,7 +42,13 @@
  */
 export function gateStep (state: GateState, event: GateEvent): GateState {
   switch (event.kind) {
-    case 'coldBound': return { ...state, coldBound: event.bound }
+    case 'coldBound': {
+      const becomesCold = state.coldBound?.current === undefined && event.bound?.current !== undefined
+      const next = { ...state, coldBound: event.bound }
+      return becomesCold ? gateStep(next, { kind: 'restarted', nowMs: event.nowMs }) : next
+    }
+    case 'ended':
+    case 'restarted': return state.pace === undefined ? state : { ...state, pace: paceStep(state.pace, event) }
     case 'started': return { ...state, cold: recordColdStarts(state.cold, event.count, state.coldBound, event.nowMs) }
   }
 }
@@ -48,7 +61,8 @@
  * @returns the number, at most the slots of the server
  */
 export function usableSlots (state: GateState, running: number, nowMs: number): number {
-  return Math.min(state.slots, running + coldAllowance(state.cold, state.coldBound, nowMs))
+  const slots = state.pace === undefined ? state.slots : paceSlots(state.pace)
+  return Math.min(slots, running + coldAllowance(state.cold, state.coldBound, nowMs))
 }
 
 /** Longest wait for the start on a cold server; another server may run the statement sooner. */
--- a/src/pace/index.ts
+++ b/src/pace/index.ts
@@ -2,4 +2,5 @@
 
 export * from './cold.js'
 export * from './gate.js'
+export * from './pace.js'
 export * from './sole.js'
--- a/src/report/events.ts
+++ b/src/report/events.ts
@@ -46,6 +46,7 @@
   evacuationEnded: defineEvent(4102, 'info', 'The evacuation of a failure domain has ended; its servers may get statements again.', ['domain']),
   evacuationIgnored: defineEvent(4103, 'warn', 'The evacuation of a name was requested that is no failure domain of a server or host; it has no effect. Remove the request.', ['domain']),
   coldLimitChanged: defineEvent(4104, 'info', 'The number of statements that this host, as the dispatcher of a cold server, starts there in a second. `none`: the server is no longer cold.', ['server', 'perS']),
+  paceFell: defineEvent(4105, 'info', 'The number of statements that this host, as the dispatcher of a server, gives it at once has fallen, to `slots`: the server was busy, failed or became slow. It rises again with good answers.', ['server', 'cause', 'slots']),
   membersChanged: defineEvent(5001, 'info', 'The set of responsive hosts has changed.', ['live', 'listed']),
   hostForgotten: defineEvent(5002, 'info', 'The entry of a host that was unresponsive for a long time was removed from the registry.', ['forgotten']),
   dutyTaken: defineEvent(5003, 'info', 'This host acquired the leader lease, which allows it to order promotions.', ['token']),
--- a/src/report/metrics.ts
+++ b/src/report/metrics.ts
@@ -19,6 +19,7 @@
   'statement.count': defineMetric('counter', 'Statements that were answered, by account, route and outcome.', ['account', 'route', 'outcome']),
   'statement.ms': defineMetric('timing', 'Time from the arrival of a statement to its answer, in milliseconds.', ['account', 'route']),
   'read.served_by': defineMetric('counter', 'Reads by the role of the server that served them.', ['role']),
+  'server.pace_falls': defineMetric('counter', 'Falls of the number of statements that a server is given at once, by server and cause (busy, failed, slow).', ['server', 'cause']),
   'configuration.generation': defineMetric('gauge', 'Generation of the manifest in force.', []),
   'members.live': defineMetric('gauge', 'Hosts that answer, this one included.', []),
   'process.cpu_ms': defineMetric('counter', 'Processor time of this process, in milliseconds.', []),
--- a/test/daemon/dispatcher-queue.test.ts
+++ b/test/daemon/dispatcher-queue.test.ts
@@ -2,15 +2,15 @@
 import { test } from 'node:test'
 import type { DaemonContext } from '../../src/daemon/context.js'
 import { startQueue, type QueueLimits, type QueueTask } from '../../src/daemon/dispatcher-queue.js'
-import type { DispatchRequest } from '../../src/dispatch/index.js'
+import type { DispatchRequest, Permit } from '../../src/dispatch/index.js'
 import type { ServerDeclaration } from '../../src/model/index.js'
 import { coldWindowMs } from '../../src/pace/index.js'
 import { fakeTimers } from '../support/timers.js'
 
 /** The queue of a server with one slot, or with `slots`. */
-function startOneSlotQueue (limits: Partial<QueueLimits> = {}, slots = 1, timers = fakeTimers()): QueueTask {
-  const context = { timers, settings: { limits: { queueLength: 10 } }, onTaskError: () => assert.fail } as unknown as DaemonContext
-  return startQueue(context, { name: 's1', slots } as unknown as ServerDeclaration, { coldBound: () => undefined, onColdLimit: () => {}, ...limits })
+function startOneSlotQueue (limits: Partial<QueueLimits> = {}, slots = 1, timers = fakeTimers(), serverPace = 'off'): QueueTask {
+  const context = { timers, settings: { limits: { queueLength: 10 }, control: { serverPace } }, onTaskError: () => assert.fail } as unknown as DaemonContext
+  return startQueue(context, { name: 's1', slots } as unknown as ServerDeclaration, { coldBound: () => undefined, onColdLimit: () => {}, onPaceFall: () => {}, ...limits })
 }
 
 function writeRequest (): DispatchRequest {
@@ -40,3 +40,31 @@
   timers.pass(2 * coldWindowMs)
   assert.equal((await queue.requestPermit({ ...writeRequest(), deadlineAtMs: 5000 })).kind, 'granted')
 })
+
+/** Asks for permits at once and returns how many are granted before anything ends. */
+async function grantedAtOnce (queue: QueueTask, count: number): Promise<ReadonlyArray<Extract<Permit, { readonly kind: 'granted' }>>> {
+  let granted: ReadonlyArray<Extract<Permit, { readonly kind: 'granted' }>> = []
+  for (let asked = 0; asked < count; asked += 1) {
+    void queue.requestPermit({ ...writeRequest(), deadlineAtMs: 1e9 }).then(permit => { if (permit.kind === 'granted') granted = [...granted, permit] })
+  }
+  await new Promise(resolve => { setImmediate(resolve) })
+  return granted
+}
+
+// Guards against a server that gets as many statements at once after its start and after errors as ever.
+test('the pace of a server decides how many statements run at once', async () => {
+  let falls: readonly string[] = []
+  const timers = fakeTimers()
+  const queue = startOneSlotQueue({ onPaceFall: (cause, slots) => { falls = [...falls, `${cause} ${slots}`] } }, 5, timers, 'on')
+  let running = await grantedAtOnce(queue, 1)
+  for (let nowMs = 100; nowMs <= 1000; nowMs += 100) {
+    timers.pass(nowMs)
+    for (const permit of running) permit.release('answered')
+    running = await grantedAtOnce(queue, 1)
+  }
+  assert.equal((await grantedAtOnce(queue, 3)).length, 3)
+  timers.pass(1100)
+  running[0]?.release('failed')
+  assert.deepEqual([(await grantedAtOnce(queue, 3)).length, falls], [0, ['failed 2']])
+  await queue.stop()
+})
