--- a/src/evacuation/evacuations.ts
+++ b/src/evacuation/evacuations.ts
@@ -13,9 +13,12 @@
 export const evacuationKind = 'evacuations'
 /** Longest name that counts as that of a failure domain. */
 export const maxDomainLength = 256
-/** Evacuations that one message names; a fleet has far fewer failure domains. */
+/** Names in one message; a fleet has far fewer failure domains. Of more, hosts read the store themselves. */
 export const maxListedDomains = 1000
 
+/** An ended evacuation is kept for this time, the longest that a server is slow after its return. */
+const endedRetentionMs = 86_400_000
+
 /** All evacuations known to a host; `asOfMs` is -Infinity before the first list. */
 export type EvacuationsState = ListVersion & {
   /** Earliest possible time of each request; -Infinity where nothing is known. */
@@ -82,7 +85,7 @@
   const domains = new Set(names.filter(isDomainName))
   const ended = [...state.requestedSinceMs.keys()].filter(domain => !domains.has(domain)).map(domain => [domain, nowMs] as const)
   const requestedSinceMs = new Map([...domains].map(domain => [domain, state.requestedSinceMs.get(domain) ?? state.asOfMs]))
-  const stillEnded = [...state.endedAtMs].filter(([domain]) => !domains.has(domain))
+  const stillEnded = [...state.endedAtMs].filter(([domain, atMs]) => !domains.has(domain) && nowMs - atMs < endedRetentionMs)
   return {
     asOfMs: Math.max(state.asOfMs, version.asOfMs),
     revision: version.revision,
@@ -122,17 +125,14 @@
   return areEvacuationsKnown(a) === areEvacuationsKnown(b) && a.requestedSinceMs === b.requestedSinceMs && a.endedAtMs === b.endedAtMs
 }
 
-/** An ended evacuation is passed on for this time, the longest that a server is slow after its start. */
-const endedRetentionMs = 600_000
-
 /**
  * Makes the list for another host.
  * @param state - the evacuations
  * @param nowMs - monotonic time
- * @returns the list, or undefined where nothing is known yet
+ * @returns the list, or undefined where nothing is known yet or the list is too long
  */
 export function evacuationListOf (state: EvacuationsState, nowMs: number): EvacuationList | undefined {
-  if (!areEvacuationsKnown(state)) return undefined
+  if (!areEvacuationsKnown(state) || state.requestedSinceMs.size > maxListedDomains) return undefined
   const ages = (times: ReadonlyMap<FailureDomain, number>): EvacuationList['domains'] =>
     [...times].slice(0, maxListedDomains).map(([domain, atMs]) => ({ domain, agoMs: nowMs - atMs }))
   return {
--- a/test/evacuation/evacuations.test.ts
+++ b/test/evacuation/evacuations.test.ts
@@ -60,6 +60,7 @@
   const state = after(listed(0, ['nowhere', 'medina', 'spare', 'x'.repeat(300), '']))
   assert.deepEqual(unknownDomains(state, [ledger()], new Set(['spare'])), ['nowhere'])
   assert.deepEqual(endsOf(state), ['active', -Infinity, 'active'])
+  assert.equal(evacuationListOf(after(listed(0, Array.from({ length: 1001 }, (_, at) => `d${at}`))), 100), undefined)
 })
 
 type Action =
