--- a/src/daemon/call-table.ts
+++ b/src/daemon/call-table.ts
@@ -3,7 +3,7 @@
 // and before it waits for a slot, so it is kept until the statement is answered.
 
 import type { ExecuteRequest } from '../model/index.js'
-import type { CallName } from './dispatcher-queue.js'
+import type { CallName } from './queue-step.js'
 
 type Named = Pick<ExecuteRequest, 'from' | 'callId'>
 
--- a/src/daemon/discovery-task.ts
+++ b/src/daemon/discovery-task.ts
@@ -3,8 +3,8 @@
 // may become unresponsive. All other hosts, and a watcher without an answer from
 // the store, query a watcher.
 
-import { hasSameServers, hasUnknownEnding, noServers, serversDueAtMs, serversStep, type ServersEvent, type ServersState } from '../discovery/index.js'
-import type { DiscoveredServer, HostName, MemberState, ServerList } from '../model/index.js'
+import { hasSameServers, hasUnknownEnding, noServers, serversDueAtMs, serversStep, withoutStart, type ServersEvent, type ServersState } from '../discovery/index.js'
+import type { DiscoveredServer, EvacuationList, HostName, MemberState, ServerList } from '../model/index.js'
 import { SnapshotPublisher, sleep, startTask, type Port, type Snapshot } from '../pipe/index.js'
 import { asError, StoreError, watchInEra, type ServerSource } from '../ports/index.js'
 import type { DaemonContext } from './context.js'
@@ -39,6 +39,8 @@
   readonly onServers: (state: ServersState) => void
   /** Called with the state that a watcher sent with its list. */
   readonly onPeerState: (from: MemberState, sentAtMs: number) => void
+  /** Called with the evacuations that a watcher sent with its list. */
+  readonly onEvacuations: (list: EvacuationList | undefined, sentAtMs: number) => void
   /** Called when a server that was known before has announced that it leaves, or is active again. */
   readonly onServerStateChanged: (server: DiscoveredServer, list: ListOrigin) => void
   readonly onStoreFailure: () => void
@@ -154,10 +156,19 @@
     agoMs: nowMs - state.asOfMs,
     revision: state.revision,
     era: state.era,
-    leaving: leaving.length === 0 ? undefined : leaving
+    leaving: leaving.length === 0 ? undefined : leaving,
+    cold: coldServers(state, servers, nowMs)
   }
 }
 
+function coldServers ({ servers }: ServersState, listed: readonly DiscoveredServer[], nowMs: number): ServerList['cold'] {
+  const cold = listed.flatMap(({ name }) => {
+    const leftMs = (servers.get(name)?.cold?.untilMs ?? nowMs) - nowMs
+    return leftMs > 0 ? [{ server: name, leftMs }] : []
+  })
+  return cold.length === 0 ? undefined : cold
+}
+
 /**
  * Longest duration of one watch call.
  * @param drainMs - the drain time of a server
@@ -223,8 +234,9 @@
 // An entry that can't be decoded counts as removed.
 function decoded (spec: DiscoverySpec, objects: ReadonlyArray<{ readonly name: string, readonly value: unknown }>): Decoded {
   const entries = objects.map(({ name, value }) => ({ name, server: spec.source.decode(name, value) }))
+  const hasColdServers = spec.context.settings.control.coldExcess !== undefined
   return {
-    servers: entries.flatMap(({ server }) => server ?? []),
+    servers: entries.flatMap(({ server }) => server === undefined ? [] : hasColdServers ? server : withoutStart(server)),
     invalid: entries.filter(({ server }) => server === undefined).map(({ name }) => name)
   }
 }
@@ -243,8 +255,9 @@
   if (watcher === undefined) return false
   const local = presentServers(state.get())
   const sentAtMs = timers.nowMs()
-  const { list, from } = await spec.links.call(watcher, 'listServers', { known: listDigest(local) }, queryTimeoutMs).catch(() => ({ list: undefined, from: undefined }))
+  const { list, from, evacuations } = await spec.links.call(watcher, 'listServers', { known: listDigest(local) }, queryTimeoutMs).catch(() => ({ list: undefined, from: undefined, evacuations: undefined }))
   if (from !== undefined) spec.onPeerState(from, sentAtMs)
+  spec.onEvacuations(evacuations, sentAtMs)
   if (list === undefined) return false
   const nowMs = timers.nowMs()
   const event: ServersEvent = {
@@ -252,6 +265,7 @@
     servers: list.servers ?? local,
     version: { asOfMs: sentAtMs - list.agoMs, revision: list.revision, era: list.era },
     endingSinceMs: new Map((list.leaving ?? []).map(({ server, agoMs }) => [server, sentAtMs - agoMs])),
+    coldUntilMs: new Map((list.cold ?? []).map(({ server, leftMs }) => [server, nowMs + leftMs])),
     nowMs
   }
   port.send({ kind: 'received', event, origin: { source: watcher, ageMs: list.agoMs } })
--- a/src/daemon/dispatcher-task.ts
+++ b/src/daemon/dispatcher-task.ts
@@ -11,7 +11,8 @@
 import type { DatabaseTask } from './database-task.js'
 import { checkServer } from './dispatcher-check.js'
 import { CallTable } from './call-table.js'
-import { cancelledPermit, startQueue, type CallName } from './dispatcher-queue.js'
+import { startQueue, type QueueLimits } from './dispatcher-queue.js'
+import { cancelledPermit, type CallName } from './queue-step.js'
 import { ServerPool } from './session-pool.js'
 import { Transactions } from './transactions.js'
 
@@ -23,6 +24,7 @@
   readonly database: DatabaseTask
   /** See `DispatchServices`. */
   readonly acceptsNewWork: () => boolean
+  readonly limits: QueueLimits
   readonly onFailure: (failure: string) => void
 }
 
@@ -93,7 +95,7 @@
     onFailure: spec.onFailure
   })
   const transactions = new Transactions(context, Math.max(1, budget - server.slots), session => { pool.discard(session) })
-  const queue = startQueue(context, server)
+  const queue = startQueue(context, server, spec.limits)
   const calls = new CallTable()
   const { timers } = context
   const services: DispatchServices = {
@@ -104,7 +106,9 @@
     check: async message => await checkServer({ timers, server, database: spec.database, minPositionCheck: context.ports.driver.minPositionCheck }, message),
     acquirePermit: async message => {
       if (calls.isCancelled(message.request)) return cancelledPermit
-      return bypassesQueue(message, context.ports.driver.locking) ? noopPermit : await queue.requestPermit(message)
+      if (!bypassesQueue(message, context.ports.driver.locking)) return await queue.requestPermit(message)
+      queue.recordStart()
+      return noopPermit
     },
     awaitQuorum: async (position, deadlineAtMs) => {
       const latestAtMs = timers.nowMs() + context.settings.limits.confirmTimeoutMs
@@ -125,6 +129,7 @@
     serverLoad: () => queue.load(),
     load: () => running + transactions.size,
     closeUnresponsive () {
+      queue.restartPace()
       pool.closeIdle()
       const beforeMs = timers.nowMs()
       timers.after(responseGraceMs, { send: () => { pool.closeStuck(beforeMs); return 'accepted' } })
@@ -135,6 +140,7 @@
         queue.rejectWrites()
         pool.closeAll()
       }
+      if (!wasPrimary && isPrimary) queue.restartPace()
       wasPrimary = isPrimary
     },
     setIdleTransactionMs: idleMs => { transactions.setIdleTransactionMs(idleMs) },
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -19,9 +19,10 @@
 import { Databases } from './databases.js'
 import { decodePrimary, decodePartitionTable } from './decode.js'
 import { startDiscovery } from './discovery-task.js'
-import { startLeaderTask, type LeaderTask } from './leader-task.js'
+import { createLeaderTask, isLeaderCandidate, leaderRank } from './leader-wiring.js'
 import { observedStore, startEras, statedEra, type EraTask } from './era-task.js'
 import { EffectiveManifest } from './effective-manifest.js'
+import { createEvacuation, UnknownDomains } from './evacuation-wiring.js'
 import { startLimits } from './limits-task.js'
 import { startMembers, type MembersTask, type MembersView } from './members-task.js'
 import type { ProxyComponents } from './components.js'
@@ -54,8 +55,6 @@
 const incarnationBytes = 6
 /** Names of other writers' entries may be long. */
 const maxLoggedNameLength = 64
-/** In a fleet of at most this size all hosts are candidates for the leader lease. */
-const maxCandidates = 24
 /** Maximum deadline that a caller may request. */
 const maxDeadlineMs = 600_000
 
@@ -98,6 +97,7 @@
   components.members.begin()
   components.configuration.begin()
   components.discovery?.begin()
+  components.evacuation?.begin()
   reports.event('started', { host: settings.host.name, callerPort: callers.port, peerPort: peers.port })
   return {
     callerPort: callers.port,
@@ -158,12 +158,16 @@
     publish: view => { void publishPrimary(context, store, view).catch(() => { reports.event('storeUnreachable', { what: 'primary' }) }) },
     orderPromotion: async (database, server) => await leaderTask?.orderPromotion(database, server) ?? 'refused',
     onFailure: (server, failure) => { reports.event('serverConnectionFailed', { server, failure }) },
+    onColdLimit: (server, perS) => { reports.event('coldLimitChanged', { server, perS: perS ?? 'none' }) },
+    onPaceFall: (server, cause, slots) => { reports.recordPaceFall(server, cause, slots) },
     onConnectionLost: (database, server) => {
       if (leader === undefined || leader === settings.host.name) return
       links.call(leader, 'suspect', { database, server }, announceTimeoutMs).catch(() => {})
     }
   })
-  const effectiveManifest = new EffectiveManifest(settings.control.drainMs, manifest => {
+  const unknownDomains = new UnknownDomains(reports)
+  const effectiveManifest = new EffectiveManifest(settings.control, manifest => {
+    if (evacuation !== undefined) unknownDomains.check(evacuation.state.get(), manifest.databases, members.view.get().listed)
     routing.updateDatabases(manifest.databases)
     databases.applyManifest(manifest.databases)
     databases.setIdleTransactionMs(manifest.idleTransactionMs)
@@ -214,6 +218,14 @@
     onIgnored: ignored => { reports.event('storeEraIgnored', { ignored }) }
   })
   const leaderTask = createLeaderTask(context, reports, isLeader => { databases.setLeader(isLeader) })
+  const evacuation = createEvacuation({
+    context,
+    links,
+    reports,
+    isWatcher: () => members.view.get().quorum.includes(settings.host.name),
+    watchers: () => otherWatchers(members, settings.host.name),
+    onEvacuations: state => { effectiveManifest.applyEvacuations(state) }
+  })
   const discovery = ports.servers.kind === 'declared'
     ? undefined
     : startDiscovery({
@@ -223,6 +235,7 @@
       isWatcher: () => members.view.get().quorum.includes(settings.host.name),
       watchers: () => otherWatchers(members, settings.host.name),
       onPeerState: recordPeerState,
+      onEvacuations: (list, sentAtMs) => { evacuation?.recordList(list, sentAtMs) },
       onServers: state => {
         effectiveManifest.applyServers(state)
         reports.event('serversChanged', { servers: state.servers.size })
@@ -280,7 +293,7 @@
   const observationRelay = { context, links, databases, routing }
   if (ports.driver.statusDelivery === 'polled') startObservationRelay(observationRelay)
   reports.attach({ store, members, configuration, databases, routing, links, hostLoad, stopping })
-  return { context, reports, store, links, members, peerSupport, configuration, databases, hostLoad, routing, limits, effectiveManifest, eras, leaderTask, discovery, registry, observationRelay, recordLeader, stopping, localState }
+  return { context, reports, store, links, members, peerSupport, configuration, databases, hostLoad, routing, limits, effectiveManifest, eras, leaderTask, discovery, evacuation, registry, observationRelay, recordLeader, stopping, localState }
 }
 
 // The refusal of an admission that is not delegated.
@@ -288,23 +301,6 @@
   return admission.kind === 'refused' ? admission.outcome : undefined
 }
 
-// Event names and the value of `what` keep the earlier word duty for the leader
-// lease (see report/events.ts).
-function createLeaderTask (context: DaemonContext, reports: ProxyComponents['reports'], setLeader: (isLeader: boolean) => void): LeaderTask | undefined {
-  const { promotionMethod } = context.ports
-  if (promotionMethod.kind === 'byQuorum') return undefined
-  return startLeaderTask({
-    context,
-    order: promotionMethod.order,
-    onLeaseChange: (isLeader, token) => {
-      setLeader(isLeader)
-      reports.event(isLeader ? 'dutyTaken' : 'dutyLost', { token })
-    },
-    onOrder: (database, server, token, result) => { reports.event('promotionOrdered', { database, server, token, result }) },
-    onStoreFailure: () => { reports.event('storeUnreachable', { what: 'duty' }) }
-  })
-}
-
 function progressFields (progress: PromotionProgress): Omit<EventFields<'promotionProgress'>, 'database'> {
   switch (progress.kind) {
     case 'none': return { progress: 'none', reason: '', waitsFor: '' }
@@ -313,17 +309,6 @@
   }
 }
 
-// Watchers rank first, in quorum order; all other hosts share the rank after them.
-function leaderRank (view: MembersView, self: HostName): number {
-  const rank = view.quorum.indexOf(self)
-  return rank < 0 ? view.quorum.length : rank
-}
-
-// A watcher, any host of a small fleet, or any host while no watcher responds.
-function isLeaderCandidate ({ listed, quorum, unresponsive }: MembersView, self: HostName): boolean {
-  return listed.length <= maxCandidates || quorum.includes(self) || quorum.every(host => unresponsive.has(host))
-}
-
 function otherHosts (members: MembersTask, self: HostName): readonly HostName[] {
   return members.view.get().live.map(member => member.host).filter(host => host !== self)
 }
--- a/src/dispatch/message.ts
+++ b/src/dispatch/message.ts
@@ -1,5 +1,6 @@
 // Messages of the dispatcher's pipe, and the services that it uses.
 
+import type { ServiceResult } from '../pace/index.js'
 import type { Access, ExecuteReply, ExecuteRequest, HostName, NotRunReason, Outcome, Position, PrimaryView } from '../model/index.js'
 import type { ServerSession, SessionPool } from './server-session.js'
 
@@ -35,10 +36,11 @@
 
 /**
  * Result of waiting for a slot. `granted`: the statement may run; `release` frees the
- * server's slot. `detail`: text for the caller; by default a general one.
+ * server's slot, and tells how the statement ended on the server. `detail`: text for the
+ * caller; by default a general one.
  */
 export type Permit =
-  | { readonly kind: 'granted', readonly release: () => void }
+  | { readonly kind: 'granted', readonly release: (result: ServiceResult) => void }
   | { readonly kind: 'refused', readonly reason: NotRunReason, readonly detail?: string }
 
 /** An open transaction at the dispatcher of its server. */
--- a/src/report/metrics.ts
+++ b/src/report/metrics.ts
@@ -21,6 +21,7 @@
   'read.served_by': defineMetric('counter', 'Reads by the role of the server that served them.', ['role']),
   'route.sent': defineMetric('counter', 'Statements that this host sent to dispatchers, retries included, by server, its role, and its failure domain (`local` or `other`).', ['server', 'role', 'domain']),
   'route.ejections': defineMetric('counter', 'Servers that this host ejected because their statements failed.', ['database', 'server']),
+  'server.pace_falls': defineMetric('counter', 'Falls of the number of statements that a server is given at once, by server and cause (busy, failed, slow).', ['server', 'cause']),
   'configuration.generation': defineMetric('gauge', 'Generation of the manifest in force.', []),
   'store.era': defineMetric('gauge', 'Era of the store that this host knows; rises with each restore of the store from a copy.', []),
   'members.live': defineMetric('gauge', 'Hosts that answer, this one included.', []),
--- a/src/wire/peer-schema.ts
+++ b/src/wire/peer-schema.ts
@@ -126,6 +126,8 @@
     name,
     servers: z.array(server.extend({ maxConnections: count })),
     maxConnections: count.optional(),
+    coldS: amount.optional(),
+    coldPerS: amount.optional(),
     state: z.enum(['active', 'leaving'])
   })),
   routes: z.array(z.object({
@@ -181,9 +183,14 @@
   agoMs: amount,
   revision: count.optional(),
   era: count.optional(),
-  leaving: z.array(z.object({ server: name, agoMs: age })).optional()
+  leaving: z.array(z.object({ server: name, agoMs: age })).optional(),
+  cold: validEntries(z.object({ server: name, leftMs: amount })).optional()
 })
 
+const domainAges = validEntries(z.object({ domain: name, agoMs: age }))
+
+const evacuationList = z.object({ agoMs: amount, revision: count.optional(), era: count.optional(), domains: domainAges, ended: domainAges })
+
 const serverStatus = z.object({
   server: name,
   role: z.enum(['primary', 'replica']),
@@ -214,7 +221,7 @@
     database: name,
     primary: name.optional(),
     term: count,
-    servers: z.array(z.object({ server: name, home: name.optional(), lagEntries: amount.optional() }))
+    servers: z.array(z.object({ server: name, home: name.optional(), lagEntries: amount.optional(), coldLeftMs: amount.optional() }))
   })),
   accounts: z.array(z.object({ account: name, admitted: amount, refusedByRate: amount, latency }))
 })
@@ -235,7 +242,7 @@
   observe: { params: z.object({ database: name }), result: z.object({ observation: observation.optional() }) },
   suspect: { params: z.object({ database: name, server: name }), result: acknowledgement },
   primaryChanged: { params: z.object({ view: primaryView }), result: acknowledgement },
-  listServers: { params: z.object({ known: text }), result: z.object({ list: serverList.optional(), from: memberState.optional() }) },
+  listServers: { params: z.object({ known: text }), result: z.object({ list: serverList.optional(), from: memberState.optional(), evacuations: evacuationList.optional() }) },
   report: { params: z.object({ report: hostReport }), result: acknowledgement }
 }
 
