Cold servers: the load in replies states the wait for a start

Cause: entry hosts choose servers by the expected wait in replies. The scheduler of a cold server has free slots, so it stated a wait near 0 and attracted statements that the cold bound refused.

Change: the stated wait is at least that for a start under the bound (2 s at most), and the queue wakes when the bound allows a start. The bounds of a host are in src/daemon/cold-bounds.ts.

--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -6,17 +6,16 @@
 import type { PromotionProgress } from '../failover/index.js'
 import { dispatcherCandidates, placeDispatchers, placedDispatchers, rankDispatchers, type Member, type Placement } from '../members/index.js'
 import { acceptsNewWork, notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PeerParams, type PrimaryView, type ServerDeclaration, type ServerLoad, type ServerName } from '../model/index.js'
-import { coldBoundOf, isSoleDispatcher, soleAfterMembers, soleFromStart, type ColdBound, type PaceFall, type SoleDispatcher } from '../pace/index.js'
 import { startAlarm, type Alarm } from '../pipe/index.js'
 import type { PromotionResult } from '../ports/index.js'
+import { ColdBounds, type ColdBoundsSpec } from './cold-bounds.js'
 import type { DaemonContext } from './context.js'
 import { runAdmitted, type DelegatedAdmissionSpec } from './delegated-admission.js'
 import { startDatabase, type DatabaseTask } from './database-task.js'
-import type { QueueLimits } from './dispatcher-queue.js'
 import { startDispatcher, type DispatcherTask } from './dispatcher-task.js'
 
 /** Dependencies of the databases. */
-export type DatabasesSpec = {
+export type DatabasesSpec = Pick<ColdBoundsSpec, 'onColdLimit' | 'onPaceFall'> & {
   readonly context: DaemonContext
   readonly onPrimaryChanged: (view: PrimaryView) => void
   readonly takeToken: DelegatedAdmissionSpec['takeToken']
@@ -24,10 +23,6 @@
   readonly publish: (view: PrimaryView) => void
   readonly orderPromotion: (database: DatabaseName, server: ServerName) => Promise<PromotionResult>
   readonly onFailure: (server: ServerName, failure: string) => void
-  /** The limit of statement starts per second for a cold server has changed; undefined: there is none. */
-  readonly onColdLimit: (server: ServerName, perS: number | undefined) => void
-  /** The number of statements that a server is given at once has fallen, to `slots`. */
-  readonly onPaceFall: (server: ServerName, cause: PaceFall, slots: number) => void
   /** A connection from this host to the server was lost or could not be opened. */
   readonly onConnectionLost: (database: DatabaseName, server: ServerName) => void
 }
@@ -62,12 +57,12 @@
 /** The databases that are assigned to this host. */
 export class Databases {
   readonly #spec: DatabasesSpec
+  readonly #coldBounds: ColdBounds
   readonly #entries = new Map<DatabaseName, DatabaseEntry>()
   #declared: ReadonlyMap<DatabaseName, DatabaseDeclaration> = new Map()
   #stopping = false
   #isLeader = false
   #idleTransactionMs: number | undefined
-  #sole: SoleDispatcher = soleFromStart
   #lastRequestAtMs = -Infinity
   #placement: Placement = placeDispatchers({ databases: [], live: [], listed: [] })
   /** Goes off once no host has joined for a while. */
@@ -79,6 +74,7 @@
    */
   constructor (spec: DatabasesSpec) {
     this.#spec = spec
+    this.#coldBounds = new ColdBounds({ ...spec, declared: name => this.#declared.get(name) })
     this.#joinsSettled = startAlarm(spec.context.timers, { send: () => { this.#updateAssignments(); return 'accepted' } })
     spec.context.timers.every(sweepMs, { send: tick => { this.#closeUnused(tick.nowMs); return 'accepted' } })
   }
@@ -126,7 +122,7 @@
    * @param unresponsive - members that were found unresponsive
    */
   updateMembers (live: readonly Member[], listed: readonly Member[], unresponsive: ReadonlySet<HostName>): void {
-    this.#sole = soleAfterMembers(this.#sole, live, unresponsive, this.#spec.context.timers.nowMs())
+    this.#coldBounds.updateMembers(live, unresponsive)
     const { input } = this.#placement
     const hasJoined = live.some(({ host }) => !input.live.some(other => other.host === host))
     this.#placement = placeDispatchers({ ...input, live, listed })
@@ -308,7 +304,7 @@
     const entry = this.#entries.get(declared.name)
     const existing = entry?.dispatchers.get(server.name)
     const nowMs = this.#spec.context.timers.nowMs()
-    if (!belongsToTransaction(request) && this.#isLeftToAssigned(declared, server, nowMs)) return undefined
+    if (!belongsToTransaction(request) && this.#isLeftToAssigned(declared, server)) return undefined
     if (entry !== undefined) this.#entries.set(declared.name, { ...entry, usedAtMs: nowMs, requestedAtMs: nowMs })
     if (existing !== undefined) return existing
     if (!this.#isCandidate(declared, server)) return undefined
@@ -317,29 +313,11 @@
 
   // Two hosts together may use the bound of a cold server; a candidate that is not
   // assigned would be a third one.
-  #isLeftToAssigned (declared: DatabaseDeclaration, server: ServerDeclaration, nowMs: number): boolean {
-    if (this.#coldBound(declared, server, nowMs)?.current === undefined) return false
+  #isLeftToAssigned (declared: DatabaseDeclaration, server: ServerDeclaration): boolean {
+    if (!this.#coldBounds.isCold(declared, server)) return false
     return placedDispatchers(this.#placement, declared).get(server.name) !== this.#spec.context.settings.host.name
   }
 
-  #coldBound (database: DatabaseDeclaration, server: ServerDeclaration, nowMs: number): ColdBound | undefined {
-    const { control } = this.#spec.context.settings
-    return coldBoundOf({ database, server, settings: control, isAlone: isSoleDispatcher(this.#sole, nowMs), nowMs })
-  }
-
-  // The limits of a server's queue read the declaration in force.
-  #limitsOf (database: DatabaseName, server: ServerName): QueueLimits {
-    return {
-      coldBound: () => {
-        const declared = this.#declared.get(database)
-        const current = this.#declaredServer(database, server)
-        return declared === undefined || current === undefined ? undefined : this.#coldBound(declared, current, this.#spec.context.timers.nowMs())
-      },
-      onColdLimit: perS => { this.#spec.onColdLimit(server, perS) },
-      onPaceFall: (cause, slots) => { this.#spec.onPaceFall(server, cause, slots) }
-    }
-  }
-
   #declaredServer (database: DatabaseName, server: ServerName): ServerDeclaration | undefined {
     return this.#declared.get(database)?.servers.find(({ name }) => name === server)
   }
@@ -374,7 +352,7 @@
       server,
       database: entry.task,
       acceptsNewWork: () => acceptsNewWork(this.#declaredServer(entry.declaration.name, server.name), this.#spec.context.timers.nowMs()),
-      limits: this.#limitsOf(entry.declaration.name, server.name),
+      limits: this.#coldBounds.limitsOf(entry.declaration.name, server.name),
       onFailure: failure => {
         this.#spec.onFailure(server.name, failure)
         this.#spec.onConnectionLost(entry.declaration.name, server.name)
--- a/src/daemon/queue-step.ts
+++ b/src/daemon/queue-step.ts
@@ -3,7 +3,7 @@
 
 import type { DispatchRequest, Permit } from '../dispatch/index.js'
 import type { HostName, ServerDeclaration, ServerLoad } from '../model/index.js'
-import { gateDueAtMs, gateStep, initialGate, isColdWaitTooLong, paceSlots, usableSlots, type ColdBound, type GateState, type PaceFall, type ServiceResult } from '../pace/index.js'
+import { gateDueAtMs, gateStep, initialGate, isColdWaitTooLong, paceSlots, statedColdWaitMs, usableSlots, type ColdBound, type GateState, type PaceFall, type ServiceResult } from '../pace/index.js'
 import type { Reply, Transition } from '../pipe/index.js'
 import { compareNames, emptyMap, entriesOf, initialScheduler, schedulerDueAtMs, schedulerStep, serverLoadOf, sizeOf, valueOf, withEntry, withoutEntry, type OfferedStatement, type OrderedMap, type SchedulerEffect, type SchedulerEvent, type SchedulerState } from '../schedule/index.js'
 import type { DaemonContext } from './context.js'
@@ -122,7 +122,7 @@
 }
 
 function requestPermit (state: QueueState, { request, reply, nowMs }: Extract<QueueMessage, { readonly kind: 'requestPermit' }>): Next {
-  if (isColdWaitTooLong(state.gate, sizeOf(state.scheduler.waiting), nowMs)) return { state, effects: [{ kind: 'reject', reply, permit: { kind: 'refused', reason: 'serverBusy' } }] }
+  if (isColdWaitTooLong(state.gate, sizeOf(state.scheduler.waiting), nowMs)) return withEffects([{ kind: 'reject', reply, permit: { kind: 'refused', reason: 'serverBusy' } }], schedule(state, { kind: 'tick', nowMs }))
   const id = String(state.nextId)
   const { from, callId, mode } = request.request
   const call = callId === undefined ? undefined : callKey({ from, callId })
@@ -194,7 +194,7 @@
   }, { state: state.scheduler, effects: [] })
   const count = effects.filter(({ kind }) => kind === 'start').length
   const gate = count === 0 ? state.gate : gateStep(state.gate, { kind: 'started', count, nowMs })
-  return answerAll({ ...state, gate, scheduler }, effects)
+  return answerAll({ ...state, gate, scheduler }, effects, nowMs)
 }
 
 // Slots count from the statements that run after the event, so they are set before it:
@@ -209,9 +209,16 @@
   return event.kind === 'cancelled' ? [event, changed] : [changed, event]
 }
 
-function answerAll (before: QueueState, effects: readonly SchedulerEffect[]): Next {
+// A cold server with free slots may still have no room, so that other hosts should choose
+// another one.
+function loadOf ({ scheduler, gate }: QueueState, nowMs: number): ServerLoad {
+  const load = serverLoadOf(scheduler)
+  return { ...load, expectedWaitMs: Math.max(load.expectedWaitMs, Math.round(statedColdWaitMs(gate, load.waiting, nowMs))) }
+}
+
+function answerAll (before: QueueState, effects: readonly SchedulerEffect[], nowMs: number): Next {
   let state = before
-  const answers: QueueEffect[] = [{ kind: 'publish', load: serverLoadOf(state.scheduler) }]
+  const answers: QueueEffect[] = [{ kind: 'publish', load: loadOf(state, nowMs) }]
   for (const effect of effects) {
     const reply = valueOf(state.requests, effect.id)?.reply
     if (reply !== undefined) answers.push({ kind: 'answer', reply, effect })
--- a/src/pace/gate.ts
+++ b/src/pace/gate.ts
@@ -65,6 +65,23 @@
   return Math.min(slots, running + coldAllowance(state.cold, state.coldBound, nowMs))
 }
 
+/**
+ * Longest wait for the start on a cold server that is stated to other hosts. They
+ * average what they are told, so a bound of 0 must not be stated as infinite.
+ */
+const maxStatedWaitMs = 2000
+
+/**
+ * Time until a further statement may start on a cold server, for other hosts.
+ * @param state - the gate
+ * @param waiting - statements that wait
+ * @param nowMs - monotonic time
+ * @returns milliseconds, 0 where the server is not cold
+ */
+export function statedColdWaitMs (state: GateState, waiting: number, nowMs: number): number {
+  return Math.min(maxStatedWaitMs, coldWaitMs(state.cold, state.coldBound, waiting, nowMs))
+}
+
 /** Longest wait for the start on a cold server; another server may run the statement sooner. */
 const maxColdWaitMs = 250
 
--- a/test/daemon/dispatcher-queue.test.ts
+++ b/test/daemon/dispatcher-queue.test.ts
@@ -58,7 +58,7 @@
   assert.deepEqual(queue.load(), { expectedWaitMs: 1, serviceMs: 1, waiting: 0, slots: 2 })
 })
 
-// Guards against more statements on a cold server than its bound, and against statements that wait for it although another server could run them.
+// Guards against more statements on a cold server than its bound, statements that wait for it although another server could run them, and a load that still attracts them.
 test('a cold server gets no more statements than its bound, and those that would wait long are refused at once', async () => {
   const timers = fakeTimers()
   let limit: number | undefined
@@ -67,10 +67,31 @@
   const permits = await Promise.all(Array.from({ length: 5 }, async () => await queue.requestPermit({ ...writeRequest(), deadlineAtMs: 5000 })))
   assert.deepEqual(permits.map(permit => permit.kind === 'granted' ? 'granted' : permit.reason), ['granted', 'granted', 'granted', 'serverBusy', 'serverBusy'])
   assert.equal(limit, 3)
+  assert.equal(queue.load().expectedWaitMs, coldWindowMs)
   timers.pass(2 * coldWindowMs)
   assert.equal((await queue.requestPermit({ ...writeRequest(), deadlineAtMs: 5000 })).kind, 'granted')
 })
 
+// Guards against an end that makes room on a cold server, and against a wait for the next event after the bound allows a start.
+test('a statement that waits for a cold server starts when the bound allows it, and not when another one ends', async () => {
+  const timers = fakeTimers()
+  const queue = startOneSlotQueue({ coldBound: () => ({ whole: 4, current: 2 }) }, 5, timers)
+  timers.pass(coldWindowMs)
+  const started = await grantedAtOnce(queue, 2)
+  assert.equal(started.length, 2)
+  timers.pass(2 * coldWindowMs - 100)
+  let isStarted = false
+  void queue.requestPermit({ ...writeRequest(), deadlineAtMs: 1e9 }).then(permit => { isStarted = permit.kind === 'granted' })
+  timers.pass(2 * coldWindowMs - 90)
+  started[0]?.release('answered')
+  await new Promise(resolve => { setImmediate(resolve) })
+  assert.equal(isStarted, false)
+  timers.pass(2 * coldWindowMs)
+  await new Promise(resolve => { setImmediate(resolve) })
+  assert.equal(isStarted, true)
+  await queue.stop()
+})
+
 /** Asks for permits at once and returns how many are granted before anything ends. */
 async function grantedAtOnce (queue: QueueTask, count: number): Promise<ReadonlyArray<Extract<Permit, { readonly kind: 'granted' }>>> {
   let granted: ReadonlyArray<Extract<Permit, { readonly kind: 'granted' }>> = []
--- a/test/daemon/evacuation-task.test.ts
+++ b/test/daemon/evacuation-task.test.ts
@@ -5,6 +5,7 @@
 import type { DaemonContext } from '../../src/daemon/context.js'
 import { startEvacuation, type EvacuationTask } from '../../src/daemon/evacuation-task.js'
 import type { PeerLinks } from '../../src/daemon/peers.js'
+import { eraRestorationMs } from '../../src/discovery/index.js'
 import type { EvacuationList } from '../../src/model/index.js'
 import { StoreError, type ObjectStore } from '../../src/ports/index.js'
 import { fakeTimers, type FakeTimers } from '../support/timers.js'
@@ -16,7 +17,7 @@
   readonly isWatcher: boolean
   /** What the only other watcher answers. */
   readonly peer: (nowMs: number) => EvacuationList | undefined
-  readonly store: (timers: FakeTimers) => Pick<ObjectStore, 'listObjects' | 'watch'>
+  readonly store: (timers: FakeTimers) => Pick<ObjectStore, 'listObjects' | 'watch' | 'eras'>
 }
 
 type Started = { readonly task: EvacuationTask, readonly calls: () => number, readonly pass: (untilMs: number) => Promise<void> }
@@ -26,6 +27,7 @@
   const store = world.store(timers)
   let calls = 0
   const counted: typeof store = {
+    ...store,
     listObjects: async kind => { calls += 1; return await store.listObjects(kind) },
     watch: async (...args) => { calls += 1; return await store.watch(...args) }
   }
@@ -89,3 +91,28 @@
   await pass(30_000)
   assert.deepEqual([calls(), domainsOf(task)], [0, []])
 })
+
+// Guards against an evacuation that ends without a word when the store returns from a copy, and against one of the copy that a watch from the earlier revision does not show.
+test('a store that returns from a copy is listed again within a watch, and a request that the copy lacks stays in force for the restoration time', async () => {
+  const restoredMs = 2000
+  const eraAt = (timers: FakeTimers): number => timers.nowMs() < restoredMs ? 0 : 1
+  const { task, pass } = startIn({
+    isWatcher: true,
+    peer: () => undefined,
+    store: timers => ({
+      eras: () => ({ era: eraAt(timers), ignored: 0 }),
+      listObjects: async kind => ({ revision: 7, era: eraAt(timers), objects: [{ kind, name: eraAt(timers) === 0 ? 'medina' : 'hlm', version: 1, value: 7 }] }),
+      watch: async (_kind, revision, waitMs) => await new Promise(resolve => {
+        timers.after(waitMs, { send: () => { resolve({ revision, era: eraAt(timers), objects: [], removed: [] }); return 'accepted' } })
+      })
+    })
+  })
+  await pass(restoredMs - stepMs)
+  assert.deepEqual(domainsOf(task), ['medina'])
+  await pass(restoredMs + 1500)
+  assert.deepEqual([domainsOf(task), task.state.get().era], [['medina', 'hlm'], 1])
+  await pass(restoredMs + eraRestorationMs)
+  assert.deepEqual(domainsOf(task), ['medina', 'hlm'])
+  await pass(restoredMs + eraRestorationMs + 15_000)
+  assert.deepEqual(domainsOf(task), ['hlm'])
+})
