--- a/src/daemon/components.ts
+++ b/src/daemon/components.ts
@@ -6,6 +6,7 @@
 import type { DaemonContext } from './context.js'
 import type { DiscoveryTask } from './discovery-task.js'
 import type { EraTask } from './era-task.js'
+import type { EvacuationTask } from './evacuation-task.js'
 import type { GuardTask } from './guard-task.js'
 import type { LeaderTask } from './leader-task.js'
 import type { EffectiveManifest } from './effective-manifest.js'
@@ -41,6 +42,8 @@
   readonly leaderTask: LeaderTask | undefined
   /** Set where servers register themselves. */
   readonly discovery: DiscoveryTask | undefined
+  /** Set where the settings have `evacuate_ms`. */
+  readonly evacuation: EvacuationTask | undefined
   /** Set where hosts register themselves. */
   readonly registry: Registry | undefined
   readonly observationRelay: ObservationRelaySpec
--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -8,13 +8,14 @@
 import { acceptsNewWork, notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PeerParams, type PrimaryView, type ServerDeclaration, type ServerLoad, type ServerName } from '../model/index.js'
 import { startAlarm, type Alarm } from '../pipe/index.js'
 import type { PromotionResult } from '../ports/index.js'
+import { ColdBounds, type ColdBoundsSpec } from './cold-bounds.js'
 import type { DaemonContext } from './context.js'
 import { runAdmitted, type DelegatedAdmissionSpec } from './delegated-admission.js'
 import { startDatabase, type DatabaseTask } from './database-task.js'
 import { startDispatcher, type DispatcherTask } from './dispatcher-task.js'
 
 /** Dependencies of the databases. */
-export type DatabasesSpec = {
+export type DatabasesSpec = Pick<ColdBoundsSpec, 'onColdLimit' | 'onPaceFall'> & {
   readonly context: DaemonContext
   readonly onPrimaryChanged: (view: PrimaryView) => void
   readonly takeToken: DelegatedAdmissionSpec['takeToken']
@@ -56,6 +57,7 @@
 /** The databases that are assigned to this host. */
 export class Databases {
   readonly #spec: DatabasesSpec
+  readonly #coldBounds: ColdBounds
   readonly #entries = new Map<DatabaseName, DatabaseEntry>()
   #declared: ReadonlyMap<DatabaseName, DatabaseDeclaration> = new Map()
   #stopping = false
@@ -72,6 +74,7 @@
    */
   constructor (spec: DatabasesSpec) {
     this.#spec = spec
+    this.#coldBounds = new ColdBounds({ ...spec, declared: name => this.#declared.get(name) })
     this.#joinsSettled = startAlarm(spec.context.timers, { send: () => { this.#updateAssignments(); return 'accepted' } })
     spec.context.timers.every(sweepMs, { send: tick => { this.#closeUnused(tick.nowMs); return 'accepted' } })
   }
@@ -119,6 +122,7 @@
    * @param unresponsive - members that were found unresponsive
    */
   updateMembers (live: readonly Member[], listed: readonly Member[], unresponsive: ReadonlySet<HostName>): void {
+    this.#coldBounds.updateMembers(live, unresponsive)
     const { input } = this.#placement
     const hasJoined = live.some(({ host }) => !input.live.some(other => other.host === host))
     this.#placement = placeDispatchers({ ...input, live, listed })
@@ -300,12 +304,20 @@
     const entry = this.#entries.get(declared.name)
     const existing = entry?.dispatchers.get(server.name)
     const nowMs = this.#spec.context.timers.nowMs()
+    if (!belongsToTransaction(request) && this.#isLeftToAssigned(declared, server)) return undefined
     if (entry !== undefined) this.#entries.set(declared.name, { ...entry, usedAtMs: nowMs, requestedAtMs: nowMs })
     if (existing !== undefined) return existing
     if (!this.#isCandidate(declared, server)) return undefined
     return this.#openDispatcher(this.#entryFor(declared), server)
   }
 
+  // Two hosts together may use the bound of a cold server; a candidate that is not
+  // assigned would be a third one.
+  #isLeftToAssigned (declared: DatabaseDeclaration, server: ServerDeclaration): boolean {
+    if (!this.#coldBounds.isCold(declared, server)) return false
+    return placedDispatchers(this.#placement, declared).get(server.name) !== this.#spec.context.settings.host.name
+  }
+
   #declaredServer (database: DatabaseName, server: ServerName): ServerDeclaration | undefined {
     return this.#declared.get(database)?.servers.find(({ name }) => name === server)
   }
@@ -340,6 +352,7 @@
       server,
       database: entry.task,
       acceptsNewWork: () => acceptsNewWork(this.#declaredServer(entry.declaration.name, server.name), this.#spec.context.timers.nowMs()),
+      limits: this.#coldBounds.limitsOf(entry.declaration.name, server.name),
       onFailure: failure => {
         this.#spec.onFailure(server.name, failure)
         this.#spec.onConnectionLost(entry.declaration.name, server.name)
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -8,6 +8,7 @@
 import type { CloseReason } from '../guard/index.js'
 import { watchersOf } from '../members/index.js'
 import { anonymousAccount, type DatabaseName, type DatabaseReport, type HostLoad, type HostName, type HostReport, type IncomingStatement, type Outcome, type ServerName } from '../model/index.js'
+import type { PaceFall } from '../pace/index.js'
 import { startTask, tickPort, type Port, type Task, type TimerService } from '../pipe/index.js'
 import type { AccountStatsTable } from '../report/account-stats.js'
 import { activityText, addedCounts, eventLog, processTotals, reportCollectorStep, initialReportCollector, combineMetrics, noMetrics, outcomeTag, type Activity, type ActivityCount, type EventFields, type EventLog, type EventName, type ProcessTotals, type ReportCollectorEffect, type ReportCollectorEvent, type ReportCollectorState, type Metrics } from '../report/index.js'
@@ -56,6 +57,8 @@
   readonly recordEjection: (database: DatabaseName, change: EjectionChange) => void
   /** Records a retry that the retry budget allowed or refused. */
   readonly recordRetry: (result: 'made' | 'refused') => void
+  /** Records that the pace of a server has fallen. */
+  readonly recordPaceFall: (server: ServerName, cause: PaceFall, slots: number) => void
   /**
    * Adds the report of another host of the failure domain; false where it was
    * not accepted.
@@ -123,6 +126,10 @@
     recordRetry (result) {
       metrics.count('retry.count', { result })
     },
+    recordPaceFall (server, cause, slots) {
+      metrics.count('server.pace_falls', { server, cause })
+      log.write('paceFell', { server, cause, slots })
+    },
     collectReport (report) {
       return collector?.port.send({ kind: 'reported', report, nowMs: timers.nowMs() }) === 'accepted'
     },
@@ -296,11 +303,12 @@
       const { primary, statuses } = task.view.get()
       const dispatchers = components.routing.dispatchers(declaration.name)
       const logEnd = primary.primary === undefined ? undefined : statuses.get(primary.primary)?.received
-      const servers = declaration.servers.map(({ name }): DatabaseReport['servers'][number] => {
+      const servers = declaration.servers.map(({ name, coldUntilMs = -Infinity }): DatabaseReport['servers'][number] => {
         const applied = statuses.get(name)?.applied
         const lagEntries = logEnd === undefined || applied === undefined ? undefined : Math.max(0, logEnd.index - applied.index)
         // `home`: wire name of the dispatcher.
-        return { server: name, home: dispatchers.get(name), lagEntries }
+        const coldLeftMs = coldUntilMs - spec.timers.nowMs()
+        return { server: name, home: dispatchers.get(name), lagEntries, ...(coldLeftMs > 0 ? { coldLeftMs: Math.round(coldLeftMs) } : {}) }
       })
       return { database: declaration.name, primary: primary.primary, term: primary.term, servers }
     }),
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -280,6 +280,22 @@
    * earlier version does not send it.
    */
   readonly leaving?: ReadonlyArray<{ readonly server: ServerName, readonly agoMs: number }> | undefined
+  /** The cold servers of the list, each with the time for which it stays so. */
+  readonly cold?: ReadonlyArray<{ readonly server: ServerName, readonly leftMs: number }> | undefined
+}
+
+/** The evacuations of failure domains that a host knows. */
+export type EvacuationList = {
+  /** Time since the moment as of which the list is complete. */
+  readonly agoMs: number
+  /** Revision of the store that the list reflects. */
+  readonly revision?: number | undefined
+  /** Era of the store that the revision is of; undefined: 0. */
+  readonly era?: number | undefined
+  /** Longest possible time since each request; Infinity where nothing is known. */
+  readonly domains: ReadonlyArray<{ readonly domain: FailureDomain, readonly agoMs: number }>
+  /** Time since the end of each evacuation that ended recently. */
+  readonly ended: ReadonlyArray<{ readonly domain: FailureDomain, readonly agoMs: number }>
 }
 
 /** Parameters and results of each method. */
@@ -315,9 +331,10 @@
   /**
    * Returns the registered servers that the called host has found; undefined:
    * none yet. `known` is the digest of the caller's list, and `from` as in
-   * `listHosts`.
+   * `listHosts`. `evacuations`: not sent where the settings have no `evacuate_ms`, and
+   * by a proxy of an earlier version.
    */
-  readonly listServers: { readonly params: { readonly known: string }, readonly result: { readonly list: ServerList | undefined, readonly from?: MemberState | undefined } }
+  readonly listServers: { readonly params: { readonly known: string }, readonly result: { readonly list: ServerList | undefined, readonly from?: MemberState | undefined, readonly evacuations?: EvacuationList | undefined } }
   readonly report: { readonly params: { readonly report: HostReport }, readonly result: { readonly accepted: boolean } }
 }
 
@@ -355,8 +372,8 @@
   readonly database: DatabaseName
   readonly primary: ServerName | undefined
   readonly term: number
-  /** `home`: dispatcher of the server. */
-  readonly servers: ReadonlyArray<{ readonly server: ServerName, readonly home: HostName | undefined, readonly lagEntries: number | undefined }>
+  /** `home`: dispatcher of the server; `coldLeftMs`: set while the server is cold. */
+  readonly servers: ReadonlyArray<{ readonly server: ServerName, readonly home: HostName | undefined, readonly lagEntries: number | undefined, readonly coldLeftMs?: number | undefined }>
 }
 
 /** Request counts and latency of one client account in the report of a host. */
