Evacuations: test with real processes and a store restored from a copy

Guards against an evacuation that ends without a word because the copy lacks its request. Fails with the hold of missing requests removed.

--- a/test/platform/evacuation.test.ts
+++ b/test/platform/evacuation.test.ts
@@ -52,3 +52,39 @@
   for (const zone of zones) fleet.store.remove('evacuations', zone)
   await untilServed(fleet, 0, 'WRITE served again')
 })
+
+/** Longer than the period of listings. */
+const restoredWatchMs = 12_000
+/** The end of a request that was written again does not wait for the restoration time. */
+const promptEndMs = 5000
+
+// Guards against an evacuation that ends without a word because the store returned from a copy without its request.
+test('a domain whose request the restored store lacks stays evacuated, and an end by the operator is followed at once', async t => {
+  const fleet = await startServingFleet(t, { bounds })
+  const [server] = fleet.servers
+  assert.ok(server !== undefined)
+  const knowing = (event: string): boolean => fleet.proxies.every(proxy => proxy.output().some(line => line.includes(event)))
+  const copiedAtMs = Date.now()
+  await delay(500)
+  fleet.store.put('evacuations', 'medina', {})
+  const atBound = delay(evacuateMs)
+  await until('all hosts know', async () => knowing('"evacuationBegun"') ? true : undefined)
+  fleet.store.restoreCopy(Date.now() - copiedAtMs)
+  assert.equal(fleet.store.get('evacuations', 'medina'), undefined)
+  await atBound
+  const runs = server.runs.length
+  await Promise.all(fleet.proxies.map(async (_, at) => await untilServed(fleet, at, 'WRITE after the restore')))
+  const reader = await openSession(fleet, 1, 'notes')
+  const untilMs = Date.now() + restoredWatchMs
+  while (Date.now() < untilMs) {
+    await reader.query('READ one')
+    await delay(statementSpacingMs)
+  }
+  assert.ok(fleet.proxies.some(proxy => proxy.output().some(line => line.includes('"storeRestored"'))))
+  assert.equal(server.runs.length, runs)
+  assert.ok(!fleet.proxies.some(proxy => proxy.output().some(line => line.includes('"evacuationEnded"'))))
+  fleet.store.put('evacuations', 'medina', {})
+  await delay(restoredWatchMs / 4)
+  fleet.store.remove('evacuations', 'medina')
+  await until('a host ends the evacuation', async () => fleet.proxies.some(proxy => proxy.output().some(line => line.includes('"evacuationEnded"'))) ? true : undefined, promptEndMs)
+})
