A new primary is published until the store has it

Cause: the publication gave up after 5 s. With the store down for longer, the earlier primary stayed published until the next change.

Change: primary-publisher.ts keeps the latest view of each database and writes it until that succeeds.

Evidence: daemon/primary-publisher, an outage of 20 s.

--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -1,13 +1,13 @@
 // One proxy process: creates and wires the components, serves until it is stopped,
 // and stops without interrupting a request.
 
-import { randomBytes, randomUUID } from 'node:crypto'
+import { randomBytes } from 'node:crypto'
 import { ownFeatures, type Admission } from '../admission/index.js'
 import { confirmedUntilMs, contactUntilMs, containsKey, type Settings } from '../config/index.js'
 import type { PromotionProgress } from '../failover/index.js'
 import type { HostName, MemberState, Outcome, PrimaryView } from '../model/index.js'
 import { sleep, systemTimers } from '../pipe/index.js'
-import { updateObject, type ObjectStore, type ProxyPorts } from '../ports/index.js'
+import type { ProxyPorts } from '../ports/index.js'
 import { Activity, type EventFields, processTotals } from '../report/index.js'
 import { requestPipe, type ConfigurationInForce, type RequestServices } from '../request/index.js'
 import { listenForPeers } from '../wire/peer-link.js'
@@ -17,7 +17,7 @@
 import type { DaemonContext } from './context.js'
 import { countedHandlers, countedPorts } from './counted-ports.js'
 import { Databases } from './databases.js'
-import { decodePrimary, decodePartitionTable } from './decode.js'
+import { decodePartitionTable } from './decode.js'
 import { startDiscovery } from './discovery-task.js'
 import { createLeaderTask, isLeaderCandidate, leaderRank } from './leader-wiring.js'
 import { observedStore, startEras, statedEra, type EraTask } from './era-task.js'
@@ -33,6 +33,7 @@
 import { PeerSupportTable } from './peer-support.js'
 import { startRegistry } from './registry-task.js'
 import { startHostLoad } from './host-load-task.js'
+import { PrimaryPublisher } from './primary-publisher.js'
 import { cancelAt, executeAt, rollBack } from './remote-statements.js'
 import { startReports } from './reports.js'
 import { RoutingTable } from './routing.js'
@@ -51,7 +52,6 @@
   readonly stop: () => Promise<void>
 }
 
-const publishDeadlineMs = 5000
 /** Random bytes of the incarnation, which is part of every heartbeat. */
 const incarnationBytes = 6
 /** Names of other writers' entries may be long. */
@@ -149,6 +149,13 @@
     members.send({ kind: 'linkFailed', host, nowMs: timers.nowMs() })
   })
   let leader: HostName | undefined
+  const publisher = new PrimaryPublisher({
+    store,
+    timers,
+    random,
+    onStoreFailure: () => { reports.event('storeUnreachable', { what: 'primary' }) },
+    onError: context.onTaskError('primary publisher')
+  })
   const databases = new Databases({
     context,
     takeToken: async (account, deadlineAtMs) => refusalOf(await limits.admit(account, deadlineAtMs, 'delegated')),
@@ -158,7 +165,7 @@
       reports.event('primaryChanged', { database: view.database, term: view.term, primary: view.primary ?? 'none' })
     },
     onPromotionProgress: (database, progress) => { reports.event('promotionProgress', { database, ...progressFields(progress) }) },
-    publish: view => { void publishPrimary(context, store, view).catch(() => { reports.event('storeUnreachable', { what: 'primary' }) }) },
+    publish: view => { publisher.publish(view) },
     orderPromotion: async (database, server) => await leaderTask?.orderPromotion(database, server) ?? 'refused',
     onFailure: (server, failure) => { reports.event('serverConnectionFailed', { server, failure }) },
     onColdLimit: (server, perS) => { reports.event('coldLimitChanged', { server, perS: perS ?? 'none' }) },
@@ -340,17 +347,6 @@
   to.limits.updateMembers(view.live)
 }
 
-async function publishPrimary (context: DaemonContext, store: ObjectStore, view: PrimaryView): Promise<void> {
-  const sources = { timers: context.timers, random: context.random, newWriteId: randomUUID }
-  await updateObject<PrimaryView>(store, sources, {
-    kind: 'primary',
-    name: view.database,
-    decode: decodePrimary,
-    change: current => current !== undefined && current.term >= view.term ? undefined : view,
-    deadlineMs: publishDeadlineMs
-  })
-}
-
 function requestServices (components: ProxyComponents, configuration: () => ConfigurationInForce): RequestServices {
   const { context, routing, limits, peerSupport } = components
   const { timers } = context
