--- a/test/daemon/primary-publisher.test.ts
+++ b/test/daemon/primary-publisher.test.ts
@@ -5,7 +5,7 @@
 import { fakeTimers } from '../support/timers.js'
 
 /** A store that fails until a time, and the primaries that were written to it. */
-function storeDownUntil (upFromMs: number, nowMs: () => number): { readonly store: ObjectStore, readonly written: unknown[] } {
+function storeDownUntil (upFromMs: number, nowMs: () => number): { readonly store: ObjectStore, readonly written: readonly unknown[] } {
   const written: unknown[] = []
   const check = (): void => {
     if (nowMs() < upFromMs) throw new StoreError({ kind: 'unreachable' }, undefined, 'GET /')
