--- a/src/cli/help.ts
+++ b/src/cli/help.ts
@@ -49,7 +49,7 @@
     case 'evacuate': return `usage: limpetmoor evacuate DOMAIN --platform URL [--end] [--by NAME]
 
 Requests that nothing new be sent to the servers of a failure domain, until the
-evacuation is ended. It is set where it was set before, too.
+evacuation is ended. Running the command again changes nothing.
 
   --platform URL   base URL of the platform
   --end            end the evacuation
--- a/src/daemon/caller-task.ts
+++ b/src/daemon/caller-task.ts
@@ -2,9 +2,9 @@
 // command at a time: a statement runs through the request pipe, and its outcome is
 // written before the next command is handled. While a command runs, the next one is read
 // ahead, so the task learns at once that the caller has closed its connection: then the
-// statement is dropped where it waits, and an open transaction is rolled back. A planned
-// stop that ends the wait for a statement drops it, too. In a planned stop each command that was
-// read still gets its answer, and the session closes between two commands.
+// statement is dropped where it waits, and an open transaction is rolled back. In a
+// planned stop each command that was read still gets its answer, the session closes
+// between two commands, and a statement that nobody waits for any longer is dropped.
 
 import { authorizeRoute } from '../config/index.js'
 import { notRun, unknownOutcome, type IncomingStatement, type Outcome, type ParsedStatement } from '../model/index.js'
--- a/src/daemon/configuration-task.ts
+++ b/src/daemon/configuration-task.ts
@@ -3,7 +3,7 @@
 // accepts manifests that peers push. Decisions are made in src/config; this module
 // makes the calls.
 
-import { configurationDueAtMs, confirmedGeneration, configurationStep, generationInForce, initialConfiguration, canServeAuthenticated, storeConfirmedAgoMs, type ConfigurationEffect, type ConfigurationEvent, type ConfigurationState } from '../config/index.js'
+import { configurationDueAtMs, confirmedGeneration, configurationStep, initialConfiguration, canServeAuthenticated, storeConfirmedAgoMs, type ConfigurationEffect, type ConfigurationEvent, type ConfigurationState } from '../config/index.js'
 import type { AcceptedManifest, Generation, HostName, MemberState } from '../model/index.js'
 import { SnapshotPublisher, sleep, startTask, type Port, type Snapshot } from '../pipe/index.js'
 import { readObject, StoreError, watchInEra, type ManifestSource, type ObjectStore } from '../ports/index.js'
@@ -236,12 +236,3 @@
 function relistMs (settings: DaemonContext['settings']): number {
   return Math.min(settings.platform.relistMs, settings.control.confirmWithinMs / 3)
 }
-
-/**
- * Returns the generation in force, for reports.
- * @param state - the state of the task
- * @returns the generation in force, 0 for none
- */
-export function inForceGeneration (state: Snapshot<ConfigurationState>): Generation {
-  return generationInForce(state.get())
-}
--- a/src/daemon/reports.ts
+++ b/src/daemon/reports.ts
@@ -306,8 +306,8 @@
       const servers = declaration.servers.map(({ name, coldUntilMs = -Infinity }): DatabaseReport['servers'][number] => {
         const applied = statuses.get(name)?.applied
         const lagEntries = logEnd === undefined || applied === undefined ? undefined : Math.max(0, logEnd.index - applied.index)
-        // `home`: wire name of the dispatcher.
         const coldLeftMs = coldUntilMs - spec.timers.nowMs()
+        // `home`: wire name of the dispatcher.
         return { server: name, home: dispatchers.get(name), lagEntries, ...(coldLeftMs > 0 ? { coldLeftMs: Math.round(coldLeftMs) } : {}) }
       })
       return { database: declaration.name, primary: primary.primary, term: primary.term, servers }
--- a/src/guard/ledger.ts
+++ b/src/guard/ledger.ts
@@ -34,7 +34,7 @@
 const freeBytes = 16 * 1024
 /** A read of a socket brings up to so much. */
 const chunkBytes = 64 * 1024
-/** Peers that have not sent a valid line yet; a fleet of 128 hosts may connect at once. */
+/** Peers that have not sent a valid line yet. All hosts that exchange heartbeats may connect at once. */
 const maxNewPeers = 128
 
 /** The connections of a process and what they hold. */
--- a/src/limits/division.ts
+++ b/src/limits/division.ts
@@ -108,9 +108,13 @@
 }
 
 function partitionStride (division: Division): number {
-  // A power of two, so that a change of the rate rarely changes the division, and the
-  // partitions of a longer stride are among those of a shorter one.
-  return 2 ** Math.max(0, Math.floor(Math.log2(division.partitionCount / minPartitions(division))))
+  return strideFor(division.partitionCount, minPartitions(division))
+}
+
+// A power of two, so that a change of the rate rarely changes the division, and the
+// partitions of a longer stride are among those of a shorter one.
+function strideFor (partitionCount: number, partitions: number): number {
+  return 2 ** Math.max(0, Math.floor(Math.log2(partitionCount / partitions)))
 }
 
 function minPartitions ({ ratePerS, partitionCount, layout }: Division): number {
@@ -130,7 +134,7 @@
  * @returns the partitions; those of accounts of which the host has fewer come first
  */
 export function spreadOverAccounts (partitions: readonly number[], owned: readonly number[], partitionCount: number): readonly number[] {
-  const stride = 2 ** Math.max(0, Math.floor(Math.log2(partitionCount / minPartitionsPerAccount)))
+  const stride = strideFor(partitionCount, minPartitionsPerAccount)
   const counts = Array.from({ length: stride }, (_, offset) => owned.filter(partition => partition % stride === offset).length)
   const ranked = partitions.map(partition => {
     const rank = counts[partition % stride] ?? 0
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -21,17 +21,18 @@
 import { anonymousAccount, type AccountName, type BorrowRequest, type HostName, type Manifest, type Quota, type QuotaGrant } from '../model/index.js'
 import type { Transition } from '../pipe/index.js'
 import type { Member } from '../members/index.js'
-import { advanced, hasToken, newAccount, ownFraction, refreshed, withoutToken, type AccountLimit, type QuotaOwner, type QuotaSources, type WaitingRequest } from './account.js'
+import { advanced, hasToken, ownFraction, withoutToken, type AccountLimit, type QuotaOwner, type QuotaSources, type WaitingRequest } from './account.js'
 import { accountOf, allAccounts, noAccounts, withAccount, type Accounts } from './accounts.js'
 import { requestFromCoordinator, borrowFromOwner, canReceiveTokens, missingTokens, applyAnswer, type BorrowResult } from './borrowing.js'
 import { demandRate, withRequests } from './demand.js'
 import { delegates, delegationRefused, waitingRequest, type AdmissionMode } from './delegation.js'
 import { lend } from './lending.js'
 import { isShort, neededFraction } from './quota-target.js'
-import { isSameDivision, type QuotaLayout } from './division.js'
-import { coordinatorOf, divisionOf, quotaOwners } from './owners.js'
-import { confirmationChanged, loansCleared, ownedFractions, partitionsChanged, resetLoans } from './ownership.js'
-import { aggregationIdleMs, divisionChangeDelayMs, idleTickMs, limitsTickMs, maxWaitingRequests } from './settings.js'
+import type { QuotaLayout } from './division.js'
+import { coordinatorOf, quotaOwners } from './owners.js'
+import { confirmationChanged, loansCleared, partitionsChanged, resetLoans } from './ownership.js'
+import { redivided } from './redivision.js'
+import { aggregationIdleMs, idleTickMs, limitsTickMs, maxWaitingRequests } from './settings.js'
 
 /** An account with less demand requires no ticks. */
 const idleDemandPerS = 0.1
@@ -200,9 +201,8 @@
 
 function manifestApplied (state: LimitsState, manifest: Manifest, nowMs: number): Next {
   const limits = limitsOf(manifest)
-  let accounts = noAccounts
   const after = { ...state, partitionCount: manifest.seats }
-  for (const [account, limit] of limits) accounts = withAccount(accounts, updatedAccount({ before: state, after, isFirst: state.partitionCount === 0 }, account, limit, nowMs))
+  const accounts = redivided({ before: state, after, isFirst: state.partitionCount === 0 }, limits, nowMs)
   const dropped = allAccounts(state.accounts).filter(({ account }) => !limits.has(account))
   const effects = dropped.flatMap(account => account.waiting.map(({ id }) => refusal(account, id)))
   const active = new Set([...state.active].filter(account => limits.has(account)))
@@ -212,24 +212,8 @@
 function layoutChanged (state: LimitsState, layout: QuotaLayout, nowMs: number): LimitsState {
   if (state.isLayoutKnown && state.layout === layout) return state
   const after = { ...state, layout, isLayoutKnown: true }
-  let accounts = noAccounts
-  for (const { account, limit } of allAccounts(state.accounts)) accounts = withAccount(accounts, updatedAccount({ before: state, after, isFirst: !state.isLayoutKnown }, account, limit, nowMs))
-  return { ...after, accounts }
-}
-
-/** States before and after a change, and whether nothing was divided before. */
-type DivisionChange = { readonly before: LimitsState, readonly after: LimitsState, readonly isFirst: boolean }
-
-// After a change of the division some hosts still use the old one. Until the new
-// division is in force on every host, each host uses at most the smaller of its
-// two fractions.
-function updatedAccount ({ before: state, after, isFirst }: DivisionChange, account: AccountName, limit: Quota, nowMs: number): AccountLimit {
-  const known = accountOf(state.accounts, account)
-  const fractions = ownedFractions(state.usableFromMs, account, divisionOf(after, limit))
-  const before = known === undefined ? newAccount(account, limit, nowMs) : advanced(known, nowMs)
-  const isSame = known !== undefined && isSameDivision(divisionOf(state, known.limit), divisionOf(after, limit))
-  const ceiling = isFirst || isSame ? before.ceiling : { fraction: ownFraction(before, nowMs), untilMs: nowMs + divisionChangeDelayMs }
-  return refreshed({ ...before, limit, ownedFractions: fractions, ceiling })
+  const limits = new Map(allAccounts(state.accounts).map(({ account, limit }) => [account, limit]))
+  return { ...after, accounts: redivided({ before: state, after, isFirst: !state.isLayoutKnown }, limits, nowMs) }
 }
 
 function refusal (account: AccountLimit, id: string, cause: 'noToken' | 'unconfirmed' = 'noToken'): LimitsEffect {
--- a/src/limits/partitions.ts
+++ b/src/limits/partitions.ts
@@ -235,13 +235,13 @@
   const listed = { ...state, hosts, hostsListedMs: nowMs, ...absenceTimes(state, hosts, nowMs) }
   const isSame = hosts.length === state.hosts.length && hosts.every((host, at) => isSameSharer(host, state.hosts[at]))
   if (isSame) return listed
+  // A host that begins to share the partitions reads the table at once: the others
+  // release some for it, which the table that it knows does not show. A host that read
+  // the table before it was listed would otherwise wait for `distantReadPeriodMs`.
   const ranged = withRange(listed)
   return !sharesPartitions(state) && sharesPartitions(ranged) ? { ...ranged, nextReadMs: Math.min(ranged.nextReadMs, nowMs) } : ranged
 }
 
-// A host that begins to share the partitions reads the table at once: the others
-// release some for it, which the table that it knows does not show. A host that read
-// the table before it was listed would otherwise wait for `distantReadPeriodMs`.
 function sharesPartitions ({ range, self }: PartitionsState): boolean {
   return range.hosts.includes(self.host)
 }
--- a/src/limits/quota-target.ts
+++ b/src/limits/quota-target.ts
@@ -80,8 +80,7 @@
 /**
  * Computes the quota that an owner keeps when the coordinator aggregates and no
  * request waits there: also a demand below `minDemandPerS` is served from the own
- * quota. Without this, an owner lent everything and borrowed a token for each request,
- * which in turn kept the coordinator aggregating.
+ * quota, so that an owner does not lend what it has to borrow back at once.
  * @param state - the account, advanced to now
  * @param nowMs - the time
  * @returns rate, capacity and tokens, at least those that `reservedQuota` returns
--- a/src/load/host-load.ts
+++ b/src/load/host-load.ts
@@ -63,8 +63,7 @@
 const leaveFraction = 0.7
 /**
  * Change of the refused fraction with each sample. While the processor is in full use it
- * falls slowly: with a fast fall the backlog came back with each probe, and goodput was
- * half of the plateau in the model of the tests.
+ * falls slowly, so that the backlog does not return.
  */
 const shedSteps = { up: 0.15, hold: 0.01, down: 0.05, downFactor: 0.7 }
 const maxShedFraction = 0.95
--- a/src/members/placement.ts
+++ b/src/members/placement.ts
@@ -37,8 +37,7 @@
   | { readonly kind: 'weighted', readonly input: PlacementInput, readonly assigned: Assignment }
 
 /**
- * Capacity that the dispatcher of one server needs, in thousandths of a core: 60
- * statements a second at 5 ms of processor time each.
+ * Capacity that the dispatcher of one server needs, in thousandths of a core.
  */
 const serverMillicores = 300
 const millicoresPerCore = 1000
@@ -103,7 +102,7 @@
 
 /**
  * Lists the hosts that accept statements for a server. The members that other hosts
- * regard as live may differ, so the host accepts them that would be next.
+ * regard as live may differ, so the host that would be next accepts them, too.
  * @param placement - the placement
  * @param database - the database
  * @param server - the server
--- a/src/model/outcome.ts
+++ b/src/model/outcome.ts
@@ -42,7 +42,7 @@
   | 'unsupported'
   | 'rateExceeded'
   | 'queueFull'
-  /** The entry host has too little processor time; never sent between hosts. */
+  /** The entry host has too little processor time or memory; never sent between hosts. */
   | 'overloaded'
   | 'deadlinePassed'
   | 'unconfirmedConfiguration'
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -127,7 +127,7 @@
   readonly rumours?: readonly GossipEntry[]
   /** Highest era of the store that the member knows; omitted in era 0 and by an earlier version. */
   readonly era?: number | undefined
-  /** Load of the member's processor; a proxy of an earlier version does not send it. */
+  /** Load of the member's processor; omitted while it is normal, and by a proxy of an earlier version. */
   readonly load?: HostLoad | undefined
   /** Optional parts of the protocol that the member supports. */
   readonly features?: readonly PeerFeature[] | undefined
--- a/src/pace/pace.ts
+++ b/src/pace/pace.ts
@@ -54,7 +54,7 @@
 const startFraction = 1 / 3
 /** Growth with each good answer, in slots, and as a fraction of the limit for servers with many slots. */
 const growth = { fast: { slots: 1 / 2, fraction: 1 / 8 }, slow: { slots: 1 / 32, fraction: 1 / 128 } } as const
-/** Factor of the limit after a fall. With 2 to 5 slots a smaller one would stop most of the server's work. */
+/** Factor of the limit after a fall. A smaller one would stop most of the work of a server with few slots. */
 const fallFactor: Readonly<Record<PaceFall, number>> = { failed: 0.5, busy: 0.7, slow: 0.7 }
 /** Answers in a window. */
 const windowSize = 16
--- a/src/schedule/retry-hint.ts
+++ b/src/schedule/retry-hint.ts
@@ -1,7 +1,7 @@
 // Hint to a refused caller: when a retry is worthwhile. The time is spread, so that the
 // callers of one burst do not come back together.
 
-/** The hint is between this fraction of the expected wait and 1 more. */
+/** The hint is from this fraction of the expected wait up to 1 plus this fraction of it. */
 const minSpread = 0.5
 
 /**
--- a/src/schedule/schedule-class.ts
+++ b/src/schedule/schedule-class.ts
@@ -95,7 +95,7 @@
   const before = valueOf(scheduleClass.accounts, account.name)
   const count = waitingOf(account)
   const countBefore = waitingOf(before)
-  // Field by field: a spread of the whole class took a quarter of the time of a step.
+  // Field by field, because a spread of the whole class is slow.
   const changed: ScheduleClass = {
     priority: scheduleClass.priority,
     virtualTimeMs: scheduleClass.virtualTimeMs,
--- a/src/wire/lines.ts
+++ b/src/wire/lines.ts
@@ -38,12 +38,3 @@
 function closeAtLongLine (stream: Duplex): void {
   stream.destroy(new Error('line exceeds the maximum length'))
 }
-
-/**
- * Writes one value as a line of JSON.
- * @param stream - the stream
- * @param value - any JSON value
- */
-export function writeLine (stream: Duplex, value: unknown): void {
-  stream.write(JSON.stringify(value) + '\n')
-}
--- a/src/wire/peer-message.ts
+++ b/src/wire/peer-message.ts
@@ -1,7 +1,6 @@
 // Decoding of messages between proxies. The frequent ones (`execute`, `borrow`,
-// `heartbeat`) are read here field by field, directly from their short names: the
-// general schemas took a sixth of the processor time of a statement. What is not
-// recognized here, and every other method, is left to the schemas, which alone
+// `heartbeat`) are read here field by field, directly from their short names,
+// because the general schemas are slow. What is not recognized here, and every other method, is left to the schemas, which alone
 // decide what is rejected.
 
 import type { PeerMethod, PeerParams, PeerResult } from '../model/index.js'
--- a/src/wire/quota-message.ts
+++ b/src/wire/quota-message.ts
@@ -47,7 +47,8 @@
     lease: optional(fields['lease'], leaseOf),
     ...(rumours === undefined ? {} : { rumours }),
     load: optional(fields[code.load], load => oneOf(hostLoads, load)),
-    features: optional(fields[code.features], featuresOf)
+    features: optional(fields[code.features], featuresOf),
+    era: optional(fields['era'], countOf)
   }
 }
 
--- a/test/wire/peer-link.test.ts
+++ b/test/wire/peer-link.test.ts
@@ -74,7 +74,7 @@
   const { client, port } = await startLink(t)
   const lines = ['null', '5', '[null]', 'no json', '{}', deepText(20_000), `{"jsonrpc":"2.0","id":${deepText(20_000)},"method":"heartbeat"}`, `{"jsonrpc":"2.0","id":1,"method":"suspect","params":${deepText(20_000)}}`]
   for (const line of lines) await sendLine(port, line)
-  assert.deepEqual(await client.call('heartbeat', state, timeoutMs), { ...state, lease: undefined, load: undefined, features: undefined })
+  assert.deepEqual(await client.call('heartbeat', state, timeoutMs), { ...state, lease: undefined, load: undefined, features: undefined, era: undefined })
 })
 
 // Guards against a fleet of two versions in which one does not understand the other's answers.
--- a/test/wire/peer-message.test.ts
+++ b/test/wire/peer-message.test.ts
@@ -81,7 +81,7 @@
     read: memberStateOf,
     message: record(
       { host: name, failureDomain: name, incarnation: name, state: fc.constantFrom('serving', 'stopping'), generation: count },
-      { storeConfirmedAgoMs: amount, holdsDuty: fc.boolean(), lease: record({ token: count, renewal: count }), rumours: fc.array(record({ host: name, observer: name, silent: fc.boolean(), agoMs: amount }), { maxLength: 2 }), load: fc.constantFrom('normal', 'busy', 'overloaded'), features: fc.array(fc.constantFrom('dispatcherAdmission', 'weightedPlacement', 'concentratedQuota', 'of a later version'), { maxLength: 3 }) })
+      { storeConfirmedAgoMs: amount, holdsDuty: fc.boolean(), lease: record({ token: count, renewal: count }), rumours: fc.array(record({ host: name, observer: name, silent: fc.boolean(), agoMs: amount }), { maxLength: 2 }), load: fc.constantFrom('normal', 'busy', 'overloaded'), era: count, features: fc.array(fc.constantFrom('dispatcherAdmission', 'weightedPlacement', 'concentratedQuota', 'of a later version'), { maxLength: 3 }) })
   }))
 ]
 
