--- a/review/standins-2/fleet.mjs
+++ b/review/standins-2/fleet.mjs
@@ -20,7 +20,7 @@
 
 export const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..')
 export const zones = ['medina', 'plateau', 'hlm']
-export const service = 'huvo11a'
+export const services = ['huvo11a', 'kafi81c', 'wuno96b']
 export const key = 'u6wsjnbanfqasnmgkcuy'
 export const heartbeatMs = 1200
 const slots = 5
@@ -126,7 +126,7 @@
 
   // Only what changes with the server is written, so that an unchanged entry makes no event.
   #spec ({ server, zone, fields }) {
-    return { Service: service, Addr: `127.0.0.1:${server.port}`, Zone: zone, Version: 'v1', Slots: slots, State: 'ready', ColdLeftMs: 0, DbRole: server.node.role, Seq: 1, ...fields }
+    return { Service: server.service, Addr: `127.0.0.1:${server.port}`, Zone: zone, Version: 'v1', Slots: slots, State: 'ready', ColdLeftMs: 0, DbRole: server.node.role, Seq: 1, ...fields }
   }
 
   #expire () {
@@ -138,13 +138,13 @@
   }
 }
 
-async function startPromoter (group, orders) {
+async function startPromoter (groups, orders) {
   const server = http.createServer((request, response) => {
     let text = ''
     request.on('data', chunk => { text += String(chunk) })
     request.on('end', () => {
-      const { Id: id } = JSON.parse(text)
-      const accepted = group.promote(id)
+      const { Service: name, Id: id } = JSON.parse(text)
+      const accepted = groups[services.indexOf(name)].promote(id)
       orders.push({ id, holder: request.headers['limpetmoor-duty-holder'], token: Number(request.headers['limpetmoor-fencing-token']), accepted })
       response.writeHead(accepted ? 200 : 409).end('{}')
     })
@@ -153,39 +153,54 @@
   return server
 }
 
-/** The configuration of the operator; `changes` replaces top-level fields. */
-export function configuration (version, changes = {}) {
-  const route = { PathPrefix: '/', Service: service, MaxAttempts: 2, Public: false }
+/**
+ * The configuration of the operator, with the routes and limits of
+ * sites/ndiaye-reliure.toml; `changes` replaces top-level fields. The routes of the
+ * second and the third service have its number as a suffix.
+ */
+export function configuration (version, { serviceCount = 1, ...changes } = {}) {
+  const used = services.slice(0, serviceCount)
   return {
     Version: version,
-    Routes: [
-      { ...route, Name: 'r-1', Host: 'orders', Kind: 'primary', TimeoutMs: 1000, LatencyGoalMs: 200, Priority: 1 },
-      { ...route, Name: 'r-2', Host: 'lookup', Kind: 'bounded_staleness', TimeoutMs: 3000, LatencyGoalMs: 800, Priority: 2, MaxStalenessMs: 1500 },
-      { ...route, Name: 'r-3', Host: 'notes', Kind: 'read_your_writes', TimeoutMs: 1000, LatencyGoalMs: 400, Priority: 2, MaxStalenessMs: 2500 }
-    ],
-    Services: [{ Name: service, HealthPath: '/health', MaxConns: 76, Protocol: 'h1', Tls: false, SyncReplicas: 0 }],
+    Routes: used.flatMap((service, at) => {
+      const suffix = at === 0 ? '' : String(at + 1)
+      const route = { PathPrefix: '/', Service: service, MaxAttempts: 2, Public: false }
+      return [
+        { ...route, Name: `r-1${suffix}`, Host: `orders${suffix}`, Kind: 'primary', TimeoutMs: 1000, LatencyGoalMs: 200, Priority: 1 },
+        { ...route, Name: `r-2${suffix}`, Host: `lookup${suffix}`, Kind: 'bounded_staleness', TimeoutMs: 3000, LatencyGoalMs: 800, Priority: 2, MaxStalenessMs: 1500 },
+        { ...route, Name: `r-3${suffix}`, Host: `notes${suffix}`, Kind: 'read_your_writes', TimeoutMs: 1000, LatencyGoalMs: 400, Priority: 2, MaxStalenessMs: 2500 }
+      ]
+    }),
+    Services: used.map(name => ({ Name: name, HealthPath: '/health', MaxConns: 76, Protocol: 'h1', Tls: false, SyncReplicas: 0 })),
     Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 262144, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000, TxIdleMs: 3000 },
     Tenants: [{ Name: 'nypu920', ApiKeys: [key], Priority: 1, RatePerS: 95, Burst: 95 }],
     ...changes
   }
 }
 
+const serverIds = [
+  ['i-7f3a91c2', 'i-51d09b7e', 'i-c2e8405a'],
+  ['i-08be4f13', 'i-92c7a5d0', 'i-e41b6037'],
+  ['i-3d905ac8', 'i-b6f21e74', 'i-1a7c8d95']
+]
+
 /**
- * Starts a deployment with one group of three servers, one in each zone.
- * @param options - number of hosts; address of the store or promoter as the proxies see it
+ * Starts a deployment. Each service has one group of three servers, one in each zone;
+ * the first is the primary.
+ * @param options - number of hosts and services, the configuration, and the address of
+ *   the store as a proxy sees it
  */
-export async function startDeployment ({ hosts = 3, storeAddress, config = configuration(7) } = {}) {
+export async function startDeployment ({ hosts = 3, serviceCount = 1, storeAddress, config = configuration(7, { serviceCount }) } = {}) {
   const folder = mkdtempSync(join(tmpdir(), 'limpetmoor-review-'))
   const store = new FleetStore()
   const storePort = await store.start()
-  const ids = ['i-7f3a91c2', 'i-51d09b7e', 'i-c2e8405a']
-  const group = new Group(ids, { receiveMs: 2, applyMs: 20, promoteMs: 300 })
-  const servers = ids.map(id => new LineServer(service, group, id))
+  const groups = serverIds.slice(0, serviceCount).map(ids => new Group(ids, { receiveMs: 2, applyMs: 20, promoteMs: 300 }))
+  const servers = groups.flatMap((group, at) => serverIds[at].map(id => Object.assign(new LineServer(services[at], group, id), { service: services[at] })))
   for (const server of servers) await server.start()
   const orders = []
-  const promoter = await startPromoter(group, orders)
+  const promoter = await startPromoter(groups, orders)
   const registry = new Registry(store)
-  servers.forEach((server, at) => { registry.begin(server, zones[at]) })
+  servers.forEach((server, at) => { registry.begin(server, zones[at % zones.length]) })
   store.put('config', 'main', config)
   const ports = { frontend: 20_000 + Math.floor(Math.random() * 20_000), readiness: 0, peer: 0 }
   ports.readiness = ports.frontend + 1
@@ -227,7 +242,8 @@
   }
   return {
     store,
-    group,
+    group: groups[0],
+    groups,
     servers,
     registry,
     orders,
@@ -241,7 +257,7 @@
       registry.stop()
       for (const { child } of proxies) await endProcess(child)
       for (const server of servers) await server.crash().catch(() => {})
-      group.stop()
+      for (const group of groups) group.stop()
       promoter.closeAllConnections()
       promoter.close()
       await store.stop()
