--- a/review/standins-2/fleet.mjs
+++ b/review/standins-2/fleet.mjs
@@ -17,6 +17,7 @@
 import { Group } from '../../target/review-2/standins/fleet/ledger.js'
 import { LineServer } from '../../target/review-2/standins/fleet/server.js'
 import { FleetStore } from '../../target/review-2/standins/fleet/store.js'
+import { HeldLink } from './held-link.mjs'
 
 export const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..')
 export const zones = ['medina', 'plateau', 'hlm']
@@ -138,14 +139,18 @@
   }
 }
 
+/** Time for which the promotion endpoint keeps an idle connection open. */
+const keepAliveMs = 75_000
+
 async function startPromoter (groups, orders) {
-  const server = http.createServer((request, response) => {
+  const startMs = performance.now()
+  const server = http.createServer({ keepAliveTimeout: keepAliveMs }, (request, response) => {
     let text = ''
     request.on('data', chunk => { text += String(chunk) })
     request.on('end', () => {
       const { Service: name, Id: id } = JSON.parse(text)
       const accepted = groups[services.indexOf(name)].promote(id)
-      orders.push({ id, holder: request.headers['limpetmoor-duty-holder'], token: Number(request.headers['limpetmoor-fencing-token']), accepted })
+      orders.push({ atS: (performance.now() - startMs) / 1000, id, holder: request.headers['limpetmoor-duty-holder'], token: Number(request.headers['limpetmoor-fencing-token']), accepted })
       response.writeHead(accepted ? 200 : 409).end('{}')
     })
   })
@@ -187,20 +192,20 @@
 /**
  * Starts a deployment. Each service has one group of three servers, one in each zone;
  * the first is the primary.
- * @param options - number of hosts and services, the configuration, and the address of
- *   the store as a proxy sees it
+ * @param options - number of hosts and services, the configuration, and whether each
+ *   host reaches the platform over links of its own, which can be cut
  */
-export async function startDeployment ({ hosts = 3, serviceCount = 1, storeAddress, config = configuration(7, { serviceCount }) } = {}) {
+export async function startDeployment ({ hosts = 3, serviceCount = 1, hasLinks = false, config = configuration(7, { serviceCount }) } = {}) {
   const folder = mkdtempSync(join(tmpdir(), 'limpetmoor-review-'))
   const store = new FleetStore()
   const storePort = await store.start()
   const groups = serverIds.slice(0, serviceCount).map(ids => new Group(ids, { receiveMs: 2, applyMs: 20, promoteMs: 300 }))
-  const servers = groups.flatMap((group, at) => serverIds[at].map(id => Object.assign(new LineServer(services[at], group, id), { service: services[at] })))
+  const servers = groups.flatMap((group, at) => serverIds[at].map(id => Object.assign(new LineServer(services[at], group, id), { service: services[at], zone: zones[serverIds[at].indexOf(id)] })))
   for (const server of servers) await server.start()
   const orders = []
   const promoter = await startPromoter(groups, orders)
   const registry = new Registry(store)
-  servers.forEach((server, at) => { registry.begin(server, zones[at % zones.length]) })
+  for (const server of servers) registry.begin(server, server.zone)
   store.put('config', 'main', config)
   const ports = { frontend: 20_000 + Math.floor(Math.random() * 20_000), readiness: 0, peer: 0 }
   ports.readiness = ports.frontend + 1
@@ -209,11 +214,18 @@
   const [, ...words] = roles.proxy.run.split(' ')
   const template = readFileSync(join(root, 'deploy/settings.toml'), 'utf8')
   const proxies = []
-  const start = async (name, zone, ip, file) => {
+  const allLinks = []
+  const linksOf = async () => {
+    if (!hasLinks) return { links: [], ports: [storePort, promoter.address().port] }
+    const links = [new HeldLink(storePort), new HeldLink(promoter.address().port)]
+    allLinks.push(...links)
+    return { links, ports: [await links[0].start(), await links[1].start()] }
+  }
+  const start = async ({ name, zone, ip, file, links }) => {
     const child = spawn(process.execPath, words, { cwd: root, env: { PATH: process.env.PATH, LIMPETMOOR_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
     const lines = []
     for (const stream of [child.stdout, child.stderr]) createInterface(stream).on('line', line => { lines.push(line) })
-    const proxy = { name, zone, ip, file, port: ports.frontend, readinessPort: ports.readiness, child, lines }
+    const proxy = { name, zone, ip, file, links, port: ports.frontend, readinessPort: ports.readiness, child, lines }
     const untilMs = performance.now() + startTimeoutMs
     while (!lines.some(line => line.startsWith('listening '))) {
       if (child.exitCode !== null || performance.now() > untilMs) throw new Error(`${name} did not start: ${lines.slice(-5).join(' | ')}`)
@@ -226,6 +238,7 @@
     const name = `frontend-${zone}-${1 + Math.floor(at / zones.length)}`
     const ip = await freeHostAddress(Object.values(ports))
     const file = join(folder, `${name}.toml`)
+    const { links, ports: [storeLinkPort, promoterPort] } = await linksOf()
     const fields = {
       NodeName: name,
       Zone: zone,
@@ -234,11 +247,11 @@
       Listen: { Frontend: `${ip}:${ports.frontend}`, Readiness: `${ip}:${ports.readiness}` },
       Limits: limits,
       Bounds: bounds,
-      platform: { Addr: storeAddress?.(storePort, name) ?? `127.0.0.1:${storePort}` },
-      Cloud: { Addr: `127.0.0.1:${promoter.address().port}` }
+      platform: { Addr: `127.0.0.1:${storeLinkPort}` },
+      Cloud: { Addr: `127.0.0.1:${promoterPort}` }
     }
     writeFileSync(file, filledTemplate(template, fields))
-    proxies.push(await start(name, zone, ip, file))
+    proxies.push(await start({ name, zone, ip, file, links }))
   }
   return {
     store,
@@ -250,11 +263,12 @@
     proxies,
     restart: async proxy => {
       const at = proxies.indexOf(proxy)
-      proxies[at] = await start(proxy.name, proxy.zone, proxy.ip, proxy.file)
+      proxies[at] = await start(proxy)
       return proxies[at]
     },
     async stop () {
       registry.stop()
+      for (const link of allLinks) link.stop()
       for (const { child } of proxies) await endProcess(child)
       for (const server of servers) await server.crash().catch(() => {})
       for (const group of groups) group.stop()
