--- a/review/standins-2/fleet.mjs
+++ b/review/standins-2/fleet.mjs
@@ -210,7 +210,7 @@
   const ports = { frontend: 20_000 + Math.floor(Math.random() * 20_000), readiness: 0, peer: 0 }
   ports.readiness = ports.frontend + 1
   ports.peer = ports.frontend + 2
-  const { roles, build: _ } = parse(readFileSync(join(root, 'deploy/system.toml'), 'utf8'))
+  const { roles } = parse(readFileSync(join(root, 'deploy/system.toml'), 'utf8'))
   const [, ...words] = roles.proxy.run.split(' ')
   const template = readFileSync(join(root, 'deploy/settings.toml'), 'utf8')
   const proxies = []
