Ids of transactions come from one sequence of the process

The COMMIT of a client that rested runs in the transaction of another client and is answered with the server's signature, though its write is in no log. The other client's next statement gets ABORTED.

Cause: the id of a transaction was the incarnation of the process and a number that each table counted from 1. A table is made anew with its dispatcher. So it is neither a pooled session that was used again nor a dispatcher on another host.

Change: `DaemonContext.uniqueId` is the one source of such ids in a process. Its prefix, 6 random bytes, differs at each start; the number goes on over all tables. An id of a table that has ended is unknown to every later one, so the caller gets ABORTED.

--- a/src/daemon/context.ts
+++ b/src/daemon/context.ts
@@ -1,5 +1,5 @@
 // Context that is shared by all tasks of the daemon: settings, ports, timers,
-// counts, random numbers and the incarnation of the process.
+// counts, random numbers, ids and the incarnation of the process.
 
 import type { Settings } from '../config/index.js'
 import type { TimerService } from '../pipe/index.js'
@@ -17,6 +17,8 @@
   readonly random: () => number
   /** Id that differs at each start of the process. */
   readonly incarnation: string
+  /** Makes an id that no other call in this process or in another one returns. */
+  readonly uniqueId: () => string
   /** Makes the handler of errors that a task survives. */
   readonly onTaskError: (task: string) => (error: Error) => void
 }
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -6,7 +6,7 @@
 import { confirmedUntilMs, contactUntilMs, containsKey, type Settings } from '../config/index.js'
 import type { PromotionProgress } from '../failover/index.js'
 import type { HostName, MemberState, Outcome, PrimaryView } from '../model/index.js'
-import { sleep, systemTimers } from '../pipe/index.js'
+import { sleep, systemTimers, uniqueIds } from '../pipe/index.js'
 import type { ProxyPorts } from '../ports/index.js'
 import { Activity, type EventFields, processTotals } from '../report/index.js'
 import { requestPipe, type ConfigurationInForce, type RequestServices } from '../request/index.js'
@@ -128,6 +128,7 @@
     activity,
     random,
     incarnation,
+    uniqueId: uniqueIds(incarnation),
     onTaskError: task => error => { reports.recordTaskFailure(task, error) }
   }
   const guard = startGuard({ limits: settings.limits, timers, onClosed: reason => { reports.recordGuardClosed(reason) } })
--- a/src/daemon/transactions.ts
+++ b/src/daemon/transactions.ts
@@ -24,7 +24,6 @@
   readonly #cancel: () => void
   #idleMs = defaultIdleMs
   #unresponsiveSince: ReadonlyMap<HostName, number> = new Map()
-  #nextId = 1
   #isClosed = false
 
   /**
@@ -53,12 +52,11 @@
    * @param owner - account and host of the caller
    * @param access - whether the transaction may write
    * @param session - the session, after BEGIN
-   * @returns the id, or undefined where too many are open
+   * @returns the id, which is never given to another transaction; undefined where too many are open
    */
   open ({ account, from }: TransactionOwner, access: Access, session: ServerSession): string | undefined {
     if (this.#isClosed || this.#entries.size >= this.#capacity || this.#countOf(account) >= this.#capacity * accountFraction) return undefined
-    const id = `${this.#context.incarnation}.${this.#nextId}`
-    this.#nextId += 1
+    const id = this.#context.uniqueId()
     this.#entries.set(id, { id, account, from, access, session, hasStarted: false, usedAtMs: this.#context.timers.nowMs(), busy: false })
     return id
   }
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -3,7 +3,7 @@
 
 import type { TokenState } from '../admission/index.js'
 import { anonymousAccount, notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecuteRequest, type ExecutionMode, type ReadConsistency, type NotRunReason, type Outcome, type ServerName, type StatementClass } from '../model/index.js'
-import { end, type Filter, type Unsubscribe } from '../pipe/index.js'
+import { end, uniqueIds, type Filter, type Unsubscribe } from '../pipe/index.js'
 import type { ConsistencyResolved, RequestResult } from './message.js'
 import { decideRetry, deadlineOutcome, triesNextAtOnce, type AttemptResult, type Repeatable } from './retry.js'
 import { defaultRetryBudget, initialRetryBudget, takeRetry, withFirstAttempt } from './retry-budget.js'
@@ -58,7 +58,7 @@
  */
 export function execute (services: Services, bounds: RequestBounds): Filter<ConsistencyResolved, never, RequestResult> {
   const retries = retriesOf(services, bounds)
-  const attempts: Attempts = { services, bounds, loads: new ServerLoads(), nextCallId: callIds(services.random()), retries }
+  const attempts: Attempts = { services, bounds, loads: new ServerLoads(), nextCallId: uniqueIds(callPrefix(services.random())), retries }
   return async message => {
     const { transaction } = message.session
     if (transaction !== undefined) return end(await runInTransaction(attempts, message, transaction))
@@ -86,13 +86,8 @@
   }
 }
 
-function callIds (random: number): () => string {
-  const prefix = random.toString(36).slice(2, 2 + callPrefixLength)
-  let count = 0
-  return () => {
-    count += 1
-    return `${prefix}.${count.toString(36)}`
-  }
+function callPrefix (random: number): string {
+  return random.toString(36).slice(2, 2 + callPrefixLength)
 }
 
 async function runOutsideTransaction (attempts: Attempts, message: ConsistencyResolved): Promise<RequestResult> {
--- a/standins/fleet/set.ts
+++ b/standins/fleet/set.ts
@@ -23,6 +23,8 @@
   readonly burst: number
   /** Connections that each server accepts. */
   readonly maxConnections: number
+  /** Idle timeout of transactions. */
+  readonly idleTransactionMs: number
   /** Bound of cold servers; undefined: none. */
   readonly cold?: { readonly forS: number, readonly perS: number }
 }
@@ -63,7 +65,7 @@
   hosts: 3,
   cpuShares: [1],
   times: { receiveMs: 2, applyMs: 5, promoteMs: 100 },
-  configuration: { version: 3, keys: { bindery: ['key-of-bindery'] }, ratePerS: 1000, burst: 1000, maxConnections: 60 },
+  configuration: { version: 3, keys: { bindery: ['key-of-bindery'] }, ratePerS: 1000, burst: 1000, maxConnections: 60, idleTransactionMs: 1000 },
   program: builtProgram('platform/main.js'),
   bounds: { drainMs: 7000, graceMs: 4000 },
   pace: 'fast',
@@ -299,7 +301,7 @@
       { ...route, Name: 'r-4', Host: 'board', Kind: 'bounded_staleness', Priority: 2, MaxStalenessMs: 1500, Public: true }
     ],
     Services: [{ ...coldFields(configuration.cold), Name: service, HealthPath: '/health', MaxConns: configuration.maxConnections, Protocol: 'h1', Tls: false, SyncReplicas: 0 }],
-    Limits: { TxIdleMs: 1000 },
+    Limits: { TxIdleMs: configuration.idleTransactionMs },
     Tenants: Object.entries(configuration.keys).map(([name, keys]) => ({ Name: name, ApiKeys: keys, Priority: 1, RatePerS: configuration.ratePerS, Burst: configuration.burst }))
   }
 }
--- a/test/daemon/transactions.test.ts
+++ b/test/daemon/transactions.test.ts
@@ -3,16 +3,20 @@
 import type { DaemonContext } from '../../src/daemon/context.js'
 import { Transactions } from '../../src/daemon/transactions.js'
 import type { ServerSession } from '../../src/dispatch/index.js'
+import { uniqueIds } from '../../src/pipe/index.js'
 import { fakeTimers, type FakeTimers } from '../support/timers.js'
 
 type Table = { readonly timers: FakeTimers, readonly transactions: Transactions, readonly rolledBack: readonly ServerSession[] }
 
+/** The context of a process; `incarnation` differs at each of its starts. */
+function processContext (incarnation = 'a'): DaemonContext {
+  return { timers: fakeTimers(), incarnation, uniqueId: uniqueIds(incarnation) } as unknown as DaemonContext
+}
+
 /** A table of transactions, with the sessions that it closed. */
-function tableOf (): Table {
-  const timers = fakeTimers()
+function tableOf (context = processContext()): Table {
   const rolledBack: ServerSession[] = []
-  const context = { timers, incarnation: 'a' } as unknown as DaemonContext
-  return { timers, rolledBack, transactions: new Transactions(context, 10, session => { rolledBack.push(session) }) }
+  return { timers: context.timers as FakeTimers, rolledBack, transactions: new Transactions(context, 10, session => { rolledBack.push(session) }) }
 }
 
 function sessionOf (): ServerSession {
@@ -59,3 +63,15 @@
   assert.equal(transactions.open(owner, 'write', late), undefined)
   assert.equal(transactions.size, 0)
 })
+
+// Guards against PINNED and a lost write: after the entry of a server had lapsed and come back, a COMMIT ran in the transaction of another client, which had got the same id.
+test('no id of a transaction is given out again: by the table that follows, at another server or after a restart', () => {
+  const context = processContext()
+  const first = tableOf(context)
+  const ended = first.transactions.open(owner, 'write', sessionOf()) ?? assert.fail()
+  first.transactions.stop()
+  const tables = [tableOf(context), tableOf(context), tableOf(processContext('b'))]
+  const later = tables.map(({ transactions }) => transactions.open(owner, 'write', sessionOf()))
+  assert.equal(new Set([ended, ...later]).size, 1 + tables.length)
+  for (const { transactions } of [first, ...tables]) assert.equal(transactions.take(ended, 'bindery'), undefined)
+})
--- /dev/null
+++ b/test/platform/transactions.test.ts
@@ -0,0 +1,92 @@
+// Transactions of resting callers whose dispatcher ends and is made anew meanwhile,
+// with real processes. Callers that write are connected to all hosts, so that one is on
+// the dispatcher's own host and the others reach it through a link.
+
+import assert from 'node:assert/strict'
+import { test, type TestContext } from 'node:test'
+import type { LineAnswer, LineCaller } from '../../standins/fleet/caller.js'
+import type { Fleet } from '../../standins/fleet/set.js'
+import type { LineServer } from '../../standins/fleet/server.js'
+import { defaultFleetOptions } from '../../standins/fleet/set.js'
+import { openSession, startServingFleet } from '../support/fleet.js'
+import { until } from '../support/until.js'
+
+/** Longer than a test, so that only what the test does ends a transaction. */
+const idleTransactionMs = 600_000
+
+async function startFleet (t: TestContext): Promise<Fleet> {
+  return await startServingFleet(t, { configuration: { ...defaultFleetOptions.configuration, idleTransactionMs } })
+}
+
+/** Begins a transaction that writes an item named after it, on each host. */
+async function beginWrites (fleet: Fleet, name: string): Promise<readonly LineCaller[]> {
+  return await Promise.all(fleet.proxies.map(async (_, at) => {
+    const caller = await openSession(fleet, at)
+    assert.equal((await caller.query('BEGIN')).state, 'T')
+    assert.notEqual((await caller.query(`WRITE ${name}-${at} 1`, `${name}-write-${at}`)).signature, undefined)
+    return caller
+  }))
+}
+
+/** Begins transactions that read at a replica, on the host of its failure domain, which prefers it. */
+async function beginReadsAt (fleet: Fleet, server: LineServer, name: string): Promise<readonly LineCaller[]> {
+  const near = fleet.servers.indexOf(server)
+  return await Promise.all(fleet.proxies.map(async (_, at) => await until(`a transaction of ${name} at ${server.id}`, async () => {
+    const caller = await openSession(fleet, near, 'lookup')
+    await caller.query('BEGIN READ')
+    const id = `${name}-${at}-${server.runs.length}`
+    await caller.query('READ folio', id)
+    if (server.runs.some(run => run.id === id)) return caller
+    caller.disconnect()
+    return undefined
+  })))
+}
+
+async function commitAll (callers: readonly LineCaller[], name: string): Promise<readonly LineAnswer[]> {
+  return await Promise.all(callers.map(async (caller, at) => await caller.query('COMMIT', `${name}-commit-${at}`)))
+}
+
+function ranCommits (fleet: Fleet, name: string): number {
+  return fleet.servers.flatMap(({ runs }) => runs).filter(({ id }) => id.startsWith(`${name}-commit-`)).length
+}
+
+function committedItems (fleet: Fleet): readonly string[] {
+  return fleet.servers[0]?.node.log.map(({ item }) => item).filter(item => item !== 'start').sort() ?? []
+}
+
+async function untilLogged (fleet: Fleet, event: string, change: () => void): Promise<void> {
+  const counts = (): readonly number[] => fleet.proxies.map(proxy => proxy.output().filter(line => line.includes(event)).length)
+  const before = counts()
+  change()
+  await until(`${event} on all hosts`, () => counts().every((count, at) => count > (before[at] ?? 0)))
+}
+
+// Guards against PINNED and a lost write: the COMMIT of a caller that rested ran in the transaction of another one and was answered with success.
+test('callers that rested while the connection limit of their server changed learn that their transactions are lost', async t => {
+  const fleet = await startFleet(t)
+  const resting = await beginWrites(fleet, 'first')
+  await untilLogged(fleet, '"manifestApplied"', () => { fleet.configure({ maxConnections: 61 }) })
+  const others = await beginWrites(fleet, 'second')
+  const lost = await commitAll(resting, 'first')
+  assert.deepEqual(lost.map(({ code, state }) => [code, state]), resting.map(() => ['ABORTED', 'I']))
+  const kept = await commitAll(others, 'second')
+  assert.deepEqual(kept.map(({ code }) => code), others.map(() => undefined))
+  assert.equal(ranCommits(fleet, 'first'), 0)
+  assert.deepEqual(committedItems(fleet), ['second-0', 'second-1', 'second-2'])
+})
+
+// Guards against the same, where the entry of a server lapses and comes back.
+test('callers that rested while the entry of their server was missing learn that their transactions are lost', async t => {
+  const fleet = await startFleet(t)
+  const [, , replica] = fleet.servers
+  assert.ok(replica !== undefined)
+  const resting = await beginReadsAt(fleet, replica, 'first')
+  await untilLogged(fleet, '"serversChanged","servers":2', () => { fleet.store.remove('servers', replica.id) })
+  await untilLogged(fleet, '"serversChanged","servers":3', () => { fleet.register(replica, 'ready') })
+  const others = await beginReadsAt(fleet, replica, 'second')
+  const lost = await commitAll(resting, 'first')
+  assert.deepEqual(lost.map(({ code, state }) => [code, state]), resting.map(() => ['ABORTED', 'I']))
+  const kept = await commitAll(others, 'second')
+  assert.deepEqual(kept.map(({ code }) => code), others.map(() => undefined))
+  assert.equal(ranCommits(fleet, 'first'), 0)
+})
