A transaction takes statements of the session that began it, and of no other

Cause: the table of transactions compared the account of a statement only.

Change: `execute` carries the session of the caller (`callerSession`) for BEGIN and all statements of a transaction.

Evidence: daemon/transactions, "only the session that began a transaction may use it", and platform/transactions, "a host runs a statement in a transaction only for the session that began it" (through a link, real process).

--- a/src/daemon/callers.ts
+++ b/src/daemon/callers.ts
@@ -51,7 +51,7 @@
     const minPositions = decodeToken(connection.login.attributes[tokenAttribute] ?? '')
     const served = serveCaller({
       connection,
-      session: openSessionState(caller, connection.login.route, minPositions),
+      session: openSessionState(spec.context.uniqueId(), caller, connection.login.route, minPositions),
       pipe: spec.pipe,
       rules: ports.frontEnd.rules,
       nowMs: timers.nowMs,
--- a/src/daemon/remote-statements.ts
+++ b/src/daemon/remote-statements.ts
@@ -88,7 +88,8 @@
     statement: { id: undefined, text: 'ROLLBACK', prepared: undefined },
     values: {},
     mode: { kind: 'rollback', transaction: transaction.id },
-    remainingMs: rollBackTimeoutMs
+    remainingMs: rollBackTimeoutMs,
+    callerSession: transaction.callerSession
   }
   await executeAt(components, transaction.dispatcher, request)
 }
--- a/src/daemon/transactions.ts
+++ b/src/daemon/transactions.ts
@@ -1,7 +1,7 @@
 // Open transactions of one server. Each transaction has a session of its own; a
 // transaction that is no longer used is rolled back by closing the session.
 
-import type { OpenTransaction, ServerSession, TransactionOwner, TransactionTable } from '../dispatch/index.js'
+import type { OpenTransaction, ServerSession, TakeResult, TransactionOwner, TransactionTable } from '../dispatch/index.js'
 import type { Access, HostName } from '../model/index.js'
 import type { DaemonContext } from './context.js'
 
@@ -49,29 +49,31 @@
 
   /**
    * Keeps a session for a transaction.
-   * @param owner - account and host of the caller
+   * @param owner - account, host and session of the caller
    * @param access - whether the transaction may write
    * @param session - the session, after BEGIN
    * @returns the id, which is never given to another transaction; undefined where too many are open
    */
-  open ({ account, from }: TransactionOwner, access: Access, session: ServerSession): string | undefined {
+  open ({ account, from, callerSession }: TransactionOwner, access: Access, session: ServerSession): string | undefined {
     if (this.#isClosed || this.#entries.size >= this.#capacity || this.#countOf(account) >= this.#capacity * accountFraction) return undefined
     const id = this.#context.uniqueId()
-    this.#entries.set(id, { id, account, from, access, session, hasStarted: false, usedAtMs: this.#context.timers.nowMs(), busy: false })
+    this.#entries.set(id, { id, owner: { account, from, callerSession }, access, session, hasStarted: false, usedAtMs: this.#context.timers.nowMs(), busy: false })
     return id
   }
 
   /**
    * Reserves a transaction while one of its statements runs.
    * @param id - the transaction
-   * @param account - account of the statement
-   * @returns the transaction, or undefined where it is unknown, busy or another account's
+   * @param owner - account, host and session of the statement's caller
+   * @returns the transaction, or why the statement may not use it
    */
-  take (id: string, account: string): OpenTransaction | undefined {
+  take (id: string, owner: TransactionOwner): TakeResult {
     const entry = this.#entries.get(id)
-    if (entry === undefined || entry.busy || entry.account !== account) return undefined
+    if (entry === undefined) return { kind: 'refused', cause: 'unknown' }
+    if (!isSameOwner(entry.owner, owner)) return { kind: 'refused', cause: 'otherOwner' }
+    if (entry.busy) return { kind: 'refused', cause: 'busy' }
     this.#entries.set(id, { ...entry, busy: true })
-    return entry
+    return { kind: 'taken', transaction: entry }
   }
 
   /**
@@ -138,12 +140,12 @@
   }
 
   #countOf (account: string): number {
-    return [...this.#entries.values()].filter(entry => entry.account === account).length
+    return [...this.#entries.values()].filter(({ owner }) => owner.account === account).length
   }
 
   #rollBackAbandoned (nowMs: number): void {
     for (const entry of this.#entries.values()) {
-      const sinceMs = this.#unresponsiveSince.get(entry.from) ?? Infinity
+      const sinceMs = this.#unresponsiveSince.get(entry.owner.from) ?? Infinity
       const isAbandoned = nowMs - entry.usedAtMs >= this.#idleMs || nowMs - sinceMs >= unresponsiveMs
       if (entry.busy || !isAbandoned) continue
       this.#entries.delete(entry.id)
@@ -151,3 +153,7 @@
     }
   }
 }
+
+function isSameOwner (owner: TransactionOwner, other: TransactionOwner): boolean {
+  return owner.account === other.account && owner.from === other.from && owner.callerSession === other.callerSession
+}
--- a/src/dispatch/message.ts
+++ b/src/dispatch/message.ts
@@ -1,7 +1,7 @@
 // Messages of the dispatcher's pipe, and the services that it uses.
 
 import type { ServiceResult } from '../pace/index.js'
-import type { Access, ExecuteReply, ExecuteRequest, HostName, NotRunReason, Outcome, Position, PrimaryView } from '../model/index.js'
+import type { Access, ExecuteReply, ExecuteRequest, NotRunReason, Outcome, Position, PrimaryView } from '../model/index.js'
 import type { ServerSession, SessionPool } from './server-session.js'
 
 /** A statement that arrived at the dispatcher of a server. */
@@ -46,9 +46,7 @@
 /** An open transaction at the dispatcher of its server. */
 export type OpenTransaction = {
   readonly id: string
-  readonly account: string
-  /** The host that the caller is connected to. */
-  readonly from: HostName
+  readonly owner: TransactionOwner
   readonly session: ServerSession
   /** Whether it may write. */
   readonly access: Access
@@ -56,15 +54,24 @@
   readonly hasStarted: boolean
 }
 
-/** Client account and host that a transaction belongs to. */
-export type TransactionOwner = Pick<ExecuteRequest, 'account' | 'from'>
+/** Client account, host and session that a transaction belongs to; only they may use it. */
+export type TransactionOwner = Pick<ExecuteRequest, 'account' | 'from' | 'callerSession'>
+
+/** Result of reserving a transaction for a statement. */
+export type TakeResult =
+  | { readonly kind: 'taken', readonly transaction: OpenTransaction }
+  /**
+   * `unknown`: it has ended, or was opened elsewhere. `busy`: another statement of it
+   * runs. `otherOwner`: it belongs to another caller.
+   */
+  | { readonly kind: 'refused', readonly cause: 'unknown' | 'busy' | 'otherOwner' }
 
 /** The open transactions of one server. */
 export type TransactionTable = {
   /** Reserves a session for a transaction and returns its id; undefined if too many are open. */
   readonly open: (owner: TransactionOwner, access: Access, session: ServerSession) => string | undefined
-  /** Marks a transaction as busy; undefined if it is unknown or busy already. */
-  readonly take: (id: string, account: string) => OpenTransaction | undefined
+  /** Marks a transaction as busy, where it belongs to the caller of the statement. */
+  readonly take: (id: string, owner: TransactionOwner) => TakeResult
   /** Marks a transaction as idle again. */
   readonly putBack: (transaction: OpenTransaction) => void
   readonly remove: (transaction: OpenTransaction) => void
--- a/src/dispatch/run.ts
+++ b/src/dispatch/run.ts
@@ -5,7 +5,7 @@
 
 import { notRun, unknownOutcome, type ExecutionMode, type NotRunReason, type Outcome, type Position } from '../model/index.js'
 import { contextSteps } from './context.js'
-import type { CheckedRequest, DispatchServices, OpenTransaction, ExecutedRequest } from './message.js'
+import type { CheckedRequest, DispatchServices, OpenTransaction, ExecutedRequest, TakeResult } from './message.js'
 import { runWithRequestId } from './request-id.js'
 import type { QueryResult, ServerSession } from './server-session.js'
 
@@ -158,8 +158,9 @@
 const duplicateErrorNumber = 1062
 
 async function runInTransaction (services: DispatchServices, message: CheckedRequest, id: string): Promise<RunResult> {
-  const transaction = services.transactions.take(id, message.request.account)
-  if (transaction === undefined) return finalResult(notRun('transactionLost', 'the transaction no longer exists'))
+  const taken = services.transactions.take(id, message.request)
+  if (taken.kind === 'refused') return finalResult(refusedUse(taken.cause))
+  const { transaction } = taken
   const { session } = transaction
   const failure = await applyContext(services, message, session)
   if (failure !== undefined) return abortTransaction(services, transaction, 'transactionLost', 'the connection of the transaction was lost')
@@ -180,6 +181,14 @@
   }
 }
 
+function refusedUse (cause: Extract<TakeResult, { readonly kind: 'refused' }>['cause']): Outcome {
+  switch (cause) {
+    case 'unknown': return notRun('transactionLost', 'the transaction no longer exists')
+    case 'busy': return notRun('transactionLost', 'another statement of the transaction is still running')
+    case 'otherOwner': return notRun('transactionLost', 'the transaction belongs to another session')
+  }
+}
+
 // A transaction counts as new work until its first statement has reached the server.
 function startsTooLate (services: DispatchServices, transaction: OpenTransaction): boolean {
   return !transaction.hasStarted && !services.acceptsNewWork()
@@ -201,8 +210,9 @@
 // Statements of a transaction do not wait for a quorum; the COMMIT of a
 // transaction that may write does, and that of a read-only one does not.
 async function runCommit (services: DispatchServices, message: CheckedRequest, id: string): Promise<RunResult> {
-  const transaction = services.transactions.take(id, message.request.account)
-  if (transaction === undefined) return finalResult(notRun('transactionLost', 'the transaction no longer exists'))
+  const taken = services.transactions.take(id, message.request)
+  if (taken.kind === 'refused') return finalResult(refusedUse(taken.cause))
+  const { transaction } = taken
   if (startsTooLate(services, transaction)) return abortTransaction(services, transaction, 'transactionLost', drainTimeOverDetail)
   services.transactions.remove(transaction)
   const { session } = transaction
@@ -219,8 +229,9 @@
 }
 
 async function runRollback (services: DispatchServices, message: CheckedRequest, id: string): Promise<RunResult> {
-  const transaction = services.transactions.take(id, message.request.account)
-  if (transaction === undefined) return finalResult(notRun('transactionLost', 'the transaction no longer exists'))
+  const taken = services.transactions.take(id, message.request)
+  if (taken.kind === 'refused') return finalResult(refusedUse(taken.cause))
+  const { transaction } = taken
   services.transactions.remove(transaction)
   const { session } = transaction
   const result = await session.control({ kind: 'rollback' }, timeLeftMs(services, message))
--- a/src/model/ids.ts
+++ b/src/model/ids.ts
@@ -22,6 +22,9 @@
 /** Name of a route: the schema name that a caller connects to. */
 export type RouteName = string
 
+/** Id of a caller's session, unique over all hosts and their restarts. */
+export type SessionId = string
+
 /** Generation of an accepted manifest; incremented with each acceptance. */
 export type Generation = number
 
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -1,7 +1,7 @@
 // Messages of the protocol between proxies. Each method has one request and one
 // reply type. The encoding is JSON-RPC, implemented in src/wire.
 
-import type { AccountName, DatabaseName, FailureDomain, Generation, HostName, ServerName } from './ids.js'
+import type { AccountName, DatabaseName, FailureDomain, Generation, HostName, ServerName, SessionId } from './ids.js'
 import type { AcceptedManifest } from './manifest.js'
 import type { Outcome } from './outcome.js'
 import type { Position } from './position.js'
@@ -60,6 +60,11 @@
   readonly takesToken?: boolean | undefined
   /** Unique among the statements of the entry host; `cancel` names the statement by it. */
   readonly callId?: string | undefined
+  /**
+   * Session of the caller, where the statement begins a transaction or belongs to
+   * one; a proxy of an earlier version does not send it.
+   */
+  readonly callerSession?: SessionId | undefined
 }
 
 /** Load of a server at its dispatcher. */
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -194,6 +194,7 @@
     remainingMs: message.statement.deadlineAtMs - services.nowMs(),
     takesToken,
     callId,
+    callerSession: isOfTransaction(route.mode) ? message.session.id : undefined,
     ...urgencyOf(message, services.nowMs())
   })
   unsubscribe?.()
@@ -211,6 +212,17 @@
   })
 }
 
+function isOfTransaction (mode: ExecutionMode): boolean {
+  switch (mode.kind) {
+    case 'begin':
+    case 'inTransaction':
+    case 'commit':
+    case 'rollback': return true
+    case 'read':
+    case 'write': return false
+  }
+}
+
 function endsTransaction (mode: ExecutionMode): boolean {
   switch (mode.kind) {
     case 'commit':
@@ -263,7 +275,7 @@
   if (outcome.kind !== 'answered' || route.kind !== 'send' || attempt.kind !== 'replied') return { outcome, session: raised }
   const { transaction } = attempt.reply
   if (transaction === undefined) return { outcome, session: raised }
-  const open: OpenTransaction = { id: transaction, database: message.database.name, server: route.server, dispatcher: route.dispatcher, account: accountName(message), route: message.route, state: 'open' }
+  const open: OpenTransaction = { id: transaction, database: message.database.name, server: route.server, dispatcher: route.dispatcher, account: accountName(message), callerSession: message.session.id, route: message.route, state: 'open' }
   return { outcome, session: { ...raised, transaction: open } }
 }
 
--- a/src/request/session.ts
+++ b/src/request/session.ts
@@ -2,7 +2,7 @@
 // the next one. A session belongs to one connection; a token carries its minimum
 // positions to another connection.
 
-import type { AccountName, Caller, DatabaseName, MinPositions, HostName, Position, PreparedStatement, RouteDeclaration, RouteName, ServerName, SessionValues } from '../model/index.js'
+import type { AccountName, Caller, DatabaseName, MinPositions, HostName, Position, PreparedStatement, RouteDeclaration, RouteName, ServerName, SessionId, SessionValues } from '../model/index.js'
 import { laterPosition } from '../model/index.js'
 
 /** An open transaction and the dispatcher of the server that runs it. */
@@ -12,6 +12,7 @@
   readonly server: ServerName
   readonly dispatcher: HostName
   readonly account: AccountName
+  readonly callerSession: SessionId
   /**
    * The route when the transaction began; a change applies from the next
    * transaction on.
@@ -30,6 +31,7 @@
 
 /** State of a session. */
 export type SessionState = {
+  readonly id: SessionId
   readonly caller: Caller
   readonly route: RouteName
   readonly minPositions: MinPositions
@@ -47,13 +49,14 @@
 
 /**
  * Creates the state of a new session.
+ * @param id - id of the session
  * @param caller - the caller that logged in
  * @param route - the route of the login
  * @param minPositions - the minimum positions of the token, if one was presented
  * @returns the session state
  */
-export function openSessionState (caller: Caller, route: RouteName, minPositions: MinPositions | undefined): SessionState {
-  return { caller, route, minPositions: minPositions ?? {}, hasToken: minPositions !== undefined, transaction: undefined, values: {}, prepared: new Map(), keptBytes: 0 }
+export function openSessionState (id: SessionId, caller: Caller, route: RouteName, minPositions: MinPositions | undefined): SessionState {
+  return { id, caller, route, minPositions: minPositions ?? {}, hasToken: minPositions !== undefined, transaction: undefined, values: {}, prepared: new Map(), keptBytes: 0 }
 }
 
 /**
--- a/src/wire/execute-message.ts
+++ b/src/wire/execute-message.ts
@@ -34,7 +34,8 @@
     priority: optional(fields[code.priority], countOf),
     goalLeftMs: optional(fields[code.goalLeftMs], numberOf),
     takesToken: optional(fields[code.takesToken], booleanOf),
-    callId: optional(fields[code.callId], nameOf)
+    callId: optional(fields[code.callId], nameOf),
+    callerSession: optional(fields[code.callerSession], nameOf)
   }
 }
 
--- a/src/wire/peer-codec.ts
+++ b/src/wire/peer-codec.ts
@@ -19,7 +19,7 @@
   'server', 'servedBy', 'servers', 'signature', 'state', 'statement', 'status', 'storeConfirmedAgoMs', 'term',
   'text', 'tokens', 'transaction', 'validMs', 'view', 'want', 'wantTokens', 'weight',
   // Added later: an earlier version drops these codes as unknown fields.
-  'priority', 'goalLeftMs', 'takesToken', 'callId', 'tookToken', 'serverLoad', 'expectedWaitMs', 'serviceMs', 'waiting', 'load', 'features'
+  'priority', 'goalLeftMs', 'takesToken', 'callId', 'tookToken', 'serverLoad', 'expectedWaitMs', 'serviceMs', 'waiting', 'load', 'features', 'callerSession'
 ] as const
 
 /** Prefix of codes. A field name that starts with it is escaped by another prefix. */
--- a/src/wire/peer-schema.ts
+++ b/src/wire/peer-schema.ts
@@ -63,7 +63,8 @@
   priority: count.optional(),
   goalLeftMs: z.number().optional(),
   takesToken: z.boolean().optional(),
-  callId: name.optional()
+  callId: name.optional(),
+  callerSession: name.optional()
 })
 
 const serverLoad = z.object({ expectedWaitMs: amount, serviceMs: amount, waiting: count, slots: count })
--- a/test/daemon/caller-task.test.ts
+++ b/test/daemon/caller-task.test.ts
@@ -15,7 +15,7 @@
 const graceMs = 6000
 const stepMs = 100
 const answered = proxyAnswer({ kind: 'done', affectedRows: 1, insertId: 0 })
-const transaction: OpenTransaction = { id: 't1', database: 'orders', server: 's1', dispatcher: 'h2', account: 'bindery', route: { name: 'orders', database: 'orders', access: { kind: 'open' } }, state: 'open' }
+const transaction: OpenTransaction = { id: 't1', database: 'orders', server: 's1', dispatcher: 'h2', account: 'bindery', callerSession: 'session-1', route: { name: 'orders', database: 'orders', access: { kind: 'open' } }, state: 'open' }
 
 type Answer = { readonly atMs: number, readonly outcome: Outcome['kind'] | string, readonly transaction: SessionStatus['transaction'] }
 
@@ -40,7 +40,7 @@
   const timers = fakeTimers()
   const stopSignal = new StopSignal()
   const inbox = new Mailbox<CallerCommand>(16)
-  const idle = openSessionState({ kind: 'anonymous' }, 'orders', undefined)
+  const idle = openSessionState('session-1', { kind: 'anonymous' }, 'orders', undefined)
   const open: SessionState = { ...idle, transaction }
   const answers: Answer[] = []
   const rolledBack: string[] = []
--- a/test/daemon/transactions.test.ts
+++ b/test/daemon/transactions.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import type { DaemonContext } from '../../src/daemon/context.js'
 import { Transactions } from '../../src/daemon/transactions.js'
-import type { ServerSession } from '../../src/dispatch/index.js'
+import type { OpenTransaction, ServerSession, TransactionOwner } from '../../src/dispatch/index.js'
 import { uniqueIds } from '../../src/pipe/index.js'
 import { fakeTimers, type FakeTimers } from '../support/timers.js'
 
@@ -23,7 +23,13 @@
   return {} as unknown as ServerSession
 }
 
-const owner = { account: 'bindery', from: 'entry-1' }
+const owner: TransactionOwner = { account: 'bindery', from: 'entry-1', callerSession: 's1' }
+
+/** Opens a transaction and reserves it for a statement. */
+function takenOf (transactions: Transactions, session: ServerSession): OpenTransaction {
+  const result = transactions.take(transactions.open(owner, 'write', session) ?? assert.fail(), owner)
+  return result.kind === 'taken' ? result.transaction : assert.fail(result.cause)
+}
 
 test('a host that is unresponsive for a moment keeps the transactions of its callers', () => {
   const { timers, transactions, rolledBack } = tableOf()
@@ -33,14 +39,14 @@
   transactions.recordUnresponsive(new Set())
   timers.pass(6000)
   assert.deepEqual(rolledBack, [])
-  assert.notEqual(transactions.take(id ?? '', 'bindery'), undefined)
+  assert.equal(transactions.take(id ?? '', owner).kind, 'taken')
 })
 
 test('a host that stays unresponsive loses them, a running statement excepted', () => {
   const { timers, transactions, rolledBack } = tableOf()
   const [idle, busy] = [sessionOf(), sessionOf()]
   transactions.open(owner, 'write', idle)
-  transactions.take(transactions.open(owner, 'write', busy) ?? '', 'bindery')
+  takenOf(transactions, busy)
   transactions.open({ ...owner, from: 'entry-2' }, 'write', sessionOf())
   transactions.recordUnresponsive(new Set(['entry-1']))
   timers.pass(1000)
@@ -53,8 +59,8 @@
   const { transactions, rolledBack } = tableOf()
   const [idle, busy, committing, late] = [sessionOf(), sessionOf(), sessionOf(), sessionOf()]
   transactions.open(owner, 'write', idle)
-  const running = transactions.take(transactions.open(owner, 'write', busy) ?? '', 'bindery') ?? assert.fail()
-  const commit = transactions.take(transactions.open(owner, 'write', committing) ?? '', 'bindery') ?? assert.fail()
+  const running = takenOf(transactions, busy)
+  const commit = takenOf(transactions, committing)
   transactions.remove(commit)
   assert.equal(transactions.rollBackAll(), 2)
   assert.deepEqual(rolledBack, [idle])
@@ -73,5 +79,15 @@
   const tables = [tableOf(context), tableOf(context), tableOf(processContext('b'))]
   const later = tables.map(({ transactions }) => transactions.open(owner, 'write', sessionOf()))
   assert.equal(new Set([ended, ...later]).size, 1 + tables.length)
-  for (const { transactions } of [first, ...tables]) assert.equal(transactions.take(ended, 'bindery'), undefined)
+  for (const { transactions } of [first, ...tables]) assert.deepEqual(transactions.take(ended, owner), { kind: 'refused', cause: 'unknown' })
+})
+
+// Guards against PINNED: where an id is known to another caller, only the account was compared.
+test('only the session that began a transaction may use it, and one statement at a time', () => {
+  const { transactions } = tableOf()
+  const id = transactions.open(owner, 'write', sessionOf()) ?? assert.fail()
+  const others: ReadonlyArray<Partial<TransactionOwner>> = [{ callerSession: 's2' }, { callerSession: undefined }, { from: 'entry-2' }, { account: 'mill' }]
+  for (const other of others) assert.deepEqual(transactions.take(id, { ...owner, ...other }), { kind: 'refused', cause: 'otherOwner' })
+  assert.equal(transactions.take(id, owner).kind, 'taken')
+  assert.deepEqual(transactions.take(id, owner), { kind: 'refused', cause: 'busy' })
 })
--- a/test/platform/transactions.test.ts
+++ b/test/platform/transactions.test.ts
@@ -8,9 +8,13 @@
 import type { Fleet } from '../../standins/fleet/set.js'
 import type { LineServer } from '../../standins/fleet/server.js'
 import { defaultFleetOptions } from '../../standins/fleet/set.js'
+import type { ExecuteReply, ExecuteRequest, ExecutionMode } from '../../src/model/index.js'
+import { systemTimers } from '../../src/pipe/index.js'
+import { peerClient, type PeerClient } from '../../src/wire/peer-link.js'
 import { openSession, startServingFleet } from '../support/fleet.js'
 import { until } from '../support/until.js'
 
+const callTimeoutMs = 5000
 /** Longer than a test, so that only what the test does ends a transaction. */
 const idleTransactionMs = 600_000
 
@@ -90,3 +94,49 @@
   assert.deepEqual(kept.map(({ code }) => code), others.map(() => undefined))
   assert.equal(ranCommits(fleet, 'first'), 0)
 })
+
+/** Links to the hosts of a fleet, as another host has them. */
+function linksTo (t: TestContext, fleet: Fleet): readonly PeerClient[] {
+  const timers = systemTimers()
+  const links = fleet.proxies.map(({ peerPort }) => peerClient({ ip: '127.0.0.1', port: peerPort }, timers, undefined))
+  t.after(() => {
+    for (const link of links) link.close()
+    timers.stop()
+  })
+  return links
+}
+
+type Sender = Pick<ExecuteRequest, 'from' | 'callerSession'>
+
+/** A statement of a caller for the primary's dispatcher. */
+function statementOf (sender: Sender, text: string, mode: ExecutionMode): ExecuteRequest {
+  return { ...sender, database: 'ledger-group', server: 'i-a', account: 'bindery', weight: 1, statement: { id: mode.kind, text, prepared: undefined }, values: {}, mode, remainingMs: callTimeoutMs }
+}
+
+/** Finds the dispatcher, the only host that begins a transaction. */
+async function beginAt (links: readonly PeerClient[], sender: Sender): Promise<{ readonly link: PeerClient, readonly transaction: string }> {
+  const mode = { kind: 'begin', requestId: undefined, access: 'write', freshness: { kind: 'newest' } } as const
+  for (const link of links) {
+    const { transaction } = await link.call('execute', statementOf(sender, 'BEGIN', mode), callTimeoutMs)
+    if (transaction !== undefined) return { link, transaction }
+  }
+  return assert.fail('no host began a transaction')
+}
+
+// Guards against PINNED: a statement ran in the transaction that it named, whoever had begun it.
+test('a host runs a statement in a transaction only for the session that began it', async t => {
+  const fleet = await startFleet(t)
+  const owner: Sender = { from: 'entry-9', callerSession: 'own' }
+  const { link, transaction } = await beginAt(linksTo(t, fleet), owner)
+  const send = async (sender: Sender, text: string, mode: 'inTransaction' | 'commit' | 'rollback'): Promise<ExecuteReply> => await link.call('execute', statementOf(sender, text, { kind: mode, transaction }), callTimeoutMs)
+  const strangers: readonly Sender[] = [{ ...owner, callerSession: 'other' }, { ...owner, from: 'entry-8' }]
+  for (const stranger of strangers) {
+    for (const [text, mode] of [['WRITE stolen 1', 'inTransaction'], ['COMMIT', 'commit'], ['ROLLBACK', 'rollback']] as const) {
+      const { outcome } = await send(stranger, text, mode)
+      assert.equal(outcome.kind === 'notRun' && outcome.reason, 'transactionLost')
+    }
+  }
+  assert.equal((await send(owner, 'WRITE own 1', 'inTransaction')).outcome.kind, 'answered')
+  assert.equal((await send(owner, 'COMMIT', 'commit')).outcome.kind, 'answered')
+  assert.deepEqual(committedItems(fleet), ['own'])
+})
--- a/test/request/attempts.test.ts
+++ b/test/request/attempts.test.ts
@@ -55,7 +55,7 @@
     ...changed
   }
   const pipe = requestPipe(services, { self: 'h9', localFailureDomain: 'd1', defaultDeadlineMs: 1000, maxDeadlineMs: 1000, rules: mysqlSessionRules, strongReadsAt: 'anyServer', ...bounds })
-  const read = async (sql = 'SELECT 1', session = openSessionState({ kind: 'anonymous' }, 'orders', undefined)): Promise<Outcome> => (await runPipe(pipe, { session, presence, statement: { caller: session.caller, route: session.route, ...parseSql(sql), receivedAtMs: nowMs } })).outcome
+  const read = async (sql = 'SELECT 1', session = openSessionState('session-1', { kind: 'anonymous' }, 'orders', undefined)): Promise<Outcome> => (await runPipe(pipe, { session, presence, statement: { caller: session.caller, route: session.route, ...parseSql(sql), receivedAtMs: nowMs } })).outcome
   return { read, sent, cancelled, presence, nowMs: () => nowMs }
 }
 
@@ -145,8 +145,8 @@
 test('an overloaded host refuses new statements at once, but none of a transaction', async () => {
   let isOverloaded = false
   const entry = startEntry([replyOf(rows, 1)], 1, undefined, {}, { sheds: () => isOverloaded })
-  const session = openSessionState({ kind: 'anonymous' }, 'orders', undefined)
-  const open: SessionState = { ...session, transaction: { id: 't1', database: 'orders', server: 's1', dispatcher: 'h1', account: 'a', route: manifest.routes[0] as RouteDeclaration, state: 'open' } }
+  const session = openSessionState('session-1', { kind: 'anonymous' }, 'orders', undefined)
+  const open: SessionState = { ...session, transaction: { id: 't1', database: 'orders', server: 's1', dispatcher: 'h1', account: 'a', callerSession: 'session-1', route: manifest.routes[0] as RouteDeclaration, state: 'open' } }
   isOverloaded = true
   assert.deepEqual([reasonOf(await entry.read()), reasonOf(await entry.read('BEGIN')), entry.sent.length], ['overloaded', 'overloaded', 0])
   assert.deepEqual([reasonOf(await entry.read('SELECT 1', open)), reasonOf(await entry.read('COMMIT', open)), entry.sent.length], ['answered', 'answered', 2])
--- a/test/request/embed.test.ts
+++ b/test/request/embed.test.ts
@@ -7,7 +7,7 @@
 test('the example embeds the request pipe without a socket', async () => {
   const executor = new MapExecutor(new Map([['SELECT name FROM job', 'folio 12']]))
   const caller = { kind: 'account', account: 'bindery', keyId: config.keyIdentity(exampleKey) } as const
-  const opened = request.openSessionState(caller, 'orders', undefined)
+  const opened = request.openSessionState('session-1', caller, 'orders', undefined)
   const read = await serveOne(opened, parseSql('SELECT name FROM job'), executor, 0)
   assert.equal(read.outcome.kind, 'answered')
   const written = await serveOne(read.session, parseSql('INSERT INTO job VALUES (1)'), executor, 1)
--- a/test/request/pipe.test.ts
+++ b/test/request/pipe.test.ts
@@ -61,7 +61,7 @@
   return { sent, delays, served, ...counts }
 }
 
-const anonymous = openSessionState({ kind: 'anonymous' }, 'orders', undefined)
+const anonymous = openSessionState('session-1', { kind: 'anonymous' }, 'orders', undefined)
 
 function sentTo (run: ServedStatement): readonly unknown[] {
   return run.sent.map(({ server, mode }) => [server, mode.kind === 'read' ? mode.freshness : mode.kind])
@@ -89,7 +89,7 @@
 })
 
 test('a schema change is refused inside a transaction, which it would commit', async () => {
-  const transaction = { id: 't1', database: 'orders', server: 's1', dispatcher: 'h1', account: 'a', route: { name: 'orders', database: 'orders', access: { kind: 'open' } }, state: 'open' } as const
+  const transaction = { id: 't1', database: 'orders', server: 's1', dispatcher: 'h1', account: 'a', callerSession: 'session-1', route: { name: 'orders', database: 'orders', access: { kind: 'open' } }, state: 'open' } as const
   const run = await serve({ ...anonymous, transaction }, 'CREATE TABLE u (a INT)', [])
   assert.equal(run.sent.length, 0)
   assert.equal(run.served.outcome.kind, 'notRun')
@@ -184,7 +184,7 @@
 }
 
 test('a statement that is refused for the rate leaves its transaction open', async () => {
-  const transaction = { id: 't1', database: 'orders', server: 's1', dispatcher: 'h1', account: 'a', route: { name: 'orders', database: 'orders', access: { kind: 'open' } }, state: 'open' } as const
+  const transaction = { id: 't1', database: 'orders', server: 's1', dispatcher: 'h1', account: 'a', callerSession: 'session-1', route: { name: 'orders', database: 'orders', access: { kind: 'open' } }, state: 'open' } as const
   const run = await serve({ ...anonymous, transaction }, 'DELETE FROM t', [replyWith(notRun('rateExceeded', ''), false)], delegating)
   assert.deepEqual([run.served.outcome, run.served.session.transaction], [notRun('rateExceeded', ''), transaction])
 })
--- a/test/wire/peer-message.test.ts
+++ b/test/wire/peer-message.test.ts
@@ -58,7 +58,7 @@
     read: executeRequestOf,
     message: record(
       { from: name, database: name, server: name, account: name, weight: positive, statement: record({ text }, { id: text, prepared }), values: fc.dictionary(text, text), mode, remainingMs: finite },
-      { priority: count, goalLeftMs: finite, takesToken: fc.boolean(), callId: name })
+      { priority: count, goalLeftMs: finite, takesToken: fc.boolean(), callId: name, callerSession: name })
   },
   {
     method: 'execute',
