A table of transactions that has ended opens no more

Its server connection, with the open transaction, stayed until the process ended. Found by reading the paths on which a dispatcher is made anew; no run of a fleet showed it.

Change: the end of the table closes it, as the rollback of a planned stop does: BEGIN is refused and its session closed, and a statement that still runs ends its transaction.

Evidence: daemon/transactions, "a table that has ended keeps no transaction whose statement was running", fails before (the BEGIN gets the id a.2) and passes now.

--- a/src/daemon/transactions.ts
+++ b/src/daemon/transactions.ts
@@ -121,8 +121,9 @@
     return count
   }
 
-  /** Rolls back all transactions at once. */
+  /** Rolls back all transactions at once, and opens no more. */
   stop (): void {
+    this.#isClosed = true
     this.#cancel()
     for (const entry of this.#entries.values()) this.#discard(entry.session)
     this.#entries.clear()
--- a/test/daemon/transactions.test.ts
+++ b/test/daemon/transactions.test.ts
@@ -91,3 +91,15 @@
   assert.equal(transactions.take(id, owner).kind, 'taken')
   assert.deepEqual(transactions.take(id, owner), { kind: 'refused', cause: 'busy' })
 })
+
+// Guards against transactions that nothing ends: a BEGIN that ran while its dispatcher ended left an open transaction on a connection that nobody closed.
+test('a table that has ended keeps no transaction whose statement was running', () => {
+  const { transactions, rolledBack } = tableOf()
+  const [busy, late] = [sessionOf(), sessionOf()]
+  const running = takenOf(transactions, busy)
+  transactions.stop()
+  assert.deepEqual(rolledBack, [busy])
+  transactions.putBack(running)
+  assert.equal(transactions.open(owner, 'write', late), undefined)
+  assert.equal(transactions.size, 0)
+})
