--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -5,7 +5,7 @@
 import type { DispatchReply } from '../dispatch/index.js'
 import type { PromotionProgress } from '../failover/index.js'
 import { dispatcherCandidates, placeDispatchers, placedDispatchers, rankDispatchers, type Member, type Placement } from '../members/index.js'
-import { acceptsNewWork, notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PeerParams, type PrimaryView, type ServerDeclaration, type ServerLoad, type ServerName } from '../model/index.js'
+import { acceptsNewWork, belongsToTransaction, notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PeerParams, type PrimaryView, type ServerDeclaration, type ServerLoad, type ServerName } from '../model/index.js'
 import { startAlarm, type Alarm } from '../pipe/index.js'
 import type { PromotionResult } from '../ports/index.js'
 import { ColdBounds, type ColdBoundsSpec } from './cold-bounds.js'
@@ -250,7 +250,7 @@
   }
 
   #isStoppingFor (request: ExecuteRequest): boolean {
-    return this.#stopping && !belongsToTransaction(request)
+    return this.#stopping && !belongsToTransaction(request.mode)
   }
 
   #updateAssignments (): void {
@@ -304,7 +304,7 @@
     const entry = this.#entries.get(declared.name)
     const existing = entry?.dispatchers.get(server.name)
     const nowMs = this.#spec.context.timers.nowMs()
-    if (!belongsToTransaction(request) && this.#isLeftToAssigned(declared, server)) return undefined
+    if (!belongsToTransaction(request.mode) && this.#isLeftToAssigned(declared, server)) return undefined
     if (entry !== undefined) this.#entries.set(declared.name, { ...entry, usedAtMs: nowMs, requestedAtMs: nowMs })
     if (existing !== undefined) return existing
     if (!this.#isCandidate(declared, server)) return undefined
@@ -381,19 +381,6 @@
   }
 }
 
-// Whether the statement belongs to an open transaction, which only this host can
-// continue.
-function belongsToTransaction (request: ExecuteRequest): boolean {
-  switch (request.mode.kind) {
-    case 'inTransaction':
-    case 'commit':
-    case 'rollback': return true
-    case 'read':
-    case 'write':
-    case 'begin': return false
-  }
-}
-
 function sameServer (before: DatabaseDeclaration, after: DatabaseDeclaration, name: ServerName): boolean {
   const find = (database: DatabaseDeclaration): ServerDeclaration | undefined => database.servers.find(server => server.name === name)
   const [previous, current] = [find(before), find(after)]
--- a/src/dispatch/pipe.ts
+++ b/src/dispatch/pipe.ts
@@ -1,7 +1,7 @@
 // The pipe of a server's dispatcher: check > queue > run > wait for a quorum. It
 // accepts statements from any proxy and always produces a reply.
 
-import { notRun, unknownOutcome, type NotRunReason, type Outcome } from '../model/index.js'
+import { belongsToTransaction, notRun, unknownOutcome, type NotRunReason, type Outcome } from '../model/index.js'
 import type { ServiceResult } from '../pace/index.js'
 import { end, compose, next, type Filter } from '../pipe/index.js'
 import type { CheckedRequest, DispatchReply, DispatchRequest, DispatchServices, ExecutedRequest } from './message.js'
@@ -18,7 +18,7 @@
 
 function check (services: DispatchServices): Filter<DispatchRequest, CheckedRequest, DispatchReply> {
   return async message => {
-    if (opensWork(message) && !services.acceptsNewWork()) return end({ outcome: drainTimeOver, transaction: undefined, newest: undefined })
+    if (!belongsToTransaction(message.request.mode) && !services.acceptsNewWork()) return end({ outcome: drainTimeOver, transaction: undefined, newest: undefined })
     const result = await services.check(message)
     switch (result.kind) {
       case 'allowed': return next({ ...message, role: result.role, minPosition: result.minPosition })
@@ -27,17 +27,6 @@
   }
 }
 
-function opensWork (message: DispatchRequest): boolean {
-  switch (message.request.mode.kind) {
-    case 'read':
-    case 'write':
-    case 'begin': return true
-    case 'inTransaction':
-    case 'commit':
-    case 'rollback': return false
-  }
-}
-
 // The permit covers the statement but not the wait for a quorum: the server's
 // slot is released as soon as the statement has run.
 function queueAndRun (services: DispatchServices): Filter<CheckedRequest, ExecutedRequest, DispatchReply> {
--- a/src/request/execute.ts
+++ b/src/request/execute.ts
@@ -2,7 +2,7 @@
 // where that is safe, until there is an answer or the deadline passes.
 
 import type { TokenState } from '../admission/index.js'
-import { anonymousAccount, notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecuteRequest, type ExecutionMode, type ReadConsistency, type NotRunReason, type Outcome, type ServerName, type StatementClass } from '../model/index.js'
+import { anonymousAccount, belongsToTransaction, endsTransaction, notRun, unknownOutcome, type AccountName, type ExecuteReply, type ExecuteRequest, type ExecutionMode, type ReadConsistency, type NotRunReason, type Outcome, type ServerName, type StatementClass } from '../model/index.js'
 import { end, uniqueIds, type Filter, type Unsubscribe } from '../pipe/index.js'
 import type { ConsistencyResolved, RequestResult } from './message.js'
 import { decideRetry, deadlineOutcome, triesNextAtOnce, type AttemptResult, type Repeatable } from './retry.js'
@@ -194,7 +194,7 @@
     remainingMs: message.statement.deadlineAtMs - services.nowMs(),
     takesToken,
     callId,
-    callerSession: isOfTransaction(route.mode) ? message.session.id : undefined,
+    callerSession: needsOwner(route.mode) ? message.session.id : undefined,
     ...urgencyOf(message, services.nowMs())
   })
   unsubscribe?.()
@@ -212,26 +212,8 @@
   })
 }
 
-function isOfTransaction (mode: ExecutionMode): boolean {
-  switch (mode.kind) {
-    case 'begin':
-    case 'inTransaction':
-    case 'commit':
-    case 'rollback': return true
-    case 'read':
-    case 'write': return false
-  }
-}
-
-function endsTransaction (mode: ExecutionMode): boolean {
-  switch (mode.kind) {
-    case 'commit':
-    case 'rollback': return true
-    case 'read':
-    case 'write':
-    case 'begin':
-    case 'inTransaction': return false
-  }
+function needsOwner (mode: ExecutionMode): boolean {
+  return mode.kind === 'begin' || belongsToTransaction(mode)
 }
 
 // What the scheduler of the server orders the statement by; none without a policy.
