A statement of a transaction whose dispatcher has ended gets ABORTED

Seen (platform/transactions, real processes): while the entry of a server is missing, the next statement of a transaction there got BUSY, with the reason `wrongHome`. The transaction is gone by then; BUSY tells callers to repeat, and on the front where an error leaves the transaction open the session went on as if it were. The statement also made a dispatcher for the server where there was none.

Cause: statements of a transaction went the way of new ones, which may open a dispatcher, or be sent to another host.

Change: such a statement goes to the dispatcher that is open, and is answered with `transactionLost` where there is none.

Evidence: "while the entry of their server is missing, callers learn at once that their transactions are lost" got BUSY before and passes now; platform/transactions and daemon pass.

--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -53,6 +53,12 @@
 
 const stoppingReply: DispatchReply = { outcome: notRun('stopping', 'this host is stopping'), transaction: undefined, newest: undefined }
 const wrongHomeReply: DispatchReply = { outcome: notRun('wrongHome', 'this host does not dispatch for the server'), transaction: undefined, newest: undefined }
+const transactionEndedReply: DispatchReply = { outcome: notRun('transactionLost', 'the dispatcher of the transaction has ended'), transaction: undefined, newest: undefined }
+
+/** The dispatcher of a statement, or the reply where this host has none. */
+type DispatcherChoice =
+  | { readonly kind: 'found', readonly dispatcher: DispatcherTask }
+  | { readonly kind: 'none', readonly reply: DispatchReply }
 
 /** The databases that are assigned to this host. */
 export class Databases {
@@ -240,17 +246,25 @@
   }
 
   async #run (request: ExecuteRequest): Promise<DispatchReply> {
-    if (this.#isStoppingFor(request)) return stoppingReply
-    return await this.#dispatcherFor(request)?.execute(request) ?? wrongHomeReply
+    const choice = this.#chooseDispatcher(request)
+    switch (choice.kind) {
+      case 'found': return await choice.dispatcher.execute(request)
+      case 'none': return choice.reply
+    }
   }
 
   #refusal (request: ExecuteRequest): DispatchReply | undefined {
-    if (this.#isStoppingFor(request)) return stoppingReply
-    return this.#dispatcherFor(request) === undefined ? wrongHomeReply : undefined
+    const choice = this.#chooseDispatcher(request)
+    return choice.kind === 'none' ? choice.reply : undefined
   }
 
-  #isStoppingFor (request: ExecuteRequest): boolean {
-    return this.#stopping && !belongsToTransaction(request.mode)
+  // An open transaction ends with its dispatcher, so no other one can continue it.
+  #chooseDispatcher (request: ExecuteRequest): DispatcherChoice {
+    const isOpen = belongsToTransaction(request.mode)
+    if (!isOpen && this.#stopping) return { kind: 'none', reply: stoppingReply }
+    const dispatcher = isOpen ? this.#openDispatcherOf(request) : this.#dispatcherFor(request)
+    if (dispatcher !== undefined) return { kind: 'found', dispatcher }
+    return { kind: 'none', reply: isOpen ? transactionEndedReply : wrongHomeReply }
   }
 
   #updateAssignments (): void {
@@ -300,15 +314,17 @@
   #dispatcherFor (request: ExecuteRequest): DispatcherTask | undefined {
     const declared = this.#declared.get(request.database)
     const server = declared?.servers.find(one => one.name === request.server)
-    if (declared === undefined || server === undefined) return undefined
-    const entry = this.#entries.get(declared.name)
-    const existing = entry?.dispatchers.get(server.name)
-    const nowMs = this.#spec.context.timers.nowMs()
-    if (!belongsToTransaction(request.mode) && this.#isLeftToAssigned(declared, server)) return undefined
-    if (entry !== undefined) this.#entries.set(declared.name, { ...entry, usedAtMs: nowMs, requestedAtMs: nowMs })
+    if (declared === undefined || server === undefined || this.#isLeftToAssigned(declared, server)) return undefined
+    const existing = this.#openDispatcherOf(request)
     if (existing !== undefined) return existing
-    if (!this.#isCandidate(declared, server)) return undefined
-    return this.#openDispatcher(this.#entryFor(declared), server)
+    return this.#isCandidate(declared, server) ? this.#openDispatcher(this.#entryFor(declared), server) : undefined
+  }
+
+  #openDispatcherOf ({ database, server }: ExecuteRequest): DispatcherTask | undefined {
+    const entry = this.#entries.get(database)
+    const nowMs = this.#spec.context.timers.nowMs()
+    if (entry !== undefined) this.#entries.set(database, { ...entry, usedAtMs: nowMs, requestedAtMs: nowMs })
+    return entry?.dispatchers.get(server)
   }
 
   // Two hosts together may use the bound of a cold server; a candidate that is not
--- a/test/platform/transactions.test.ts
+++ b/test/platform/transactions.test.ts
@@ -79,7 +79,20 @@
   assert.deepEqual(committedItems(fleet), ['second-0', 'second-1', 'second-2'])
 })
 
-// Guards against the same, where the entry of a server lapses and comes back.
+// Guards against BUSY for a transaction that is gone: its caller could go on in it as if it were open.
+test('while the entry of their server is missing, callers learn at once that their transactions are lost', async t => {
+  const fleet = await startFleet(t)
+  const [, , replica] = fleet.servers
+  assert.ok(replica !== undefined)
+  const [reading, ...committing] = await beginReadsAt(fleet, replica, 'first')
+  await untilLogged(fleet, '"serversChanged","servers":2', () => { fleet.store.remove('servers', replica.id) })
+  const read = await reading?.query('READ folio')
+  assert.deepEqual([read?.code, read?.state], ['ABORTED', 'E'])
+  const lost = await commitAll(committing, 'first')
+  assert.deepEqual(lost.map(({ code, state }) => [code, state]), committing.map(() => ['ABORTED', 'I']))
+})
+
+// Guards against PINNED, where the entry of a server lapses and comes back.
 test('callers that rested while the entry of their server was missing learn that their transactions are lost', async t => {
   const fleet = await startFleet(t)
   const [, , replica] = fleet.servers
