A call that ends before its link is established is never sent

What happens: a call that times out while its link is still being opened counts as not sent (`refused`). Its caller gets a promise (ABORTED for a COMMIT, BUSY) or the statement is sent to another host, but the text stayed in the buffer of the socket and was executed if the link opened later: a write that takes effect after a promise, or twice.

Cause: requests were written to the socket before it was connected, so "no part of a call has left this host" did not stay true.

Change: the link keeps such requests itself and writes those that still wait once it is established.

Under plain TCP the same code runs; a late SYN was not played.

--- a/src/wire/peer-link.ts
+++ b/src/wire/peer-link.ts
@@ -1,5 +1,6 @@
 // Links between proxies: JSON-RPC 2.0, one text per line, over TCP or TLS. A
-// link is opened on the first call. When a call times out and nothing has been
+// link is opened on the first call; calls are sent once it is established, and a call
+// that has ended by then is not. When a call times out and nothing has been
 // received on the link for `unresponsiveLinkMs` although calls were sent, the
 // link is unresponsive and closed; the next call opens a new one. A single
 // timeout does not close the link, because other calls on it may still get a
@@ -118,14 +119,25 @@
 
 function openLink (socket: net.Socket, connectedEvent: 'connect' | 'secureConnect', timers: TimerService, onClose: (failure: Error) => void): OpenLink {
   const waiting = new Map<unknown, (end: CallEnd) => void>()
+  /** Requests that were made before the link was established, in order. */
+  const unsent = new Map<unknown, string>()
   let connected = false
   let requests = 0
   let unansweredSinceMs: number | undefined
   const endCall = (id: unknown, end: CallEnd): void => {
     waiting.get(id)?.(end)
     waiting.delete(id)
+    unsent.delete(id)
   }
-  socket.once(connectedEvent, () => { connected = true })
+  const send = (id: number, line: string): void => {
+    if (connected) socket.write(line)
+    else unsent.set(id, line)
+  }
+  socket.once(connectedEvent, () => {
+    connected = true
+    for (const line of unsent.values()) socket.write(line)
+    unsent.clear()
+  })
   readLines(socket, line => {
     unansweredSinceMs = undefined
     const answer = answerIn(line)
@@ -140,7 +152,7 @@
     request: (method, params, timeoutMs) => new Promise(resolve => {
       unansweredSinceMs ??= timers.nowMs()
       const id = ++requests
-      socket.write(requestText(id, method, params) + '\n')
+      send(id, requestText(id, method, params) + '\n')
       const cancel = timers.after(timeoutMs, { send: () => { endCall(id, { kind: 'overdue' }); return 'accepted' } })
       waiting.set(id, end => { cancel(); resolve(end) })
     }),
--- a/test/integration/tls.test.ts
+++ b/test/integration/tls.test.ts
@@ -3,17 +3,15 @@
 import assert from 'node:assert/strict'
 import { connect } from 'node:net'
 import { test } from 'node:test'
-import { generate } from 'selfsigned'
+import { sharedCertificate } from '../support/certificates.js'
 import { openCaller, startServingSet, proxyAt } from '../support/local-set.js'
 
-const keyBits = 2048
-
 type Certificates = { readonly cert_pem: string, readonly key_pem: string, readonly ca_pem: string }
 
-/** One certificate that all hosts of a set share and trust. */
+/** One certificate that all hosts of a set share and trust, as settings. */
 async function sharedCertificates (): Promise<Certificates> {
-  const pems = await generate([{ name: 'commonName', value: 'limpetmoor' }], { keySize: keyBits })
-  return { cert_pem: pems.cert, key_pem: pems.private, ca_pem: pems.cert }
+  const { certPem, keyPem } = await sharedCertificate()
+  return { cert_pem: certPem, key_pem: keyPem, ca_pem: certPem }
 }
 
 /**
--- a/test/wire/peer-link.test.ts
+++ b/test/wire/peer-link.test.ts
@@ -9,6 +9,7 @@
 import type { WireError } from '../../src/ports/index.js'
 import { listenForPeers, peerClient, type PeerClient, type PeerHandlers } from '../../src/wire/peer-link.js'
 import { decodeParams, decodeResult } from '../../src/wire/peer-schema.js'
+import { sharedCertificate } from '../support/certificates.js'
 import { until } from '../support/until.js'
 
 const state: MemberState = { host: 'entry-1', failureDomain: 'medina', incarnation: 'a1', state: 'serving', generation: 3, storeConfirmedAgoMs: undefined }
@@ -109,6 +110,48 @@
   assert.equal(await calls[3], 'lost')
 })
 
+/** Listens in front of a port and passes nothing on before `release`. */
+async function startHeldRelay (t: TestContext, targetPort: number): Promise<{ readonly port: number, readonly release: () => void }> {
+  const held: Socket[] = []
+  const server = createServer(socket => {
+    socket.on('error', () => {})
+    held.push(socket)
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  t.after(() => {
+    server.close()
+    for (const socket of held) socket.destroy()
+  })
+  return {
+    port: (server.address() as AddressInfo).port,
+    release: () => {
+      for (const socket of held) {
+        const onward = connect(targetPort, '127.0.0.1')
+        onward.on('error', () => { socket.destroy() })
+        socket.pipe(onward).pipe(socket)
+      }
+    }
+  }
+}
+
+// Guards against TWICE and REFUSED: a call that was given up as not sent stayed in the buffer of a link that opened late, and was executed.
+test('a call that timed out before its link was established is never executed', async t => {
+  const { certPem, keyPem } = await sharedCertificate()
+  const security = { certPem, keyPem, caPem: certPem }
+  const executed: string[] = []
+  const handlers: PeerHandlers = { ...fewHandlers(() => state), suspect: async ({ server }) => { executed.push(server); return { accepted: true } } }
+  const listener = await listenForPeers({ ip: '127.0.0.1', port: 0 }, handlers, security, () => {})
+  const relay = await startHeldRelay(t, listener.port)
+  const timers = systemTimers()
+  const client = peerClient({ ip: '127.0.0.1', port: relay.port }, timers, security)
+  t.after(() => { client.close(); listener.close(); timers.stop() })
+  await assert.rejects(client.call('suspect', { database: 'd', server: 'given up' }, 50), { failure: 'refused' })
+  const second = client.call('suspect', { database: 'd', server: 'sent' }, timeoutMs)
+  relay.release()
+  assert.deepEqual(await second, { accepted: true })
+  assert.deepEqual(executed, ['sent'])
+})
+
 test('parameters or a result with a missing field are rejected before they reach a task', async t => {
   const { client, errors } = await startLink(t, () => ({ ...state, generation: -1 }))
   await assert.rejects(client.call('suspect', { database: 'orders' } as never, timeoutMs), /lost/)
