Each task of a database proposes under a name of its own

What can happen, where servers are promoted by a quorum: a database that is closed on a host and opened again (it was unused, or removed and declared again) gets a new task. It knows no term that the one before has proposed, but had the same proposer name, host and incarnation. Servers take a fence of the same term and proposer for a repeated one, so the new task could fence a majority in a term in which the old one has ordered a promotion: two primaries of one term.

Change: the name has an id of the process's sequence in place of the incarnation.

--- a/src/daemon/database-step.ts
+++ b/src/daemon/database-step.ts
@@ -109,7 +109,7 @@
 
 /**
  * Creates the state before any status was received.
- * @param context - settings, ports and incarnation of this process
+ * @param context - settings, ports and ids of this process
  * @param database - the database
  * @returns the state
  */
@@ -118,7 +118,7 @@
   const { control, host } = context.settings
   const failoverSettings = failoverSettingsFor(context.ports.promotionMethod.kind, control)
   return {
-    failover: initialFailoverState(database, proposerName(host.name, context.incarnation), failoverSettings),
+    failover: initialFailoverState(database, proposerName(host.name, context.uniqueId()), failoverSettings),
     quorumWait: initialQuorumWait(names, context.ports.promotionMethod.kind === 'byLeader' ? 'temporary' : 'permanent'),
     minPosition: initialMinPosition(names, { roundTimeoutMs: minPositionRoundTimeoutMs, maxWaiting: maxWaitingMinPositions }),
     staleness: emptyStaleness(names),
--- a/src/failover/failover.ts
+++ b/src/failover/failover.ts
@@ -4,9 +4,9 @@
 // database are those of its servers, ranked so that one acts first.
 //
 // A term is a number that increases with each change of primary. A fence for a
-// term stops a server from accepting entries of lower terms. A proposer is a host
-// in one incarnation that fences and promotes. What a fence guarantees depends on
-// the promotion method (see `PromotionMethodKind`).
+// term stops a server from accepting entries of lower terms. A proposer is
+// one state of this module, on one host, that fences and promotes. What a fence
+// guarantees depends on the promotion method (see `PromotionMethodKind`).
 //
 // The terms that the servers report are authoritative. The store only publishes
 // the result; with `byQuorum`, failover works while the store is unreachable.
--- a/src/failover/state.ts
+++ b/src/failover/state.ts
@@ -16,7 +16,7 @@
 /** Failover state of one database at one dispatcher. */
 export type FailoverState = {
   readonly settings: FailoverSettings
-  /** Host and incarnation, unique to this process. */
+  /** From `proposerName`. */
   readonly proposer: string
   readonly group: GroupView
   /** Servers that may become primary. */
@@ -98,11 +98,12 @@
 /**
  * Returns the name of a proposer.
  * @param host - the host
- * @param incarnation - differs at each start of the process
- * @returns a name that no other process uses
+ * @param id - differs for each state, also within a process: a later one does not
+ *   know which terms were proposed
+ * @returns a name that no other proposer uses
  */
-export function proposerName (host: HostName, incarnation: string): string {
-  return `${host}#${incarnation}`
+export function proposerName (host: HostName, id: string): string {
+  return `${host}#${id}`
 }
 
 /**
--- a/test/daemon/database-step.test.ts
+++ b/test/daemon/database-step.test.ts
@@ -3,14 +3,20 @@
 import type { DaemonContext } from '../../src/daemon/context.js'
 import { databaseDueAtMs, databaseStep, initialState, waitingAnswers, type DatabaseState } from '../../src/daemon/database-step.js'
 import type { DatabaseDeclaration } from '../../src/model/index.js'
+import { uniqueIds } from '../../src/pipe/index.js'
+import { fence, newLedger, promote } from '../../standins/database/ledger.js'
 
-/** The state of a database before any status was received. */
-function stateOf (names: readonly string[] = ['s1']): DatabaseState {
-  const context = {
+function processContext (): DaemonContext {
+  return {
     settings: { host: { name: 'h1' }, control: { probeTimeoutMs: 100 } },
     ports: { promotionMethod: { kind: 'byLeader' }, driver: { statusDelivery: 'polled' } },
-    incarnation: 'a'
+    incarnation: 'a',
+    uniqueId: uniqueIds('a')
   } as unknown as DaemonContext
+}
+
+/** The state of a database before any status was received. */
+function stateOf (names: readonly string[] = ['s1'], context = processContext()): DatabaseState {
   const servers = names.map(name => ({ name, ip: '127.0.0.1', port: 1, failureDomain: 'a', slots: 1, maxConnections: 20, state: 'active' } as const))
   const database: DatabaseDeclaration = { name: 'orders', state: 'active', servers }
   return initialState(context, database)
@@ -45,3 +51,13 @@
   assert.ok(databaseDueAtMs(done.state, 105) > 120)
   assert.deepEqual(databaseStep(done.state, { kind: 'tick', nowMs: 110, random: 0.5 }).effects.filter(({ kind }) => kind === 'queryRound'), [])
 })
+
+// Guards against two primaries of one term: a task that is made anew forgets which terms were proposed, and servers took its fences for repeated ones.
+test('a task of a database that is made anew cannot continue the fence of the one before', () => {
+  const context = processContext()
+  const [before, after] = [stateOf(['s1'], context), stateOf(['s1'], context)]
+  const fenced = fence(newLedger('s1'), 2, before.failover.proposer)
+  assert.equal(fenced.accepted, true)
+  assert.equal(fence(fenced.ledger, 2, after.failover.proposer).accepted, false)
+  assert.equal(promote(fenced.ledger, 2, after.failover.proposer).accepted, false)
+})
