--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -4,10 +4,11 @@
 
 import type { DispatchReply } from '../dispatch/index.js'
 import type { PromotionProgress } from '../failover/index.js'
-import { dispatcherCandidates, placeDispatchers, placedDispatchers, rankDispatchers, type Member, type Placement } from '../members/index.js'
+import type { Member } from '../members/index.js'
 import { acceptsNewWork, belongsToTransaction, notRun, type DatabaseDeclaration, type DatabaseName, type ExecuteReply, type ExecuteRequest, type HostName, type PeerParams, type PrimaryView, type ServerDeclaration, type ServerLoad, type ServerName } from '../model/index.js'
 import { startAlarm, type Alarm } from '../pipe/index.js'
 import type { PromotionResult } from '../ports/index.js'
+import { Assignments } from './assignments.js'
 import { ColdBounds, type ColdBoundsSpec } from './cold-bounds.js'
 import type { DaemonContext } from './context.js'
 import { runAdmitted, type DelegatedAdmissionSpec } from './delegated-admission.js'
@@ -64,13 +65,13 @@
 export class Databases {
   readonly #spec: DatabasesSpec
   readonly #coldBounds: ColdBounds
+  readonly #assignments: Assignments
   readonly #entries = new Map<DatabaseName, DatabaseEntry>()
   #declared: ReadonlyMap<DatabaseName, DatabaseDeclaration> = new Map()
   #stopping = false
   #isLeader = false
   #idleTransactionMs: number | undefined
   #lastRequestAtMs = -Infinity
-  #placement: Placement = placeDispatchers({ databases: [], live: [], listed: [] })
   /** Goes off once no host has joined for a while. */
   readonly #joinsSettled: Alarm
 
@@ -80,6 +81,7 @@
    */
   constructor (spec: DatabasesSpec) {
     this.#spec = spec
+    this.#assignments = new Assignments(spec.context.settings.host.name)
     this.#coldBounds = new ColdBounds({ ...spec, declared: name => this.#declared.get(name) })
     this.#joinsSettled = startAlarm(spec.context.timers, { send: () => { this.#updateAssignments(); return 'accepted' } })
     spec.context.timers.every(sweepMs, { send: tick => { this.#closeUnused(tick.nowMs); return 'accepted' } })
@@ -91,7 +93,7 @@
    */
   applyManifest (databases: readonly DatabaseDeclaration[]): void {
     this.#declared = new Map(databases.map(database => [database.name, database]))
-    this.#placement = placeDispatchers({ ...this.#placement.input, databases })
+    this.#assignments.applyManifest(databases)
     for (const [name, entry] of this.#entries) {
       const declared = this.#declared.get(name)
       if (declared === undefined) void this.#close(name, entry)
@@ -129,9 +131,7 @@
    */
   updateMembers (live: readonly Member[], listed: readonly Member[], unresponsive: ReadonlySet<HostName>): void {
     this.#coldBounds.updateMembers(live, unresponsive)
-    const { input } = this.#placement
-    const hasJoined = live.some(({ host }) => !input.live.some(other => other.host === host))
-    this.#placement = placeDispatchers({ ...input, live, listed })
+    const hasJoined = this.#assignments.updateMembers(live, listed)
     for (const { dispatchers } of this.#entries.values()) {
       for (const dispatcher of dispatchers.values()) dispatcher.recordUnresponsive(unresponsive)
     }
@@ -220,7 +220,7 @@
     const { primary } = entry.task.view.get().primary
     if (this.#isLeader || primary === undefined) return true
     if (this.#spec.context.timers.nowMs() - entry.requestedAtMs < recentRequestMs) return true
-    return placedDispatchers(this.#placement, entry.declaration).get(primary) === this.#spec.context.settings.host.name
+    return this.#assignments.isDispatcher(entry.declaration, primary)
   }
 
   /**
@@ -270,19 +270,15 @@
   #updateAssignments (): void {
     for (const [name, declared] of this.#declared) {
       if (declared.servers.length === 0) continue
-      if (this.#isAssigned(declared) || this.#isLeader) this.#entryFor(declared)
+      if (this.#assignments.isAssigned(declared) || this.#isLeader) this.#entryFor(declared)
       this.#entries.get(name)?.task.changeRank(this.#rankOf(declared))
     }
   }
 
   #rankOf (declared: DatabaseDeclaration): number | undefined {
-    const { settings, ports } = this.#spec.context
-    switch (ports.promotionMethod.kind) {
+    switch (this.#spec.context.ports.promotionMethod.kind) {
       case 'byLeader': return this.#isLeader ? 0 : undefined
-      case 'byQuorum': {
-        const rank = rankDispatchers(declared, placedDispatchers(this.#placement, declared)).indexOf(settings.host.name)
-        return rank < 0 ? undefined : rank
-      }
+      case 'byQuorum': return this.#assignments.rankOf(declared)
     }
   }
 
@@ -317,7 +313,7 @@
     if (declared === undefined || server === undefined || this.#isLeftToAssigned(declared, server)) return undefined
     const existing = this.#openDispatcherOf(request)
     if (existing !== undefined) return existing
-    return this.#isCandidate(declared, server) ? this.#openDispatcher(this.#entryFor(declared), server) : undefined
+    return this.#assignments.isCandidate(declared, server.name) ? this.#openDispatcher(this.#entryFor(declared), server) : undefined
   }
 
   #openDispatcherOf ({ database, server }: ExecuteRequest): DispatcherTask | undefined {
@@ -330,8 +326,7 @@
   // Two hosts together may use the bound of a cold server; a candidate that is not
   // assigned would be a third one.
   #isLeftToAssigned (declared: DatabaseDeclaration, server: ServerDeclaration): boolean {
-    if (!this.#coldBounds.isCold(declared, server)) return false
-    return placedDispatchers(this.#placement, declared).get(server.name) !== this.#spec.context.settings.host.name
+    return this.#coldBounds.isCold(declared, server) && !this.#assignments.isDispatcher(declared, server.name)
   }
 
   #declaredServer (database: DatabaseName, server: ServerName): ServerDeclaration | undefined {
@@ -342,7 +337,7 @@
   // are done.
   #closeUnused (nowMs: number): void {
     for (const [name, entry] of this.#entries) {
-      if (this.#isAssigned(entry.declaration) || this.#isLeader) {
+      if (this.#assignments.isAssigned(entry.declaration) || this.#isLeader) {
         this.#entries.set(name, { ...entry, usedAtMs: nowMs })
         continue
       }
@@ -351,16 +346,6 @@
     }
   }
 
-  #isAssigned (declared: DatabaseDeclaration): boolean {
-    return [...placedDispatchers(this.#placement, declared).values()].includes(this.#spec.context.settings.host.name)
-  }
-
-  // Membership views of hosts may differ, so the host that would be next accepts
-  // statements, too.
-  #isCandidate (declared: DatabaseDeclaration, server: ServerDeclaration): boolean {
-    return dispatcherCandidates(this.#placement, declared, server.name).includes(this.#spec.context.settings.host.name)
-  }
-
   #openDispatcher (entry: DatabaseEntry, server: ServerDeclaration): DispatcherTask {
     const dispatcher = startDispatcher({
       context: this.#spec.context,
