--- a/src/daemon/databases.ts
+++ b/src/daemon/databases.ts
@@ -13,6 +13,7 @@
 import type { DaemonContext } from './context.js'
 import { runAdmitted, type DelegatedAdmissionSpec } from './delegated-admission.js'
 import { startDatabase, type DatabaseTask } from './database-task.js'
+import { endCauseOf, type DispatcherEnd } from './dispatcher-end.js'
 import { startDispatcher, type DispatcherTask } from './dispatcher-task.js'
 
 /** Dependencies of the databases. */
@@ -24,6 +25,7 @@
   readonly publish: (view: PrimaryView) => void
   readonly orderPromotion: (database: DatabaseName, server: ServerName) => Promise<PromotionResult>
   readonly onFailure: (server: ServerName, failure: string) => void
+  readonly onDispatcherEnded: (end: DispatcherEnd) => void
   /** A connection from this host to the server was lost or could not be opened. */
   readonly onConnectionLost: (database: DatabaseName, server: ServerName) => void
 }
@@ -368,22 +370,21 @@
     if (JSON.stringify(entry.declaration) === JSON.stringify(declared)) return
     entry.task.changeManifest(declared)
     const kept = [...entry.dispatchers].filter(([server, dispatcher]) => {
-      const same = sameServer(entry.declaration, declared, server)
-      if (!same) void dispatcher.stop()
-      return same
+      const cause = endCauseOf(entry.declaration, declared, server)
+      if (cause !== undefined) void this.#end({ database: name, server, cause }, dispatcher)
+      return cause === undefined
     })
     this.#entries.set(name, { ...entry, declaration: declared, dispatchers: new Map(kept) })
   }
 
   async #close (name: DatabaseName, entry: DatabaseEntry): Promise<void> {
     this.#entries.delete(name)
-    await Promise.all([...entry.dispatchers.values()].map(async dispatcher => { await dispatcher.stop() }))
+    await Promise.all([...entry.dispatchers].map(async ([server, dispatcher]) => { await this.#end({ database: name, server, cause: 'databaseClosed' }, dispatcher) }))
     await entry.task.stop()
   }
-}
 
-function sameServer (before: DatabaseDeclaration, after: DatabaseDeclaration, name: ServerName): boolean {
-  const find = (database: DatabaseDeclaration): ServerDeclaration | undefined => database.servers.find(server => server.name === name)
-  const [previous, current] = [find(before), find(after)]
-  return previous !== undefined && current !== undefined && previous.ip === current.ip && previous.port === current.port && previous.slots === current.slots && previous.maxConnections === current.maxConnections
+  async #end (end: Omit<DispatcherEnd, 'transactions'>, dispatcher: DispatcherTask): Promise<void> {
+    this.#spec.onDispatcherEnded({ ...end, transactions: dispatcher.openTransactions() })
+    await dispatcher.stop()
+  }
 }
--- a/src/daemon/dispatcher-task.ts
+++ b/src/daemon/dispatcher-task.ts
@@ -40,6 +40,7 @@
   readonly serverLoad: () => ServerLoad
   /** Number of statements that run or wait, plus open transactions. */
   readonly load: () => number
+  readonly openTransactions: () => number
   /**
    * Rejects waiting writes and closes all sessions once the server is no longer
    * the primary.
@@ -128,6 +129,7 @@
     },
     serverLoad: () => queue.load(),
     load: () => running + transactions.size,
+    openTransactions: () => transactions.size,
     closeUnresponsive () {
       queue.restartPace()
       pool.closeIdle()
--- a/src/daemon/proxy.ts
+++ b/src/daemon/proxy.ts
@@ -171,6 +171,7 @@
     onFailure: (server, failure) => { reports.event('serverConnectionFailed', { server, failure }) },
     onColdLimit: (server, perS) => { reports.event('coldLimitChanged', { server, perS: perS ?? 'none' }) },
     onPaceFall: (server, cause, slots) => { reports.recordPaceFall(server, cause, slots) },
+    onDispatcherEnded: end => { reports.event('dispatcherEnded', end) },
     onConnectionLost: (database, server) => {
       if (leader === undefined || leader === settings.host.name) return
       links.call(leader, 'suspect', { database, server }, announceTimeoutMs).catch(() => {})
--- a/test/platform/transactions.test.ts
+++ b/test/platform/transactions.test.ts
@@ -86,6 +86,8 @@
   assert.ok(replica !== undefined)
   const [reading, ...committing] = await beginReadsAt(fleet, replica, 'first')
   await untilLogged(fleet, '"serversChanged","servers":2', () => { fleet.store.remove('servers', replica.id) })
+  const ended = fleet.proxies.flatMap(proxy => proxy.output()).filter(line => line.includes('"dispatcherEnded"'))
+  assert.deepEqual(ended.map(line => line.match(/"server".*"transactions":\d+/)?.[0]), ['"server":"i-c","cause":"serverGone","transactions":3'])
   const read = await reading?.query('READ folio')
   assert.deepEqual([read?.code, read?.state], ['ABORTED', 'E'])
   const lost = await commitAll(committing, 'first')
