--- a/test/platform/transactions.test.ts
+++ b/test/platform/transactions.test.ts
@@ -110,6 +110,26 @@
   assert.equal(ranCommits(fleet, 'first'), 0)
 })
 
+// Guards against PINNED: a server that is back under its id and address knows no session, no value and no prepared name of before.
+test('a server that restarts at its address gets the values and prepared names again, and its transactions are lost', async t => {
+  const fleet = await startFleet(t)
+  const [primary] = fleet.servers
+  assert.ok(primary !== undefined)
+  const resting = await beginWrites(fleet, 'first')
+  const caller = await openSession(fleet, 0)
+  await caller.query('SET tone warm')
+  await caller.query('PREPARE p1 READ shape')
+  await until('a run of the prepared statement', async () => (await caller.query('EXECUTE p1 folio', 'before')).signature !== undefined)
+  await primary.crash()
+  await primary.start()
+  await until('a run after the restart', async () => (await caller.query('EXECUTE p1 folio', 'after')).signature !== undefined)
+  const runs = fleet.servers.flatMap(server => server.runs).filter(({ id }) => id === 'after')
+  assert.deepEqual(runs.map(({ values }) => values), runs.map(() => ({ tone: 'warm' })))
+  const lost = await commitAll(resting, 'first')
+  assert.deepEqual(lost.filter(({ signature }) => signature !== undefined), [])
+  assert.deepEqual(committedItems(fleet), [])
+})
+
 /** Links to the hosts of a fleet, as another host has them. */
 function linksTo (t: TestContext, fleet: Fleet): readonly PeerClient[] {
   const timers = systemTimers()
